--- /dev/null
+++ b/crates/catkin-base/src/id.rs
@@ -0,0 +1,73 @@
+//! Identifiers of fixed size, derived from declared names or drawn at random.
+
+use std::fmt;
+
+use crate::copy_type;
+use crate::digest::hash_parts;
+
+macro_rules! named_id {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        $(
+            copy_type! {
+                $(#[$doc])*
+                #[derive(serde::Serialize, serde::Deserialize)]
+                pub struct $name(pub u64);
+            }
+
+            impl $name {
+                /// Derives the identifier from a declared name.
+                pub fn from_name(name: &str) -> Self {
+                    Self(hash_parts(&[name.as_bytes()]))
+                }
+            }
+
+            impl fmt::Display for $name {
+                fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                    write!(formatter, "{:016x}", self.0)
+                }
+            }
+        )*
+    };
+}
+
+named_id! {
+    /// A request class, as declared.
+    ClassId,
+    /// A failure domain.
+    DomainId,
+    /// A pool: the backend servers that serve one model or one plain service.
+    PoolId,
+    /// A region.
+    RegionId,
+    /// Digest of a request's content, used to recognize one that crashes servers.
+    RequestDigest,
+    /// A backend server.
+    ServerId,
+    /// A team.
+    TeamId,
+    /// A VM of the system, which runs one router.
+    VmId,
+    /// One attempt to run a request on one server.
+    AttemptId,
+    /// One request as a caller sent it.
+    RequestId,
+}
+
+copy_type! {
+    /// A chat of one team.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    pub struct ChatId(pub u64);
+}
+
+impl ChatId {
+    /// Derives the identifier from the team and the chat name that the caller gave.
+    pub fn from_names(team: TeamId, chat: &str) -> Self {
+        Self(hash_parts(&[&team.0.to_le_bytes(), chat.as_bytes()]))
+    }
+}
+
+impl fmt::Display for ChatId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/catkin-base/src/lib.rs
@@ -0,0 +1,26 @@
+//! Identifiers, time, verdicts and derive macros shared by every catkinpitch package.
+//!
+//! ```
+//! use catkin_base::{ClockTime, ServerId};
+//!
+//! let server = ServerId::from_name("estimator-1");
+//! let start = ClockTime::from_millis(5);
+//! assert_eq!(server, ServerId::from_name("estimator-1"));
+//! assert_eq!(start.plus_millis(2).millis_since(start), 2);
+//! ```
+
+mod digest;
+mod id;
+mod macros;
+mod refusal;
+mod time;
+mod verdict;
+
+pub use digest::{digest_hex, hash_parts};
+pub use id::{
+    AttemptId, ChatId, ClassId, DomainId, PoolId, RegionId, RequestDigest, RequestId, ServerId,
+    TeamId, VmId,
+};
+pub use refusal::{CallRefusal, RefusalReason};
+pub use time::ClockTime;
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/catkin-base/src/time.rs
@@ -0,0 +1,41 @@
+//! Time as the decisions see it.
+
+use std::time::Duration;
+
+use crate::copy_type;
+
+copy_type! {
+    /// Microseconds since the process started, read from the runtime's clock.
+    #[derive(Default, serde::Serialize, serde::Deserialize)]
+    pub struct ClockTime(pub u64);
+}
+
+impl ClockTime {
+    /// The start of the process.
+    pub const ZERO: ClockTime = ClockTime(0);
+
+    /// A time given in milliseconds since the start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1000))
+    }
+
+    /// This time moved later, in milliseconds.
+    pub const fn plus_millis(self, millis: u64) -> Self {
+        Self(self.0.saturating_add(millis.saturating_mul(1000)))
+    }
+
+    /// This time moved later.
+    pub fn plus(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration.as_micros() as u64))
+    }
+
+    /// Time passed since `earlier`; zero if `earlier` lies ahead.
+    pub const fn since(self, earlier: ClockTime) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Whole milliseconds passed since `earlier`; zero if `earlier` lies ahead.
+    pub const fn millis_since(self, earlier: ClockTime) -> u64 {
+        self.0.saturating_sub(earlier.0) / 1000
+    }
+}
--- /dev/null
+++ b/crates/catkin-ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/catkin-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the router fleet, without input or output.
--- /dev/null
+++ b/crates/catkin-operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' listener, its client and the readable state it serves.
--- /dev/null
+++ b/crates/catkin-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, admission, fairness, retry and quarantine decisions, without input or output.
--- /dev/null
+++ b/crates/catkin-router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: callers, owners, peers and the platform put together.
--- /dev/null
+++ b/crates/catkin-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, engines, plain services and the weight store.
