--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -19,7 +19,13 @@
     /// PeerMessage
     #[prost(bytes = "vec", tag = "6")]
     pub body: ::prost::alloc::vec::Vec<u8>,
-    /// MAC over all of the above
+    /// of the receiver's process, 0 if not known
+    #[prost(fixed64, tag = "8")]
+    pub receiver_incarnation: u64,
+    /// of the sender's peer listener
+    #[prost(uint32, tag = "9")]
+    pub port: u32,
+    /// MAC over all of the above, always the last field of a frame
     #[prost(bytes = "vec", tag = "7")]
     pub tag: ::prost::alloc::vec::Vec<u8>,
 }
@@ -77,8 +83,8 @@
         ServerOrderAnswer(super::ServerOrderAnswer),
     }
 }
-/// Membership. One update a member: the highest incarnation wins, then the worst state.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+/// Membership. One update a member: the highest incarnation wins, then refutation, then state.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MemberUpdate {
     #[prost(fixed64, tag = "1")]
     pub vm: u64,
@@ -94,6 +100,11 @@
     pub domain: u64,
     #[prost(fixed64, tag = "7")]
     pub region: u64,
+    #[prost(uint32, tag = "8")]
+    pub refutation: u32,
+    /// in place of ipv4
+    #[prost(bytes = "vec", tag = "9")]
+    pub ipv6: ::prost::alloc::vec::Vec<u8>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Ping {
@@ -104,6 +115,12 @@
     /// highest configuration revision known
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    /// configuration revision in force on the sender
+    #[prost(uint64, tag = "4")]
+    pub in_force: u64,
+    /// digest of the sender's live members
+    #[prost(fixed64, tag = "5")]
+    pub view: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PingAck {
@@ -113,6 +130,10 @@
     pub updates: ::prost::alloc::vec::Vec<MemberUpdate>,
     #[prost(uint64, tag = "3")]
     pub revision: u64,
+    #[prost(uint64, tag = "4")]
+    pub in_force: u64,
+    #[prost(fixed64, tag = "5")]
+    pub view: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PingRequest {
@@ -122,6 +143,12 @@
     pub target: u64,
     #[prost(message, repeated, tag = "3")]
     pub updates: ::prost::alloc::vec::Vec<MemberUpdate>,
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    #[prost(uint64, tag = "5")]
+    pub in_force: u64,
+    #[prost(fixed64, tag = "6")]
+    pub view: u64,
 }
 /// Admission.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
