Carry the cause of an overflow and a light server in grant answers

Cause: the entry router chooses its next ask by the cause, which the wire form lacked. Conclusion: two fields and a typed refusal code; no behaviour yet.

--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -198,8 +198,13 @@
     pub warm: bool,
     #[prost(uint32, tag = "6")]
     pub retry_after_millis: u32,
-    #[prost(uint32, tag = "7")]
-    pub reason: u32,
+    #[prost(enumeration = "RefusalCode", tag = "7")]
+    pub reason: i32,
+    #[prost(enumeration = "OverflowCause", tag = "8")]
+    pub cause: i32,
+    /// a server of the pool with little load; 0 if none is known
+    #[prost(fixed64, tag = "9")]
+    pub light: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GrantRelease {
@@ -439,6 +444,76 @@
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum OverflowCause {
+    Full = 0,
+    NotWarm = 1,
+    Leaving = 2,
+    HeldDown = 3,
+    Handover = 4,
+    WrongPool = 5,
+}
+impl OverflowCause {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Full => "OVERFLOW_CAUSE_FULL",
+            Self::NotWarm => "OVERFLOW_CAUSE_NOT_WARM",
+            Self::Leaving => "OVERFLOW_CAUSE_LEAVING",
+            Self::HeldDown => "OVERFLOW_CAUSE_HELD_DOWN",
+            Self::Handover => "OVERFLOW_CAUSE_HANDOVER",
+            Self::WrongPool => "OVERFLOW_CAUSE_WRONG_POOL",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "OVERFLOW_CAUSE_FULL" => Some(Self::Full),
+            "OVERFLOW_CAUSE_NOT_WARM" => Some(Self::NotWarm),
+            "OVERFLOW_CAUSE_LEAVING" => Some(Self::Leaving),
+            "OVERFLOW_CAUSE_HELD_DOWN" => Some(Self::HeldDown),
+            "OVERFLOW_CAUSE_HANDOVER" => Some(Self::Handover),
+            "OVERFLOW_CAUSE_WRONG_POOL" => Some(Self::WrongPool),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RefusalCode {
+    Overloaded = 0,
+    DeadlineUnmet = 1,
+    TeamLimit = 2,
+    Quarantined = 3,
+}
+impl RefusalCode {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Overloaded => "REFUSAL_CODE_OVERLOADED",
+            Self::DeadlineUnmet => "REFUSAL_CODE_DEADLINE_UNMET",
+            Self::TeamLimit => "REFUSAL_CODE_TEAM_LIMIT",
+            Self::Quarantined => "REFUSAL_CODE_QUARANTINED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "REFUSAL_CODE_OVERLOADED" => Some(Self::Overloaded),
+            "REFUSAL_CODE_DEADLINE_UNMET" => Some(Self::DeadlineUnmet),
+            "REFUSAL_CODE_TEAM_LIMIT" => Some(Self::TeamLimit),
+            "REFUSAL_CODE_QUARANTINED" => Some(Self::Quarantined),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum ReleaseOutcome {
     Done = 0,
     Cancelled = 1,
--- /dev/null
+++ b/crates/catkin-router/src/index.rs
@@ -0,0 +1,174 @@
+//! Declarations in force, indexed for the request path.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use catkin_base::{ClassId, DomainId, PoolId, RegionId, ServerId, TeamId};
+use catkin_policy::{ClassPolicy, PolicyRules, ServerSpec, TeamPolicy};
+use catkin_settings::{
+    ClassRule, FleetDeclarations, ServerKind, ServerRule, ServiceRule, TeamRule, WorkKind,
+};
+
+/// Path of a chat completion on an engine.
+pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// A declared server and what the request path needs of it.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerEntry {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) spec: ServerSpec,
+    pub(crate) resumes: bool,
+}
+
+/// A declared team.
+#[derive(Debug, Clone)]
+pub(crate) struct TeamEntry {
+    pub(crate) team: TeamId,
+    pub(crate) name: String,
+}
+
+/// One revision of the declarations, indexed for the request path.
+#[derive(Debug)]
+pub struct FleetIndex {
+    revision: u64,
+    declarations: FleetDeclarations,
+    servers: BTreeMap<ServerId, ServerEntry>,
+    pools: BTreeMap<PoolId, Vec<ServerSpec>>,
+    teams: BTreeMap<String, TeamEntry>,
+}
+
+impl FleetIndex {
+    /// Indexes one revision.
+    pub fn new(revision: u64, declarations: FleetDeclarations) -> Self {
+        let servers: BTreeMap<_, _> = declarations
+            .servers
+            .iter()
+            .map(|(name, rule)| (ServerId::from_name(name), build_server(name, rule)))
+            .collect();
+        let pools = group_pools(&servers);
+        let teams = declarations
+            .teams
+            .iter()
+            .map(|(name, rule)| (rule.token_digest.clone(), build_team(name)))
+            .collect();
+        Self { revision, declarations, servers, pools, teams }
+    }
+
+    /// The revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The declarations themselves.
+    pub fn declarations(&self) -> &FleetDeclarations {
+        &self.declarations
+    }
+
+    pub(crate) fn server(&self, server: ServerId) -> Option<&ServerEntry> {
+        self.servers.get(&server)
+    }
+
+    pub(crate) fn servers(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.values()
+    }
+
+    pub(crate) fn pool_servers(&self, pool: PoolId) -> &[ServerSpec] {
+        self.pools.get(&pool).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn pools(&self) -> impl Iterator<Item = PoolId> {
+        self.pools.keys().copied()
+    }
+
+    pub(crate) fn team_of_digest(&self, token_digest: &str) -> Option<(&TeamEntry, &TeamRule)> {
+        let entry = self.teams.get(token_digest)?;
+        let rule = self.declarations.teams.get(&entry.name)?;
+        Some((entry, rule))
+    }
+
+    pub(crate) fn class(&self, name: Option<&str>) -> Option<(&str, &ClassRule)> {
+        let name = name.unwrap_or(&self.declarations.default_class);
+        self.declarations.classes.get_key_value(name).map(|(name, rule)| (name.as_str(), rule))
+    }
+
+    pub(crate) fn service(&self, name: &str) -> Option<&ServiceRule> {
+        self.declarations.services.get(name)
+    }
+
+    pub(crate) fn has_model(&self, name: &str) -> bool {
+        self.declarations.models.contains_key(name)
+    }
+
+    /// The rules that the decisions need.
+    pub(crate) fn policy_rules(&self) -> PolicyRules {
+        let placement = &self.declarations.placement;
+        let limits = &self.declarations.limits;
+        PolicyRules {
+            bound_percent: placement.bound_percent,
+            prefill_micros_per_token: placement.prefill_micros_per_token,
+            reuse_weight_percent: placement.reuse_weight_percent,
+            skew_weight_percent: placement.skew_weight_percent,
+            long_share_percent: placement.long_share_percent,
+            retry_percent: limits.retry_percent,
+            crash_strikes: limits.crash_strikes,
+            quarantine_millis: limits.quarantine_millis,
+            hold_down_millis: limits.hold_down_millis,
+            classes: self.declarations.classes.iter().map(build_class).collect(),
+            teams: self.declarations.teams.iter().map(build_team_policy).collect(),
+        }
+    }
+}
+
+/// The pool of servers that serve a model.
+pub(crate) fn model_pool(model: &str) -> PoolId {
+    PoolId::from_name(&format!("model/{model}"))
+}
+
+/// The pool of servers that serve a plain service.
+pub(crate) fn service_pool(service: &str) -> PoolId {
+    PoolId::from_name(&format!("service/{service}"))
+}
+
+fn build_server(name: &str, rule: &ServerRule) -> ServerEntry {
+    let pools = match rule.kind {
+        ServerKind::Engine => rule.models.iter().map(|model| model_pool(model)).collect(),
+        ServerKind::Service => rule.service.iter().map(|service| service_pool(service)).collect(),
+    };
+    let spec = ServerSpec {
+        server: ServerId::from_name(name),
+        pools,
+        domain: DomainId::from_name(&rule.domain),
+        region: RegionId::from_name(&rule.region),
+        weight: rule.weight,
+        slots: rule.slots,
+    };
+    ServerEntry { name: name.to_owned(), address: rule.address, spec, resumes: rule.resumes }
+}
+
+fn group_pools(servers: &BTreeMap<ServerId, ServerEntry>) -> BTreeMap<PoolId, Vec<ServerSpec>> {
+    let mut pools: BTreeMap<PoolId, Vec<ServerSpec>> = BTreeMap::new();
+    for entry in servers.values() {
+        for pool in &entry.spec.pools {
+            pools.entry(*pool).or_default().push(entry.spec.clone());
+        }
+    }
+    pools
+}
+
+fn build_team(name: &str) -> TeamEntry {
+    TeamEntry { team: TeamId::from_name(name), name: name.to_owned() }
+}
+
+fn build_class((name, rule): (&String, &ClassRule)) -> (ClassId, ClassPolicy) {
+    let policy = ClassPolicy {
+        quick: rule.work == WorkKind::Quick,
+        priority: rule.priority,
+        expected_tokens: rule.expected_tokens,
+    };
+    (ClassId::from_name(name), policy)
+}
+
+fn build_team_policy((name, rule): (&String, &TeamRule)) -> (TeamId, TeamPolicy) {
+    (TeamId::from_name(name), TeamPolicy { weight: rule.weight, max_open: rule.max_open })
+}
