Count server-sent events and cut streams at their boundaries

Routers have to know how many events of a stream were delivered, to resume it, and whether its end was seen, to call it whole. Bytes arrive in pieces of any size.

--- a/crates/catkin-base/src/lib.rs
+++ b/crates/catkin-base/src/lib.rs
@@ -13,6 +13,7 @@
 mod id;
 mod macros;
 mod refusal;
+mod sse;
 mod time;
 mod verdict;
 
@@ -22,5 +23,6 @@
     TeamId, VmId,
 };
 pub use refusal::{CallRefusal, RefusalReason};
+pub use sse::{EventCounter, EventTooLong, SseScanner};
 pub use time::ClockTime;
 pub use verdict::RunVerdict;
