Send attempts, probes, look-ups and orders to servers over hyper

Each request takes a connection of its own, driven by whoever waits for the answer, so that dropping the stream closes it and no task has to be joined. Failures before the first written byte say not run, later ones may have run. A stream is whole only when [DONE] was seen. No tests yet.

--- /dev/null
+++ b/crates/catkin-backend/src/control.rs
@@ -0,0 +1,147 @@
+//! Probes, look-ups and orders: small requests with small JSON answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use catkin_base::ChatId;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout_at};
+
+use crate::exchange::HttpExchange;
+use crate::{BackendError, BackendFault, CacheEvent, ServerProbe};
+
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// A small answer, read to its end.
+#[derive(Debug)]
+pub(crate) struct SmallAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Sends one small request; `limit` bounds all of it.
+pub(crate) async fn fetch_answer(
+    address: SocketAddr,
+    method: Method,
+    target: &str,
+    body: Bytes,
+    limit: Duration,
+) -> Result<SmallAnswer, BackendError> {
+    let deadline = Instant::now() + limit;
+    let mut exchange = HttpExchange::connect(address, limit).await?;
+    let request = Request::builder()
+        .method(method)
+        .uri(target)
+        .header(HOST, address.to_string())
+        .header(CONNECTION, "close")
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|_| exchange.fail(BackendFault::Broken))?;
+    let response = exchange.send(request, deadline - Instant::now()).await?;
+    let status = response.status();
+    let reading = collect_answer(&mut exchange, response.into_body());
+    match timeout_at(deadline, reading).await {
+        Ok(Some(body)) => Ok(SmallAnswer { status, body }),
+        Ok(None) => Err(exchange.fail(BackendFault::Broken)),
+        Err(_) => Err(exchange.fail(BackendFault::TimedOut)),
+    }
+}
+
+async fn collect_answer(exchange: &mut HttpExchange, mut body: Incoming) -> Option<Bytes> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = exchange.drive(body.frame()).await {
+        let Ok(bytes) = frame.ok()?.into_data() else {
+            continue;
+        };
+        if collected.len() + bytes.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+        collected.extend_from_slice(&bytes);
+    }
+    Some(collected.freeze())
+}
+
+#[derive(Deserialize)]
+struct ProbeDocument {
+    incarnation: u64,
+    open: u32,
+    leaving: bool,
+    models: Vec<String>,
+    event_sequence: u64,
+    #[serde(default)]
+    events: Vec<EventDocument>,
+    fence: u64,
+}
+
+#[derive(Deserialize)]
+struct EventDocument {
+    sequence: u64,
+    chat: String,
+    cached: bool,
+}
+
+/// Reads a probe's answer; `None` if it is malformed.
+pub(crate) fn parse_probe(body: &[u8]) -> Option<ServerProbe> {
+    let document: ProbeDocument = serde_json::from_slice(body).ok()?;
+    let events = document.events.iter().map(parse_event).collect::<Option<Vec<_>>>()?;
+    Some(ServerProbe {
+        incarnation: document.incarnation,
+        open: document.open,
+        leaving: document.leaving,
+        models: document.models,
+        event_sequence: document.event_sequence,
+        events,
+        fence: document.fence,
+    })
+}
+
+fn parse_event(document: &EventDocument) -> Option<CacheEvent> {
+    let digits = document.chat.as_bytes();
+    if digits.len() != 16 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    let chat = ChatId(u64::from_str_radix(&document.chat, 16).ok()?);
+    Some(CacheEvent { sequence: document.sequence, chat, cached: document.cached })
+}
+
+#[derive(Serialize)]
+struct OrderDocument<'a> {
+    fence: u64,
+    generation: u64,
+    desired: &'a str,
+}
+
+#[derive(Deserialize)]
+struct OrderAnswer {
+    fence: u64,
+}
+
+/// The body of an order.
+pub(crate) fn format_order(fence: u64, generation: u64, desired: &str) -> Bytes {
+    let document = OrderDocument { fence, generation, desired };
+    serde_json::to_vec(&document).unwrap_or_default().into()
+}
+
+/// Reads the newest fencing number from an order's answer; `None` if it is malformed.
+pub(crate) fn parse_order_answer(body: &[u8]) -> Option<u64> {
+    let answer: OrderAnswer = serde_json::from_slice(body).ok()?;
+    Some(answer.fence)
+}
+
+/// Escapes a text for the value of a query parameter.
+pub(crate) fn escape_query(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            escaped.push(char::from(byte));
+        } else {
+            escaped.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    escaped
+}
--- a/crates/catkin-backend/src/lib.rs
+++ b/crates/catkin-backend/src/lib.rs
@@ -1,8 +1,36 @@
 //! Client of backend servers: engines and plain services.
+//!
+//! An [`HttpLink`] sends each attempt over a connection of its own and says of every failure
+//! whether the request may have run. Dropping an [`HttpStream`] closes its connection, which
+//! cancels the server's work.
+//!
+//! ```no_run
+//! use catkin_backend::{AttemptSpec, BackendError, BackendLink, BackendStream, HttpLink};
+//!
+//! async fn count_bytes(spec: &AttemptSpec) -> Result<usize, BackendError> {
+//!     let mut stream = HttpLink.send(spec).await?;
+//!     let mut count = 0;
+//!     while let Some(part) = stream.next_part().await? {
+//!         count += part.len();
+//!     }
+//!     Ok(count)
+//! }
+//! ```
 
+mod control;
+mod exchange;
+mod headers;
+mod http_link;
 mod link;
+mod stream;
 
+pub use headers::{
+    ATTEMPT_HEADER, CACHED_HEADER, CHAT_ID_HEADER, KEY_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER,
+    RESUME_AFTER_HEADER, RESUME_ATTEMPT_HEADER,
+};
+pub use http_link::HttpLink;
 pub use link::{
     AnswerHead, AttemptSpec, BackendError, BackendFault, BackendLink, BackendStream, CacheEvent,
     ResumePoint, ServerProbe,
 };
+pub use stream::HttpStream;
--- /dev/null
+++ b/crates/catkin-backend/src/stream.rs
@@ -0,0 +1,151 @@
+//! An answer that arrives over HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkin_base::{RunVerdict, SseScanner};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use tokio::time::timeout;
+
+use crate::exchange::HttpExchange;
+use crate::headers::CACHED_HEADER;
+use crate::{AnswerHead, BackendError, BackendFault, BackendStream};
+
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Answer of a server over HTTP. A streamed one gives whole events only.
+#[derive(Debug)]
+pub struct HttpStream {
+    exchange: HttpExchange,
+    body: Incoming,
+    head: AnswerHead,
+    scanner: Option<SseScanner>,
+    idle_timeout: Duration,
+    ran: RunVerdict,
+    ended: bool,
+}
+
+impl HttpStream {
+    /// Takes over the answer after its head. Fails if its end could not be recognized.
+    pub(crate) fn open(
+        exchange: HttpExchange,
+        response: Response<Incoming>,
+        idle_timeout: Duration,
+    ) -> Result<Self, BackendError> {
+        let head = read_head(&response);
+        if !head.streamed && !has_known_end(&response) {
+            log::warn!("backend: answer without a length refused");
+            return Err(exchange.fail(BackendFault::Broken));
+        }
+        let scanner = head.streamed.then(|| SseScanner::new(MAX_EVENT_BYTES));
+        let body = response.into_body();
+        let ran = RunVerdict::MayHaveRun;
+        Ok(Self { exchange, body, head, scanner, idle_timeout, ran, ended: false })
+    }
+
+    async fn next_bytes(&mut self) -> Result<Option<Bytes>, BackendError> {
+        loop {
+            let framing = self.exchange.drive(self.body.frame());
+            let frame = match timeout(self.idle_timeout, framing).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Err(self.fail(BackendFault::Broken)),
+                Ok(None) => return Ok(None),
+                Err(_) => return Err(self.fail(BackendFault::TimedOut)),
+            };
+            match frame.into_data() {
+                Ok(bytes) if !bytes.is_empty() => return Ok(Some(bytes)),
+                _ => {}
+            }
+        }
+    }
+
+    async fn next_events(&mut self) -> Result<Option<Bytes>, BackendError> {
+        while !self.is_done() {
+            let Some(bytes) = self.next_bytes().await? else {
+                return Err(self.fail(BackendFault::Broken));
+            };
+            if let Some(events) = self.scan(bytes)? {
+                return Ok(Some(events));
+            }
+        }
+        Ok(None)
+    }
+
+    fn is_done(&self) -> bool {
+        self.scanner.as_ref().is_some_and(SseScanner::is_done)
+    }
+
+    fn scan(&mut self, bytes: Bytes) -> Result<Option<Bytes>, BackendError> {
+        let Some(scanner) = &mut self.scanner else {
+            return Ok(Some(bytes));
+        };
+        scanner.push(bytes).map_err(|error| {
+            log::warn!("backend: stream broken: {error}");
+            BackendError { fault: BackendFault::Broken, ran: self.ran }
+        })
+    }
+
+    fn note_part(&mut self, part: &Option<Bytes>) {
+        match part {
+            Some(_) if is_success(self.head.status) => self.ran = RunVerdict::HasRun,
+            Some(_) => {}
+            None => self.ended = true,
+        }
+    }
+
+    fn fail(&self, fault: BackendFault) -> BackendError {
+        BackendError { fault, ran: self.ran }
+    }
+}
+
+impl BackendStream for HttpStream {
+    fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
+    async fn next_part(&mut self) -> Result<Option<Bytes>, BackendError> {
+        if self.ended {
+            return Ok(None);
+        }
+        let part =
+            if self.head.streamed { self.next_events().await } else { self.next_bytes().await }?;
+        self.note_part(&part);
+        Ok(part)
+    }
+}
+
+fn read_head(response: &Response<Incoming>) -> AnswerHead {
+    let headers = response.headers();
+    let content_type = header_text(headers, CONTENT_TYPE.as_str()).unwrap_or("").to_owned();
+    let streamed = is_success(response.status().as_u16()) && is_event_stream(&content_type);
+    let cached_tokens = header_text(headers, CACHED_HEADER).and_then(|text| text.parse().ok());
+    AnswerHead { status: response.status().as_u16(), content_type, streamed, cached_tokens }
+}
+
+fn is_event_stream(content_type: &str) -> bool {
+    let kind = content_type.split(';').next().unwrap_or_default().trim();
+    kind.eq_ignore_ascii_case(EVENT_STREAM_TYPE)
+}
+
+fn is_success(status: u16) -> bool {
+    StatusCode::from_u16(status).is_ok_and(|status| status.is_success())
+}
+
+fn has_known_end(response: &Response<Incoming>) -> bool {
+    let sized = response.body().size_hint().exact().is_some();
+    sized || response.headers().contains_key(TRANSFER_ENCODING)
+}
+
+/// The text of a header that stands once.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    if values.next().is_some() {
+        return None;
+    }
+    value.to_str().ok()
+}
