Add stand-ins of the platform, engine, plain service and weight store

Routers need counterparts on real sockets that count for themselves what they were asked to do.

Engines and plain services run on hyper: a server that crashes has to drop its connections, and tiny_http 0.12 keeps the socket open until the client closes it or has sent 'connection: close'.

--- /dev/null
+++ b/crates/catkin-standin/src/engine_handler.rs
@@ -0,0 +1,453 @@
+//! What an engine does with each request.
+
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::Bytes;
+use http_body_util::{Either, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use crate::answer::query_value;
+use crate::async_listener::{
+    AsyncHandler, ListenerCommand, ServerAnswer, empty_answer, header_text, json_answer,
+    not_run_answer, read_document, set_header,
+};
+use crate::chat_content::{ChatBody, answer_text, answer_token};
+use crate::engine::{EngineCounts, EngineOptions};
+use crate::order_desk::{OrderBody, OrderDesk, TakenOrder};
+use crate::prefix_cache::PrefixCache;
+use crate::run_slots::{RunSlots, SlotGrant};
+use crate::server_report::{LeaveRecord, LoadHistory, ProbeAnswer};
+
+/// Parts of a stream that may wait for a slow reader.
+const STREAM_BUFFER_PARTS: usize = 4;
+
+struct StreamCut {
+    remaining: u32,
+    tokens: u32,
+}
+
+struct EngineState {
+    incarnation: u64,
+    counts: EngineCounts,
+    slots: RunSlots,
+    cache: PrefixCache,
+    load: LoadHistory,
+    leave: LeaveRecord,
+    desk: OrderDesk,
+    lose_next: u32,
+    cut: StreamCut,
+    generator: StdRng,
+}
+
+/// The engine's behaviour and state.
+pub(crate) struct EngineHandler {
+    options: EngineOptions,
+    commands: flume::Sender<ListenerCommand>,
+    state: Mutex<EngineState>,
+}
+
+/// Headers of a chat completion call.
+struct CallHeaders {
+    attempt: String,
+    request: Option<String>,
+    chat: Option<u64>,
+    priority: u32,
+    resume_after: Option<u32>,
+}
+
+/// A call that was read whole.
+struct ChatCall {
+    headers: CallHeaders,
+    body: ChatBody,
+}
+
+/// A request that is open on the engine. Dropping it gives back its slot.
+struct OpenRun {
+    engine: Arc<EngineHandler>,
+    incarnation: u64,
+    turn: Option<flume::Receiver<()>>,
+    started: bool,
+    finished: bool,
+}
+
+impl OpenRun {
+    /// Waits for a slot.
+    async fn take_turn(&mut self) {
+        if let Some(turn) = &self.turn {
+            let _ = turn.recv_async().await;
+        }
+        self.turn = None;
+    }
+
+    fn holds_slot(&self) -> bool {
+        self.turn.as_ref().is_none_or(|turn| turn.try_recv().is_ok())
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        let holds_slot = self.holds_slot();
+        let mut state = self.engine.state();
+        if self.started && !self.finished {
+            state.counts.cancelled += 1;
+        }
+        if state.incarnation != self.incarnation {
+            return;
+        }
+        state.load.exit();
+        if holds_slot {
+            state.slots.release();
+        }
+    }
+}
+
+impl EngineHandler {
+    pub(crate) fn new(options: EngineOptions, commands: flume::Sender<ListenerCommand>) -> Self {
+        let mut generator = StdRng::seed_from_u64(options.seed);
+        let state = EngineState {
+            incarnation: generator.random::<u64>() | 1,
+            counts: EngineCounts::default(),
+            slots: RunSlots::new(options.slots, options.queue_limit),
+            cache: PrefixCache::new(options.cache_chats, options.event_gap_share),
+            load: LoadHistory::new(options.load_lag),
+            leave: LeaveRecord::default(),
+            desk: OrderDesk::new(options.checks_fence),
+            lose_next: 0,
+            cut: StreamCut { remaining: 0, tokens: 0 },
+            generator,
+        };
+        Self { options, commands, state: Mutex::new(state) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().expect("the engine state lock is never poisoned")
+    }
+
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        self.state().leave.set(leaving);
+    }
+
+    pub(crate) fn lose_next_answers(&self, count: u32) {
+        self.state().lose_next = count;
+    }
+
+    pub(crate) fn cut_next_streams(&self, count: u32, tokens: u32) {
+        self.state().cut = StreamCut { remaining: count, tokens };
+    }
+
+    pub(crate) fn open(&self) -> u32 {
+        self.state().load.open()
+    }
+
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.state().incarnation
+    }
+
+    pub(crate) fn taken_orders(&self) -> Vec<TakenOrder> {
+        self.state().desk.taken().to_vec()
+    }
+
+    pub(crate) fn counts(&self) -> EngineCounts {
+        let state = self.state();
+        let mut counts = state.counts.clone();
+        counts.most_open = state.load.most_open();
+        counts.work_while_leaving = state.leave.work();
+        counts.latest_work_after_leaving_millis = state.leave.latest_millis();
+        counts.undone_orders = state.desk.undone();
+        counts.refused_orders = state.desk.refused();
+        counts
+    }
+
+    async fn probe(&self, after: u64) -> ServerAnswer {
+        tokio::time::sleep(self.options.probe_latency).await;
+        let mut state = self.state();
+        state.counts.probes += 1;
+        let lag = self.options.event_lag;
+        json_answer(&ProbeAnswer {
+            incarnation: state.incarnation,
+            open: state.load.reported(),
+            leaving: state.leave.is_leaving(),
+            models: self.options.models.clone(),
+            event_sequence: state.cache.visible_sequence(lag),
+            events: state.cache.events_after(after, lag),
+            fence: state.desk.fence(),
+        })
+    }
+
+    async fn take_order(&self, request: Request<Incoming>) -> Option<ServerAnswer> {
+        let Some(order) = read_document::<OrderBody>(request).await else {
+            return Some(empty_answer(StatusCode::BAD_REQUEST));
+        };
+        let answer = self.state().desk.take(order);
+        Some(json_answer(&answer))
+    }
+
+    async fn move_cache(&self, request: Request<Incoming>) -> Option<ServerAnswer> {
+        let Some(order) = read_document::<MoveBody>(request).await else {
+            return Some(empty_answer(StatusCode::BAD_REQUEST));
+        };
+        let cached = self.state().cache.cached_tokens(order.chat, u32::MAX);
+        Some(json_answer(&json!({ "chat": order.chat, "tokens": cached, "to": order.to })))
+    }
+
+    async fn complete(self: Arc<Self>, request: Request<Incoming>) -> Option<ServerAnswer> {
+        let Some(headers) = read_headers(&request) else {
+            return Some(empty_answer(StatusCode::BAD_REQUEST));
+        };
+        let Some(body) = read_document::<ChatBody>(request).await else {
+            return Some(empty_answer(StatusCode::BAD_REQUEST));
+        };
+        let call = ChatCall { headers, body };
+        let attempt = call.headers.attempt.clone();
+        let mut answer = self.run(call).await?;
+        set_header(&mut answer, "x-attempt-id", &attempt);
+        Some(answer)
+    }
+
+    async fn run(self: Arc<Self>, call: ChatCall) -> Option<ServerAnswer> {
+        let Some(mut run) = self.admit(&call) else {
+            self.state().counts.declined += 1;
+            return Some(not_run_answer());
+        };
+        run.take_turn().await;
+        let cached = self.note_start(&call);
+        run.started = true;
+        let prompt = call.body.prompt_tokens();
+        let prefill = self.options.prefill_per_token * (prompt - cached);
+        tokio::time::sleep(self.options.first_token_delay + prefill).await;
+        if self.is_poison(&call.body) {
+            self.state().counts.poison_crashes += 1;
+            let _ = self.commands.send(ListenerCommand::Crash(self.options.downtime));
+            std::future::pending::<()>().await;
+        }
+        let mut answer = if call.body.stream {
+            start_stream(run, call)
+        } else {
+            self.answer_whole(run, &call, cached).await?
+        };
+        set_header(&mut answer, "x-cached-tokens", &cached.to_string());
+        Some(answer)
+    }
+
+    /// Takes a request in, unless it is declined.
+    fn admit(self: &Arc<Self>, call: &ChatCall) -> Option<OpenRun> {
+        let mut state = self.state();
+        state.leave.note_arrival();
+        let declines = self.options.declines_when_leaving && state.leave.is_leaving();
+        let cannot_resume = call.headers.resume_after.is_some() && !self.options.resumes;
+        let unknown_model = !self.options.models.contains(&call.body.model);
+        if declines || cannot_resume || unknown_model {
+            return None;
+        }
+        let turn = match state.slots.ask(call.headers.priority) {
+            SlotGrant::Now => None,
+            SlotGrant::Later(turn) => Some(turn),
+            SlotGrant::Refused => return None,
+        };
+        state.load.enter();
+        let incarnation = state.incarnation;
+        let engine = Arc::clone(self);
+        Some(OpenRun { engine, incarnation, turn, started: false, finished: false })
+    }
+
+    /// Counts the start of a run; returns the prompt's cached tokens.
+    fn note_start(&self, call: &ChatCall) -> u32 {
+        let mut state = self.state();
+        let prompt = call.body.prompt_tokens();
+        let chat = call.headers.chat;
+        let cached = chat.map_or(0, |chat| state.cache.cached_tokens(chat, prompt));
+        let counts = &mut state.counts;
+        counts.runs += 1;
+        counts.resumed += u64::from(call.headers.resume_after.is_some());
+        counts.cached_tokens += u64::from(cached);
+        counts.uncached_tokens += u64::from(prompt - cached);
+        *counts.runs_by_attempt.entry(call.headers.attempt.clone()).or_default() += 1;
+        let content = call.body.last_content().to_owned();
+        *counts.runs_by_content.entry(content).or_default() += 1;
+        if let Some(request) = &call.headers.request {
+            *counts.runs_by_request.entry(request.clone()).or_default() += 1;
+        }
+        if let Some(chat) = chat {
+            *counts.runs_by_chat.entry(chat).or_default() += 1;
+            let EngineState { cache, generator, .. } = &mut *state;
+            cache.store(chat, prompt, generator);
+        }
+        cached
+    }
+
+    fn is_poison(&self, body: &ChatBody) -> bool {
+        self.options.poison.as_deref().is_some_and(|marker| body.contains(marker))
+    }
+
+    async fn answer_whole(
+        &self,
+        mut run: OpenRun,
+        call: &ChatCall,
+        cached: u32,
+    ) -> Option<ServerAnswer> {
+        let tokens = call.body.answer_tokens();
+        tokio::time::sleep(self.options.token_interval * tokens.saturating_sub(1)).await;
+        self.note_finish(&mut run, call, tokens);
+        if self.loses_answer() {
+            return None;
+        }
+        let content = answer_text(call.body.last_content(), tokens);
+        Some(json_answer(&json!({
+            "id": call.headers.attempt,
+            "object": "chat.completion",
+            "model": call.body.model,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": content },
+                "finish_reason": "stop",
+            }],
+            "usage": {
+                "prompt_tokens": call.body.prompt_tokens(),
+                "completion_tokens": tokens,
+                "prompt_tokens_details": { "cached_tokens": cached },
+            },
+        })))
+    }
+
+    fn note_finish(&self, run: &mut OpenRun, call: &ChatCall, generated: u32) {
+        run.finished = true;
+        let mut state = self.state();
+        state.counts.finished += 1;
+        state.counts.generated_tokens += u64::from(generated);
+        if state.incarnation != run.incarnation {
+            return;
+        }
+        if let Some(chat) = call.headers.chat {
+            let held = call.body.prompt_tokens() + call.body.answer_tokens();
+            let EngineState { cache, generator, .. } = &mut *state;
+            cache.store(chat, held, generator);
+        }
+    }
+
+    fn loses_answer(&self) -> bool {
+        let share = self.options.lost_answer_share;
+        let mut state = self.state();
+        let lost = if state.lose_next > 0 {
+            state.lose_next -= 1;
+            true
+        } else {
+            share > 0.0 && state.generator.random_bool(share)
+        };
+        state.counts.lost_answers += u64::from(lost);
+        lost
+    }
+
+    /// Tokens after which the next stream is cut, if it is.
+    fn next_cut(&self) -> Option<u32> {
+        let mut state = self.state();
+        if state.cut.remaining == 0 {
+            return None;
+        }
+        state.cut.remaining -= 1;
+        Some(state.cut.tokens)
+    }
+}
+
+impl AsyncHandler for EngineHandler {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Option<ServerAnswer> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/probe") => Some(self.probe(probe_position(&request)).await),
+            (&Method::POST, "/orders") => self.take_order(request).await,
+            (&Method::POST, "/kv/move") => self.move_cache(request).await,
+            (&Method::POST, "/v1/chat/completions") => self.complete(request).await,
+            _ => Some(empty_answer(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    fn restart(&self) {
+        let options = &self.options;
+        let mut state = self.state();
+        state.counts.crashes += 1;
+        state.incarnation = state.generator.random::<u64>() | 1;
+        state.slots = RunSlots::new(options.slots, options.queue_limit);
+        state.cache = PrefixCache::new(options.cache_chats, options.event_gap_share);
+        state.load.clear();
+        state.leave.set(false);
+        state.desk.restart();
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct MoveBody {
+    chat: u64,
+    to: String,
+}
+
+/// Position after which a probe wants cache events.
+fn probe_position(request: &Request<Incoming>) -> u64 {
+    let url = request.uri().to_string();
+    query_value(&url, "after").and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
+fn read_headers(request: &Request<Incoming>) -> Option<CallHeaders> {
+    let chat = match header_text(request, "x-chat-id") {
+        Some(text) => Some(u64::from_str_radix(text, 16).ok()?),
+        None => None,
+    };
+    let number = |name| header_text(request, name).and_then(|text| text.parse::<u32>().ok());
+    Some(CallHeaders {
+        attempt: header_text(request, "x-attempt-id")?.to_owned(),
+        request: header_text(request, "x-request-id").map(str::to_owned),
+        chat,
+        priority: number("x-priority").unwrap_or_default(),
+        resume_after: header_text(request, "x-resume-attempt").and(number("x-resume-after")),
+    })
+}
+
+/// Answers with a stream that a task of its own generates.
+fn start_stream(run: OpenRun, call: ChatCall) -> ServerAnswer {
+    let (sender, receiver) = flume::bounded(STREAM_BUFFER_PARTS);
+    tokio::spawn(generate_tokens(run, call, sender));
+    let mut answer = Response::new(Either::Right(StreamBody::new(receiver.into_stream())));
+    set_header(&mut answer, "content-type", "text/event-stream");
+    answer
+}
+
+type PartSender = flume::Sender<io::Result<Frame<Bytes>>>;
+
+async fn generate_tokens(mut run: OpenRun, call: ChatCall, sender: PartSender) {
+    let engine = Arc::clone(&run.engine);
+    let tokens = call.body.answer_tokens();
+    let first = call.headers.resume_after.unwrap_or_default();
+    let cut = engine.next_cut();
+    for index in first..tokens {
+        if index > first {
+            tokio::time::sleep(engine.options.token_interval).await;
+        }
+        if cut == Some(index - first) {
+            let _ = sender.send_async(Err(io::Error::other("stream cut on purpose"))).await;
+            return;
+        }
+        let event = token_event(&call, index, index + 1 == tokens);
+        if sender.send_async(Ok(Frame::data(event))).await.is_err() {
+            return;
+        }
+    }
+    engine.note_finish(&mut run, &call, tokens.saturating_sub(first));
+    let _ = sender.send_async(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await;
+}
+
+fn token_event(call: &ChatCall, index: u32, last: bool) -> Bytes {
+    let chunk = json!({
+        "id": call.headers.attempt,
+        "object": "chat.completion.chunk",
+        "model": call.body.model,
+        "choices": [{
+            "index": 0,
+            "delta": { "content": answer_token(call.body.last_content(), index) },
+            "finish_reason": last.then_some("stop"),
+        }],
+    });
+    Bytes::from(format!("data: {chunk}\n\n"))
+}
