--- a/crates/catkin-settings/src/lib.rs
+++ b/crates/catkin-settings/src/lib.rs
@@ -1,10 +1,34 @@
 //! Process settings and the operators' declarations, in JSON with comments.
+//!
+//! Every error of a file is reported at its line:
+//!
+//! ```
+//! use catkin_settings::parse_router_settings;
+//!
+//! let report = parse_router_settings("{ \"vm\": \"vm-1\", // a comment\n \"vmm\": 1 }", "router.json")
+//!     .unwrap_err();
+//! assert!(report.problems[0].message.contains("unknown field `vmm`"));
+//! ```
 
+mod check;
+mod check_router;
 mod declarations;
+mod fault;
+mod folder;
+mod locate;
+mod parts;
+mod report;
 mod router;
+mod source;
 
+pub use check::check_declarations;
+pub use check_router::check_router_settings;
 pub use declarations::{
     ClassRule, FleetDeclarations, LimitRules, ModelRule, PlacementRules, ServerKind, ServerRule,
     ServiceRule, TeamRule, WorkKind,
 };
-pub use router::{LogSettings, RouterSettings};
+pub use fault::{FaultLevel, JsonPath, PathStep, SettingsFault};
+pub use folder::{DeclarationFile, FolderError, read_declaration_files};
+pub use parts::{DeclarationSet, parse_declaration_files, parse_declarations};
+pub use report::{SettingsProblem, SettingsReport};
+pub use router::{LogSettings, RouterSettings, parse_router_settings};
--- /dev/null
+++ b/crates/catkin-settings/src/parts.rs
@@ -0,0 +1,194 @@
+//! Declarations spread over several files, put together and checked as a whole.
+
+use std::collections::BTreeMap;
+
+use catkin_base::document_type;
+
+use crate::check::check_declarations;
+use crate::declarations::{
+    ClassRule, FleetDeclarations, LimitRules, ModelRule, PlacementRules, ServerRule, ServiceRule,
+    TeamRule,
+};
+use crate::fault::{FaultLevel, JsonPath, SettingsFault};
+use crate::folder::DeclarationFile;
+use crate::report::{SettingsProblem, SettingsReport};
+use crate::source::SourceFile;
+
+/// Most semantic problems that are placed and shown.
+const MAX_SHOWN_PROBLEMS: usize = 200;
+
+document_type! {
+    /// What one file declares.
+    #[derive(Default)]
+    struct DeclarationPart {
+        #[serde(default)]
+        deployment: Option<String>,
+        #[serde(default)]
+        classes: BTreeMap<String, ClassRule>,
+        #[serde(default)]
+        default_class: Option<String>,
+        #[serde(default)]
+        models: BTreeMap<String, ModelRule>,
+        #[serde(default)]
+        services: BTreeMap<String, ServiceRule>,
+        #[serde(default)]
+        servers: BTreeMap<String, ServerRule>,
+        #[serde(default)]
+        teams: BTreeMap<String, TeamRule>,
+        #[serde(default)]
+        placement: Option<PlacementRules>,
+        #[serde(default)]
+        limits: Option<LimitRules>,
+    }
+}
+
+/// Declarations without errors, and what is doubtful in them.
+#[derive(Debug, Clone)]
+pub struct DeclarationSet {
+    /// The declarations.
+    pub declarations: FleetDeclarations,
+    /// Warnings.
+    pub warnings: Vec<SettingsProblem>,
+}
+
+/// Reads declarations from one text; reports every fault at its place.
+pub fn parse_declarations(text: &str, file_name: &str) -> Result<DeclarationSet, SettingsReport> {
+    let file = DeclarationFile { name: file_name.to_owned(), text: text.to_owned() };
+    parse_declaration_files(&[file])
+}
+
+/// Reads declarations spread over `files`; reports every fault at its place.
+pub fn parse_declaration_files(
+    files: &[DeclarationFile],
+) -> Result<DeclarationSet, SettingsReport> {
+    let sources: Vec<SourceFile> =
+        files.iter().map(|file| SourceFile::new(&file.name, &file.text)).collect();
+    let mut parts = Vec::new();
+    let mut problems = Vec::new();
+    for source in &sources {
+        match source.read::<DeclarationPart>() {
+            Ok(part) => parts.push(part),
+            Err(found) => problems.extend(found),
+        }
+    }
+    if !problems.is_empty() {
+        return Err(SettingsReport { problems });
+    }
+    let declarations = merge_parts(parts, &sources)?;
+    let faults = check_declarations(&declarations);
+    let refused = faults.iter().any(|fault| fault.level == FaultLevel::Error);
+    let problems = place_faults(&faults, &sources);
+    if refused {
+        return Err(SettingsReport { problems });
+    }
+    Ok(DeclarationSet { declarations, warnings: problems })
+}
+
+fn place_faults(faults: &[SettingsFault], sources: &[SourceFile]) -> Vec<SettingsProblem> {
+    let shown = faults.iter().take(MAX_SHOWN_PROBLEMS);
+    shown.filter_map(|fault| Some(find_source(fault, sources)?.place_fault(fault))).collect()
+}
+
+/// The file that holds the longest start of the fault's path.
+fn find_source<'a>(fault: &SettingsFault, sources: &'a [SourceFile]) -> Option<&'a SourceFile> {
+    let mut path = fault.path.clone();
+    while !path.steps.is_empty() {
+        if let Some(source) = sources.iter().find(|source| source.contains(&path)) {
+            return Some(source);
+        }
+        path.steps.pop();
+    }
+    sources.first()
+}
+
+/// Puts parts together and collects what is declared twice or not at all.
+struct PartMerger<'a> {
+    sources: &'a [SourceFile],
+    problems: Vec<SettingsProblem>,
+}
+
+fn merge_parts(
+    parts: Vec<DeclarationPart>,
+    sources: &[SourceFile],
+) -> Result<FleetDeclarations, SettingsReport> {
+    let mut merger = PartMerger { sources, problems: Vec::new() };
+    let mut merged = DeclarationPart::default();
+    for (index, part) in parts.into_iter().enumerate() {
+        merger.set_once(index, "deployment", &mut merged.deployment, part.deployment);
+        merger.set_once(index, "default_class", &mut merged.default_class, part.default_class);
+        merger.set_once(index, "placement", &mut merged.placement, part.placement);
+        merger.set_once(index, "limits", &mut merged.limits, part.limits);
+        merger.add_all(index, "classes", &mut merged.classes, part.classes);
+        merger.add_all(index, "models", &mut merged.models, part.models);
+        merger.add_all(index, "services", &mut merged.services, part.services);
+        merger.add_all(index, "servers", &mut merged.servers, part.servers);
+        merger.add_all(index, "teams", &mut merged.teams, part.teams);
+    }
+    merger.finish(merged)
+}
+
+impl PartMerger<'_> {
+    fn set_once<T>(&mut self, index: usize, key: &str, target: &mut Option<T>, value: Option<T>) {
+        let Some(value) = value else { return };
+        if target.is_some() {
+            self.report(index, JsonPath::of_keys(&[key]));
+        }
+        *target = Some(value);
+    }
+
+    fn add_all<T>(
+        &mut self,
+        index: usize,
+        key: &str,
+        target: &mut BTreeMap<String, T>,
+        values: BTreeMap<String, T>,
+    ) {
+        for (name, value) in values {
+            if target.contains_key(&name) {
+                self.report(index, JsonPath::of_keys(&[key, &name]));
+            }
+            target.insert(name, value);
+        }
+    }
+
+    fn report(&mut self, index: usize, path: JsonPath) {
+        let fault = SettingsFault::error(path, "declared in another file too");
+        self.problems.push(self.sources[index].place_fault(&fault));
+    }
+
+    fn require<T>(&mut self, key: &str, value: Option<T>) -> Option<T> {
+        if value.is_none()
+            && let Some(source) = self.sources.first()
+        {
+            let fault = SettingsFault::error(JsonPath::of_keys(&[key]), "not declared");
+            self.problems.push(source.place_fault(&fault));
+        }
+        value
+    }
+
+    fn finish(mut self, merged: DeclarationPart) -> Result<FleetDeclarations, SettingsReport> {
+        let deployment = self.require("deployment", merged.deployment);
+        let default_class = self.require("default_class", merged.default_class);
+        let placement = self.require("placement", merged.placement);
+        let limits = self.require("limits", merged.limits);
+        let required = (deployment, default_class, placement, limits);
+        let (Some(deployment), Some(default_class), Some(placement), Some(limits)) = required
+        else {
+            return Err(SettingsReport { problems: self.problems });
+        };
+        if !self.problems.is_empty() {
+            return Err(SettingsReport { problems: self.problems });
+        }
+        Ok(FleetDeclarations {
+            deployment,
+            classes: merged.classes,
+            default_class,
+            models: merged.models,
+            services: merged.services,
+            servers: merged.servers,
+            teams: merged.teams,
+            placement,
+            limits,
+        })
+    }
+}
--- /dev/null
+++ b/crates/catkin-settings/src/report.rs
@@ -0,0 +1,67 @@
+//! Errors shown to operators, with the source around them.
+
+use std::ops::Range;
+use std::sync::Arc;
+
+use miette::{Diagnostic, NamedSource, Severity};
+
+use crate::fault::FaultLevel;
+
+/// One problem at its place in a file.
+#[derive(Debug, Clone, thiserror::Error, Diagnostic)]
+#[error("{message}")]
+pub struct SettingsProblem {
+    /// What is wrong.
+    pub message: String,
+    /// Name of the file.
+    pub file: String,
+    /// One-based line in the file.
+    pub line: usize,
+    /// Whether it forbids use of the file.
+    #[diagnostic(severity)]
+    pub severity: Severity,
+    #[source_code]
+    source_code: NamedSource<Arc<str>>,
+    #[label]
+    span: (usize, usize),
+}
+
+impl SettingsProblem {
+    pub(crate) fn new(
+        file: &str,
+        text: &Arc<str>,
+        range: Range<usize>,
+        level: FaultLevel,
+        message: String,
+    ) -> Self {
+        let line = text.as_bytes()[..range.start].iter().filter(|byte| **byte == b'\n').count() + 1;
+        let severity = match level {
+            FaultLevel::Error => Severity::Error,
+            FaultLevel::Warning => Severity::Warning,
+        };
+        Self {
+            message,
+            file: file.to_owned(),
+            line,
+            severity,
+            source_code: NamedSource::new(file, Arc::clone(text)),
+            span: (range.start, range.len()),
+        }
+    }
+}
+
+/// Every problem that was found, in the order of files and places.
+#[derive(Debug, Clone, thiserror::Error, Diagnostic)]
+#[error("{} in the settings", count_problems(problems.len()))]
+pub struct SettingsReport {
+    /// The problems, warnings included.
+    #[related]
+    pub problems: Vec<SettingsProblem>,
+}
+
+fn count_problems(count: usize) -> String {
+    match count {
+        1 => "1 problem".to_owned(),
+        _ => format!("{count} problems"),
+    }
+}
--- a/crates/catkin-settings/src/router.rs
+++ b/crates/catkin-settings/src/router.rs
@@ -4,6 +4,10 @@
 
 use catkin_base::document_type;
 
+use crate::check_router::check_router_settings;
+use crate::report::SettingsReport;
+use crate::source::SourceFile;
+
 document_type! {
     /// Settings of one router process.
     pub struct RouterSettings {
@@ -74,3 +78,18 @@
 fn default_level() -> String {
     "info".to_owned()
 }
+
+/// Reads a router's settings; reports every fault at its place.
+pub fn parse_router_settings(
+    text: &str,
+    file_name: &str,
+) -> Result<RouterSettings, SettingsReport> {
+    let file = SourceFile::new(file_name, text);
+    let settings: RouterSettings = file.read().map_err(|problems| SettingsReport { problems })?;
+    let faults = check_router_settings(&settings);
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    let problems = faults.iter().map(|fault| file.place_fault(fault)).collect();
+    Err(SettingsReport { problems })
+}
