--- a/crates/catkin-operator/src/lib.rs
+++ b/crates/catkin-operator/src/lib.rs
@@ -1,1 +1,40 @@
-//! Operators' listener, its client and the readable state it serves.
+//! Revisions of the declarations, the operators' listener and its client.
+//!
+//! Declarations are cut into chunks named by their digest; one conditional update of the head puts
+//! a revision in force.
+//!
+//! ```
+//! let cut = catkin_operator::shard_count(31_000);
+//! assert_eq!(cut, 512);
+//! ```
+
+mod apply;
+mod chunks;
+mod client;
+mod cut;
+mod documents;
+mod garbage;
+mod head;
+mod history;
+mod listener;
+mod reader;
+mod respond;
+mod service;
+
+pub use apply::{
+    ApplyError, ApplyNote, ApplyOutcome, apply_declarations, changed_paths, rollback_declarations,
+};
+pub use chunks::{ChunkSource, StoreChunks};
+pub use client::{ClientError, OperatorClient};
+pub use cut::shard_count;
+pub use documents::{
+    ApplyAnswer, ApplyRequest, DrainAnswer, FleetStatus, HistoryAnswer, LeaseStatus, MemberStatus,
+    PlatformCalls, PlatformStatus, QuarantineStatus, RefusalAnswer, RevisionAnswer,
+    RollbackRequest, ServerStatus,
+};
+pub use garbage::{GarbageError, GarbageOutcome, collect_garbage};
+pub use head::{ChunkRefs, HEAD_KEY, RevisionHead};
+pub use history::read_history;
+pub use listener::{ListenerError, OperatorListener};
+pub use reader::{FetchError, FetchOutcome, RevisionReader};
+pub use service::{OperatorError, OperatorService};
