Add the admission owner, placement plan, pool sums and retry limits

Every server has one admission owner; the owner's book grants, queues, redirects and refuses, and hands its grants to the next owner.

--- /dev/null
+++ b/crates/catkin-policy/src/health.rs
@@ -0,0 +1,76 @@
+//! Failures of one server, and how long it gets no work after repeated ones.
+
+use catkin_base::ClockTime;
+
+/// Failed probes in a row after which a server counts as down.
+const FAILED_PROBES: u32 = 2;
+/// Failures further apart than this don't count together, in milliseconds.
+const FLAP_MEMORY_MILLIS: u64 = 60_000;
+/// Failures close together after which a server is held down.
+const FLAP_LIMIT: u32 = 2;
+/// Most doublings of the time that a server is held down.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Health of one server.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServerHealth {
+    failed_probes: u32,
+    suspect: bool,
+    down: bool,
+    flaps: u32,
+    last_flap: ClockTime,
+    hold_until: ClockTime,
+}
+
+impl ServerHealth {
+    /// Notes an answered probe; true if the server was down before.
+    pub(crate) fn note_success(&mut self) -> bool {
+        self.failed_probes = 0;
+        self.suspect = false;
+        std::mem::take(&mut self.down)
+    }
+
+    pub(crate) fn note_probe_failure(&mut self, now: ClockTime, hold_down_millis: u64) {
+        self.failed_probes += 1;
+        self.suspect = true;
+        if self.failed_probes >= FAILED_PROBES && !self.down {
+            self.down = true;
+            self.note_flap(now, hold_down_millis);
+        }
+    }
+
+    /// Notes that the server restarted between two answered probes.
+    pub(crate) fn note_restart(&mut self, now: ClockTime, hold_down_millis: u64) {
+        self.note_flap(now, hold_down_millis);
+    }
+
+    /// Notes a failed request, which stops admission until the next answered probe.
+    pub(crate) fn note_suspicion(&mut self) {
+        self.suspect = true;
+    }
+
+    pub(crate) fn is_down(&self) -> bool {
+        self.down
+    }
+
+    pub(crate) fn takes_work(&self, now: ClockTime) -> bool {
+        !self.down && !self.suspect && now >= self.hold_until
+    }
+
+    /// Time for which the server is still held down, in milliseconds.
+    pub(crate) fn hold_millis(&self, now: ClockTime) -> u64 {
+        self.hold_until.millis_since(now)
+    }
+
+    fn note_flap(&mut self, now: ClockTime, hold_down_millis: u64) {
+        if now.millis_since(self.last_flap) > FLAP_MEMORY_MILLIS {
+            self.flaps = 0;
+        }
+        self.flaps += 1;
+        self.last_flap = now;
+        if self.flaps >= FLAP_LIMIT {
+            let doublings = (self.flaps - FLAP_LIMIT).min(MAX_DOUBLINGS);
+            self.hold_until = now.plus_millis(hold_down_millis << doublings);
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-policy/src/history.rs
@@ -0,0 +1,32 @@
+//! Expected service times from the history of similar requests.
+
+use std::collections::BTreeMap;
+
+use catkin_base::ClassId;
+
+use crate::rules::ClassPolicy;
+
+/// Time to generate one token before any request of a class was seen, in microseconds.
+const TOKEN_MICROS: u64 = 25_000;
+/// Weight of the newest request in the running mean, as one over this.
+const SMOOTHING: u64 = 16;
+
+/// Running mean of the time that requests of each class occupy a server.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServiceHistory {
+    classes: BTreeMap<ClassId, u64>,
+}
+
+impl ServiceHistory {
+    /// Notes that a request occupied a server for `micros`.
+    pub(crate) fn note_service(&mut self, class: ClassId, micros: u64) {
+        let mean = self.classes.entry(class).or_insert(micros);
+        *mean = (*mean * (SMOOTHING - 1) + micros) / SMOOTHING;
+    }
+
+    /// Expected time of a request of `class`, in microseconds.
+    pub(crate) fn expect_micros(&self, class: ClassId, policy: ClassPolicy) -> u64 {
+        let declared = u64::from(policy.expected_tokens.max(1)) * TOKEN_MICROS;
+        self.classes.get(&class).copied().unwrap_or(declared).max(1)
+    }
+}
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -1,1 +1,59 @@
 //! Placement, admission, fairness, retry and quarantine decisions, without input or output.
+//!
+//! Inputs, `now` and a seeded generator go in; decisions and messages come out. Each server has one
+//! admission owner among the routers, whose [`OwnerBook`] grants requests of entry routers; an
+//! entry router asks owners in the order of its [`PlacementPlan`].
+//!
+//! ```
+//! use catkin_base::{ChatId, ServerId};
+//! use catkin_policy::{PlacementPlan, RankTable, ServerSpec};
+//! # use catkin_base::{DomainId, PoolId, RegionId};
+//! # let spec = |name: &str| ServerSpec {
+//! #     server: ServerId::from_name(name),
+//! #     pools: vec![PoolId::from_name("estimator")],
+//! #     domain: DomainId(1),
+//! #     region: RegionId(1),
+//! #     weight: 1,
+//! #     slots: 8,
+//! # };
+//! let servers = [spec("estimator-1"), spec("estimator-2")];
+//! let table = RankTable::new(&servers);
+//! let ranked = table.rank(ChatId(7), 2);
+//! let plan = PlacementPlan::new(ChatId(7), ranked.clone(), Vec::new(), None);
+//! assert_eq!(plan.next_ask().map(|ask| ask.server), ranked.first().copied());
+//! ```
+
+mod backoff;
+mod bound;
+mod grant;
+mod health;
+mod history;
+mod ledger;
+mod load;
+mod owner;
+mod plan;
+mod queue;
+mod rank;
+mod recent;
+mod retry;
+mod rules;
+mod spec;
+mod state;
+mod strike;
+mod warm;
+
+pub use backoff::BackoffPlan;
+pub use bound::admission_bound;
+pub use grant::{
+    GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRefusal, GrantRelease, GrantResult,
+    OpenGrant, OverflowCause, ReleaseOutcome, WarmChat,
+};
+pub use load::{CacheNote, LoadReport, PoolBook, PoolLoad, ServerLoad, ServerReport};
+pub use owner::{OwnedChange, OwnerBook};
+pub use plan::{PlacementPlan, PlanAsk, PlanStep};
+pub use rank::{RankTable, choose_keyholder, choose_owner, rank_servers};
+pub use retry::RetryBudget;
+pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
+pub use spec::{RouterSpec, ServerSpec};
+pub use state::{OwnerPhase, ServerState};
+pub use strike::{StrikeBook, StrikeState};
--- /dev/null
+++ b/crates/catkin-policy/src/load.rs
@@ -0,0 +1,137 @@
+//! Load of servers and pools.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use catkin_base::{ChatId, ClockTime, PoolId, ServerId, VmId, copy_type, value_type};
+
+/// Reports older than this no longer count, in milliseconds.
+const REPORT_LIFE_MILLIS: u64 = 10_000;
+/// Light servers named in a sum.
+const LIGHT_SERVERS: usize = 4;
+
+copy_type! {
+    /// Load of one server.
+    pub struct ServerLoad {
+        /// The server.
+        pub server: ServerId,
+        /// Requests open on it.
+        pub open: u32,
+        /// Its weight.
+        pub weight: u32,
+    }
+
+    /// A late report that a prefix entered or left a server's cache.
+    pub struct CacheNote {
+        /// Position among the events of this incarnation of the server.
+        pub sequence: u64,
+        /// The chat whose prefix it was.
+        pub chat: ChatId,
+        /// Whether the prefix is now in the cache.
+        pub cached: bool,
+    }
+}
+
+value_type! {
+    /// Loads of one owner's servers of one pool.
+    pub struct LoadReport {
+        /// The pool.
+        pub pool: PoolId,
+        /// Its servers.
+        pub loads: Vec<ServerLoad>,
+    }
+
+    /// Load of a whole pool.
+    pub struct PoolLoad {
+        /// The pool.
+        pub pool: PoolId,
+        /// Requests open on its servers.
+        pub open: u32,
+        /// Sum of the weights of its servers.
+        pub weight: u32,
+        /// Number of its servers.
+        pub servers: u32,
+        /// Age of the oldest report in the sum, in milliseconds.
+        pub age_millis: u32,
+        /// Servers with the least load for their weight, least loaded first.
+        pub light_servers: Vec<ServerId>,
+    }
+
+    /// A server's report of itself, late by the server's own lag.
+    pub struct ServerReport {
+        /// Changes when the server restarts and its cache is gone.
+        pub incarnation: u64,
+        /// Requests running or waiting on it.
+        pub open: u32,
+        /// Whether it wants no new work.
+        pub leaving: bool,
+        /// Highest sequence number of its cache events so far.
+        pub event_sequence: u64,
+        /// Cache events since the last report that was taken.
+        pub events: Vec<CacheNote>,
+    }
+}
+
+/// Sums the load of pools from the reports of the owners of their servers.
+#[derive(Debug, Clone, Default)]
+pub struct PoolBook {
+    pools: BTreeMap<PoolId, BTreeMap<VmId, ReportRow>>,
+}
+
+#[derive(Debug, Clone)]
+struct ReportRow {
+    at: ClockTime,
+    loads: Vec<ServerLoad>,
+}
+
+impl PoolBook {
+    /// A book without reports.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the report of `from`, which replaces its former one.
+    pub fn note_report(&mut self, now: ClockTime, from: VmId, report: &LoadReport) {
+        let rows = self.pools.entry(report.pool).or_default();
+        rows.insert(from, ReportRow { at: now, loads: report.loads.clone() });
+        rows.retain(|_, row| now.millis_since(row.at) <= REPORT_LIFE_MILLIS);
+    }
+
+    /// Pools with at least one report.
+    pub fn pools(&self) -> impl Iterator<Item = PoolId> + '_ {
+        self.pools.keys().copied()
+    }
+
+    /// The load of `pool`; `None` without a recent report.
+    ///
+    /// A server reported by two routers counts once, with the newer report.
+    pub fn sum(&self, now: ClockTime, pool: PoolId) -> Option<PoolLoad> {
+        let rows = self.pools.get(&pool)?;
+        let mut recent: Vec<&ReportRow> =
+            rows.values().filter(|row| now.millis_since(row.at) <= REPORT_LIFE_MILLIS).collect();
+        let oldest = recent.iter().map(|row| row.at).min()?;
+        recent.sort_by_key(|row| std::cmp::Reverse(row.at));
+        let mut seen = BTreeSet::new();
+        let mut loads: Vec<ServerLoad> = recent
+            .iter()
+            .flat_map(|row| row.loads.iter().copied())
+            .filter(|load| seen.insert(load.server))
+            .collect();
+        let open = loads.iter().map(|load| load.open).sum();
+        let weight = loads.iter().map(|load| load.weight.max(1)).sum();
+        loads.sort_by(|left, right| compare_loads(*left, *right));
+        Some(PoolLoad {
+            pool,
+            open,
+            weight,
+            servers: loads.len() as u32,
+            age_millis: now.millis_since(oldest) as u32,
+            light_servers: loads.iter().take(LIGHT_SERVERS).map(|load| load.server).collect(),
+        })
+    }
+}
+
+fn compare_loads(left: ServerLoad, right: ServerLoad) -> std::cmp::Ordering {
+    let left_share = u64::from(left.open) * u64::from(right.weight.max(1));
+    let right_share = u64::from(right.open) * u64::from(left.weight.max(1));
+    left_share.cmp(&right_share).then(left.server.cmp(&right.server))
+}
--- /dev/null
+++ b/crates/catkin-policy/src/queue.rs
@@ -0,0 +1,208 @@
+//! Requests that wait for one server: classes by priority, teams by deficit round robin.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use catkin_base::{ClassId, ClockTime, RequestId, TeamId};
+
+use crate::grant::GrantAsk;
+use crate::rules::{ClassPolicy, PolicyRules};
+
+/// Service time added to a team's deficit at its turn for each unit of weight, in microseconds.
+const QUANTUM_MICROS: u64 = 5_000_000;
+/// Share of its time after which a waiting request goes before all that are younger, in percent.
+const AGED_PERCENT: u64 = 40;
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct QueuedAsk {
+    pub(crate) ask: GrantAsk,
+    pub(crate) policy: ClassPolicy,
+    pub(crate) at: ClockTime,
+    pub(crate) deadline: ClockTime,
+    /// Leaves the queue for another server after this time.
+    pub(crate) patience: Option<ClockTime>,
+    pub(crate) expect_micros: u64,
+    pub(crate) warm: bool,
+}
+
+impl QueuedAsk {
+    /// Time after which it can't be done by its deadline.
+    pub(crate) fn latest_start(&self) -> ClockTime {
+        ClockTime(self.deadline.0.saturating_sub(self.expect_micros))
+    }
+
+    /// When it must be looked at even if nothing changes.
+    pub(crate) fn due_at(&self) -> ClockTime {
+        let latest = self.latest_start();
+        self.patience.map_or(latest, |patience| patience.min(latest))
+    }
+
+    /// Whether it has waited for so much of its time that it goes first.
+    fn is_aged(&self, now: ClockTime) -> bool {
+        let whole = self.deadline.millis_since(self.at);
+        now.millis_since(self.at) * 100 >= whole * AGED_PERCENT
+    }
+}
+
+/// The waiting requests of one server.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct FairQueue {
+    classes: BTreeMap<ClassKey, ClassQueue>,
+    len: usize,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ClassKey {
+    long: bool,
+    priority: u32,
+    class: ClassId,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ClassQueue {
+    turns: VecDeque<TeamId>,
+    teams: BTreeMap<TeamId, TeamQueue>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct TeamQueue {
+    deficit_micros: u64,
+    asks: VecDeque<QueuedAsk>,
+}
+
+impl ClassKey {
+    fn new(entry: &QueuedAsk) -> Self {
+        Self { long: !entry.policy.quick, priority: entry.policy.priority, class: entry.ask.class }
+    }
+}
+
+impl FairQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a request, by deadline within its class and team.
+    pub(crate) fn push(&mut self, entry: QueuedAsk) {
+        let class = self.classes.entry(ClassKey::new(&entry)).or_default();
+        class.push(entry);
+        self.len += 1;
+    }
+
+    /// Removes a request that no longer waits.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<QueuedAsk> {
+        self.take_first(|entry| entry.ask.request == request)
+    }
+
+    pub(crate) fn find(&self, request: RequestId) -> Option<&QueuedAsk> {
+        self.iter().find(|entry| entry.ask.request == request)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &QueuedAsk> {
+        self.classes.values().flat_map(|class| class.teams.values()).flat_map(|team| &team.asks)
+    }
+
+    /// Takes every request for which `matches` holds.
+    pub(crate) fn take_all(&mut self, matches: impl Fn(&QueuedAsk) -> bool) -> Vec<QueuedAsk> {
+        let mut taken = Vec::new();
+        while let Some(entry) = self.take_first(&matches) {
+            taken.push(entry);
+        }
+        taken
+    }
+
+    /// Takes the request that is served next; long work only if `allow_long`.
+    pub(crate) fn pop(
+        &mut self,
+        now: ClockTime,
+        allow_long: bool,
+        rules: &PolicyRules,
+    ) -> Option<QueuedAsk> {
+        if let Some(request) = self.find_aged(now, allow_long) {
+            return self.remove(request);
+        }
+        let mut classes = self.classes.iter_mut();
+        let (_, class) =
+            classes.find(|(key, class)| (allow_long || !key.long) && !class.is_empty())?;
+        let entry = class.pop(rules)?;
+        self.len -= 1;
+        self.drop_empty();
+        Some(entry)
+    }
+
+    /// Requests that would be served before `entry`.
+    pub(crate) fn count_ahead(&self, entry: &QueuedAsk) -> usize {
+        let key = ClassKey::new(entry);
+        let classes = self.classes.iter().filter(|(other, _)| **other <= key);
+        classes.map(|(_, class)| class.len()).sum()
+    }
+
+    fn find_aged(&self, now: ClockTime, allow_long: bool) -> Option<RequestId> {
+        let heads = self.classes.iter().filter(|(key, _)| allow_long || !key.long);
+        let heads = heads.flat_map(|(_, class)| class.teams.values());
+        let heads = heads.filter_map(|team| team.asks.front());
+        let aged = heads.filter(|entry| entry.is_aged(now));
+        aged.min_by_key(|entry| (entry.deadline, entry.ask.request)).map(|entry| entry.ask.request)
+    }
+
+    fn take_first(&mut self, matches: impl Fn(&QueuedAsk) -> bool) -> Option<QueuedAsk> {
+        let mut teams = self.classes.values_mut().flat_map(|class| class.teams.values_mut());
+        let entry = teams.find_map(|team| {
+            let place = team.asks.iter().position(&matches)?;
+            team.asks.remove(place)
+        })?;
+        self.len -= 1;
+        self.drop_empty();
+        Some(entry)
+    }
+
+    fn drop_empty(&mut self) {
+        for class in self.classes.values_mut() {
+            class.drop_empty();
+        }
+        self.classes.retain(|_, class| !class.is_empty());
+    }
+}
+
+impl ClassQueue {
+    fn is_empty(&self) -> bool {
+        self.teams.values().all(|team| team.asks.is_empty())
+    }
+
+    fn len(&self) -> usize {
+        self.teams.values().map(|team| team.asks.len()).sum()
+    }
+
+    fn push(&mut self, entry: QueuedAsk) {
+        let team_id = entry.ask.team;
+        if !self.teams.contains_key(&team_id) {
+            self.turns.push_back(team_id);
+        }
+        let team = self.teams.entry(team_id).or_default();
+        let place = team.asks.partition_point(|other| other.deadline <= entry.deadline);
+        team.asks.insert(place, entry);
+    }
+
+    fn pop(&mut self, rules: &PolicyRules) -> Option<QueuedAsk> {
+        if self.is_empty() {
+            return None;
+        }
+        loop {
+            let team_id = *self.turns.front()?;
+            let team = self.teams.get_mut(&team_id)?;
+            let cost = team.asks.front().map(|entry| entry.expect_micros);
+            if let Some(cost) = cost.filter(|cost| *cost <= team.deficit_micros) {
+                team.deficit_micros -= cost;
+                return team.asks.pop_front();
+            }
+            let weight = u64::from(rules.team(team_id).weight.max(1));
+            team.deficit_micros += QUANTUM_MICROS * weight;
+            self.turns.rotate_left(1);
+        }
+    }
+
+    fn drop_empty(&mut self) {
+        self.teams.retain(|_, team| !team.asks.is_empty());
+        let teams = &self.teams;
+        self.turns.retain(|team| teams.contains_key(team));
+    }
+}
