Add claims: at most once through the platform's conditional create

A request that may not be repeated is sent only under a claim that the platform holds. A lost answer is settled by reading back the claim's own nonce; a claim that can't be settled never runs and is withdrawn later.

Calls counted there: 3 writes for a claim that is marked as sent, 2 for one that is not; no read without a conflict.

--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -1,12 +1,24 @@
 //! Client of the platform's object API, claims and leases kept in it.
 
 mod call_counts;
+mod claim_book;
+mod claim_document;
+mod claim_pending;
+mod claim_ticket;
 mod http_call;
 mod http_store;
 mod platform_guard;
 mod store;
 
 pub use call_counts::{CallCounts, CallKind};
+pub use claim_book::{
+    ClaimBook, ClaimMode, ClaimMoment, ClaimOptions, ClaimOutcome, MarkError, RecordEnd,
+    UnknownClaim,
+};
+pub use claim_document::{
+    ClaimKey, ClaimNonce, ClaimState, MAX_RECORDED_BYTES, RecordedAnswer, RecordedBody,
+};
+pub use claim_ticket::ClaimTicket;
 pub use http_store::{HttpStore, HttpStoreOptions};
 pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
 pub use store::{
--- /dev/null
+++ b/crates/catkin-platform/tests/claims.rs
@@ -0,0 +1,474 @@
+//! At most once, at each point where a router, the platform or the service can fail.
+
+mod common;
+
+use std::sync::Arc;
+
+use catkin_base::{ClockTime, TeamId};
+use catkin_platform::{
+    ClaimBook, ClaimKey, ClaimMode, ClaimMoment, ClaimOptions, ClaimOutcome, ClaimTicket,
+    MAX_RECORDED_BYTES, MarkError, RecordEnd, RecordedAnswer, RecordedBody,
+};
+use common::{MemoryStore, WriteFault};
+
+const BODY: &str = "digest-of-body";
+
+fn key(name: &str) -> ClaimKey {
+    let team = TeamId::from_name("foundry");
+    ClaimKey { team, service: "quotes".to_owned(), key: name.to_owned() }
+}
+
+fn at(seconds: u64) -> ClaimMoment {
+    ClaimMoment { now: ClockTime::from_millis(seconds * 1000), unix_seconds: 1_000_000 + seconds }
+}
+
+fn book(store: &Arc<MemoryStore>, incarnation: u64) -> ClaimBook<MemoryStore> {
+    ClaimBook::new(Arc::clone(store), ClaimOptions::new(incarnation))
+}
+
+fn single_book(store: &Arc<MemoryStore>, incarnation: u64) -> ClaimBook<MemoryStore> {
+    let options = ClaimOptions { mode: ClaimMode::Single, ..ClaimOptions::new(incarnation) };
+    ClaimBook::new(Arc::clone(store), options)
+}
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer::new(200, "application/json", b"{\"quote\":7}")
+}
+
+async fn claim(book: &ClaimBook<MemoryStore>, name: &str, seconds: u64) -> ClaimOutcome {
+    book.claim(&key(name), BODY, at(seconds)).await
+}
+
+/// Name of an outcome, for assertions.
+fn word(outcome: &ClaimOutcome) -> &'static str {
+    match outcome {
+        ClaimOutcome::Fresh(_) => "fresh",
+        ClaimOutcome::Recorded(_) => "recorded",
+        ClaimOutcome::InProgress { .. } => "in-progress",
+        ClaimOutcome::KeyReused => "key-reused",
+        ClaimOutcome::PlatformDown => "platform-down",
+        ClaimOutcome::Unsettled => "unsettled",
+        ClaimOutcome::Unknown(_) => "unknown",
+    }
+}
+
+async fn fresh(book: &ClaimBook<MemoryStore>, name: &str, seconds: u64) -> ClaimTicket {
+    match claim(book, name, seconds).await {
+        ClaimOutcome::Fresh(ticket) => ticket,
+        other => panic!("expected a fresh claim, got {}", word(&other)),
+    }
+}
+
+async fn sent(book: &ClaimBook<MemoryStore>, name: &str, seconds: u64) -> ClaimTicket {
+    let mut ticket = fresh(book, name, seconds).await;
+    book.mark_sent(&mut ticket).await.expect("marked");
+    ticket
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_is_recorded_and_replayed_to_another_router() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+
+    let ticket = sent(&first, "k", 0).await;
+    let end = first.record(ticket, &answer()).await;
+    let replayed = claim(&second, "k", 1).await;
+
+    assert_eq!(end, RecordEnd::Recorded);
+    assert!(matches!(replayed, ClaimOutcome::Recorded(recorded) if recorded == answer()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn same_key_of_another_team_or_service_is_apart() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let other_team = ClaimKey { team: TeamId::from_name("other"), ..key("k") };
+    let other_service = ClaimKey { service: "ledger".to_owned(), ..key("k") };
+
+    let _ticket = fresh(&book, "k", 0).await;
+
+    assert_eq!(word(&book.claim(&other_team, BODY, at(0)).await), "fresh");
+    assert_eq!(word(&book.claim(&other_service, BODY, at(0)).await), "fresh");
+}
+
+#[tokio::test(start_paused = true)]
+async fn platform_down_before_the_claim_writes_nothing() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    store.set_down(true);
+
+    let outcome = claim(&book, "k", 0).await;
+    store.set_down(false);
+
+    assert_eq!(word(&outcome), "platform-down");
+    assert_eq!(store.object_count(), 0);
+    assert_eq!(book.owed(), 0);
+    assert_eq!(word(&claim(&book, "k", 1).await), "fresh");
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_written_and_answer_lost_is_settled_by_reading_back() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    store.fail_next(&[WriteFault::AnswerLost]);
+
+    let outcome = claim(&book, "k", 0).await;
+
+    assert_eq!(word(&outcome), "fresh");
+    assert_eq!(store.object_count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_lost_on_its_way_is_written_again() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    store.fail_next(&[WriteFault::Late]);
+
+    let mut ticket = fresh(&book, "k", 0).await;
+    store.deliver_late();
+
+    assert!(book.mark_sent(&mut ticket).await.is_ok());
+    assert_eq!(store.object_count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn unsettled_claim_never_runs_and_is_withdrawn() {
+    let store = MemoryStore::shared();
+    let book = single_book(&store, 1);
+    store.fail_next(&[
+        WriteFault::AnswerLost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+    ]);
+
+    let outcome = claim(&book, "k", 0).await;
+    let owed = book.owed();
+    let left = book.flush(at(1).now).await;
+
+    assert_eq!(word(&outcome), "unsettled");
+    assert_eq!((owed, left), (1, 0));
+    assert_eq!(store.object_count(), 0);
+    assert_eq!(word(&claim(&book, "k", 2).await), "fresh");
+}
+
+#[tokio::test(start_paused = true)]
+async fn unsettled_claim_that_arrives_late_is_withdrawn_too() {
+    let store = MemoryStore::shared();
+    let book = single_book(&store, 1);
+    store.fail_next(&[WriteFault::Late, WriteFault::Lost, WriteFault::Lost, WriteFault::Lost]);
+
+    let outcome = claim(&book, "k", 0).await;
+    let before = book.flush(at(1).now).await;
+    store.deliver_late();
+    let after = book.flush(at(2).now).await;
+
+    assert_eq!(word(&outcome), "unsettled");
+    assert_eq!((before, after), (1, 0));
+    assert_eq!(store.object_count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn router_that_owes_a_withdrawal_takes_its_claim_up_again() {
+    let store = MemoryStore::shared();
+    let book = single_book(&store, 1);
+    store.fail_next(&[
+        WriteFault::AnswerLost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+    ]);
+
+    let first = claim(&book, "k", 0).await;
+    let retry = claim(&book, "k", 1).await;
+    book.flush(at(2).now).await;
+
+    assert_eq!(word(&first), "unsettled");
+    assert_eq!(word(&retry), "fresh");
+    assert_eq!(store.object_count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_of_a_router_that_died_before_sending_is_taken_over() {
+    let store = MemoryStore::shared();
+    let (dead, alive) = (book(&store, 1), book(&store, 2));
+    let _ticket = fresh(&dead, "k", 0).await;
+
+    let early = claim(&alive, "k", 1).await;
+    let late = claim(&alive, "k", 10).await;
+
+    assert_eq!(word(&early), "in-progress");
+    assert_eq!(word(&late), "fresh");
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_paused_past_a_takeover_must_not_send() {
+    let store = MemoryStore::shared();
+    let (paused, other) = (book(&store, 1), book(&store, 2));
+    let mut old_ticket = fresh(&paused, "k", 0).await;
+    claim(&other, "k", 1).await;
+    let mut new_ticket = fresh(&other, "k", 10).await;
+
+    let old_mark = paused.mark_sent(&mut old_ticket).await;
+    let new_mark = other.mark_sent(&mut new_ticket).await;
+
+    assert_eq!(old_mark, Err(MarkError::NotHeld));
+    assert_eq!(new_mark, Ok(()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_marked_as_sent_is_never_taken_over() {
+    let store = MemoryStore::shared();
+    let (paused, other) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&paused, "k", 0).await;
+    claim(&other, "k", 1).await;
+
+    let late = claim(&other, "k", 100).await;
+    let recorded = paused.record(ticket, &answer()).await;
+    let after = claim(&other, "k", 101).await;
+
+    assert_eq!(word(&late), "unknown");
+    assert_eq!(recorded, RecordEnd::Recorded);
+    assert_eq!(word(&after), "recorded");
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answer_to_the_mark_is_settled() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let mut ticket = fresh(&book, "k", 0).await;
+    store.fail_next(&[WriteFault::AnswerLost]);
+
+    let marked = book.mark_sent(&mut ticket).await;
+
+    assert_eq!(marked, Ok(()));
+    assert_eq!(book.record(ticket, &answer()).await, RecordEnd::Recorded);
+}
+
+#[tokio::test(start_paused = true)]
+async fn mark_that_cannot_be_settled_forbids_sending_and_frees_the_key() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let mut ticket = fresh(&book, "k", 0).await;
+    store.fail_next(&[
+        WriteFault::AnswerLost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+        WriteFault::Lost,
+    ]);
+
+    let marked = book.mark_sent(&mut ticket).await;
+    drop(ticket);
+    book.flush(at(1).now).await;
+
+    assert_eq!(marked, Err(MarkError::PlatformDown));
+    assert_eq!(store.object_count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn sent_without_an_answer_is_unknown_to_a_retry() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&first, "k", 0).await;
+
+    first.record_unknown(ticket).await;
+    let retry = claim(&second, "k", 1).await;
+
+    assert_eq!(word(&retry), "unknown");
+}
+
+#[tokio::test(start_paused = true)]
+async fn unknown_claim_is_resolved_by_what_the_service_reports() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&first, "k", 0).await;
+    first.record_unknown(ticket).await;
+    let ClaimOutcome::Unknown(unknown) = claim(&second, "k", 1).await else {
+        panic!("expected an unknown claim");
+    };
+
+    let resolved = second.resolve(unknown, &answer()).await;
+
+    assert_eq!(resolved, RecordEnd::Recorded);
+    assert_eq!(word(&claim(&first, "k", 2).await), "recorded");
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_cancelled_after_sending_leaves_an_unknown_claim() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let ticket = sent(&book, "k", 0).await;
+
+    drop(ticket);
+    book.flush(at(1).now).await;
+
+    assert_eq!(word(&claim(&book, "k", 2).await), "unknown");
+}
+
+#[tokio::test(start_paused = true)]
+async fn call_cancelled_before_sending_frees_the_key() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let ticket = fresh(&book, "k", 0).await;
+
+    drop(ticket);
+    book.flush(at(1).now).await;
+
+    assert_eq!(store.object_count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_that_could_not_be_recorded_is_owed_and_replayed() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&first, "k", 0).await;
+    store.set_down(true);
+
+    let end = first.record(ticket, &answer()).await;
+    let during = claim(&first, "k", 1).await;
+    let still_owed = first.flush(at(2).now).await;
+    store.set_down(false);
+    let owed = first.flush(at(3).now).await;
+    let after = claim(&second, "k", 4).await;
+
+    assert_eq!(end, RecordEnd::Owed);
+    assert_eq!(word(&during), "recorded");
+    assert_eq!((still_owed, owed), (1, 0));
+    assert_eq!(word(&after), "recorded");
+}
+
+#[tokio::test(start_paused = true)]
+async fn answered_and_not_recorded_by_a_router_that_died_is_unknown() {
+    let store = MemoryStore::shared();
+    let (dead, alive) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&dead, "k", 0).await;
+    store.set_down(true);
+    dead.record(ticket, &answer()).await;
+    drop(dead);
+    store.set_down(false);
+
+    let early = claim(&alive, "k", 1).await;
+    let late = claim(&alive, "k", 10).await;
+
+    assert_eq!(word(&early), "in-progress");
+    assert_eq!(word(&late), "unknown");
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answer_to_the_record_is_settled() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let ticket = sent(&book, "k", 0).await;
+    store.fail_next(&[WriteFault::AnswerLost]);
+
+    let end = book.record(ticket, &answer()).await;
+
+    assert_eq!(end, RecordEnd::Recorded);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_routers_with_one_key_at_once_send_once() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+
+    let (one, two) = tokio::join!(claim(&first, "k", 0), claim(&second, "k", 0));
+
+    let mut words = [word(&one), word(&two)];
+    words.sort_unstable();
+    assert_eq!(words, ["fresh", "in-progress"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn same_key_with_another_body_is_refused() {
+    let store = MemoryStore::shared();
+    let (first, second) = (book(&store, 1), book(&store, 2));
+    let ticket = sent(&first, "k", 0).await;
+    first.record(ticket, &answer()).await;
+
+    let reused = second.claim(&key("k"), "digest-of-other-body", at(1)).await;
+
+    assert_eq!(word(&reused), "key-reused");
+}
+
+#[tokio::test(start_paused = true)]
+async fn abandoned_claim_can_be_made_again() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let mut ticket = sent(&book, "k", 0).await;
+
+    ticket.note_not_run();
+    book.abandon(ticket).await;
+
+    assert_eq!(word(&claim(&book, "k", 1).await), "fresh");
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answer_to_an_abandon_frees_the_key_in_the_end() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let ticket = fresh(&book, "k", 0).await;
+    store.fail_next(&[WriteFault::AnswerLost]);
+
+    book.abandon(ticket).await;
+    let owed = book.flush(at(1).now).await;
+    let later = book.flush(at(60).now).await;
+
+    assert_eq!((owed, later), (1, 0));
+    assert_eq!(store.object_count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn claim_of_a_dead_router_in_single_mode_is_unknown() {
+    let store = MemoryStore::shared();
+    let (dead, alive) = (single_book(&store, 1), single_book(&store, 2));
+    let _ticket = fresh(&dead, "k", 0).await;
+
+    claim(&alive, "k", 1).await;
+    let late = claim(&alive, "k", 10).await;
+
+    assert_eq!(word(&late), "unknown");
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_above_the_limit_is_recorded_without_its_body() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    let ticket = sent(&book, "k", 0).await;
+    let large = vec![b'x'; MAX_RECORDED_BYTES + 1];
+
+    book.record(ticket, &RecordedAnswer::new(200, "text/plain", &large)).await;
+    let replayed = claim(&book, "k", 1).await;
+
+    let ClaimOutcome::Recorded(recorded) = replayed else { panic!("expected a recorded answer") };
+    assert_eq!(recorded.body, RecordedBody::TooLarge(MAX_RECORDED_BYTES + 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn platform_down_throughout_never_lets_a_request_run() {
+    let store = MemoryStore::shared();
+    let book = book(&store, 1);
+    store.set_down(true);
+
+    for seconds in 0..50 {
+        let outcome = claim(&book, "k", seconds).await;
+        assert_eq!(word(&outcome), "platform-down");
+        book.flush(at(seconds).now).await;
+    }
+
+    assert_eq!(book.owed(), 0);
+    assert_eq!(store.object_count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_cost_three_writes_marked_and_two_single() {
+    let (marked, single) = (MemoryStore::shared(), MemoryStore::shared());
+    let (marked_book, single_book) = (book(&marked, 1), single_book(&single, 1));
+
+    for book in [&marked_book, &single_book] {
+        let ticket = sent(book, "k", 0).await;
+        book.record(ticket, &answer()).await;
+    }
+
+    assert_eq!((marked.writes(), marked.reads()), (3, 0));
+    assert_eq!((single.writes(), single.reads()), (2, 0));
+}
