--- a/crates/catkin-platform/src/platform_guard.rs
+++ b/crates/catkin-platform/src/platform_guard.rs
@@ -39,6 +39,18 @@
     }
 }
 
+impl GuardLimits {
+    /// Limits of one of `routers` routers that share what the platform handles a second.
+    pub fn for_fleet(routers: u32, writes_per_second: u32, reads_per_second: u32) -> Self {
+        let routers = routers.max(1);
+        Self {
+            writes_per_second: (writes_per_second / routers).max(1),
+            reads_per_second: (reads_per_second / routers).max(1),
+            ..Self::default()
+        }
+    }
+}
+
 copy_type! {
     /// Why a call is held back.
     pub enum HoldReason {
--- /dev/null
+++ b/crates/catkin-platform/tests/platform_guard.rs
@@ -0,0 +1,132 @@
+//! Call budget and back-off, for one router and for a fleet.
+
+use catkin_base::ClockTime;
+use catkin_platform::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const ROUTERS: u32 = 330;
+
+/// Writes that the platform handles a second.
+const PLATFORM_WRITES: u32 = 400;
+
+/// Reads that the platform handles a second.
+const PLATFORM_READS: u32 = 2000;
+
+const OUTAGE_START_MILLIS: u64 = 10_000;
+const OUTAGE_END_MILLIS: u64 = 130_000;
+const END_MILLIS: u64 = 180_000;
+const STEP_MILLIS: u64 = 10;
+
+/// Calls that the platform saw, by second.
+struct FleetTrace {
+    calls: Vec<usize>,
+    healthy_at_end: usize,
+}
+
+/// Runs routers that each want a read every 50 ms, through an outage of two minutes.
+fn run_fleet(seed: u64) -> FleetTrace {
+    let mut generator = StdRng::seed_from_u64(seed);
+    let limits = GuardLimits::for_fleet(ROUTERS, PLATFORM_WRITES, PLATFORM_READS);
+    let mut guards: Vec<PlatformGuard> = (0..ROUTERS).map(|_| PlatformGuard::new(limits)).collect();
+    let mut calls = vec![0; (END_MILLIS / 1000) as usize];
+    for millis in (0..END_MILLIS).step_by(STEP_MILLIS as usize) {
+        let now = ClockTime::from_millis(millis);
+        let is_down = (OUTAGE_START_MILLIS..OUTAGE_END_MILLIS).contains(&millis);
+        for (router, guard) in guards.iter_mut().enumerate() {
+            let wants_call = (millis / STEP_MILLIS + router as u64).is_multiple_of(5);
+            if !wants_call || guard.admit(now, false).is_err() {
+                continue;
+            }
+            calls[(millis / 1000) as usize] += 1;
+            if is_down {
+                guard.note_failure(now, &mut generator);
+            } else {
+                guard.note_success(now);
+            }
+        }
+    }
+    let healthy_at_end = guards.iter().filter(|guard| guard.health() == PlatformHealth::Up).count();
+    FleetTrace { calls, healthy_at_end }
+}
+
+#[test]
+fn fleet_does_not_herd_when_the_platform_returns() {
+    for seed in 0..8 {
+        let trace = run_fleet(seed);
+
+        let end = OUTAGE_END_MILLIS as usize / 1000;
+        let probes = trace.calls[end - 100..end].iter().copied().max();
+        let peak = trace.calls[end..].iter().copied().max();
+        assert!(probes <= Some(ROUTERS as usize), "seed {seed}: {probes:?} probes in a second");
+        assert!(peak <= Some(PLATFORM_READS as usize), "seed {seed}: {peak:?} calls in a second");
+        assert_eq!(trace.healthy_at_end, ROUTERS as usize, "seed {seed}");
+    }
+}
+
+#[test]
+fn one_probe_at_a_time_after_a_back_off() {
+    let mut guard = tripped_guard();
+    let later = ClockTime::from_millis(60_000);
+
+    let probe = guard.admit(later, false);
+    let second = guard.admit(later, false);
+
+    assert_eq!(probe, Ok(()));
+    assert_eq!(second, Err(HoldReason::Probing));
+}
+
+#[test]
+fn probe_that_never_ends_is_replaced() {
+    let mut guard = tripped_guard();
+    guard.admit(ClockTime::from_millis(60_000), false).expect("the probe");
+
+    let replacement = guard.admit(ClockTime::from_millis(120_000), false);
+
+    assert_eq!(replacement, Ok(()));
+}
+
+#[test]
+fn budget_grows_back_slowly_after_an_outage() {
+    let mut guard = tripped_guard();
+    let back = ClockTime::from_millis(60_000);
+    guard.admit(back, false).expect("the probe");
+    guard.note_success(back);
+
+    let at_once = admitted(&mut guard, back);
+    let soon = admitted(&mut guard, back.plus_millis(1000));
+    let late = admitted(&mut guard, back.plus_millis(20_000));
+
+    assert_eq!(at_once, 1);
+    assert_eq!(soon, 5);
+    assert_eq!(late, 100);
+}
+
+#[test]
+fn success_between_failures_keeps_the_guard_closed() {
+    let mut generator = StdRng::seed_from_u64(1);
+    let mut guard = PlatformGuard::new(GuardLimits::default());
+
+    for millis in 0..10 {
+        let now = ClockTime::from_millis(millis);
+        guard.note_failure(now, &mut generator);
+        guard.note_success(now);
+    }
+
+    assert_eq!(guard.health(), PlatformHealth::Up);
+}
+
+fn tripped_guard() -> PlatformGuard {
+    let mut generator = StdRng::seed_from_u64(1);
+    let mut guard = PlatformGuard::new(GuardLimits::default());
+    for _ in 0..GuardLimits::default().failures_to_open {
+        guard.note_failure(ClockTime::ZERO, &mut generator);
+    }
+    assert_eq!(guard.health(), PlatformHealth::Down);
+    guard
+}
+
+/// Reads that are admitted at one time.
+fn admitted(guard: &mut PlatformGuard, now: ClockTime) -> usize {
+    (0..1000).take_while(|_| guard.admit(now, false).is_ok()).count()
+}
