--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod claim_ticket;
 mod http_call;
 mod http_store;
+mod lease_holder;
 mod platform_guard;
 mod store;
 
@@ -20,6 +21,7 @@
 };
 pub use claim_ticket::ClaimTicket;
 pub use http_store::{HttpStore, HttpStoreOptions};
+pub use lease_holder::{LeaseGrant, LeaseHolder, LeaseOptions, LeaseStep};
 pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
 pub use store::{
     ObjectStore, StoreError, StoreFault, StoredObject, VmDirectory, VmListing, WriteCondition,
--- a/crates/catkin-platform/tests/common/mod.rs
+++ b/crates/catkin-platform/tests/common/mod.rs
@@ -28,6 +28,7 @@
     objects: BTreeMap<String, (u64, Vec<u8>)>,
     last_version: u64,
     faults: VecDeque<WriteFault>,
+    delay: Option<Duration>,
     late: Vec<LateWrite>,
     down: bool,
     writes: u64,
@@ -59,6 +60,11 @@
         self.state().faults.extend(faults);
     }
 
+    /// Lets the next write take effect at once and its answer take this long.
+    pub fn delay_next_write(&self, delay: Duration) {
+        self.state().delay = Some(delay);
+    }
+
     pub fn set_down(&self, down: bool) {
         self.state().down = down;
     }
@@ -116,6 +122,25 @@
         Ok(self.last_version)
     }
 
+    fn put(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        condition: WriteCondition,
+    ) -> Result<u64, StoreError> {
+        let fault = self.next_fault()?;
+        if fault == WriteFault::Late {
+            let (key, value) = (key.to_owned(), value.to_vec());
+            self.late.push(LateWrite { key, value, condition });
+            return Err(unavailable(RunVerdict::MayHaveRun));
+        }
+        let version = self.write(key, value, condition)?;
+        if fault == WriteFault::AnswerLost {
+            return Err(unavailable(RunVerdict::MayHaveRun));
+        }
+        Ok(version)
+    }
+
     fn next_fault(&mut self) -> Result<WriteFault, StoreError> {
         self.writes += 1;
         if self.down {
@@ -146,18 +171,14 @@
         value: &[u8],
         condition: WriteCondition,
     ) -> Result<u64, StoreError> {
-        let mut state = self.state();
-        let fault = state.next_fault()?;
-        if fault == WriteFault::Late {
-            let (key, value) = (key.to_owned(), value.to_vec());
-            state.late.push(LateWrite { key, value, condition });
-            return Err(unavailable(RunVerdict::MayHaveRun));
-        }
-        let version = state.write(key, value, condition)?;
-        if fault == WriteFault::AnswerLost {
-            return Err(unavailable(RunVerdict::MayHaveRun));
+        let (written, delay) = {
+            let mut state = self.state();
+            (state.put(key, value, condition), state.delay.take())
+        };
+        if let Some(delay) = delay {
+            tokio::time::sleep(delay).await;
         }
-        Ok(version)
+        written
     }
 
     async fn delete(&self, key: &str, version: u64) -> Result<(), StoreError> {
--- a/crates/catkin-standin/src/answer.rs
+++ b/crates/catkin-standin/src/answer.rs
@@ -62,3 +62,28 @@
 pub(crate) fn path_of(url: &str) -> &str {
     url.split_once('?').map_or(url, |(path, _)| path)
 }
+
+/// Decodes `%` escapes; an escape that is malformed stays as it is.
+pub(crate) fn unescape(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut index = 0;
+    while index < bytes.len() {
+        match escaped_byte(&bytes[index..]) {
+            Some(byte) => {
+                decoded.push(byte);
+                index += 3;
+            }
+            None => {
+                decoded.push(bytes[index]);
+                index += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+fn escaped_byte(bytes: &[u8]) -> Option<u8> {
+    let digits = bytes.strip_prefix(b"%")?.get(..2)?;
+    u8::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+}
--- a/crates/catkin-standin/src/engine_handler.rs
+++ b/crates/catkin-standin/src/engine_handler.rs
@@ -191,7 +191,10 @@
         let Some(order) = read_document::<MoveBody>(request).await else {
             return Some(empty_answer(StatusCode::BAD_REQUEST));
         };
-        let cached = self.state().cache.cached_tokens(order.chat, u32::MAX);
+        let Ok(chat) = u64::from_str_radix(&order.chat, 16) else {
+            return Some(empty_answer(StatusCode::BAD_REQUEST));
+        };
+        let cached = self.state().cache.cached_tokens(chat, u32::MAX);
         Some(json_answer(&json!({ "chat": order.chat, "tokens": cached, "to": order.to })))
     }
 
@@ -380,7 +383,7 @@
 
 #[derive(serde::Deserialize)]
 struct MoveBody {
-    chat: u64,
+    chat: String,
     to: String,
 }
 
--- a/crates/catkin-standin/src/prefix_cache.rs
+++ b/crates/catkin-standin/src/prefix_cache.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct CacheReport {
     sequence: u64,
-    chat: u64,
+    chat: String,
     cached: bool,
 }
 
@@ -98,6 +98,7 @@
         if self.gap_share > 0.0 && generator.random_bool(self.gap_share) {
             return;
         }
+        let chat = format!("{chat:016x}");
         let report = CacheReport { sequence: self.sequence, chat, cached };
         self.events.push_back(DatedEvent { at: Instant::now(), report });
         if self.events.len() > KEPT_EVENTS {
--- a/crates/catkin-standin/src/service.rs
+++ b/crates/catkin-standin/src/service.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::json;
 
-use crate::answer::query_value;
+use crate::answer::{query_value, unescape};
 use crate::async_listener::{
     AsyncHandler, AsyncListener, ListenerCommand, ServerAnswer, empty_answer, header_text,
     json_answer, not_run_answer, read_document, set_header, whole_answer,
@@ -177,10 +177,10 @@
             return empty_answer(StatusCode::NOT_IMPLEMENTED);
         }
         let url = request.uri().to_string();
-        let key = query_value(&url, "key").unwrap_or_default();
+        let key = unescape(query_value(&url, "key").unwrap_or_default());
         let mut state = self.state();
         state.counts.look_ups += 1;
-        match state.recorded.get(key) {
+        match state.recorded.get(&key) {
             Some(answer) => whole_answer(StatusCode::OK, "application/json", answer.clone()),
             None => empty_answer(StatusCode::NOT_FOUND),
         }
--- a/crates/catkin-standin/tests/standins.rs
+++ b/crates/catkin-standin/tests/standins.rs
@@ -238,7 +238,7 @@
     let document: serde_json::Value = serde_json::from_slice(answer.as_bytes()).expect("JSON");
     assert_eq!(document["event_sequence"], 2);
     assert_eq!(document["events"].as_array().map(Vec::len), Some(1));
-    assert_eq!(document["events"][0]["chat"], 0xb);
+    assert_eq!(document["events"][0]["chat"], "000000000000000b");
     assert_eq!(document["open"], 0);
 }
 
@@ -305,6 +305,21 @@
     assert_eq!(service.counts().doubled_keys(), 1);
 }
 
+#[test]
+fn service_looks_up_an_escaped_key() {
+    let (service, url) = start_service(ServiceOptions::default());
+    minreq::post(&url)
+        .with_header("idempotency-key", "order 7/a")
+        .with_header("x-attempt-id", "1")
+        .send()
+        .expect("answered");
+
+    let look_up = format!("http://{}/lookup?key=order%207%2Fa", service.address());
+    let present = minreq::get(look_up).send().expect("answered");
+
+    assert_eq!(present.as_bytes(), service_answer("order 7/a", b""));
+}
+
 #[test]
 fn service_records_a_call_whose_answer_is_lost() {
     let (service, url) = start_service(ServiceOptions::default());
