--- a/crates/catkin-peer/src/link.rs
+++ b/crates/catkin-peer/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use catkin_base::{VmId, value_type};
 
@@ -31,3 +32,17 @@
     /// Bytes sent since the start.
     fn sent_bytes(&self) -> u64;
 }
+
+impl<Link: PeerLink> PeerLink for Arc<Link> {
+    fn send(&self, vm: VmId, address: SocketAddr, message: &PeerMessage) {
+        Link::send(self, vm, address, message);
+    }
+
+    fn receive(&self) -> impl Future<Output = Option<(MessageSource, PeerMessage)>> + Send {
+        Link::receive(self)
+    }
+
+    fn sent_bytes(&self) -> u64 {
+        Link::sent_bytes(self)
+    }
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -316,6 +316,9 @@
     pub digest: u64,
     #[prost(fixed64, tag = "2")]
     pub server: u64,
+    /// by a probe of the server's owner
+    #[prost(bool, tag = "3")]
+    pub confirmed: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StrikeQuery {
--- /dev/null
+++ b/crates/catkin-router/src/bin/catkin-router.rs
@@ -0,0 +1,67 @@
+//! Runs one router until it is told to stop.
+
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use catkin_router::{RouterProcess, start_logging};
+use catkin_settings::{RouterSettings, parse_router_settings};
+use clap::{Arg, Command, value_parser};
+use miette::{IntoDiagnostic, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> miette::Result<bool> {
+    let matches = build_command().get_matches();
+    let path = matches.get_one::<String>("settings").expect("the argument is required");
+    let text = std::fs::read_to_string(path).into_diagnostic().wrap_err(path.clone())?;
+    let settings = parse_router_settings(&text, path)?;
+    if matches.get_flag("check") {
+        println!("{path} is valid");
+        return Ok(true);
+    }
+    start_logging(&settings.log, &settings.vm).into_diagnostic()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.into_diagnostic()?.block_on(serve(&settings))
+}
+
+async fn serve(settings: &RouterSettings) -> miette::Result<bool> {
+    let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let incarnation = start_unix.as_micros() as u64;
+    let seed = rand::random();
+    let process = RouterProcess::start(settings, incarnation, start_unix, seed).await;
+    let process = process.into_diagnostic()?;
+    wait_for_stop().await.into_diagnostic()?;
+    Ok(process.shut_down().await)
+}
+
+async fn wait_for_stop() -> std::io::Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
+
+fn build_command() -> Command {
+    let settings = Arg::new("settings")
+        .help("Settings file of this router, JSON with comments")
+        .value_parser(value_parser!(String))
+        .required(true);
+    let check = Arg::new("check")
+        .long("check")
+        .help("Check the settings and exit")
+        .action(clap::ArgAction::SetTrue);
+    Command::new("catkin-router").about("Runs one router").arg(settings).arg(check)
+}
--- /dev/null
+++ b/crates/catkin-router/src/calls.rs
@@ -0,0 +1,131 @@
+//! Answers callers' calls.
+
+use std::sync::Arc;
+
+use catkin_base::{CallRefusal, RefusalReason};
+use catkin_caller::{CallRequest, CallService};
+
+use crate::answer::{AnswerTimer, RouterAnswer, WholeAnswer, run_whole};
+use crate::attempts::AttemptRunner;
+use crate::call::CheckedCall;
+use crate::drain::{DrainGate, OpenCall};
+use crate::environment::RouterEnvironment;
+use crate::index::FleetIndex;
+use crate::metric::{OPEN_CALLS, count_refusal, count_whole};
+use crate::once::run_once;
+use crate::parts::RouterParts;
+
+/// Time after which a caller may try another router, in seconds.
+const DRAIN_RETRY_SECONDS: u32 = 1;
+/// Time after which a router without declarations may have some, in seconds.
+const DECLARATIONS_RETRY_SECONDS: u32 = 5;
+
+/// Answers callers' calls on one router.
+pub struct RouterService<E: RouterEnvironment> {
+    parts: Arc<RouterParts<E>>,
+}
+
+impl<E: RouterEnvironment> RouterService<E> {
+    pub(crate) fn new(parts: Arc<RouterParts<E>>) -> Self {
+        Self { parts }
+    }
+
+    async fn run(&self, request: CallRequest) -> Result<RouterAnswer<E>, CallRefusal> {
+        let open = DrainGate::open_call(&self.parts.gate).ok_or_else(refuse_draining)?;
+        let index = self.parts.index().ok_or_else(refuse_undeclared)?;
+        let now = self.parts.now();
+        let call = CheckedCall::check(&index, request, now)?;
+        self.check_quarantine(&call)?;
+        self.parts.control().budget.note_request(now);
+        let timer = AnswerTimer::start(&call, index.declarations().teams.len(), now);
+        if call.is_idempotent() {
+            self.run_idempotent(index, call, timer, open).await
+        } else {
+            self.run_claimed(index, call, timer, open).await
+        }
+    }
+
+    async fn run_idempotent(
+        &self,
+        index: Arc<FleetIndex>,
+        call: CheckedCall,
+        mut timer: AnswerTimer,
+        open: OpenCall,
+    ) -> Result<RouterAnswer<E>, CallRefusal> {
+        let streamed = call.streamed;
+        let mut runner = AttemptRunner::new(Arc::clone(&self.parts), index, call);
+        if streamed {
+            let attempt = runner.start().await?;
+            return Ok(RouterAnswer::live(runner, attempt, timer, open));
+        }
+        let answer = run_whole(&mut runner).await?;
+        self.note_whole(&runner.call, &mut timer);
+        Ok(RouterAnswer::whole(answer, false, open))
+    }
+
+    async fn run_claimed(
+        &self,
+        index: Arc<FleetIndex>,
+        call: CheckedCall,
+        mut timer: AnswerTimer,
+        open: OpenCall,
+    ) -> Result<RouterAnswer<E>, CallRefusal> {
+        let checked = call.clone();
+        let answer = run_once(&self.parts, index, call).await?;
+        self.note_whole(&checked, &mut timer);
+        Ok(RouterAnswer::whole(answer.answer, answer.replayed, open))
+    }
+
+    fn note_whole(&self, call: &CheckedCall, timer: &mut AnswerTimer) {
+        let now = self.parts.now();
+        timer.note_part(now);
+        timer.note_end(now);
+        count_whole(call);
+    }
+
+    fn check_quarantine(&self, call: &CheckedCall) -> Result<(), CallRefusal> {
+        let now = self.parts.now();
+        let hold_millis = self.parts.control().quarantine_millis(now, call.digest);
+        if hold_millis == 0 {
+            return Ok(());
+        }
+        let seconds = u32::try_from(hold_millis.div_ceil(1_000)).unwrap_or(u32::MAX);
+        let detail = "This request crashed servers and is refused for a while.";
+        Err(CallRefusal::not_run(RefusalReason::Quarantined, detail)
+            .with_verdict(catkin_base::RunVerdict::HasRun)
+            .with_retry_after(seconds))
+    }
+}
+
+impl<E: RouterEnvironment> CallService for RouterService<E> {
+    type Answer = RouterAnswer<E>;
+
+    async fn call(&self, request: CallRequest) -> Result<RouterAnswer<E>, CallRefusal> {
+        let id = request.request;
+        let class = request.class.clone().unwrap_or_default();
+        metrics::gauge!(OPEN_CALLS).set(self.parts.gate.open_calls() as f64);
+        let result = self.run(request).await;
+        if let Err(refusal) = &result {
+            log::info!("caller: A call is refused. request={id} {refusal}");
+            let known = self.parts.index().is_some_and(|index| index.class(Some(&class)).is_some());
+            count_refusal(if known { &class } else { "" }, refusal);
+        }
+        result
+    }
+}
+
+/// An answer to a call that may run only once.
+pub(crate) struct OnceAnswer {
+    pub(crate) answer: WholeAnswer,
+    pub(crate) replayed: bool,
+}
+
+fn refuse_draining() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::ShuttingDown, "This router is shutting down.")
+        .with_retry_after(DRAIN_RETRY_SECONDS)
+}
+
+fn refuse_undeclared() -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::NoDeclarations, "No declarations are in force here.")
+        .with_retry_after(DECLARATIONS_RETRY_SECONDS)
+}
--- a/crates/catkin-router/src/clock.rs
+++ b/crates/catkin-router/src/clock.rs
@@ -1,5 +1,7 @@
 //! The runtime's clock as the decisions read it.
 
+use std::time::Duration;
+
 use catkin_base::ClockTime;
 use tokio::time::Instant;
 
@@ -7,12 +9,23 @@
 #[derive(Debug, Clone, Copy)]
 pub struct RuntimeClock {
     start: Instant,
+    start_unix: Duration,
 }
 
 impl RuntimeClock {
-    /// Starts the clock at zero.
-    pub fn start_now() -> Self {
-        Self { start: Instant::now() }
+    /// Starts the clock at zero. `start_unix` is the time since 1970 at this moment.
+    pub fn start_now(start_unix: Duration) -> Self {
+        Self { start: Instant::now(), start_unix }
+    }
+
+    /// Milliseconds since 1970, by the runtime's clock since the start.
+    pub fn unix_millis(&self) -> u64 {
+        (self.start_unix + self.start.elapsed()).as_millis() as u64
+    }
+
+    /// Seconds since 1970.
+    pub fn unix_seconds(&self) -> u64 {
+        self.unix_millis() / 1_000
     }
 
     /// Time passed since the start.
--- /dev/null
+++ b/crates/catkin-router/src/fleet.rs
@@ -0,0 +1,124 @@
+//! Follows the other routers and the declarations: membership, ownership, regular reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use catkin_base::{DomainId, RegionId, VmId};
+use catkin_membership::MemberSpec;
+use catkin_peer::PeerLink;
+use catkin_platform::{VmDirectory, VmListing};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
+
+use crate::admission::{send_audits, send_load_reports, send_pool_loads};
+use crate::environment::RouterEnvironment;
+use crate::metric::PEER_BYTES_TOTAL;
+use crate::ownership::{HandoverTable, pursue_handovers, refresh_ownership, take_events};
+use crate::parts::RouterParts;
+use crate::peers::send_actions;
+
+/// Interval of load reports and pool sums.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which handovers are pursued.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of audits of old grants and of owed claims.
+const AUDIT_INTERVAL: Duration = Duration::from_millis(5_000);
+/// Longest interval between two reads of the platform's list of VMs, in milliseconds.
+const LIST_INTERVAL_MILLIS: u64 = 20_000;
+/// Interval between reads of the list as long as no other router is known.
+const LONELY_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Sends and times out membership probes, and follows changes of the live routers.
+pub(crate) async fn run_fleet<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    let mut table = HandoverTable::default();
+    let mut pursuit = interval(HANDOVER_INTERVAL);
+    pursuit.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let now = parts.now();
+        let actions = parts.control().members.tick(now);
+        send_actions(parts, &actions);
+        follow_changes(parts, &mut table);
+        let due = parts.control().members.next_due();
+        tokio::select! {
+            () = sleep_until(parts.clock.instant_of(due)) => {}
+            () = parts.fleet_changed.notified() => follow_index(parts, &mut table),
+            _ = pursuit.tick() => pursue_handovers(parts, &mut table),
+        }
+    }
+}
+
+/// Follows a change of the live routers.
+fn follow_changes<E: RouterEnvironment>(parts: &RouterParts<E>, table: &mut HandoverTable) {
+    let former = parts.control().roster.clone();
+    if !take_events(parts) {
+        return;
+    }
+    if let Some(index) = parts.index() {
+        refresh_ownership(parts, &index, &former, table);
+    }
+}
+
+/// Follows a change of the declarations.
+fn follow_index<E: RouterEnvironment>(parts: &RouterParts<E>, table: &mut HandoverTable) {
+    let former = parts.control().roster.clone();
+    if let Some(index) = parts.index() {
+        refresh_ownership(parts, &index, &former, table);
+    }
+}
+
+/// Sends load reports and pool sums at a fixed interval.
+pub(crate) async fn run_reports<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        send_load_reports(parts);
+        send_pool_loads(parts);
+        metrics::counter!(PEER_BYTES_TOTAL).absolute(parts.peers.sent_bytes());
+    }
+}
+
+/// Audits old grants, and writes claims that are owed to the platform.
+pub(crate) async fn run_audits<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    let mut ticks = interval(AUDIT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        send_audits(parts);
+        parts.claims.flush(parts.now()).await;
+    }
+}
+
+/// Reads the platform's list of VMs, which seeds the membership.
+pub(crate) async fn run_directory<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    seeds: Vec<SocketAddr>,
+) {
+    loop {
+        let mut specs: Vec<MemberSpec> = seeds.iter().copied().map(seed_spec).collect();
+        match parts.store.list_vms().await {
+            Ok(listings) => specs.extend(listings.iter().map(listing_spec)),
+            Err(error) => log::debug!("members: The list of VMs was not read. error={error}"),
+        }
+        let now = parts.now();
+        parts.control().members.seed(now, &specs);
+        parts.fleet_changed.notify_one();
+        let lonely = parts.control().roster.len() <= 1;
+        let millis = parts.jitter_millis(LIST_INTERVAL_MILLIS);
+        sleep(if lonely { LONELY_INTERVAL } else { Duration::from_millis(millis) }).await;
+    }
+}
+
+/// A router of which only the address is known.
+fn seed_spec(address: SocketAddr) -> MemberSpec {
+    MemberSpec { vm: VmId(0), incarnation: 0, address, domain: DomainId(0), region: RegionId(0) }
+}
+
+fn listing_spec(listing: &VmListing) -> MemberSpec {
+    MemberSpec {
+        vm: VmId::from_name(&listing.name),
+        incarnation: 0,
+        address: listing.peer_address,
+        domain: DomainId::from_name(&listing.domain),
+        region: RegionId::from_name(&listing.region),
+    }
+}
--- a/crates/catkin-router/src/index.rs
+++ b/crates/catkin-router/src/index.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use catkin_base::{ClassId, DomainId, PoolId, RegionId, ServerId, TeamId};
-use catkin_policy::{ClassPolicy, PolicyRules, ServerSpec, TeamPolicy};
+use catkin_policy::{ClassPolicy, PolicyRules, RankTable, ServerSpec, TeamPolicy};
 use catkin_settings::{
     ClassRule, FleetDeclarations, ServerKind, ServerRule, ServiceRule, TeamRule, WorkKind,
 };
@@ -34,7 +34,7 @@
     revision: u64,
     declarations: FleetDeclarations,
     servers: BTreeMap<ServerId, ServerEntry>,
-    pools: BTreeMap<PoolId, Vec<ServerSpec>>,
+    pools: BTreeMap<PoolId, RankTable>,
     teams: BTreeMap<String, TeamEntry>,
 }
 
@@ -73,12 +73,8 @@
         self.servers.values()
     }
 
-    pub(crate) fn pool_servers(&self, pool: PoolId) -> &[ServerSpec] {
-        self.pools.get(&pool).map_or(&[], Vec::as_slice)
-    }
-
-    pub(crate) fn pools(&self) -> impl Iterator<Item = PoolId> {
-        self.pools.keys().copied()
+    pub(crate) fn rank_table(&self, pool: PoolId) -> Option<&RankTable> {
+        self.pools.get(&pool)
     }
 
     pub(crate) fn team_of_digest(&self, token_digest: &str) -> Option<(&TeamEntry, &TeamRule)> {
@@ -146,14 +142,14 @@
     ServerEntry { name: name.to_owned(), address: rule.address, spec, resumes: rule.resumes }
 }
 
-fn group_pools(servers: &BTreeMap<ServerId, ServerEntry>) -> BTreeMap<PoolId, Vec<ServerSpec>> {
-    let mut pools: BTreeMap<PoolId, Vec<ServerSpec>> = BTreeMap::new();
+fn group_pools(servers: &BTreeMap<ServerId, ServerEntry>) -> BTreeMap<PoolId, RankTable> {
+    let mut pools: BTreeMap<PoolId, Vec<&ServerSpec>> = BTreeMap::new();
     for entry in servers.values() {
         for pool in &entry.spec.pools {
-            pools.entry(*pool).or_default().push(entry.spec.clone());
+            pools.entry(*pool).or_default().push(&entry.spec);
         }
     }
-    pools
+    pools.into_iter().map(|(pool, specs)| (pool, RankTable::new(specs))).collect()
 }
 
 fn build_team(name: &str) -> TeamEntry {
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -1,1 +1,44 @@
 //! The router: callers, owners, peers and the platform put together.
+//!
+//! A [`RouterCore`] runs the tasks of one router over the parts of the world that a
+//! [`RouterEnvironment`] names; [`RouterService`] answers callers' calls. [`RouterProcess`] adds
+//! the real listeners and clients.
+
+mod admission;
+mod answer;
+mod attempts;
+mod call;
+mod calls;
+mod clock;
+mod control;
+mod drain;
+mod environment;
+mod fleet;
+mod grants;
+mod identity;
+mod index;
+mod logging;
+mod metric;
+mod once;
+mod operator;
+mod ownership;
+mod parts;
+mod peers;
+mod probes;
+mod process;
+mod revision;
+mod router;
+mod status;
+mod strikes;
+mod wire;
+
+pub use answer::RouterAnswer;
+pub use calls::RouterService;
+pub use clock::RuntimeClock;
+pub use environment::RouterEnvironment;
+pub use identity::RouterIdentity;
+pub use index::FleetIndex;
+pub use logging::start_logging;
+pub use process::{ProcessEnvironment, ProcessError, RouterProcess};
+pub use router::{RouterCore, RouterInput};
+pub use status::RouterView;
--- /dev/null
+++ b/crates/catkin-router/src/metric.rs
@@ -0,0 +1,49 @@
+//! Names and labels of the metrics.
+
+use catkin_backend::BackendError;
+use catkin_base::{CallRefusal, hash_parts};
+
+use crate::call::CheckedCall;
+
+/// Teams that get a label value of their own.
+const MAX_TEAM_LABELS: usize = 64;
+
+/// Calls by class and outcome.
+pub(crate) const CALLS_TOTAL: &str = "catkin_calls_total";
+/// Attempts by class and outcome.
+pub(crate) const ATTEMPTS_TOTAL: &str = "catkin_attempts_total";
+/// Time from the call to the first part of its answer, in seconds, by class and team.
+pub(crate) const FIRST_PART_SECONDS: &str = "catkin_first_part_seconds";
+/// Time from the call to the end of its answer, in seconds, by class and team.
+pub(crate) const ANSWER_SECONDS: &str = "catkin_answer_seconds";
+/// Open calls.
+pub(crate) const OPEN_CALLS: &str = "catkin_open_calls";
+/// Bytes sent to other routers.
+pub(crate) const PEER_BYTES_TOTAL: &str = "catkin_peer_bytes_total";
+/// Revision in force.
+pub(crate) const REVISION: &str = "catkin_revision";
+
+/// The label of a team: its name in a small fleet, else one of a fixed number of groups.
+pub(crate) fn label_team(name: &str, teams: usize) -> String {
+    if teams <= MAX_TEAM_LABELS {
+        return name.to_owned();
+    }
+    let group = hash_parts(&[name.as_bytes()]) % MAX_TEAM_LABELS as u64;
+    format!("group-{group:02}")
+}
+
+pub(crate) fn count_attempt(call: &CheckedCall, error: Option<&BackendError>) {
+    let outcome = error.map_or("begun".to_owned(), |error| format!("{:?}", error.fault));
+    let class = call.class_name.clone();
+    metrics::counter!(ATTEMPTS_TOTAL, "class" => class, "outcome" => outcome).increment(1);
+}
+
+pub(crate) fn count_whole(call: &CheckedCall) {
+    let class = call.class_name.clone();
+    metrics::counter!(CALLS_TOTAL, "class" => class, "outcome" => "whole").increment(1);
+}
+
+pub(crate) fn count_refusal(class: &str, refusal: &CallRefusal) {
+    let outcome = refusal.reason.as_word();
+    metrics::counter!(CALLS_TOTAL, "class" => class.to_owned(), "outcome" => outcome).increment(1);
+}
--- /dev/null
+++ b/crates/catkin-router/src/operator.rs
@@ -0,0 +1,108 @@
+//! Answers operators' requests on one router.
+
+use catkin_operator::{
+    ApplyAnswer, ApplyNote, ApplyOutcome, ApplyRequest, DrainAnswer, FleetStatus, HistoryAnswer,
+    OperatorError, OperatorService, PlatformCalls, PlatformStatus, RevisionAnswer, RollbackRequest,
+    apply_declarations, read_history, rollback_declarations,
+};
+use catkin_platform::{CallCounts, PlatformHealth};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::runtime::Handle;
+
+use crate::process::ProcessEnvironment;
+use crate::status::RouterView;
+
+/// Revisions that a history shows.
+const HISTORY_LENGTH: usize = 50;
+
+/// Answers operators' requests on one router, on the listener's threads.
+pub(crate) struct RouterOperator {
+    view: RouterView<ProcessEnvironment>,
+    metrics: Option<PrometheusHandle>,
+    runtime: Handle,
+}
+
+impl RouterOperator {
+    pub(crate) fn new(
+        view: RouterView<ProcessEnvironment>,
+        metrics: Option<PrometheusHandle>,
+    ) -> Self {
+        Self { view, metrics, runtime: Handle::current() }
+    }
+
+    fn note(&self, apply_id: String, author: String, comment: String) -> ApplyNote {
+        ApplyNote { apply_id, author, comment, unix_millis: self.view.unix_millis() }
+    }
+}
+
+impl OperatorService for RouterOperator {
+    fn status(&self) -> FleetStatus {
+        let store = self.view.store();
+        let healthy = store.health() == PlatformHealth::Up;
+        let platform = PlatformStatus { healthy, calls: list_calls(&store.counts()) };
+        FleetStatus { platform, ..self.view.status() }
+    }
+
+    fn declarations(&self) -> Result<RevisionAnswer, OperatorError> {
+        let index = self.view.index().ok_or(OperatorError::NoDeclarations)?;
+        let head = self.runtime.block_on(self.view.head());
+        let head = head.ok_or(OperatorError::NoDeclarations)?;
+        Ok(RevisionAnswer {
+            revision: index.revision(),
+            digest: head.digest,
+            declarations: index.declarations().clone(),
+        })
+    }
+
+    fn history(&self) -> Result<HistoryAnswer, OperatorError> {
+        let read = self.runtime.block_on(read_history(self.view.store(), HISTORY_LENGTH));
+        read.map(|revisions| HistoryAnswer { revisions }).map_err(|_| OperatorError::Unavailable)
+    }
+
+    fn apply(&self, request: ApplyRequest) -> Result<ApplyAnswer, OperatorError> {
+        let note = self.note(request.apply_id, request.author, request.comment);
+        let store = self.view.store();
+        let applied = apply_declarations(store, &request.declarations, request.base, &note);
+        Ok(to_answer(self.runtime.block_on(applied)?))
+    }
+
+    fn rollback(&self, request: RollbackRequest) -> Result<ApplyAnswer, OperatorError> {
+        let note = self.note(request.apply_id, request.author, request.comment);
+        let store = self.view.store();
+        let applied = rollback_declarations(store, request.revision, None, &note);
+        Ok(to_answer(self.runtime.block_on(applied)?))
+    }
+
+    fn drain(&self) -> Result<DrainAnswer, OperatorError> {
+        self.view.start_drain();
+        let open = u32::try_from(self.view.open_calls()).unwrap_or(u32::MAX);
+        Ok(DrainAnswer { open })
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.as_ref().map_or(String::new(), PrometheusHandle::render)
+    }
+
+    fn is_ready(&self) -> bool {
+        self.view.is_ready()
+    }
+}
+
+fn to_answer(outcome: ApplyOutcome) -> ApplyAnswer {
+    ApplyAnswer { revision: outcome.revision, digest: outcome.digest, unchanged: outcome.unchanged }
+}
+
+fn list_calls(counts: &CallCounts) -> std::collections::BTreeMap<String, PlatformCalls> {
+    let kinds = [
+        ("get", counts.gets),
+        ("put", counts.puts),
+        ("delete", counts.deletes),
+        ("list", counts.lists),
+        ("watch", counts.watches),
+        ("list-vms", counts.vm_lists),
+    ];
+    let calls = kinds
+        .into_iter()
+        .map(|(kind, made)| (kind.to_owned(), PlatformCalls { made, ..PlatformCalls::default() }));
+    calls.collect()
+}
--- /dev/null
+++ b/crates/catkin-router/src/parts.rs
@@ -0,0 +1,215 @@
+//! What the tasks and calls of one router share.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use catkin_base::{ClockTime, RequestId, ServerId, VmId};
+use catkin_peer::PeerLink;
+use catkin_peer::messages::PeerMessage;
+use catkin_platform::{ClaimBook, ClaimOptions};
+use catkin_policy::{GrantAnswer, GrantExport, GrantRelease, ServerSpec, choose_owner};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::RuntimeClock;
+use crate::control::ControlState;
+use crate::drain::DrainGate;
+use crate::environment::RouterEnvironment;
+use crate::identity::RouterIdentity;
+use crate::index::FleetIndex;
+use crate::revision::{ChunkRequests, RevisionState};
+use crate::strikes::CrashSuspicion;
+use crate::wire::{answer_to_wire, release_to_wire};
+
+/// What the tasks and calls of one router share.
+pub(crate) struct RouterParts<E: RouterEnvironment> {
+    pub(crate) identity: RouterIdentity,
+    pub(crate) clock: RuntimeClock,
+    pub(crate) store: Arc<E::Store>,
+    pub(crate) backend: E::Backend,
+    pub(crate) peers: E::Peers,
+    pub(crate) gate: Arc<DrainGate>,
+    pub(crate) revisions: RevisionState,
+    /// Wakes the admission task when a queued ask may have become due.
+    pub(crate) admission_due: Notify,
+    /// Wakes the fleet task when the declarations or the live routers may have changed.
+    pub(crate) fleet_changed: Notify,
+    /// Chunks asked of other routers.
+    pub(crate) chunks: ChunkRequests,
+    /// Wakes the probe task for a server that may have crashed.
+    pub(crate) suspects: flume::Sender<CrashSuspicion>,
+    /// Claims of calls that may run only once.
+    pub(crate) claims: ClaimBook<E::Store>,
+    /// Calls that go on without their callers; joined when the router stops.
+    pub(crate) once_tasks: TaskTracker,
+    index: RwLock<Option<Arc<FleetIndex>>>,
+    control: Mutex<ControlState>,
+    pending: Mutex<BTreeMap<RequestId, PendingAsk>>,
+    random: Mutex<StdRng>,
+}
+
+/// An ask of this router, or the grant that it led to.
+struct PendingAsk {
+    server: ServerId,
+    answers: flume::Sender<GrantAnswer>,
+}
+
+/// The receiving end of one ask's answers.
+pub(crate) type AnswerQueue = flume::Receiver<GrantAnswer>;
+
+/// Answers kept for one ask.
+const ANSWER_QUEUE_LENGTH: usize = 8;
+
+/// Parts that a router is built from.
+pub(crate) struct PartsInput<E: RouterEnvironment> {
+    pub(crate) identity: RouterIdentity,
+    pub(crate) store: Arc<E::Store>,
+    pub(crate) backend: E::Backend,
+    pub(crate) peers: E::Peers,
+    pub(crate) suspects: flume::Sender<CrashSuspicion>,
+    pub(crate) start_unix: Duration,
+    pub(crate) seed: u64,
+}
+
+impl<E: RouterEnvironment> RouterParts<E> {
+    pub(crate) fn new(input: PartsInput<E>) -> Self {
+        let clock = RuntimeClock::start_now(input.start_unix);
+        let options = ClaimOptions::new(input.identity.incarnation);
+        let claims = ClaimBook::new(Arc::clone(&input.store), options);
+        let control = ControlState::new(&input.identity, input.seed, clock.now());
+        Self {
+            identity: input.identity,
+            clock,
+            store: input.store,
+            backend: input.backend,
+            peers: input.peers,
+            gate: Arc::default(),
+            revisions: RevisionState::default(),
+            admission_due: Notify::new(),
+            fleet_changed: Notify::new(),
+            chunks: ChunkRequests::default(),
+            suspects: input.suspects,
+            claims,
+            once_tasks: TaskTracker::new(),
+            index: RwLock::new(None),
+            control: Mutex::new(control),
+            pending: Mutex::default(),
+            random: Mutex::new(StdRng::seed_from_u64(input.seed)),
+        }
+    }
+
+    pub(crate) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
+    /// The decision state, locked. Never held across a wait.
+    pub(crate) fn control(&self) -> MutexGuard<'_, ControlState> {
+        lock(&self.control)
+    }
+
+    /// The declarations in force; `None` before the first.
+    pub(crate) fn index(&self) -> Option<Arc<FleetIndex>> {
+        self.index.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn set_index(&self, index: Arc<FleetIndex>) {
+        *self.index.write().unwrap_or_else(PoisonError::into_inner) = Some(index);
+    }
+
+    /// A random number for an identifier.
+    pub(crate) fn random_word(&self) -> u64 {
+        lock(&self.random).random()
+    }
+
+    /// Draws a duration between half of `millis` and `millis`.
+    pub(crate) fn jitter_millis(&self, millis: u64) -> u64 {
+        lock(&self.random).random_range(millis.div_ceil(2)..=millis)
+    }
+
+    /// Sends a message to a router whose address is known; else it is lost.
+    pub(crate) fn send_to(&self, vm: VmId, message: &PeerMessage) {
+        let address = self.control().address(vm);
+        if let Some(address) = address {
+            self.peers.send(vm, address, message);
+        }
+    }
+
+    /// The owner of `server` by the present roster.
+    pub(crate) fn owner_of(&self, server: &ServerSpec) -> Option<VmId> {
+        let control = self.control();
+        let known = control.owners.get(&server.server).copied();
+        known.or_else(|| choose_owner(server, &control.roster))
+    }
+
+    /// Opens an ask: its answers arrive on the queue until [`Self::close_ask`].
+    pub(crate) fn open_ask(&self, request: RequestId, server: ServerId) -> AnswerQueue {
+        let (answers, queue) = flume::bounded(ANSWER_QUEUE_LENGTH);
+        lock(&self.pending).insert(request, PendingAsk { server, answers });
+        queue
+    }
+
+    /// Forgets an ask; grants for it that arrive later are released at once.
+    pub(crate) fn close_ask(&self, request: RequestId) {
+        lock(&self.pending).remove(&request);
+    }
+
+    /// Whether this router still waits for, or holds, a grant.
+    pub(crate) fn holds_grant(&self, request: RequestId, server: ServerId) -> bool {
+        lock(&self.pending).get(&request).is_some_and(|ask| ask.server == server)
+    }
+
+    /// Hands an answer to the call that waits for it; false if none does.
+    pub(crate) fn take_answer(&self, answer: &GrantAnswer) -> bool {
+        let pending = lock(&self.pending);
+        let Some(ask) = pending.get(&answer.request) else { return false };
+        let wanted = ask.server == answer.server;
+        // A full queue means that the call has had its answer.
+        wanted && (ask.answers.try_send(*answer).is_ok() || ask.answers.is_full())
+    }
+
+    /// Sends an owner's answer to the router that asked, which may be this one.
+    pub(crate) fn deliver_answer(&self, answer: &GrantAnswer) {
+        if answer.entry != self.identity.vm {
+            self.send_to(answer.entry, &answer_to_wire(answer));
+            return;
+        }
+        self.take_answer(answer);
+    }
+
+    /// Tells the present owner of a server that a request is over there.
+    pub(crate) fn send_release(&self, release: &GrantRelease) {
+        let Some(index) = self.index() else { return };
+        let Some(entry) = index.server(release.server) else { return };
+        match self.owner_of(&entry.spec) {
+            Some(owner) if owner != self.identity.vm => {
+                self.send_to(owner, &release_to_wire(release));
+            }
+            _ => self.take_release(release),
+        }
+    }
+
+    /// What a new owner of `server` needs of this router, owner or former owner of it.
+    pub(crate) fn export_for(&self, server: ServerId) -> Option<GrantExport> {
+        let control = self.control();
+        control.owner.export_grants(server).or_else(|| control.kept_exports.get(&server).cloned())
+    }
+
+    /// Keeps what is known of a server that this router no longer owns, for its new owner.
+    pub(crate) fn keep_export(&self, export: GrantExport) {
+        self.control().kept_exports.insert(export.server, export);
+    }
+
+    /// Takes a release at a server that this router owns.
+    pub(crate) fn take_release(&self, release: &GrantRelease) {
+        let now = self.now();
+        self.control().owner.release(now, release);
+        self.admission_due.notify_one();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/catkin-router/src/peers.rs
@@ -0,0 +1,169 @@
+//! Handles messages from other routers.
+
+use catkin_base::{ChatId, ClockTime, RequestDigest, RequestId, ServerId, VmId};
+use catkin_membership::{MemberAction, MessageOrigin};
+use catkin_peer::messages as wire;
+use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::{MessageSource, PeerLink, message_from_wire, message_to_wire};
+
+use crate::environment::RouterEnvironment;
+use crate::grants::decide_ask;
+use crate::parts::RouterParts;
+use crate::strikes::{CrashSuspicion, check_suspicion, note_strike};
+use crate::wire::{
+    answer_from_wire, ask_from_wire, export_from_wire, export_to_wire, pool_load_from_wire,
+    release_from_wire, report_from_wire, wrap_kind,
+};
+
+/// Receives and handles messages until the link is closed.
+pub(crate) async fn run_peers<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    while let Some((source, message)) = parts.peers.receive().await {
+        parts.control().note_address(source.vm, source.address);
+        handle_message(parts, source, &message);
+    }
+}
+
+fn handle_message<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    source: MessageSource,
+    message: &wire::PeerMessage,
+) {
+    if let Some(member_message) = message_from_wire(message) {
+        let origin = MessageOrigin {
+            vm: source.vm,
+            incarnation: source.incarnation,
+            address: source.address,
+        };
+        let now = parts.now();
+        let actions = parts.control().members.receive(now, origin, &member_message);
+        send_actions(parts, &actions);
+        return;
+    }
+    let Some(kind) = &message.kind else { return };
+    handle_kind(parts, source.vm, kind);
+}
+
+fn handle_kind<E: RouterEnvironment>(parts: &RouterParts<E>, from: VmId, kind: &Kind) {
+    let now = parts.now();
+    match kind {
+        Kind::GrantAsk(ask) => {
+            let answer = decide_ask(parts, &ask_from_wire(from, ask));
+            parts.deliver_answer(&answer);
+        }
+        Kind::GrantAnswer(message) => take_answer(parts, from, message),
+        Kind::GrantRelease(release) => parts.take_release(&release_from_wire(release)),
+        Kind::GrantAudit(audit) => answer_audit(parts, from, audit),
+        Kind::GrantAuditAnswer(answer) => close_audited(parts, from, answer),
+        Kind::LoadReport(report) => {
+            let report = report_from_wire(report);
+            parts.control().sums.note_report(now, from, &report);
+        }
+        Kind::PoolLoad(load) => take_pool_load(parts, now, load),
+        Kind::OwnerQuery(query) => answer_owner_query(parts, from, ServerId(query.server)),
+        Kind::OwnerCount(count) => {
+            parts.control().owner.import_grants(now, &export_from_wire(count));
+            parts.admission_due.notify_one();
+        }
+        Kind::PlacementNote(note) => {
+            let (home, server) = (ServerId(note.home), ServerId(note.server));
+            parts.control().owner.note_placement(ChatId(note.chat), home, server);
+        }
+        Kind::StrikeReport(report) => take_strike(parts, report),
+        Kind::StrikeAnswer(answer) => {
+            let digest = RequestDigest(answer.digest);
+            parts.control().note_quarantine(now, digest, answer.hold_millis.into());
+        }
+        Kind::ChunkAsk(ask) => answer_chunk_ask(parts, from, &ask.digest),
+        Kind::ChunkData(data) => parts.chunks.take(data),
+        _ => {}
+    }
+}
+
+fn take_answer<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    from: VmId,
+    message: &wire::GrantAnswer,
+) {
+    let answer = answer_from_wire(parts.identity.vm, message);
+    let wanted = parts.take_answer(&answer);
+    if !wanted && message.result() == wire::GrantResult::Granted {
+        // Nobody waits for the grant any more, so it must not occupy the server.
+        let mut release = wire::GrantRelease {
+            request: message.request,
+            server: message.server,
+            ..wire::GrantRelease::default()
+        };
+        release.set_outcome(wire::ReleaseOutcome::Cancelled);
+        parts.send_to(from, &wrap_kind(Kind::GrantRelease(release)));
+    }
+}
+
+fn answer_audit<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    from: VmId,
+    audit: &wire::GrantAudit,
+) {
+    let server = ServerId(audit.server);
+    let closed = audit
+        .requests
+        .iter()
+        .copied()
+        .filter(|request| !parts.holds_grant(RequestId(*request), server))
+        .collect();
+    let answer = wire::GrantAuditAnswer { server: audit.server, closed };
+    parts.send_to(from, &wrap_kind(Kind::GrantAuditAnswer(answer)));
+}
+
+fn close_audited<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    from: VmId,
+    answer: &wire::GrantAuditAnswer,
+) {
+    let closed: Vec<RequestId> = answer.closed.iter().copied().map(RequestId).collect();
+    parts.control().owner.close_audited(from, ServerId(answer.server), &closed);
+    parts.admission_due.notify_one();
+}
+
+fn take_pool_load<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    now: ClockTime,
+    load: &wire::PoolLoad,
+) {
+    let load = pool_load_from_wire(load);
+    let mut control = parts.control();
+    control.owner.note_pool_load(now, &load);
+    control.pool_loads.insert(load.pool, load);
+    drop(control);
+    parts.admission_due.notify_one();
+}
+
+fn answer_owner_query<E: RouterEnvironment>(parts: &RouterParts<E>, from: VmId, server: ServerId) {
+    let export = parts.export_for(server);
+    if let Some(export) = export {
+        parts.send_to(from, &export_to_wire(&export));
+    }
+}
+
+fn take_strike<E: RouterEnvironment>(parts: &RouterParts<E>, report: &wire::StrikeReport) {
+    let suspicion =
+        CrashSuspicion { server: ServerId(report.server), digest: RequestDigest(report.digest) };
+    if report.confirmed {
+        note_strike(parts, suspicion);
+    } else {
+        check_suspicion(parts, suspicion);
+    }
+}
+
+fn answer_chunk_ask<E: RouterEnvironment>(parts: &RouterParts<E>, from: VmId, digest: &str) {
+    let content = parts.revisions.shared_content(digest);
+    let data = wire::ChunkData { digest: digest.to_owned(), content: content.unwrap_or_default() };
+    parts.send_to(from, &wrap_kind(Kind::ChunkData(data)));
+}
+
+/// Sends the messages that membership wants sent.
+pub(crate) fn send_actions<E: RouterEnvironment>(parts: &RouterParts<E>, actions: &[MemberAction]) {
+    for action in actions {
+        let MemberAction::Send { vm, address, message } = action;
+        parts.peers.send(*vm, *address, &message_to_wire(message));
+    }
+}
--- /dev/null
+++ b/crates/catkin-router/src/router.rs
@@ -0,0 +1,155 @@
+//! A router: its tasks, from start to graceful shutdown.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use catkin_base::{ClockTime, VmId};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::admission::run_admission;
+use crate::calls::RouterService;
+use crate::environment::RouterEnvironment;
+use crate::fleet::{run_audits, run_directory, run_fleet, run_reports};
+use crate::identity::RouterIdentity;
+use crate::parts::{PartsInput, RouterParts};
+use crate::peers::{run_peers, send_actions};
+use crate::probes::run_probes;
+use crate::revision::run_revisions;
+use crate::status::RouterView;
+
+/// Suspicions of crashes that may wait for a probe.
+const SUSPECT_QUEUE_LENGTH: usize = 1_024;
+/// Time that other routers get to learn that this one is leaving.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+
+/// What a router is started with.
+pub struct RouterInput<E: RouterEnvironment> {
+    /// Who it is.
+    pub identity: RouterIdentity,
+    /// The platform.
+    pub store: Arc<E::Store>,
+    /// Backend servers.
+    pub backend: E::Backend,
+    /// Other routers.
+    pub peers: E::Peers,
+    /// Peer addresses to try first when the platform does not answer.
+    pub seeds: Vec<SocketAddr>,
+    /// Time since 1970 at the start.
+    pub start_unix: Duration,
+    /// Seed of its random numbers.
+    pub seed: u64,
+}
+
+/// A running router, without its listeners.
+pub struct RouterCore<E: RouterEnvironment> {
+    parts: Arc<RouterParts<E>>,
+    tasks: JoinSet<()>,
+    stop: CancellationToken,
+}
+
+impl<E: RouterEnvironment> RouterCore<E> {
+    /// Starts the tasks of a router on the current runtime.
+    pub fn start(input: RouterInput<E>) -> Self {
+        let (suspects, suspect_queue) = flume::bounded(SUSPECT_QUEUE_LENGTH);
+        let seeds = input.seeds;
+        let parts = Arc::new(RouterParts::new(PartsInput {
+            identity: input.identity,
+            store: input.store,
+            backend: input.backend,
+            peers: input.peers,
+            suspects,
+            start_unix: input.start_unix,
+            seed: input.seed,
+        }));
+        let mut core = Self {
+            parts: Arc::clone(&parts),
+            tasks: JoinSet::new(),
+            stop: CancellationToken::new(),
+        };
+        core.spawn(|parts| async move { run_peers(&parts).await });
+        core.spawn(|parts| async move { run_fleet(&parts).await });
+        core.spawn(|parts| async move { run_admission(&parts).await });
+        core.spawn(|parts| async move { run_reports(&parts).await });
+        core.spawn(|parts| async move { run_audits(&parts).await });
+        core.spawn(|parts| async move { run_revisions(&parts).await });
+        core.spawn(|parts| async move { run_directory(&parts, seeds).await });
+        core.spawn(|parts| async move { run_probes(parts, suspect_queue).await });
+        core
+    }
+
+    /// The service that answers callers' calls.
+    pub fn service(&self) -> RouterService<E> {
+        RouterService::new(Arc::clone(&self.parts))
+    }
+
+    /// What operators may read of this router.
+    pub fn view(&self) -> RouterView<E> {
+        RouterView::new(Arc::clone(&self.parts))
+    }
+
+    /// Its VM.
+    pub fn vm(&self) -> VmId {
+        self.parts.identity.vm
+    }
+
+    /// Time since its start.
+    pub fn now(&self) -> ClockTime {
+        self.parts.now()
+    }
+
+    /// Tells the other routers that this one leaves, and gives them time to learn it.
+    pub async fn announce_leave(&self) {
+        announce_leave(&self.parts);
+        sleep(LEAVE_NOTICE).await;
+    }
+
+    /// Drains: waits for open calls, at most `limit`, then stops and joins all tasks.
+    ///
+    /// Returns whether every open call ended by itself.
+    pub async fn shut_down(mut self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        self.parts.gate.start_drain();
+        announce_leave(&self.parts);
+        let idle = timeout_at(until, self.parts.gate.wait_idle()).await.is_ok();
+        self.parts.once_tasks.close();
+        let settled = timeout_at(until, self.parts.once_tasks.wait()).await.is_ok();
+        self.parts.claims.flush(self.parts.now()).await;
+        self.join_tasks().await;
+        log::info!("router: Stopped. vm={} whole={}", self.parts.identity.name, idle && settled);
+        idle && settled
+    }
+
+    /// Stops at once, as a crash would, and joins all tasks.
+    pub async fn kill(mut self) {
+        self.join_tasks().await;
+    }
+
+    async fn join_tasks(&mut self) {
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+    }
+
+    fn spawn<F>(&mut self, run: impl FnOnce(Arc<RouterParts<E>>) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let future = run(Arc::clone(&self.parts));
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = future => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+fn announce_leave<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    let now = parts.now();
+    let actions = parts.control().members.leave(now);
+    send_actions(parts, &actions);
+    parts.fleet_changed.notify_one();
+}
--- /dev/null
+++ b/crates/catkin-router/src/status.rs
@@ -0,0 +1,161 @@
+//! What operators read of a router.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use catkin_base::{DomainId, VmId};
+use catkin_operator::{FleetStatus, MemberStatus, QuarantineStatus, RevisionHead, ServerStatus};
+use catkin_peer::PeerLink;
+
+use crate::environment::RouterEnvironment;
+use crate::index::FleetIndex;
+use crate::parts::RouterParts;
+
+/// What operators read of one router.
+pub struct RouterView<E: RouterEnvironment> {
+    pub(crate) parts: Arc<RouterParts<E>>,
+}
+
+impl<E: RouterEnvironment> Clone for RouterView<E> {
+    fn clone(&self) -> Self {
+        Self { parts: Arc::clone(&self.parts) }
+    }
+}
+
+impl<E: RouterEnvironment> RouterView<E> {
+    pub(crate) fn new(parts: Arc<RouterParts<E>>) -> Self {
+        Self { parts }
+    }
+
+    /// Revision in force on this router.
+    pub fn revision(&self) -> Option<u64> {
+        self.parts.index().map(|index| index.revision())
+    }
+
+    /// The declarations in force.
+    pub fn index(&self) -> Option<Arc<FleetIndex>> {
+        self.parts.index()
+    }
+
+    /// Whether it takes calls.
+    pub fn is_ready(&self) -> bool {
+        !self.parts.gate.is_draining() && self.parts.index().is_some()
+    }
+
+    /// Calls open on it.
+    pub fn open_calls(&self) -> usize {
+        self.parts.gate.open_calls()
+    }
+
+    /// Live routers that it knows, itself included.
+    pub fn live_routers(&self) -> usize {
+        self.parts.control().roster.len()
+    }
+
+    /// Bytes that it sent to other routers.
+    pub fn peer_bytes(&self) -> u64 {
+        self.parts.peers.sent_bytes()
+    }
+
+    /// The platform as this router reaches it.
+    pub fn store(&self) -> &E::Store {
+        &self.parts.store
+    }
+
+    /// Milliseconds since 1970.
+    pub fn unix_millis(&self) -> u64 {
+        self.parts.clock.unix_millis()
+    }
+
+    /// Head of the revision in force.
+    pub async fn head(&self) -> Option<RevisionHead> {
+        self.parts.revisions.head().await
+    }
+
+    /// Refuses new calls from now on.
+    pub fn start_drain(&self) {
+        self.parts.gate.start_drain();
+    }
+
+    /// What this router knows of the fleet; the state of the platform is left to the caller.
+    pub fn status(&self) -> FleetStatus {
+        let index = self.parts.index();
+        let names = index.as_deref().map(name_domains).unwrap_or_default();
+        FleetStatus {
+            router: self.parts.identity.name.clone(),
+            domain: name_domain(&names, self.parts.identity.domain),
+            revision: index.as_deref().map(FleetIndex::revision),
+            draining: self.parts.gate.is_draining(),
+            members: self.member_states(&names),
+            servers: index.as_deref().map_or(Vec::new(), |index| self.server_states(index)),
+            quarantine: self.quarantine_states(),
+            ..FleetStatus::default()
+        }
+    }
+
+    fn member_states(&self, names: &BTreeMap<DomainId, String>) -> Vec<MemberStatus> {
+        let control = self.parts.control();
+        let members = control.members.live().map(|view| MemberStatus {
+            vm: self.name_vm(view.spec.vm),
+            state: format!("{:?}", view.state).to_lowercase(),
+            domain: name_domain(names, view.spec.domain),
+            revision: (view.revision > 0).then_some(view.revision),
+        });
+        members.collect()
+    }
+
+    fn server_states(&self, index: &FleetIndex) -> Vec<ServerStatus> {
+        let now = self.parts.now();
+        let control = self.parts.control();
+        let owned: BTreeMap<_, _> = control
+            .owner
+            .server_states(now)
+            .into_iter()
+            .map(|state| (state.server, state))
+            .collect();
+        drop(control);
+        let servers = index.servers().map(|entry| {
+            let owner = self.parts.owner_of(&entry.spec);
+            let state = owned.get(&entry.spec.server);
+            ServerStatus {
+                name: entry.name.clone(),
+                state: state.map_or("unknown", |state| word_state(state)).to_owned(),
+                owner: owner.map_or(String::new(), |vm| self.name_vm(vm)),
+                open: state.map_or(0, |state| state.open),
+                bound: state.map_or(0, |state| state.bound),
+                leaving: state.is_some_and(|state| state.leaving),
+                held_down: state.is_some_and(|state| state.hold_millis > 0),
+            }
+        });
+        servers.collect()
+    }
+
+    fn quarantine_states(&self) -> Vec<QuarantineStatus> {
+        let now = self.parts.now();
+        let control = self.parts.control();
+        let rows = control.quarantine.iter().filter(|(_, until)| **until > now);
+        let states = rows.map(|(digest, until)| QuarantineStatus {
+            digest: digest.to_string(),
+            strikes: control.strikes.state(now, *digest).strikes,
+            left_millis: until.millis_since(now),
+        });
+        states.collect()
+    }
+
+    fn name_vm(&self, vm: VmId) -> String {
+        if vm == self.parts.identity.vm { self.parts.identity.name.clone() } else { vm.to_string() }
+    }
+}
+
+fn word_state(state: &catkin_policy::ServerState) -> &'static str {
+    if state.failed { "down" } else { "live" }
+}
+
+fn name_domains(index: &FleetIndex) -> BTreeMap<DomainId, String> {
+    let servers = index.declarations().servers.values();
+    servers.map(|rule| (DomainId::from_name(&rule.domain), rule.domain.clone())).collect()
+}
+
+fn name_domain(names: &BTreeMap<DomainId, String>, domain: DomainId) -> String {
+    names.get(&domain).cloned().unwrap_or_else(|| domain.to_string())
+}
--- /dev/null
+++ b/crates/catkin-router/src/wire.rs
@@ -0,0 +1,263 @@
+//! Admission messages in their wire form.
+
+use catkin_base::{
+    ChatId, ClassId, PoolId, RefusalReason, RequestDigest, RequestId, ServerId, TeamId, VmId,
+};
+use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::messages::{self as wire, PeerMessage};
+use catkin_policy::{
+    GrantAnswer, GrantAsk, GrantExport, GrantRefusal, GrantRelease, GrantResult, LoadReport,
+    OpenGrant, OverflowCause, PoolLoad, ReleaseOutcome, ServerLoad, WarmChat,
+};
+
+/// Wraps one kind of message.
+pub(crate) fn wrap_kind(kind: Kind) -> PeerMessage {
+    PeerMessage { kind: Some(kind) }
+}
+
+pub(crate) fn ask_to_wire(ask: &GrantAsk) -> PeerMessage {
+    wrap_kind(Kind::GrantAsk(wire::GrantAsk {
+        request: ask.request.0,
+        server: ask.server.0,
+        chat: ask.chat.0,
+        team: ask.team.0,
+        class: ask.class.0,
+        pool: ask.pool.0,
+        digest: ask.digest.0,
+        prompt_tokens: ask.prompt_tokens,
+        expected_tokens: ask.expected_tokens,
+        deadline_millis: ask.deadline_millis,
+        rank: ask.rank,
+        must_queue: ask.must_queue,
+        follow_directory: ask.follow_directory,
+    }))
+}
+
+pub(crate) fn ask_from_wire(entry: VmId, ask: &wire::GrantAsk) -> GrantAsk {
+    GrantAsk {
+        request: RequestId(ask.request),
+        entry,
+        server: ServerId(ask.server),
+        chat: ChatId(ask.chat),
+        team: TeamId(ask.team),
+        class: ClassId(ask.class),
+        pool: PoolId(ask.pool),
+        digest: RequestDigest(ask.digest),
+        prompt_tokens: ask.prompt_tokens,
+        expected_tokens: ask.expected_tokens,
+        deadline_millis: ask.deadline_millis,
+        rank: ask.rank,
+        must_queue: ask.must_queue,
+        follow_directory: ask.follow_directory,
+    }
+}
+
+pub(crate) fn answer_to_wire(answer: &GrantAnswer) -> PeerMessage {
+    let mut message = wire::GrantAnswer {
+        request: answer.request.0,
+        server: answer.server.0,
+        ..wire::GrantAnswer::default()
+    };
+    match answer.result {
+        GrantResult::Granted { warm } => {
+            message.set_result(wire::GrantResult::Granted);
+            message.warm = warm;
+        }
+        GrantResult::Queued => message.set_result(wire::GrantResult::Queued),
+        GrantResult::Redirect { server } => {
+            message.set_result(wire::GrantResult::Redirect);
+            message.light = server.0;
+        }
+        GrantResult::Overflow { cause, light } => {
+            message.set_result(wire::GrantResult::Overflow);
+            message.set_cause(cause_to_wire(cause));
+            message.light = light.map_or(0, |server| server.0);
+        }
+        GrantResult::NotOwner => message.set_result(wire::GrantResult::NotOwner),
+        GrantResult::Refused(refusal) => {
+            message.set_result(wire::GrantResult::Refused);
+            message.set_reason(reason_to_wire(refusal.reason));
+            message.retry_after_millis = refusal.retry_after_millis;
+        }
+    }
+    wrap_kind(Kind::GrantAnswer(message))
+}
+
+pub(crate) fn answer_from_wire(entry: VmId, message: &wire::GrantAnswer) -> GrantAnswer {
+    let light = (message.light != 0).then_some(ServerId(message.light));
+    let result = match message.result() {
+        wire::GrantResult::Granted => GrantResult::Granted { warm: message.warm },
+        wire::GrantResult::Queued => GrantResult::Queued,
+        wire::GrantResult::Redirect => GrantResult::Redirect { server: ServerId(message.light) },
+        wire::GrantResult::Overflow => {
+            GrantResult::Overflow { cause: cause_from_wire(message.cause()), light }
+        }
+        wire::GrantResult::NotOwner => GrantResult::NotOwner,
+        wire::GrantResult::Refused => GrantResult::Refused(GrantRefusal {
+            reason: reason_from_wire(message.reason()),
+            retry_after_millis: message.retry_after_millis,
+        }),
+    };
+    GrantAnswer {
+        request: RequestId(message.request),
+        entry,
+        server: ServerId(message.server),
+        result,
+    }
+}
+
+pub(crate) fn release_to_wire(release: &GrantRelease) -> PeerMessage {
+    let mut message = wire::GrantRelease {
+        request: release.request.0,
+        server: release.server.0,
+        chat: release.chat.0,
+        generated_tokens: release.generated_tokens,
+        ..wire::GrantRelease::default()
+    };
+    message.set_outcome(match release.outcome {
+        ReleaseOutcome::Done => wire::ReleaseOutcome::Done,
+        ReleaseOutcome::Cancelled => wire::ReleaseOutcome::Cancelled,
+        ReleaseOutcome::Refused => wire::ReleaseOutcome::Refused,
+        ReleaseOutcome::Unreachable => wire::ReleaseOutcome::Unreachable,
+        ReleaseOutcome::Crashed => wire::ReleaseOutcome::Crashed,
+    });
+    wrap_kind(Kind::GrantRelease(message))
+}
+
+pub(crate) fn release_from_wire(message: &wire::GrantRelease) -> GrantRelease {
+    GrantRelease {
+        request: RequestId(message.request),
+        server: ServerId(message.server),
+        chat: ChatId(message.chat),
+        outcome: match message.outcome() {
+            wire::ReleaseOutcome::Done => ReleaseOutcome::Done,
+            wire::ReleaseOutcome::Cancelled => ReleaseOutcome::Cancelled,
+            wire::ReleaseOutcome::Refused => ReleaseOutcome::Refused,
+            wire::ReleaseOutcome::Unreachable => ReleaseOutcome::Unreachable,
+            wire::ReleaseOutcome::Crashed => ReleaseOutcome::Crashed,
+        },
+        generated_tokens: message.generated_tokens,
+    }
+}
+
+pub(crate) fn report_to_wire(report: &LoadReport) -> PeerMessage {
+    let loads = report.loads.iter().map(load_to_wire).collect();
+    wrap_kind(Kind::LoadReport(wire::LoadReport { pool: report.pool.0, loads }))
+}
+
+pub(crate) fn report_from_wire(message: &wire::LoadReport) -> LoadReport {
+    let loads = message.loads.iter().map(load_from_wire).collect();
+    LoadReport { pool: PoolId(message.pool), loads }
+}
+
+pub(crate) fn pool_load_to_wire(load: &PoolLoad) -> PeerMessage {
+    wrap_kind(Kind::PoolLoad(wire::PoolLoad {
+        pool: load.pool.0,
+        open: load.open,
+        weight: load.weight,
+        servers: load.servers,
+        age_millis: load.age_millis,
+        light_servers: load.light_servers.iter().map(|server| server.0).collect(),
+    }))
+}
+
+pub(crate) fn pool_load_from_wire(message: &wire::PoolLoad) -> PoolLoad {
+    PoolLoad {
+        pool: PoolId(message.pool),
+        open: message.open,
+        weight: message.weight,
+        servers: message.servers,
+        age_millis: message.age_millis,
+        light_servers: message.light_servers.iter().copied().map(ServerId).collect(),
+    }
+}
+
+pub(crate) fn export_to_wire(export: &GrantExport) -> PeerMessage {
+    wrap_kind(Kind::OwnerCount(wire::OwnerCount {
+        server: export.server.0,
+        grants: export.grants.iter().map(grant_to_wire).collect(),
+        chats: export.chats.iter().map(chat_to_wire).collect(),
+    }))
+}
+
+pub(crate) fn export_from_wire(message: &wire::OwnerCount) -> GrantExport {
+    GrantExport {
+        server: ServerId(message.server),
+        grants: message.grants.iter().map(grant_from_wire).collect(),
+        chats: message.chats.iter().map(chat_from_wire).collect(),
+    }
+}
+
+fn cause_to_wire(cause: OverflowCause) -> wire::OverflowCause {
+    match cause {
+        OverflowCause::Full => wire::OverflowCause::Full,
+        OverflowCause::NotWarm => wire::OverflowCause::NotWarm,
+        OverflowCause::Leaving => wire::OverflowCause::Leaving,
+        OverflowCause::HeldDown => wire::OverflowCause::HeldDown,
+        OverflowCause::Handover => wire::OverflowCause::Handover,
+        OverflowCause::WrongPool => wire::OverflowCause::WrongPool,
+    }
+}
+
+fn cause_from_wire(cause: wire::OverflowCause) -> OverflowCause {
+    match cause {
+        wire::OverflowCause::Full => OverflowCause::Full,
+        wire::OverflowCause::NotWarm => OverflowCause::NotWarm,
+        wire::OverflowCause::Leaving => OverflowCause::Leaving,
+        wire::OverflowCause::HeldDown => OverflowCause::HeldDown,
+        wire::OverflowCause::Handover => OverflowCause::Handover,
+        wire::OverflowCause::WrongPool => OverflowCause::WrongPool,
+    }
+}
+
+fn reason_to_wire(reason: RefusalReason) -> wire::RefusalCode {
+    match reason {
+        RefusalReason::DeadlineUnmet => wire::RefusalCode::DeadlineUnmet,
+        RefusalReason::TeamLimit => wire::RefusalCode::TeamLimit,
+        RefusalReason::Quarantined => wire::RefusalCode::Quarantined,
+        _ => wire::RefusalCode::Overloaded,
+    }
+}
+
+fn reason_from_wire(reason: wire::RefusalCode) -> RefusalReason {
+    match reason {
+        wire::RefusalCode::Overloaded => RefusalReason::Overloaded,
+        wire::RefusalCode::DeadlineUnmet => RefusalReason::DeadlineUnmet,
+        wire::RefusalCode::TeamLimit => RefusalReason::TeamLimit,
+        wire::RefusalCode::Quarantined => RefusalReason::Quarantined,
+    }
+}
+
+fn load_to_wire(load: &ServerLoad) -> wire::ServerLoad {
+    wire::ServerLoad { server: load.server.0, open: load.open, weight: load.weight }
+}
+
+fn load_from_wire(load: &wire::ServerLoad) -> ServerLoad {
+    ServerLoad { server: ServerId(load.server), open: load.open, weight: load.weight }
+}
+
+fn grant_to_wire(grant: &OpenGrant) -> wire::OpenGrant {
+    wire::OpenGrant {
+        request: grant.request.0,
+        entry: grant.entry.0,
+        team: grant.team.0,
+        class: grant.class.0,
+    }
+}
+
+fn grant_from_wire(grant: &wire::OpenGrant) -> OpenGrant {
+    OpenGrant {
+        request: RequestId(grant.request),
+        entry: VmId(grant.entry),
+        team: TeamId(grant.team),
+        class: ClassId(grant.class),
+    }
+}
+
+fn chat_to_wire(chat: &WarmChat) -> wire::WarmChat {
+    wire::WarmChat { chat: chat.chat.0, server: chat.server.0 }
+}
+
+fn chat_from_wire(chat: &wire::WarmChat) -> WarmChat {
+    WarmChat { chat: ChatId(chat.chat), server: ServerId(chat.server) }
+}
