Give orders to servers under the lease, each with a number of its own

New package catkin-control: the holder's book of orders, the owner's gate, and a loop that checks the lease before each order.

Servers that check the number refuse an old one; for those that ignore it the owner's gate refuses it, passes orders one at a time and reads the server back right before each. An order that slips in between read-back and send can't be kept from such a server: the owner sees it in the answer and the holder orders anew.

--- /dev/null
+++ b/crates/catkin-control/tests/control.rs
@@ -0,0 +1,284 @@
+//! No order undoes a newer one, with servers that check the number and servers that ignore it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkin_backend::{AttemptSpec, BackendError, BackendLink, HttpLink, ServerProbe};
+use catkin_base::ServerId;
+use catkin_control::{
+    ControlLoop, ControlStep, CourierOptions, GateLimits, OrderCourier, OrderLimits, OrderNumber,
+    OrderReply, OrderRoute, ServerOrder, ServerReport, ServerTarget,
+};
+use catkin_platform::{
+    HttpStore, HttpStoreOptions, LeaseHolder, LeaseOptions, ObjectStore, WriteCondition,
+};
+use catkin_standin::{EngineOptions, EngineStandin, PlatformOptions, PlatformStandin};
+
+type Courier = OrderCourier<HttpLink>;
+
+const SERVER: &str = "estimator-1";
+const LEASE_KEY: &str = "leases/ch";
+
+fn start_engine(checks_fence: bool) -> EngineStandin {
+    let options = EngineOptions { checks_fence, ..EngineOptions::default() };
+    EngineStandin::start(options).expect("it starts")
+}
+
+fn start_platform() -> (PlatformStandin, Arc<HttpStore>) {
+    let platform = PlatformStandin::start(&PlatformOptions::default()).expect("it starts");
+    let store = Arc::new(HttpStore::new(HttpStoreOptions::new(platform.address(), 1)));
+    (platform, store)
+}
+
+/// The courier of an owner whose servers had no order under way when it became their owner.
+fn courier() -> Arc<Courier> {
+    let limits = GateLimits { quiet: Duration::ZERO, verify_window: Duration::from_secs(60) };
+    let options = CourierOptions { limits, timeout: Duration::from_secs(5) };
+    Arc::new(OrderCourier::new(Arc::new(HttpLink), options))
+}
+
+fn order(engine: &EngineStandin, checks_fencing: bool, term: u32, sequence: u32) -> ServerOrder {
+    ServerOrder {
+        server: ServerId::from_name(SERVER),
+        address: engine.address(),
+        checks_fencing,
+        number: OrderNumber { term, sequence },
+        generation: 1,
+        desired: format!("state {term}.{sequence}"),
+    }
+}
+
+fn target(engine: &EngineStandin, checks_fencing: bool, desired: &str) -> ServerTarget {
+    ServerTarget {
+        server: ServerId::from_name(SERVER),
+        address: engine.address(),
+        checks_fencing,
+        desired: desired.to_owned(),
+        models: vec!["estimator".to_owned()],
+    }
+}
+
+fn report() -> ServerReport {
+    let models = vec!["estimator".to_owned()];
+    ServerReport {
+        server: ServerId::from_name(SERVER),
+        incarnation: 1,
+        models,
+        fence: 0,
+        undone: false,
+    }
+}
+
+fn router(
+    store: &Arc<HttpStore>,
+    courier: &Arc<Courier>,
+    incarnation: u64,
+) -> ControlLoop<HttpStore, Courier> {
+    let options = LeaseOptions::for_region("ch", &format!("vm-{incarnation}"), incarnation);
+    let lease = Arc::new(LeaseHolder::new(Arc::clone(store), options));
+    ControlLoop::new(lease, Arc::clone(courier), OrderLimits::default())
+}
+
+/// Marks the lease as free behind its holder's back, as if it had lapsed while the holder was
+/// paused.
+async fn free_lease(store: &HttpStore) {
+    let object = store.get(LEASE_KEY).await.expect("read").expect("present");
+    let text = String::from_utf8(object.value).expect("text");
+    let freed = text.replace("\"released\":false", "\"released\":true");
+    let condition = WriteCondition::Version(object.version);
+    store.put(LEASE_KEY, freed.as_bytes(), condition).await.expect("written");
+}
+
+fn last_desired(engine: &EngineStandin) -> Option<String> {
+    engine.taken_orders().last().map(|order| order.desired.clone())
+}
+
+#[tokio::test]
+async fn reordered_orders_leave_the_newest_in_force() {
+    for checks_fencing in [true, false] {
+        let engine = start_engine(checks_fencing);
+        let courier = courier();
+
+        let newer = courier.deliver(&order(&engine, checks_fencing, 1, 2)).await;
+        let older = courier.deliver(&order(&engine, checks_fencing, 1, 1)).await;
+
+        assert_eq!(newer, OrderReply::Accepted);
+        assert!(matches!(older, OrderReply::Older(_)), "checks: {checks_fencing}");
+        assert_eq!(last_desired(&engine).as_deref(), Some("state 1.2"));
+        assert_eq!(engine.counts().undone_orders, 0);
+    }
+}
+
+#[tokio::test]
+async fn repeated_order_changes_nothing() {
+    for checks_fencing in [true, false] {
+        let engine = start_engine(checks_fencing);
+        let courier = courier();
+        let order = order(&engine, checks_fencing, 1, 1);
+
+        let first = courier.deliver(&order).await;
+        let again = courier.deliver(&order).await;
+
+        assert_eq!((first, again), (OrderReply::Accepted, OrderReply::Accepted));
+        assert_eq!(last_desired(&engine).as_deref(), Some("state 1.1"));
+        assert_eq!(engine.counts().undone_orders, 0);
+    }
+}
+
+#[tokio::test]
+async fn lost_answer_is_told_from_a_refusal() {
+    for checks_fencing in [true, false] {
+        let engine = start_engine(checks_fencing);
+        let courier = courier();
+        engine.lose_next_order_answers(1);
+
+        let lost = courier.deliver(&order(&engine, checks_fencing, 1, 1)).await;
+        let next = courier.deliver(&order(&engine, checks_fencing, 1, 2)).await;
+
+        assert_eq!((lost, next), (OrderReply::Unanswered, OrderReply::Accepted));
+        assert_eq!(engine.counts().undone_orders, 0);
+    }
+}
+
+#[tokio::test]
+async fn unanswered_order_holds_the_next_back_where_the_number_is_ignored() {
+    let engine = start_engine(false);
+    let limits = GateLimits { quiet: Duration::from_secs(3600), ..GateLimits::default() };
+    let options = CourierOptions { limits, ..CourierOptions::default() };
+    let courier = OrderCourier::new(Arc::new(HttpLink), options);
+
+    let new_owner = courier.deliver(&order(&engine, false, 1, 1)).await;
+
+    assert_eq!(new_owner, OrderReply::Held);
+    assert!(engine.taken_orders().is_empty());
+}
+
+#[tokio::test]
+async fn owner_that_another_owner_has_passed_refuses_the_older_order() {
+    for checks_fencing in [true, false] {
+        let engine = start_engine(checks_fencing);
+        let (one_owner, other_owner) = (courier(), courier());
+        one_owner.deliver(&order(&engine, checks_fencing, 1, 1)).await;
+
+        let newer = other_owner.deliver(&order(&engine, checks_fencing, 2, 1)).await;
+        let older = one_owner.deliver(&order(&engine, checks_fencing, 1, 2)).await;
+
+        assert_eq!(newer, OrderReply::Accepted);
+        assert!(matches!(older, OrderReply::Older(_)), "checks: {checks_fencing}");
+        assert_eq!(last_desired(&engine).as_deref(), Some("state 2.1"));
+        assert_eq!(engine.counts().undone_orders, 0);
+    }
+}
+
+/// A server that ignores the number may still be reached by an order that slipped in between a
+/// read-back and its send: the owner sees it in the answer and reports it.
+#[tokio::test]
+async fn older_order_that_slipped_through_is_reported() {
+    let engine = start_engine(false);
+    let one_owner = courier();
+    let raced = RacedLink { order: order(&engine, false, 2, 1), inner: HttpLink };
+    let limits = GateLimits { quiet: Duration::ZERO, verify_window: Duration::from_secs(60) };
+    let options = CourierOptions { limits, timeout: Duration::from_secs(5) };
+    let other_owner = OrderCourier::new(Arc::new(raced), options);
+
+    let slipped = other_owner.deliver(&order(&engine, false, 1, 1)).await;
+    let undone = other_owner.take_undone();
+    let repaired = one_owner.deliver(&order(&engine, false, 2, 2)).await;
+
+    assert!(matches!(slipped, OrderReply::Older(_)));
+    assert!(undone.contains(&ServerId::from_name(SERVER)));
+    assert_eq!(repaired, OrderReply::Accepted);
+    assert_eq!(last_desired(&engine).as_deref(), Some("state 2.2"));
+}
+
+/// A link on which another owner's order arrives right before each order.
+struct RacedLink {
+    order: ServerOrder,
+    inner: HttpLink,
+}
+
+impl BackendLink for RacedLink {
+    type Stream = <HttpLink as BackendLink>::Stream;
+
+    async fn send(&self, spec: &AttemptSpec) -> Result<Self::Stream, BackendError> {
+        self.inner.send(spec).await
+    }
+
+    async fn probe(
+        &self,
+        address: SocketAddr,
+        after_event: u64,
+        timeout: Duration,
+    ) -> Result<ServerProbe, BackendError> {
+        self.inner.probe(address, after_event, timeout).await
+    }
+
+    async fn look_up(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        key: &str,
+        timeout: Duration,
+    ) -> Result<Option<Bytes>, BackendError> {
+        self.inner.look_up(address, path, key, timeout).await
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        fence: u64,
+        generation: u64,
+        desired: &str,
+        timeout: Duration,
+    ) -> Result<u64, BackendError> {
+        let raced = &self.order;
+        let number = raced.number.fence();
+        self.inner.order(address, number, raced.generation, &raced.desired, timeout).await?;
+        self.inner.order(address, fence, generation, desired, timeout).await
+    }
+}
+
+#[tokio::test]
+async fn holder_that_was_paused_does_not_undo_its_successor() {
+    for checks_fencing in [true, false] {
+        let engine = start_engine(checks_fencing);
+        let (_platform, store) = start_platform();
+        let courier = courier();
+        let (mut old, mut new) = (router(&store, &courier, 1), router(&store, &courier, 2));
+        old.set_targets(1, vec![target(&engine, checks_fencing, "old")]);
+        new.set_targets(2, vec![target(&engine, checks_fencing, "new")]);
+        let first = old.step().await;
+        free_lease(&store).await;
+        new.note_report(&report());
+        let took_over = new.step().await;
+
+        old.note_report(&report());
+        let woken = old.step().await;
+        let after = old.step().await;
+
+        assert_eq!((first, took_over), (ControlStep::Ordered(0), ControlStep::Ordered(1)));
+        assert_eq!((woken, after), (ControlStep::Deposed, ControlStep::Ordered(0)));
+        assert_eq!(last_desired(&engine).as_deref(), Some("new"));
+        assert_eq!(engine.counts().undone_orders, 0);
+    }
+}
+
+#[tokio::test]
+async fn router_without_the_lease_gives_no_orders() {
+    let engine = start_engine(true);
+    let (_platform, store) = start_platform();
+    let courier = courier();
+    let (mut holder, mut other) = (router(&store, &courier, 1), router(&store, &courier, 2));
+    for router in [&mut holder, &mut other] {
+        router.set_targets(1, vec![target(&engine, true, "state")]);
+        router.note_report(&report());
+    }
+
+    let held = holder.step().await;
+    let waiting = other.step().await;
+
+    assert_eq!((held, waiting), (ControlStep::Ordered(1), ControlStep::NotHolder));
+    assert_eq!(engine.taken_orders().len(), 1);
+}
--- a/crates/catkin-standin/src/engine.rs
+++ b/crates/catkin-standin/src/engine.rs
@@ -177,6 +177,11 @@
         self.listener.handler().lose_next_answers(count);
     }
 
+    /// Takes the next `count` orders and drops the answers.
+    pub fn lose_next_order_answers(&self, count: u32) {
+        self.listener.handler().lose_next_order_answers(count);
+    }
+
     /// Cuts the next `count` streams after `tokens` tokens.
     pub fn cut_next_streams(&self, count: u32, tokens: u32) {
         self.listener.handler().cut_next_streams(count, tokens);
--- a/crates/catkin-standin/src/engine_handler.rs
+++ b/crates/catkin-standin/src/engine_handler.rs
@@ -136,6 +136,10 @@
         self.state().lose_next = count;
     }
 
+    pub(crate) fn lose_next_order_answers(&self, count: u32) {
+        self.state().desk.lose_next_answers(count);
+    }
+
     pub(crate) fn cut_next_streams(&self, count: u32, tokens: u32) {
         self.state().cut = StreamCut { remaining: count, tokens };
     }
@@ -183,7 +187,11 @@
         let Some(order) = read_document::<OrderBody>(request).await else {
             return Some(empty_answer(StatusCode::BAD_REQUEST));
         };
-        let answer = self.state().desk.take(order);
+        let mut state = self.state();
+        let answer = state.desk.take(order);
+        if state.desk.loses_answer() {
+            return None;
+        }
         Some(json_answer(&answer))
     }
 
--- a/crates/catkin-standin/src/order_desk.rs
+++ b/crates/catkin-standin/src/order_desk.rs
@@ -44,11 +44,20 @@
     taken: Vec<TakenOrder>,
     undone: u64,
     refused: u64,
+    lose_next: u32,
 }
 
 impl OrderDesk {
     pub(crate) fn new(checks_fence: bool) -> Self {
-        Self { checks_fence, fence: 0, newest: 0, taken: Vec::new(), undone: 0, refused: 0 }
+        Self {
+            checks_fence,
+            fence: 0,
+            newest: 0,
+            taken: Vec::new(),
+            undone: 0,
+            refused: 0,
+            lose_next: 0,
+        }
     }
 
     /// Takes an order or refuses it.
@@ -66,6 +75,18 @@
         OrderAnswer { fence: self.fence, accepted: true }
     }
 
+    /// Takes the next `count` orders and drops the answers.
+    pub(crate) fn lose_next_answers(&mut self, count: u32) {
+        self.lose_next = count;
+    }
+
+    /// Whether the answer to the order that was just taken is lost.
+    pub(crate) fn loses_answer(&mut self) -> bool {
+        let lost = self.lose_next > 0;
+        self.lose_next = self.lose_next.saturating_sub(1);
+        lost
+    }
+
     /// Forgets the number that the process held in memory.
     pub(crate) fn restart(&mut self) {
         self.fence = 0;
