Join claims into segments: a group log behind the same store interface

One object for each key costs the platform three writes a claim (two if claims are not marked as sent), so a few percent of the peak fill several hundred writes a second. GroupStore offers the ObjectStore interface over a log of segments; creating the next number only if absent is the fence, so that several writers are safe.

--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -5,6 +5,9 @@
 mod claim_document;
 mod claim_pending;
 mod claim_ticket;
+mod group_log;
+mod group_segment;
+mod group_store;
 mod http_call;
 mod http_store;
 mod lease_holder;
@@ -20,6 +23,8 @@
     ClaimKey, ClaimNonce, ClaimState, MAX_RECORDED_BYTES, RecordedAnswer, RecordedBody,
 };
 pub use claim_ticket::ClaimTicket;
+pub use group_log::GroupOptions;
+pub use group_store::GroupStore;
 pub use http_store::{HttpStore, HttpStoreOptions};
 pub use lease_holder::{LeaseGrant, LeaseHolder, LeaseOptions, LeaseStep};
 pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
