--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -4,6 +4,7 @@
 mod claim_book;
 mod claim_document;
 mod claim_pending;
+mod claim_sweeper;
 mod claim_ticket;
 mod group_log;
 mod group_segment;
@@ -22,6 +23,7 @@
 pub use claim_document::{
     ClaimKey, ClaimNonce, ClaimState, MAX_RECORDED_BYTES, RecordedAnswer, RecordedBody,
 };
+pub use claim_sweeper::{ClaimRetention, ClaimSweeper, SweepCounts};
 pub use claim_ticket::ClaimTicket;
 pub use group_log::GroupOptions;
 pub use group_store::GroupStore;
