Add a demo: a fleet on loopback under faults, with its own count

Cause: nothing showed the whole path at work. Before: no run. Conclusion: the demo counts from what callers saw and the stand-ins recorded.

--- /dev/null
+++ b/crates/catkin-demo/src/caller.rs
@@ -0,0 +1,210 @@
+//! One caller: sends a call to a router and judges the answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkin_base::{EventCounter, RunVerdict, value_type};
+use catkin_caller::{
+    CHAT_HEADER, CLASS_HEADER, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER, PROBLEM_TYPE,
+    ProblemDocument,
+};
+use catkin_standin::{answer_text, service_answer};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::deployment::{DeploymentShape, LONG_CLASS, MODEL, QUICK_CLASS};
+use crate::trace::{PlannedCall, PlannedWork, chat_contents};
+
+/// Milliseconds that a caller waits for a long answer.
+const LONG_DEADLINE_MILLIS: u64 = 60_000;
+
+value_type! {
+    /// How one sending of a call ended.
+    pub(crate) enum CallEnd {
+        /// The whole answer to this call.
+        Whole,
+        /// A whole answer that belongs to another call.
+        Stranger,
+        /// A refusal.
+        Refused {
+            ran: RunVerdict,
+            reason: String,
+            retry_after_seconds: Option<u32>,
+        },
+        /// The answer stopped before its end.
+        Cut { ran: RunVerdict },
+        /// The router could not be reached.
+        Unreachable,
+    }
+
+    /// One sending of a call.
+    pub(crate) struct CallRecord {
+        pub(crate) end: CallEnd,
+        /// Time to the first byte of the answer.
+        pub(crate) first_byte: Option<Duration>,
+        /// What the caller should send along with the next turn.
+        pub(crate) hint: Option<String>,
+    }
+}
+
+impl CallRecord {
+    fn unreachable() -> Self {
+        Self { end: CallEnd::Unreachable, first_byte: None, hint: None }
+    }
+}
+
+/// Sends a call to a router and reads its answer.
+pub(crate) async fn send_call(
+    router: SocketAddr,
+    shape: &DeploymentShape,
+    call: &PlannedCall,
+    hint: Option<&str>,
+) -> CallRecord {
+    let began = Instant::now();
+    let request = build_request(shape, call, hint);
+    let Ok(stream) = TcpStream::connect(router).await else { return CallRecord::unreachable() };
+    // Delays only this caller if it fails.
+    let _ = stream.set_nodelay(true);
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let Ok((mut sender, connection)) = shaken else { return CallRecord::unreachable() };
+    let driven = tokio::spawn(connection);
+    let record = match sender.send_request(request).await {
+        Ok(response) => read_answer(call, response, began).await,
+        Err(_) => CallRecord { end: broken_end(), first_byte: None, hint: None },
+    };
+    drop(sender);
+    driven.abort();
+    // An aborted task ends with an error that says so.
+    let _ = driven.await;
+    record
+}
+
+/// A connection that broke before any answer.
+fn broken_end() -> CallEnd {
+    CallEnd::Cut { ran: RunVerdict::MayHaveRun }
+}
+
+fn build_request(
+    shape: &DeploymentShape,
+    call: &PlannedCall,
+    hint: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::post(call_path(shape, call))
+        .header(AUTHORIZATION, format!("Bearer {}", DeploymentShape::token(call.team)))
+        .header(CONTENT_TYPE, "application/json");
+    match &call.work {
+        PlannedWork::Turn { chat, long, .. } => {
+            let class = if *long { LONG_CLASS } else { QUICK_CLASS };
+            builder = builder.header(CHAT_HEADER, chat).header(CLASS_HEADER, class);
+            if *long {
+                builder = builder.header(DEADLINE_HEADER, LONG_DEADLINE_MILLIS);
+            }
+            if let Some(hint) = hint {
+                builder = builder.header(HINT_HEADER, hint);
+            }
+        }
+        PlannedWork::Record { key } => builder = builder.header(KEY_HEADER, key),
+    }
+    let body = call_body(call);
+    builder.body(Full::new(Bytes::from(body))).expect("the parts of the request are valid")
+}
+
+fn call_path(shape: &DeploymentShape, call: &PlannedCall) -> String {
+    match &call.work {
+        PlannedWork::Turn { .. } => "/v1/chat/completions".to_owned(),
+        PlannedWork::Record { .. } => format!("/services/{}/record", shape.service),
+    }
+}
+
+fn call_body(call: &PlannedCall) -> String {
+    match &call.work {
+        PlannedWork::Turn { chat, turn, poison, .. } => {
+            let contents = chat_contents(chat, *turn, *poison);
+            let messages: Vec<Value> = contents
+                .iter()
+                .map(|content| json!({ "role": "user", "content": content }))
+                .collect();
+            let tokens = call.work.tokens();
+            json!({ "model": MODEL, "messages": messages, "stream": true, "max_tokens": tokens })
+                .to_string()
+        }
+        PlannedWork::Record { key } => json!({ "record": key }).to_string(),
+    }
+}
+
+async fn read_answer(
+    call: &PlannedCall,
+    response: Response<Incoming>,
+    began: Instant,
+) -> CallRecord {
+    let header = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    let hint = header(HINT_HEADER).map(str::to_owned);
+    let is_problem = header(CONTENT_TYPE.as_str()) == Some(PROBLEM_TYPE);
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    let mut first_byte = None;
+    let mut broken = false;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                first_byte.get_or_insert_with(|| began.elapsed());
+                bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+            }
+            Err(_) => {
+                broken = true;
+                break;
+            }
+        }
+    }
+    let end = if is_problem { read_problem(&bytes) } else { judge_answer(call, &bytes, broken) };
+    CallRecord { end, first_byte, hint }
+}
+
+fn read_problem(bytes: &[u8]) -> CallEnd {
+    match serde_json::from_slice::<ProblemDocument>(bytes) {
+        Ok(problem) => CallEnd::Refused {
+            ran: problem.ran,
+            reason: problem.reason,
+            retry_after_seconds: problem.retry_after,
+        },
+        Err(_) => broken_end(),
+    }
+}
+
+fn judge_answer(call: &PlannedCall, bytes: &[u8], broken: bool) -> CallEnd {
+    let (whole, expected, found) = match &call.work {
+        PlannedWork::Turn { chat, turn, poison, .. } => {
+            let contents = chat_contents(chat, *turn, *poison);
+            let content = contents.last().map_or("", String::as_str);
+            let mut counter = EventCounter::default();
+            counter.observe(bytes);
+            (counter.is_done(), answer_text(content, call.work.tokens()), join_events(bytes))
+        }
+        PlannedWork::Record { key } => {
+            let expected = service_answer(key, call_body(call).as_bytes());
+            let expected = String::from_utf8_lossy(&expected).into_owned();
+            (!broken, expected, String::from_utf8_lossy(bytes).into_owned())
+        }
+    };
+    if !whole {
+        return CallEnd::Cut { ran: RunVerdict::MayHaveRun };
+    }
+    if expected == found { CallEnd::Whole } else { CallEnd::Stranger }
+}
+
+/// Joins the tokens of a stream of events.
+fn join_events(bytes: &[u8]) -> String {
+    let text = String::from_utf8_lossy(bytes);
+    let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    let chunks = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    chunks
+        .filter_map(|chunk| chunk["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
+        .collect()
+}
