Test the whole path of one router over real sockets

Cause: the router's parts had only been compiled together. Before: 0 tests of the whole path. After: 7 pass (stream, collected answer, record sent twice, key with another body, lost answer found by look-up, platform outage, broken stream resumed). Conclusion: one router serves the path.

--- a/crates/catkin-demo/src/caller.rs
+++ b/crates/catkin-demo/src/caller.rs
@@ -22,6 +22,8 @@
 use crate::deployment::{DeploymentShape, LONG_CLASS, MODEL, QUICK_CLASS};
 use crate::trace::{PlannedCall, PlannedWork, chat_contents};
 
+/// Header that an engine wants of a caller that speaks to it directly.
+const ATTEMPT_HEADER: &str = "x-attempt-id";
 /// Milliseconds that a caller waits for a long answer.
 const LONG_DEADLINE_MILLIS: u64 = 60_000;
 
@@ -98,7 +100,8 @@
 ) -> Request<Full<Bytes>> {
     let mut builder = Request::post(call_path(shape, call))
         .header(AUTHORIZATION, format!("Bearer {}", DeploymentShape::token(call.team)))
-        .header(CONTENT_TYPE, "application/json");
+        .header(CONTENT_TYPE, "application/json")
+        .header(ATTEMPT_HEADER, "0000000000000001");
     match &call.work {
         PlannedWork::Turn { chat, long, .. } => {
             let class = if *long { LONG_CLASS } else { QUICK_CLASS };
--- /dev/null
+++ b/crates/catkin-router/tests/common/mod.rs
@@ -0,0 +1,145 @@
+//! Fixtures of the router's tests: stand-ins and one router on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use catkin_base::digest_hex;
+use catkin_operator::{ApplyNote, apply_declarations};
+use catkin_platform::{HttpStore, HttpStoreOptions};
+use catkin_router::RouterProcess;
+use catkin_settings::{FleetDeclarations, LogSettings, RouterSettings, parse_declarations};
+use catkin_standin::{
+    EngineOptions, EngineStandin, PlatformOptions, PlatformStandin, ServiceOptions, ServiceStandin,
+};
+use tokio::time::sleep;
+
+/// Token of the only team.
+pub const TOKEN: &str = "token-of-team";
+
+/// The stand-ins and the router of one test.
+pub struct TestFleet {
+    pub platform: PlatformStandin,
+    pub engine: EngineStandin,
+    pub service: ServiceStandin,
+    pub router: RouterProcess,
+}
+
+/// An answer as a caller sees it.
+pub struct TestAnswer {
+    pub status: u16,
+    pub body: String,
+    pub replayed: bool,
+}
+
+/// Starts one router before one engine and one plain service.
+pub async fn start_fleet() -> TestFleet {
+    let platform = PlatformStandin::start(&PlatformOptions::default()).expect("platform starts");
+    let engine = EngineStandin::start(EngineOptions {
+        models: vec!["estimator".to_owned()],
+        resumes: true,
+        ..EngineOptions::default()
+    })
+    .expect("engine starts");
+    let service = ServiceStandin::start(ServiceOptions { looks_up: true, ..Default::default() })
+        .expect("service starts");
+    let declarations = declare_fleet(engine.address(), service.address());
+    apply_fleet(platform.address(), &declarations).await;
+    let settings = router_settings(platform.address());
+    let router = RouterProcess::start(&settings, 1, Duration::from_secs(1_800_000_000), 7)
+        .await
+        .expect("router starts");
+    while !router.view().is_ready() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    TestFleet { platform, engine, service, router }
+}
+
+/// Sends a chat turn.
+pub async fn send_turn(router: SocketAddr, content: &str, streamed: bool) -> TestAnswer {
+    let body = format!(
+        r#"{{"model":"estimator","messages":[{{"role":"user","content":"{content}"}}],"stream":{streamed},"max_tokens":5}}"#
+    );
+    let request = minreq::post(format!("http://{router}/v1/chat/completions"))
+        .with_header("authorization", format!("Bearer {TOKEN}"))
+        .with_header("x-catkin-chat", "chat-1")
+        .with_body(body);
+    send(request).await
+}
+
+/// Sends a call that must run only once.
+pub async fn send_record(router: SocketAddr, key: &str, body: &str) -> TestAnswer {
+    let request = minreq::post(format!("http://{router}/services/quotes/record"))
+        .with_header("authorization", format!("Bearer {TOKEN}"))
+        .with_header("idempotency-key", key)
+        .with_body(body);
+    send(request).await
+}
+
+async fn send(request: minreq::Request) -> TestAnswer {
+    let sent = tokio::task::spawn_blocking(move || request.send());
+    let response = sent.await.expect("the sender does not panic").expect("an answer arrives");
+    TestAnswer {
+        status: response.status_code,
+        body: response.as_str().expect("the answer is text").to_owned(),
+        replayed: response.headers.iter().any(|(name, _)| name == "x-catkin-replayed"),
+    }
+}
+
+async fn apply_fleet(platform: SocketAddr, declarations: &FleetDeclarations) {
+    let store = HttpStore::new(HttpStoreOptions::new(platform, 1));
+    let note = ApplyNote {
+        apply_id: "test".to_owned(),
+        author: "test".to_owned(),
+        comment: String::new(),
+        unix_millis: 0,
+    };
+    apply_declarations(&store, declarations, None, &note).await.expect("declarations apply");
+}
+
+fn declare_fleet(engine: SocketAddr, service: SocketAddr) -> FleetDeclarations {
+    let digest = digest_hex(TOKEN.as_bytes());
+    let text = format!(
+        r#"{{
+  "deployment": "test",
+  "classes": {{
+    "quick": {{"work": "quick", "deadline_millis": 30000, "priority": 1, "expected_tokens": 5}}
+  }},
+  "default_class": "quick",
+  "models": {{"estimator": {{}}}},
+  "services": {{"quotes": {{"idempotent": false, "look_up_path": "/lookup"}}}},
+  "servers": {{
+    "e1": {{"kind": "engine", "address": "{engine}", "domain": "a", "region": "r",
+            "models": ["estimator"], "slots": 8, "resumes": true}},
+    "s1": {{"kind": "service", "address": "{service}", "domain": "a", "region": "r",
+            "service": "quotes", "slots": 8}}
+  }},
+  "teams": {{"team": {{"token_digest": "{digest}", "max_open": 8}}}},
+  "placement": {{"bound_percent": 150, "prefill_micros_per_token": 100,
+                 "reuse_weight_percent": 100, "skew_weight_percent": 100,
+                 "long_share_percent": 75}},
+  "limits": {{"retry_percent": 20, "crash_strikes": 2, "quarantine_millis": 60000,
+              "hold_down_millis": 1000, "loads_at_once": 1}}
+}}"#
+    );
+    parse_declarations(&text, "test.json").expect("the declarations are valid").declarations
+}
+
+fn router_settings(platform_address: SocketAddr) -> RouterSettings {
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    RouterSettings {
+        vm: "entry-1".to_owned(),
+        domain: "a".to_owned(),
+        region: "r".to_owned(),
+        caller_address: any_port,
+        peer_address: any_port,
+        operator_address: any_port,
+        platform_address,
+        seeds: Vec::new(),
+        peer_key: "5a".repeat(32),
+        operator_token_digest: digest_hex(b"operator"),
+        max_connections: 64,
+        max_body_bytes: 1 << 16,
+        drain_millis: 60_000,
+        log: LogSettings::default(),
+    }
+}
--- /dev/null
+++ b/crates/catkin-router/tests/whole_path.rs
@@ -0,0 +1,98 @@
+//! One router between a caller and the stand-ins, over real sockets.
+
+mod common;
+
+use catkin_standin::{OutageKind, answer_token, service_answer};
+
+use common::{send_record, send_turn, start_fleet};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_turn_arrives_whole() {
+    let fleet = start_fleet().await;
+
+    let answer = send_turn(fleet.router.caller_address(), "slide core", true).await;
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.contains(&answer_token("slide core", 4)), "{}", answer.body);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_collected_turn_arrives_whole() {
+    let fleet = start_fleet().await;
+
+    let answer = send_turn(fleet.router.caller_address(), "mould cost", false).await;
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.contains(answer_token("mould cost", 4).trim_end()), "{}", answer.body);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_sent_twice_runs_once() {
+    let fleet = start_fleet().await;
+    let router = fleet.router.caller_address();
+
+    let first = send_record(router, "k1", "{}").await;
+    let second = send_record(router, "k1", "{}").await;
+
+    assert_eq!(first.body.as_bytes(), service_answer("k1", b"{}"));
+    assert_eq!(second.body, first.body);
+    assert!(second.replayed && !first.replayed);
+    assert_eq!(fleet.service.counts().runs_by_key.get("k1"), Some(&1));
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_body_is_refused() {
+    let fleet = start_fleet().await;
+    let router = fleet.router.caller_address();
+
+    send_record(router, "k1", "{}").await;
+    let other = send_record(router, "k1", "[]").await;
+
+    assert_eq!(other.status, 422, "{}", other.body);
+    assert!(other.body.contains(r#""ran":"no""#), "{}", other.body);
+    assert_eq!(fleet.service.counts().runs, 1);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_whose_answer_is_lost_is_found_by_look_up() {
+    let fleet = start_fleet().await;
+    fleet.service.lose_next_answers(1);
+
+    let answer = send_record(fleet.router.caller_address(), "k1", "{}").await;
+
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.body.as_bytes(), service_answer("k1", b"{}"));
+    assert_eq!(fleet.service.counts().runs, 1);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_during_a_platform_outage_is_not_run() {
+    let fleet = start_fleet().await;
+    fleet.platform.set_outage(OutageKind::Failing);
+
+    let answer = send_record(fleet.router.caller_address(), "k1", "{}").await;
+
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(answer.body.contains(r#""ran":"no""#), "{}", answer.body);
+    assert_eq!(fleet.service.counts().runs, 0);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_is_resumed() {
+    let fleet = start_fleet().await;
+    fleet.engine.cut_next_streams(1, 2);
+
+    let answer = send_turn(fleet.router.caller_address(), "resumed", true).await;
+
+    assert!(answer.body.contains(&answer_token("resumed", 4)), "{}", answer.body);
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+    assert_eq!(answer.body.matches("\"delta\"").count(), 5, "{}", answer.body);
+    assert!(fleet.router.shut_down().await);
+}
