Authenticate hints per team, and pass releases on to a server's present owner

Cause: a hint was a bare server id, so any caller could name any server; a release that reached a former owner was dropped, so the new owner held the grant until an audit. Before: both as said.

--- a/crates/catkin-router/src/answer.rs
+++ b/crates/catkin-router/src/answer.rs
@@ -7,7 +7,7 @@
 use catkin_policy::ReleaseOutcome;
 
 use crate::attempts::{AttemptRunner, OpenAttempt};
-use crate::call::{CheckedCall, write_hint};
+use crate::call::CheckedCall;
 use crate::drain::OpenCall;
 use crate::environment::RouterEnvironment;
 use crate::metric::{ANSWER_SECONDS, FIRST_PART_SECONDS, count_refusal, count_whole, label_team};
@@ -85,11 +85,16 @@
 
 impl<E: RouterEnvironment> RouterAnswer<E> {
     /// An answer that is already whole.
-    pub(crate) fn whole(answer: WholeAnswer, replayed: bool, open: OpenCall) -> Self {
+    pub(crate) fn whole(
+        answer: WholeAnswer,
+        hint: Option<String>,
+        replayed: bool,
+        open: OpenCall,
+    ) -> Self {
         let start = AnswerStart {
             status: answer.head.status,
             content_type: answer.head.content_type,
-            hint: answer.server.map(write_hint),
+            hint,
             replayed,
         };
         Self { start, body: AnswerBody::Whole(answer.body), _open: open }
@@ -103,10 +108,11 @@
         open: OpenCall,
     ) -> Self {
         let head = attempt.answer.stream.head();
+        let hint = runner.parts.hints.write(runner.call.team, attempt.grant.server());
         let start = AnswerStart {
             status: head.status,
             content_type: head.content_type.clone(),
-            hint: Some(write_hint(attempt.grant.server())),
+            hint: Some(hint),
             replayed: false,
         };
         let scanner = SseScanner::new(MAX_EVENT_BYTES);
--- a/crates/catkin-router/src/call.rs
+++ b/crates/catkin-router/src/call.rs
@@ -8,6 +8,7 @@
 use catkin_caller::{CallRequest, CallTarget};
 use catkin_settings::{ClassRule, TeamRule};
 
+use crate::hint::HintKey;
 use crate::index::{CHAT_PATH, FleetIndex, TeamEntry, model_pool, service_pool};
 
 /// Bytes of a request body taken as one token of a prompt.
@@ -56,6 +57,7 @@
     /// Checks a call against the declarations in force.
     pub(crate) fn check(
         index: &FleetIndex,
+        hints: &HintKey,
         request: CallRequest,
         now: ClockTime,
     ) -> Result<Self, CallRefusal> {
@@ -78,7 +80,7 @@
             path: route.path,
             streamed: route.streamed,
             service: route.service,
-            hint: request.hint.as_deref().and_then(parse_hint),
+            hint: request.hint.as_deref().and_then(|hint| hints.read(team.team, hint)),
             digest: RequestDigest(hash_parts(&[&team.team.0.to_le_bytes(), &request.body])),
             body: request.body,
         })
@@ -94,15 +96,6 @@
     }
 }
 
-/// The hint that names a server to the caller.
-pub(crate) fn write_hint(server: ServerId) -> String {
-    server.to_string()
-}
-
-fn parse_hint(hint: &str) -> Option<ServerId> {
-    u64::from_str_radix(hint, 16).ok().map(ServerId)
-}
-
 fn find_team<'a>(
     index: &'a FleetIndex,
     token: &str,
--- a/crates/catkin-router/src/calls.rs
+++ b/crates/catkin-router/src/calls.rs
@@ -34,7 +34,7 @@
         let open = DrainGate::open_call(&self.parts.gate).ok_or_else(refuse_draining)?;
         let index = self.parts.index().ok_or_else(refuse_undeclared)?;
         let now = self.parts.now();
-        let call = CheckedCall::check(&index, request, now)?;
+        let call = CheckedCall::check(&index, &self.parts.hints, request, now)?;
         self.check_quarantine(&call)?;
         self.parts.control().budget.note_request(now);
         let timer = AnswerTimer::start(&call, index.declarations().teams.len(), now);
@@ -60,7 +60,8 @@
         }
         let answer = run_whole(&mut runner).await?;
         self.note_whole(&runner.call, &mut timer);
-        Ok(RouterAnswer::whole(answer, false, open))
+        let hint = self.write_hint(&runner.call, &answer);
+        Ok(RouterAnswer::whole(answer, hint, false, open))
     }
 
     async fn run_claimed(
@@ -73,7 +74,11 @@
         let checked = call.clone();
         let answer = run_once(&self.parts, index, call).await?;
         self.note_whole(&checked, &mut timer);
-        Ok(RouterAnswer::whole(answer.answer, answer.replayed, open))
+        Ok(RouterAnswer::whole(answer.answer, None, answer.replayed, open))
+    }
+
+    fn write_hint(&self, call: &CheckedCall, answer: &WholeAnswer) -> Option<String> {
+        answer.server.map(|server| self.parts.hints.write(call.team, server))
     }
 
     fn note_whole(&self, call: &CheckedCall, timer: &mut AnswerTimer) {
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -15,6 +15,7 @@
 mod environment;
 mod fleet;
 mod grants;
+mod hint;
 mod identity;
 mod index;
 mod logging;
--- a/crates/catkin-router/src/ownership.rs
+++ b/crates/catkin-router/src/ownership.rs
@@ -66,6 +66,9 @@
         .map(|entry| entry.spec.clone())
         .collect();
     let change = control.owner.set_owned(now, &owned);
+    for spec in &owned {
+        control.kept_exports.remove(&spec.server);
+    }
     let roster = control.roster.clone();
     drop(control);
     for server in change.gained {
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -18,6 +18,7 @@
 use crate::control::ControlState;
 use crate::drain::DrainGate;
 use crate::environment::RouterEnvironment;
+use crate::hint::HintKey;
 use crate::identity::RouterIdentity;
 use crate::index::FleetIndex;
 use crate::revision::{ChunkRequests, RevisionState};
@@ -41,6 +42,8 @@
     pub(crate) chunks: ChunkRequests,
     /// Wakes the probe task for a server that may have crashed.
     pub(crate) suspects: flume::Sender<CrashSuspicion>,
+    /// Key of the hints that callers carry.
+    pub(crate) hints: HintKey,
     /// Claims of calls that may run only once.
     pub(crate) claims: ClaimBook<E::Store>,
     /// Calls that go on without their callers; joined when the router stops.
@@ -70,6 +73,7 @@
     pub(crate) backend: E::Backend,
     pub(crate) peers: E::Peers,
     pub(crate) suspects: flume::Sender<CrashSuspicion>,
+    pub(crate) hint_key: [u8; 32],
     pub(crate) start_unix: Duration,
     pub(crate) seed: u64,
 }
@@ -92,6 +96,7 @@
             fleet_changed: Notify::new(),
             chunks: ChunkRequests::default(),
             suspects: input.suspects,
+            hints: HintKey::new(input.hint_key),
             claims,
             once_tasks: TaskTracker::new(),
             index: RwLock::new(None),
@@ -205,7 +210,12 @@
     /// Takes a release at a server that this router owns.
     pub(crate) fn take_release(&self, release: &GrantRelease) {
         let now = self.now();
-        self.control().owner.release(now, release);
+        let mut control = self.control();
+        control.owner.release(now, release);
+        if let Some(kept) = control.kept_exports.get_mut(&release.server) {
+            kept.grants.retain(|grant| grant.request != release.request);
+        }
+        drop(control);
         self.admission_due.notify_one();
     }
 }
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -51,7 +51,7 @@
             parts.deliver_answer(&answer);
         }
         Kind::GrantAnswer(message) => take_answer(parts, from, message),
-        Kind::GrantRelease(release) => parts.take_release(&release_from_wire(release)),
+        Kind::GrantRelease(release) => take_release(parts, from, release),
         Kind::GrantAudit(audit) => answer_audit(parts, from, audit),
         Kind::GrantAuditAnswer(answer) => close_audited(parts, from, answer),
         Kind::LoadReport(report) => {
@@ -79,6 +79,20 @@
     }
 }
 
+/// Takes a release, or passes it on if another router owns the server by now.
+fn take_release<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    from: VmId,
+    message: &wire::GrantRelease,
+) {
+    let release = release_from_wire(message);
+    parts.take_release(&release);
+    let owner = parts.control().owners.get(&release.server).copied();
+    if let Some(owner) = owner.filter(|owner| *owner != parts.identity.vm && *owner != from) {
+        parts.send_to(owner, &wrap_kind(Kind::GrantRelease(*message)));
+    }
+}
+
 fn take_answer<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     from: VmId,
--- a/crates/catkin-router/src/process.rs
+++ b/crates/catkin-router/src/process.rs
@@ -12,6 +12,7 @@
 use catkin_platform::{HttpStore, HttpStoreOptions};
 use catkin_settings::RouterSettings;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use sha2::{Digest, Sha256};
 use tokio::task::JoinHandle;
 
 use crate::environment::RouterEnvironment;
@@ -84,6 +85,7 @@
             backend: HttpLink,
             peers: Arc::clone(&peers),
             seeds: settings.seeds.clone(),
+            hint_key: derive_hint_key(&settings.peer_key),
             start_unix,
             seed,
         });
@@ -168,6 +170,11 @@
     })
 }
 
+/// Derives the key of hints from that of the peer protocol, so that neither stands for the other.
+fn derive_hint_key(peer_key: &str) -> [u8; 32] {
+    Sha256::digest(format!("catkin hint {peer_key}")).into()
+}
+
 async fn bind_callers(
     settings: &RouterSettings,
     core: &RouterCore<ProcessEnvironment>,
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -37,6 +37,8 @@
     pub peers: E::Peers,
     /// Peer addresses to try first when the platform does not answer.
     pub seeds: Vec<SocketAddr>,
+    /// Key that authenticates the hints that callers carry, the same on all routers.
+    pub hint_key: [u8; 32],
     /// Time since 1970 at the start.
     pub start_unix: Duration,
     /// Seed of its random numbers.
@@ -61,6 +63,7 @@
             backend: input.backend,
             peers: input.peers,
             suspects,
+            hint_key: input.hint_key,
             start_unix: input.start_unix,
             seed: input.seed,
         }));
