Keep the answer of a call that is cancelled while its answer is recorded

A call dropped in the middle of record() left the task to note an unknown outcome, which later overwrote the recorded answer. The ticket now owes the answer itself, and an answered claim is never written over.

--- a/crates/catkin-platform/src/claim_book.rs
+++ b/crates/catkin-platform/src/claim_book.rs
@@ -359,7 +359,8 @@
         self.sightings.lock().expect("the sightings' lock is never poisoned")
     }
 
-    async fn finish(&self, ticket: ClaimTicket, outcome: ClaimDocument) -> RecordEnd {
+    async fn finish(&self, mut ticket: ClaimTicket, outcome: ClaimDocument) -> RecordEnd {
+        ticket.owe(outcome.clone());
         let Some(version) = ticket.version else { return RecordEnd::Owed };
         let condition = WriteCondition::Version(version);
         match self.write(&ticket.object_key, &outcome, condition).await {
@@ -371,10 +372,7 @@
                 ticket.settle();
                 RecordEnd::Superseded
             }
-            WriteEnd::NotWritten | WriteEnd::Unsettled => {
-                ticket.settle_later(outcome);
-                RecordEnd::Owed
-            }
+            WriteEnd::NotWritten | WriteEnd::Unsettled => RecordEnd::Owed,
         }
     }
 
@@ -429,7 +427,8 @@
     ) -> Result<bool, StoreError> {
         let Some(found) = self.store.get(&key.object_key).await? else { return Ok(true) };
         let Some(held) = ClaimDocument::decode(&found.value) else { return Ok(true) };
-        if held.nonce != outcome.nonce || held == *outcome {
+        let is_done = held.nonce != outcome.nonce || held.state == ClaimState::Answered;
+        if is_done || held == *outcome {
             return Ok(true);
         }
         let condition = WriteCondition::Version(found.version);
--- a/crates/catkin-platform/src/claim_ticket.rs
+++ b/crates/catkin-platform/src/claim_ticket.rs
@@ -15,6 +15,8 @@
     /// Version of the claim's object; `None` until the create is known to have taken effect.
     pub(crate) version: Option<u64>,
     sent: bool,
+    /// The outcome that is being written.
+    outcome: Option<ClaimDocument>,
     settled: bool,
     pending: Arc<PendingClaims>,
 }
@@ -25,7 +27,15 @@
         document: ClaimDocument,
         pending: Arc<PendingClaims>,
     ) -> Self {
-        Self { object_key, document, version: None, sent: false, settled: false, pending }
+        Self {
+            object_key,
+            document,
+            version: None,
+            sent: false,
+            outcome: None,
+            settled: false,
+            pending,
+        }
     }
 
     /// Whether the request may have been sent.
@@ -51,10 +61,9 @@
         self.settled = true;
     }
 
-    /// Gives up the ticket and leaves a task to record the answer.
-    pub(crate) fn settle_later(self, recorded: ClaimDocument) {
-        self.pending.push(self.pending_key(), PendingTask::Record(Box::new(recorded)));
-        self.settle();
+    /// Keeps the outcome, which is owed if the ticket is dropped before it is written.
+    pub(crate) fn owe(&mut self, outcome: ClaimDocument) {
+        self.outcome = Some(outcome);
     }
 }
 
@@ -63,10 +72,11 @@
         if self.settled {
             return;
         }
-        let task = if self.sent {
-            PendingTask::Record(Box::new(self.document.with_state(ClaimState::Unknown)))
-        } else {
-            PendingTask::Withdraw
+        let unknown = || self.document.with_state(ClaimState::Unknown);
+        let outcome = self.outcome.take().or_else(|| self.sent.then(unknown));
+        let task = match outcome {
+            Some(outcome) => PendingTask::Record(Box::new(outcome)),
+            None => PendingTask::Withdraw,
         };
         self.pending.push(self.pending_key(), task);
     }
--- a/crates/catkin-platform/tests/claims.rs
+++ b/crates/catkin-platform/tests/claims.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use catkin_base::{ClockTime, TeamId};
 use catkin_platform::{
@@ -305,6 +306,27 @@
     assert_eq!(word(&claim(&book, "k", 2).await), "unknown");
 }
 
+#[tokio::test(start_paused = true)]
+async fn call_cancelled_while_its_answer_is_recorded_keeps_the_answer() {
+    for fault in [WriteFault::None, WriteFault::Lost] {
+        let store = MemoryStore::shared();
+        let book = book(&store, 1);
+        let ticket = sent(&book, "k", 0).await;
+        store.fail_next(&[fault]);
+        store.delay_next_write(Duration::from_secs(60));
+
+        let answer = answer();
+        let recording = book.record(ticket, &answer);
+        let cancelled = tokio::time::timeout(Duration::from_secs(1), recording).await;
+        book.flush(at(2).now).await;
+        let replayed = claim(&book, "k", 3).await;
+
+        assert!(cancelled.is_err());
+        assert_eq!(word(&replayed), "recorded", "{fault:?}");
+        assert_eq!(book.owed(), 0);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn call_cancelled_before_sending_frees_the_key() {
     let store = MemoryStore::shared();
