--- a/crates/catkin-peer/src/frame.rs
+++ b/crates/catkin-peer/src/frame.rs
@@ -1,6 +1,5 @@
 //! Frames: an envelope around a message, sealed with a tag.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use catkin_base::{VmId, copy_type};
@@ -9,7 +8,7 @@
 use crate::ignored::IgnoreReason;
 use crate::key::{PeerKey, TAG_BYTES};
 use crate::messages::{Envelope, PeerMessage};
-use crate::replay::ReplayWindow;
+use crate::replay::SenderWindows;
 
 /// Version of the protocol that this program speaks. It takes frames of one version apart.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -79,45 +78,67 @@
 /// A frame that was checked and opened.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OpenedFrame {
-    /// The sender's VM.
-    pub sender: VmId,
-    /// Incarnation of the sender's process.
-    pub incarnation: u64,
-    /// Port of the sender's peer listener.
-    pub port: u16,
+    /// The sender.
+    pub sender: PeerIdentity,
     /// The message.
     pub message: PeerMessage,
 }
 
+copy_type! {
+    /// A frame that was ignored.
+    pub struct IgnoredFrame {
+        /// Why it was ignored.
+        pub reason: IgnoreReason,
+        /// Its sender, if the frame is authentic.
+        pub sender: Option<PeerIdentity>,
+    }
+}
+
+impl From<IgnoreReason> for IgnoredFrame {
+    fn from(reason: IgnoreReason) -> Self {
+        Self { reason, sender: None }
+    }
+}
+
 /// Opens frames for one process and remembers what it has seen of each sender.
 #[derive(Debug)]
 pub struct FrameOpener {
     key: PeerKey,
     own: PeerIdentity,
-    windows: BTreeMap<VmId, ReplayWindow>,
+    senders: SenderWindows,
 }
 
 impl FrameOpener {
     /// An opener for the process `own`.
     pub fn new(key: PeerKey, own: PeerIdentity) -> Self {
-        Self { key, own, windows: BTreeMap::new() }
+        Self { key, own, senders: SenderWindows::default() }
     }
 
     /// Incarnation of the newest process heard on `vm`; zero if none was.
     pub fn incarnation_of(&self, vm: VmId) -> u64 {
-        self.windows.get(&vm).map_or(0, ReplayWindow::incarnation)
+        self.senders.incarnation_of(vm)
     }
 
     /// Opens a frame, or says why it is ignored.
-    pub fn open(&mut self, frame: &[u8]) -> Result<OpenedFrame, IgnoreReason> {
+    pub fn open(&mut self, frame: &[u8]) -> Result<OpenedFrame, IgnoredFrame> {
         let envelope = self.authenticate(frame)?;
-        self.check_version(&envelope)?;
-        self.check_receiver(&envelope)?;
         let port = u16::try_from(envelope.port).map_err(|_| IgnoreReason::Malformed)?;
-        let message = decode_body(&envelope)?;
-        self.check_sequence(&envelope)?;
-        let sender = VmId(envelope.sender);
-        Ok(OpenedFrame { sender, incarnation: envelope.incarnation, port, message })
+        let sender =
+            PeerIdentity { vm: VmId(envelope.sender), incarnation: envelope.incarnation, port };
+        self.open_authentic(sender, &envelope)
+            .map_err(|reason| IgnoredFrame { reason, sender: Some(sender) })
+    }
+
+    fn open_authentic(
+        &mut self,
+        sender: PeerIdentity,
+        envelope: &Envelope,
+    ) -> Result<OpenedFrame, IgnoreReason> {
+        check_version(envelope)?;
+        self.check_receiver(envelope)?;
+        let message = decode_body(envelope)?;
+        self.senders.take(sender.vm, sender.incarnation, envelope.sequence)?;
+        Ok(OpenedFrame { sender, message })
     }
 
     fn authenticate(&self, frame: &[u8]) -> Result<Envelope, IgnoreReason> {
@@ -131,13 +152,6 @@
         Envelope::decode(sealed).map_err(|_| IgnoreReason::Malformed)
     }
 
-    fn check_version(&self, envelope: &Envelope) -> Result<(), IgnoreReason> {
-        if envelope.version.abs_diff(PROTOCOL_VERSION) > 1 {
-            return Err(IgnoreReason::Version);
-        }
-        Ok(())
-    }
-
     fn check_receiver(&self, envelope: &Envelope) -> Result<(), IgnoreReason> {
         if envelope.receiver != self.own.vm.0 {
             return Err(IgnoreReason::OtherReceiver);
@@ -148,22 +162,13 @@
         }
         Ok(())
     }
+}
 
-    fn check_sequence(&mut self, envelope: &Envelope) -> Result<(), IgnoreReason> {
-        let sender = VmId(envelope.sender);
-        let known = self.incarnation_of(sender);
-        if envelope.incarnation < known {
-            return Err(IgnoreReason::OldSender);
-        }
-        if envelope.incarnation > known || known == 0 {
-            let window = ReplayWindow::open(envelope.incarnation, envelope.sequence);
-            self.windows.insert(sender, window);
-            return Ok(());
-        }
-        let fresh =
-            self.windows.get_mut(&sender).is_some_and(|window| window.take(envelope.sequence));
-        if fresh { Ok(()) } else { Err(IgnoreReason::Replayed) }
+fn check_version(envelope: &Envelope) -> Result<(), IgnoreReason> {
+    if envelope.version.abs_diff(PROTOCOL_VERSION) > 1 {
+        return Err(IgnoreReason::Version);
     }
+    Ok(())
 }
 
 fn decode_body(envelope: &Envelope) -> Result<PeerMessage, IgnoreReason> {
--- a/crates/catkin-peer/src/lib.rs
+++ b/crates/catkin-peer/src/lib.rs
@@ -16,6 +16,7 @@
 mod ignored;
 mod key;
 mod link;
+#[rustfmt::skip]
 #[allow(missing_docs, clippy::all)]
 pub mod messages;
 mod replay;
@@ -23,7 +24,9 @@
 mod udp;
 
 pub use convert::{message_from_wire, message_to_wire};
-pub use frame::{FrameOpener, FrameSealer, OpenedFrame, PROTOCOL_VERSION, PeerIdentity};
+pub use frame::{
+    FrameOpener, FrameSealer, IgnoredFrame, OpenedFrame, PROTOCOL_VERSION, PeerIdentity,
+};
 pub use ignored::{IgnoreReason, IgnoredCounts};
 pub use key::{KeyError, PeerKey};
 pub use link::{MessageSource, PeerLink};
--- a/crates/catkin-peer/src/replay.rs
+++ b/crates/catkin-peer/src/replay.rs
@@ -1,16 +1,76 @@
 //! Recognizes frames that were received before.
 
-use catkin_base::copy_type;
+use std::collections::BTreeMap;
+
+use catkin_base::{VmId, copy_type};
+
+use crate::ignored::IgnoreReason;
 
 const WINDOW_WORDS: usize = 16;
 const WORD_BITS: u64 = 64;
+const WINDOW_FRAMES: u64 = WINDOW_WORDS as u64 * WORD_BITS;
 
-/// Sequence numbers that a window remembers.
-pub(crate) const WINDOW_FRAMES: u64 = WINDOW_WORDS as u64 * WORD_BITS;
+/// Senders remembered at once; of more, the one heard least recently is dropped.
+const MAX_SENDERS: usize = 4_096;
+
+/// The replay windows of all senders.
+#[derive(Debug, Default)]
+pub(crate) struct SenderWindows {
+    windows: BTreeMap<VmId, SenderWindow>,
+    frames: u64,
+}
+
+/// The replay window of one sender.
+#[derive(Debug)]
+struct SenderWindow {
+    window: ReplayWindow,
+    last_frame: u64,
+}
+
+impl SenderWindows {
+    /// Incarnation of the newest process heard on `vm`; zero if none was.
+    pub(crate) fn incarnation_of(&self, vm: VmId) -> u64 {
+        self.windows.get(&vm).map_or(0, |sender| sender.window.incarnation)
+    }
+
+    /// Takes a sequence number of a sender's process, unless it is old or was seen before.
+    pub(crate) fn take(
+        &mut self,
+        vm: VmId,
+        incarnation: u64,
+        sequence: u64,
+    ) -> Result<(), IgnoreReason> {
+        self.frames += 1;
+        let last_frame = self.frames;
+        match self.windows.get_mut(&vm) {
+            Some(sender) if incarnation < sender.window.incarnation => Err(IgnoreReason::OldSender),
+            Some(sender) if incarnation == sender.window.incarnation => {
+                sender.last_frame = last_frame;
+                sender.window.take(sequence)
+            }
+            _ => {
+                let window = ReplayWindow::open(incarnation, sequence);
+                self.windows.insert(vm, SenderWindow { window, last_frame });
+                self.drop_oldest();
+                Ok(())
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if self.windows.len() <= MAX_SENDERS {
+            return;
+        }
+        let oldest = self.windows.iter().min_by_key(|(_, sender)| sender.last_frame);
+        if let Some(vm) = oldest.map(|(&vm, _)| vm) {
+            self.windows.remove(&vm);
+        }
+    }
+}
 
 copy_type! {
     /// Sequence numbers received from one process.
-    pub(crate) struct ReplayWindow {
+    struct ReplayWindow {
         incarnation: u64,
         first: u64,
         highest: u64,
@@ -20,31 +80,31 @@
 
 impl ReplayWindow {
     /// A window opened by the first frame of a process.
-    pub(crate) fn open(incarnation: u64, sequence: u64) -> Self {
+    fn open(incarnation: u64, sequence: u64) -> Self {
         let mut window =
             Self { incarnation, first: sequence, highest: sequence, seen: [0; WINDOW_WORDS] };
         window.mark(sequence);
         window
     }
 
-    /// The process whose frames it holds.
-    pub(crate) fn incarnation(&self) -> u64 {
-        self.incarnation
-    }
-
-    /// Takes a sequence number; `false` if it was seen before or is too old to tell.
-    pub(crate) fn take(&mut self, sequence: u64) -> bool {
+    /// Takes a sequence number, unless it was seen before or is too old to tell.
+    fn take(&mut self, sequence: u64) -> Result<(), IgnoreReason> {
+        if self.is_stale(sequence) {
+            return Err(IgnoreReason::Replayed);
+        }
         if sequence > self.highest {
             self.advance(sequence);
-            self.mark(sequence);
-            return true;
         }
-        if sequence < self.first || self.highest - sequence >= WINDOW_FRAMES {
+        self.mark(sequence);
+        Ok(())
+    }
+
+    fn is_stale(&self, sequence: u64) -> bool {
+        if sequence > self.highest {
             return false;
         }
-        let fresh = !self.is_marked(sequence);
-        self.mark(sequence);
-        fresh
+        let out_of_window = sequence < self.first || self.highest - sequence >= WINDOW_FRAMES;
+        out_of_window || self.is_marked(sequence)
     }
 
     fn advance(&mut self, sequence: u64) {
--- a/crates/catkin-peer/src/udp.rs
+++ b/crates/catkin-peer/src/udp.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::frame::{FrameOpener, FrameSealer, PeerIdentity};
+use crate::frame::{FrameOpener, FrameSealer, IgnoredFrame, PeerIdentity};
 use crate::ignored::{IgnoreReason, IgnoredCounts};
 use crate::key::PeerKey;
 use crate::link::{MessageSource, PeerLink};
@@ -21,7 +21,8 @@
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_200;
 const DATAGRAM_BUFFER_BYTES: usize = 2_048;
 const RECEIVE_QUEUE_MESSAGES: usize = 8_192;
-const STREAM_QUEUE_FRAMES: usize = 1_024;
+const STREAM_QUEUE_FRAMES: usize = 64;
+const BIND_ATTEMPTS: u32 = 8;
 
 /// Where a link listens and as whom it speaks.
 #[derive(Debug, Clone)]
@@ -113,6 +114,11 @@
         self.shared.address
     }
 
+    /// Incarnation of the newest process heard on `vm`; zero if none was.
+    pub fn known_incarnation(&self, vm: VmId) -> u64 {
+        self.shared.lock_opener().incarnation_of(vm)
+    }
+
     /// Counts of the frames that it ignored.
     pub fn ignored(&self) -> &IgnoredCounts {
         &self.shared.ignored
@@ -163,18 +169,30 @@
         let opened = self.lock_opener().open(frame);
         let opened = match opened {
             Ok(opened) => opened,
-            Err(reason) => return self.ignored.add(reason),
+            Err(ignored) => return self.note_ignored(ignored, address),
         };
         if opened.message.kind.is_none() {
             return;
         }
         let source = MessageSource {
-            vm: opened.sender,
-            incarnation: opened.incarnation,
-            address: SocketAddr::new(address.ip(), opened.port),
+            vm: opened.sender.vm,
+            incarnation: opened.sender.incarnation,
+            address: SocketAddr::new(address.ip(), opened.sender.port),
         };
         if self.received.try_send((source, opened.message)).is_err() {
-            self.ignored.add(IgnoreReason::QueueFull);
+            self.count_ignored(IgnoreReason::QueueFull);
+        }
+    }
+
+    /// Counts an ignored frame; a sender that means an earlier process is told of this one.
+    fn note_ignored(&self, ignored: IgnoredFrame, address: SocketAddr) {
+        self.count_ignored(ignored.reason);
+        let Some(sender) = ignored.sender else {
+            return;
+        };
+        if ignored.reason == IgnoreReason::OldReceiver {
+            let frame = self.seal(sender.vm, &PeerMessage::default());
+            self.send_datagram(&frame, SocketAddr::new(address.ip(), sender.port));
         }
     }
 
@@ -203,12 +221,26 @@
     }
 }
 
+/// Binds both listeners to one port, which the system chooses if `address` has port 0.
 async fn bind_listeners(address: SocketAddr) -> Result<(UdpSocket, TcpListener), BindError> {
+    let mut bound = bind_same_port(address).await;
+    for _ in 1..BIND_ATTEMPTS {
+        if bound.is_ok() || address.port() != 0 {
+            return bound;
+        }
+        bound = bind_same_port(address).await;
+    }
+    bound
+}
+
+async fn bind_same_port(address: SocketAddr) -> Result<(UdpSocket, TcpListener), BindError> {
     let listener =
         TcpListener::bind(address).await.map_err(|source| BindError::Tcp { address, source })?;
     let bound = listener.local_addr().map_err(|source| BindError::Tcp { address, source })?;
     let socket =
         UdpSocket::bind(bound).await.map_err(|source| BindError::Udp { address: bound, source })?;
+    // `try_send_to` refuses until the runtime has seen the socket writable once.
+    socket.writable().await.map_err(|source| BindError::Udp { address: bound, source })?;
     Ok((socket, listener))
 }
 
