--- a/crates/catkin-caller/tests/bad_input.rs
+++ b/crates/catkin-caller/tests/bad_input.rs
@@ -94,12 +94,12 @@
     assert_refused(&service, 400, "bad-request").await;
 }
 
-fn send_one(request: Vec<u8>) -> (String, Option<catkin_caller::CallRequest>) {
+fn send_one(request: &[u8]) -> (String, Option<catkin_caller::CallRequest>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let listener = start_listener(whole_json(), CallerLimits::default()).await;
         let mut caller = RawCaller::connect(listener.address).await;
-        tokio::io::AsyncWriteExt::write_all(&mut caller.stream, &request).await.unwrap();
+        tokio::io::AsyncWriteExt::write_all(&mut caller.stream, request).await.unwrap();
         tokio::io::AsyncWriteExt::shutdown(&mut caller.stream).await.unwrap();
         let seen = caller.read_to_end().await.to_owned();
         let health = RawCaller::send(listener.address, "GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n")
@@ -117,7 +117,7 @@
 
     #[test]
     fn stray_bytes_never_become_a_call(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let (seen, call) = send_one(bytes);
+        let (seen, call) = send_one(&bytes);
         prop_assert!(seen.is_empty() || seen.starts_with("HTTP/1.1 4"));
         prop_assert_eq!(call, None);
     }
@@ -125,7 +125,7 @@
     #[test]
     fn any_deadline_is_read_exactly_or_refused(deadline in "[ -~]{0,24}|[0-9]{1,9}") {
         let headers = format!("x-catkin-deadline-ms: {deadline}\r\n");
-        let (_, call) = send_one(chat_call(&headers, CHAT_BODY).into_bytes());
+        let (_, call) = send_one(chat_call(&headers, CHAT_BODY).as_bytes());
         let exact = deadline.trim().parse::<u64>().ok();
         let digits = deadline.trim().bytes().all(|byte| byte.is_ascii_digit());
         let allowed = exact.filter(|millis| digits && (1..=86_400_000).contains(millis));
@@ -142,7 +142,7 @@
         let text = serde_json::json!({"model": model, "messages": [inner]}).to_string();
         let body = if quoted { text.into_bytes() } else { body };
         let head = chat_call("", "").replace("length: 0", &format!("length: {}", body.len()));
-        let (_, call) = send_one([head.as_bytes(), &body].concat());
+        let (_, call) = send_one(&[head.as_bytes(), &body].concat());
         prop_assert_eq!(call.map(|call| call.body.to_vec()), quoted.then_some(body));
     }
 }
