--- /dev/null
+++ b/crates/catkin-policy/benches/policy/message.rs
@@ -0,0 +1,56 @@
+//! Datagrams between routers, and their sizes in the peer protocol.
+
+use catkin_base::{ChatId, RequestId, ServerId};
+use catkin_policy::{
+    GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRelease, LoadReport, PoolLoad,
+};
+
+/// Bytes of the IP and UDP headers, the envelope and its authentication tag.
+const FRAME_BYTES: u64 = 28 + 56;
+/// Bytes of one fixed 64-bit field.
+const WORD_BYTES: u64 = 9;
+/// Bytes of one small number.
+const NUMBER_BYTES: u64 = 3;
+
+/// A datagram between two routers.
+#[derive(Debug, Clone)]
+pub enum PeerMessage {
+    Ask(GrantAsk),
+    Answer(GrantAnswer),
+    Release(GrantRelease),
+    Placement { chat: ChatId, home: ServerId, server: ServerId },
+    Report(LoadReport),
+    Sum(PoolLoad),
+    Query(ServerId),
+    Export(GrantExport),
+    NotOwned(ServerId),
+    Audit(GrantAudit),
+    AuditAnswer { server: ServerId, closed: Vec<RequestId> },
+}
+
+impl PeerMessage {
+    /// Bytes on the wire.
+    pub fn wire_bytes(&self) -> u64 {
+        let body = match self {
+            Self::Ask(_) => 7 * WORD_BYTES + 6 * NUMBER_BYTES,
+            Self::Answer(_) => 3 * WORD_BYTES + 3 * NUMBER_BYTES,
+            Self::Release(_) => 3 * WORD_BYTES + 2 * NUMBER_BYTES,
+            Self::Placement { .. } => 3 * WORD_BYTES,
+            Self::Report(report) => {
+                WORD_BYTES + report.loads.len() as u64 * (WORD_BYTES + 2 * NUMBER_BYTES)
+            }
+            Self::Sum(load) => {
+                WORD_BYTES + 4 * NUMBER_BYTES + load.light_servers.len() as u64 * WORD_BYTES
+            }
+            Self::Query(_) | Self::NotOwned(_) => WORD_BYTES,
+            Self::Export(export) => {
+                let grants = export.grants.len() as u64 * (4 * WORD_BYTES + NUMBER_BYTES);
+                let chats = export.chats.len() as u64 * (2 * WORD_BYTES + NUMBER_BYTES);
+                WORD_BYTES + grants + chats
+            }
+            Self::Audit(audit) => WORD_BYTES + audit.requests.len() as u64 * WORD_BYTES,
+            Self::AuditAnswer { closed, .. } => WORD_BYTES + closed.len() as u64 * WORD_BYTES,
+        };
+        FRAME_BYTES + body
+    }
+}
--- /dev/null
+++ b/crates/catkin-policy/benches/policy/view.rs
@@ -0,0 +1,108 @@
+//! What one router believes of routers and declared servers.
+
+use catkin_base::{PoolId, ServerId, VmId};
+use catkin_policy::{RankTable, RouterSpec, ServerSpec, choose_owner};
+
+use super::deployment::Deployment;
+
+/// A change that a router learns of.
+#[derive(Debug, Clone, Copy)]
+pub enum ViewChange {
+    RouterUp(usize),
+    RouterDown(usize),
+    ServerListed(usize),
+    ServerUnlisted(usize),
+}
+
+/// Live routers, declared servers, and what follows from them.
+#[derive(Debug, Clone)]
+pub struct RouterView {
+    alive: Vec<bool>,
+    listed: Vec<bool>,
+    owners: Vec<Option<VmId>>,
+    tables: Vec<RankTable>,
+}
+
+impl RouterView {
+    pub fn new(deployment: &Deployment) -> Self {
+        let mut view = Self {
+            alive: vec![true; deployment.routers.len()],
+            listed: vec![true; deployment.servers.len()],
+            owners: vec![None; deployment.servers.len()],
+            tables: vec![RankTable::default(); deployment.pools],
+        };
+        view.choose_owners(deployment);
+        for pool in 0..deployment.pools {
+            view.build_table(deployment, pool);
+        }
+        view
+    }
+
+    pub fn apply(&mut self, deployment: &Deployment, change: ViewChange) {
+        match change {
+            ViewChange::RouterUp(router) => self.alive[router] = true,
+            ViewChange::RouterDown(router) => self.alive[router] = false,
+            ViewChange::ServerListed(server) => self.listed[server] = true,
+            ViewChange::ServerUnlisted(server) => self.listed[server] = false,
+        }
+        match change {
+            ViewChange::RouterUp(_) | ViewChange::RouterDown(_) => self.choose_owners(deployment),
+            ViewChange::ServerListed(server) | ViewChange::ServerUnlisted(server) => {
+                let pool = deployment.servers[server].pools[0].0 as usize;
+                self.build_table(deployment, pool);
+            }
+        }
+    }
+
+    pub fn is_alive(&self, vm: VmId) -> bool {
+        self.alive[vm.0 as usize - 1]
+    }
+
+    pub fn owner(&self, server: ServerId) -> Option<VmId> {
+        self.owners[server.0 as usize - 1]
+    }
+
+    pub fn table(&self, pool: PoolId) -> &RankTable {
+        &self.tables[pool.0 as usize]
+    }
+
+    /// Servers that the router on `vm` owns.
+    pub fn owned(&self, deployment: &Deployment, vm: VmId) -> Vec<ServerSpec> {
+        let servers = deployment.servers.iter();
+        servers.filter(|spec| self.owner(spec.server) == Some(vm)).cloned().collect()
+    }
+
+    /// The router that would own `server` without `vm`.
+    pub fn former_owner(
+        &self,
+        deployment: &Deployment,
+        server: ServerId,
+        vm: VmId,
+    ) -> Option<VmId> {
+        let mut routers = self.routers(deployment);
+        routers.retain(|router| router.vm != vm);
+        choose_owner(&deployment.servers[server.0 as usize - 1], &routers)
+    }
+
+    /// The live routers.
+    pub fn routers(&self, deployment: &Deployment) -> Vec<RouterSpec> {
+        let routers = deployment.routers.iter();
+        routers.filter(|router| self.is_alive(router.vm)).copied().collect()
+    }
+
+    fn choose_owners(&mut self, deployment: &Deployment) {
+        let routers = self.routers(deployment);
+        let owners = deployment.servers.iter().map(|spec| choose_owner(spec, &routers));
+        self.owners = owners.collect();
+    }
+
+    fn build_table(&mut self, deployment: &Deployment, pool: usize) {
+        let pool_id = PoolId(pool as u64);
+        let members = deployment
+            .servers
+            .iter()
+            .enumerate()
+            .filter(|(index, spec)| self.listed[*index] && spec.pools.contains(&pool_id));
+        self.tables[pool] = RankTable::new(members.map(|(_, spec)| spec));
+    }
+}
--- a/crates/catkin-policy/src/load.rs
+++ b/crates/catkin-policy/src/load.rs
@@ -101,6 +101,11 @@
         self.pools.keys().copied()
     }
 
+    /// Routers whose reports of `pool` are kept, to which its sum goes.
+    pub fn reporters(&self, pool: PoolId) -> impl Iterator<Item = VmId> + '_ {
+        self.pools.get(&pool).into_iter().flat_map(|rows| rows.keys().copied())
+    }
+
     /// The load of `pool`; `None` without a recent report.
     ///
     /// A server reported by two routers counts once, with the newer report.
--- a/crates/catkin-policy/src/owner.rs
+++ b/crates/catkin-policy/src/owner.rs
@@ -28,6 +28,8 @@
 const QUEUE_PER_SLOT: u32 = 8;
 /// Grants older than this are audited, in milliseconds.
 const AUDIT_AGE_MILLIS: u64 = 10_000;
+/// Time for which a server that was ceded to another owner is not taken back, in milliseconds.
+const CEDE_MILLIS: u64 = 10_000;
 /// Time after which a refused caller may come back, in milliseconds.
 const RETRY_MILLIS: u32 = 1_000;
 
@@ -67,6 +69,7 @@
     vm: VmId,
     rules: PolicyRules,
     ledgers: BTreeMap<ServerId, ServerLedger>,
+    ceded: BTreeMap<ServerId, ClockTime>,
     sums: BTreeMap<PoolId, PoolSum>,
     light: BTreeMap<PoolId, Vec<ServerId>>,
     team_open: BTreeMap<TeamId, u32>,
@@ -84,6 +87,7 @@
             vm,
             rules: PolicyRules::default(),
             ledgers: BTreeMap::new(),
+            ceded: BTreeMap::new(),
             sums: BTreeMap::new(),
             light: BTreeMap::new(),
             team_open: BTreeMap::new(),
@@ -114,8 +118,9 @@
     pub fn set_owned(&mut self, now: ClockTime, owned: &[ServerSpec]) -> OwnedChange {
         self.changed = true;
         let lost = self.remove_unowned(owned);
+        self.ceded.retain(|_, until| now < *until);
         let mut gained = Vec::new();
-        for spec in owned {
+        for spec in owned.iter().filter(|spec| !self.ceded.contains_key(&spec.server)) {
             if let Some(ledger) = self.ledgers.get_mut(&spec.server) {
                 ledger.spec = spec.clone();
                 continue;
@@ -233,6 +238,14 @@
         self.ledgers.get(&server).map(ServerLedger::export)
     }
 
+    /// Hands `server` to another router that believes itself its owner: no more is admitted here,
+    /// and [`Self::set_owned`] takes it back only after a while. `None` if it isn't owned.
+    pub fn cede(&mut self, now: ClockTime, server: ServerId) -> Option<GrantExport> {
+        let export = self.remove_ledger(server)?;
+        self.ceded.insert(server, now.plus_millis(CEDE_MILLIS));
+        Some(export)
+    }
+
     /// Takes over what a former owner told, which ends the handover.
     pub fn import_grants(&mut self, now: ClockTime, export: &GrantExport) {
         let Some(ledger) = self.ledgers.get_mut(&export.server) else {
