Bound by the lower end of a sum's drift, and report each change in small fleets

Cause: the bound trusted a sum up to half a second old. Now a sum counts at the lower end of its random walk since it was counted (four standard deviations), and up to twelve routers tell each other of each change. A former owner keeps the grants of a lost server for a query that comes late, and cedes a server to a router that asks for it.

--- a/crates/catkin-policy/src/bound.rs
+++ b/crates/catkin-policy/src/bound.rs
@@ -4,8 +4,8 @@
 
 use crate::load::PoolLoad;
 
-/// Share of a sum assumed to have ended for each second of its age, in thousandths.
-const DECAY_PERMILLE_PER_SECOND: u64 = 30;
+/// Width of the margin below a sum, in standard deviations of its change since it was counted.
+const MARGIN_DEVIATIONS: f64 = 4.0;
 /// Sums older than this are not used, in milliseconds.
 const SUM_LIFE_MILLIS: u64 = 20_000;
 
@@ -26,14 +26,29 @@
     }
 
     /// Most requests that a server of `weight` may carry now, never below one.
-    pub(crate) fn bound(&self, now: ClockTime, weight: u32, bound_percent: u32) -> u32 {
-        let age_millis = now.millis_since(self.counted);
-        if age_millis > SUM_LIFE_MILLIS {
+    ///
+    /// Requests end at a rate of one over `service_micros` each, and about as many start, so the
+    /// sum drifts by a random walk. The bound uses the lower end of that drift: a mean that is too
+    /// low is safe, one that is too high is not.
+    pub(crate) fn bound(&self, now: ClockTime, weight: u32, rules: BoundRules) -> u32 {
+        let age = now.since(self.counted).as_micros() as u64;
+        if age > SUM_LIFE_MILLIS * 1000 {
             return 1;
         }
-        let lost = (age_millis * DECAY_PERMILLE_PER_SECOND / 1000).min(1000);
-        let open_permille = u64::from(self.open) * (1000 - lost);
-        bound_of(open_permille, self.weight, weight, bound_percent)
+        let open = f64::from(self.open);
+        let ended = open * age as f64 / rules.service_micros.max(1) as f64;
+        let least = (open - MARGIN_DEVIATIONS * (2.0 * ended).sqrt()).max(0.0);
+        bound_of((least * 1000.0) as u64, self.weight, weight, rules.percent)
+    }
+}
+
+copy_type! {
+    /// What the bound follows besides the load.
+    pub(crate) struct BoundRules {
+        /// Most load relative to the mean, in percent.
+        pub(crate) percent: u32,
+        /// Mean time that a request occupies a server, in microseconds.
+        pub(crate) service_micros: u64,
     }
 }
 
--- a/crates/catkin-policy/src/history.rs
+++ b/crates/catkin-policy/src/history.rs
@@ -10,11 +10,22 @@
 const TOKEN_MICROS: u64 = 25_000;
 /// Weight of the newest request in the running mean, as one over this.
 const SMOOTHING: u64 = 16;
+/// The same for the mean over all classes.
+const MEAN_SMOOTHING: u64 = 128;
+/// Mean time over all classes before any request ended, in microseconds.
+const FIRST_MEAN_MICROS: u64 = 5_000_000;
 
 /// Running mean of the time that requests of each class occupy a server.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct ServiceHistory {
     classes: BTreeMap<ClassId, u64>,
+    mean_micros: u64,
+}
+
+impl Default for ServiceHistory {
+    fn default() -> Self {
+        Self { classes: BTreeMap::new(), mean_micros: FIRST_MEAN_MICROS }
+    }
 }
 
 impl ServiceHistory {
@@ -22,6 +33,12 @@
     pub(crate) fn note_service(&mut self, class: ClassId, micros: u64) {
         let mean = self.classes.entry(class).or_insert(micros);
         *mean = (*mean * (SMOOTHING - 1) + micros) / SMOOTHING;
+        self.mean_micros = (self.mean_micros * (MEAN_SMOOTHING - 1) + micros) / MEAN_SMOOTHING;
+    }
+
+    /// Mean time that a request of any class occupies a server, in microseconds.
+    pub(crate) fn mean_micros(&self) -> u64 {
+        self.mean_micros
     }
 
     /// Expected time of a request of `class`, in microseconds.
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -35,6 +35,7 @@
 mod queue;
 mod rank;
 mod recent;
+mod report;
 mod retry;
 mod rules;
 mod spec;
@@ -52,6 +53,7 @@
 pub use owner::{OwnedChange, OwnerBook};
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_keyholder, choose_owner, rank_servers};
+pub use report::{ReportMode, ReportPacer, choose_aggregator};
 pub use retry::RetryBudget;
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
 pub use spec::{RouterSpec, ServerSpec};
--- a/crates/catkin-policy/src/load.rs
+++ b/crates/catkin-policy/src/load.rs
@@ -2,10 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::report::{HEARTBEAT_MILLIS, ReportMode};
 use catkin_base::{ChatId, ClockTime, PoolId, ServerId, VmId, copy_type, value_type};
 
 /// Reports older than this no longer count, in milliseconds.
 const REPORT_LIFE_MILLIS: u64 = 10_000;
+/// Age given to a report that is sent at each change, while it is fresh, in milliseconds.
+const PROMPT_AGE_MILLIS: u64 = 20;
 /// Light servers named in a sum.
 const LIGHT_SERVERS: usize = 4;
 
@@ -50,7 +53,7 @@
         pub weight: u32,
         /// Number of its servers.
         pub servers: u32,
-        /// Age of the oldest report in the sum, in milliseconds.
+        /// Age of the reports in the sum, weighted by load, in milliseconds.
         pub age_millis: u32,
         /// Servers with the least load for their weight, least loaded first.
         pub light_servers: Vec<ServerId>,
@@ -72,8 +75,9 @@
 }
 
 /// Sums the load of pools from the reports of the owners of their servers.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PoolBook {
+    mode: ReportMode,
     pools: BTreeMap<PoolId, BTreeMap<VmId, ReportRow>>,
 }
 
@@ -83,10 +87,21 @@
     loads: Vec<ServerLoad>,
 }
 
+impl Default for PoolBook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl PoolBook {
-    /// A book without reports.
+    /// A book without reports, of an aggregator.
     pub fn new() -> Self {
-        Self::default()
+        Self { mode: ReportMode::Aggregated, pools: BTreeMap::new() }
+    }
+
+    /// Takes how reports travel: in prompt mode silence means an unchanged load.
+    pub fn set_mode(&mut self, mode: ReportMode) {
+        self.mode = mode;
     }
 
     /// Takes the report of `from`, which replaces its former one.
@@ -113,26 +128,38 @@
         let rows = self.pools.get(&pool)?;
         let mut recent: Vec<&ReportRow> =
             rows.values().filter(|row| now.millis_since(row.at) <= REPORT_LIFE_MILLIS).collect();
-        let oldest = recent.iter().map(|row| row.at).min()?;
         recent.sort_by_key(|row| std::cmp::Reverse(row.at));
         let mut seen = BTreeSet::new();
-        let mut loads: Vec<ServerLoad> = recent
-            .iter()
-            .flat_map(|row| row.loads.iter().copied())
-            .filter(|load| seen.insert(load.server))
-            .collect();
-        let open = loads.iter().map(|load| load.open).sum();
-        let weight = loads.iter().map(|load| load.weight.max(1)).sum();
+        let mut loads = Vec::new();
+        let mut age_sum = 0;
+        for row in recent {
+            let fresh = row.loads.iter().filter(|load| seen.insert(load.server));
+            for load in fresh {
+                age_sum += self.counted_age(now, row) * u64::from(load.open + 1);
+                loads.push(*load);
+            }
+        }
+        if loads.is_empty() {
+            return None;
+        }
         loads.sort_by(|left, right| compare_loads(*left, *right));
+        let open: u32 = loads.iter().map(|load| load.open).sum();
+        let servers = loads.len() as u32;
         Some(PoolLoad {
             pool,
             open,
-            weight,
-            servers: loads.len() as u32,
-            age_millis: now.millis_since(oldest) as u32,
+            weight: loads.iter().map(|load| load.weight.max(1)).sum(),
+            servers,
+            age_millis: age_sum.div_ceil(u64::from(open + servers)) as u32,
             light_servers: loads.iter().take(LIGHT_SERVERS).map(|load| load.server).collect(),
         })
     }
+
+    fn counted_age(&self, now: ClockTime, row: &ReportRow) -> u64 {
+        let age = now.millis_since(row.at);
+        let silent = self.mode == ReportMode::Prompt && age <= 2 * HEARTBEAT_MILLIS;
+        if silent { PROMPT_AGE_MILLIS.min(age) } else { age }
+    }
 }
 
 fn compare_loads(left: ServerLoad, right: ServerLoad) -> std::cmp::Ordering {
--- a/crates/catkin-policy/src/owner.rs
+++ b/crates/catkin-policy/src/owner.rs
@@ -7,7 +7,7 @@
     value_type,
 };
 
-use crate::bound::PoolSum;
+use crate::bound::{BoundRules, PoolSum};
 use crate::grant::{
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRefusal, GrantRelease, GrantResult,
     OverflowCause, ReleaseOutcome,
@@ -28,7 +28,8 @@
 const QUEUE_PER_SLOT: u32 = 8;
 /// Grants older than this are audited, in milliseconds.
 const AUDIT_AGE_MILLIS: u64 = 10_000;
-/// Time for which a server that was ceded to another owner is not taken back, in milliseconds.
+/// Time for which a server that was ceded to another owner is not taken back, and for which the
+/// grants of a lost server are kept, in milliseconds.
 const CEDE_MILLIS: u64 = 10_000;
 /// Time after which a refused caller may come back, in milliseconds.
 const RETRY_MILLIS: u32 = 1_000;
@@ -63,6 +64,13 @@
     }
 }
 
+/// What is kept of a server that was lost to another owner.
+#[derive(Debug, Clone)]
+struct LostServer {
+    until: ClockTime,
+    export: GrantExport,
+}
+
 /// Admits requests to the servers that one router owns.
 #[derive(Debug, Clone)]
 pub struct OwnerBook {
@@ -70,6 +78,7 @@
     rules: PolicyRules,
     ledgers: BTreeMap<ServerId, ServerLedger>,
     ceded: BTreeMap<ServerId, ClockTime>,
+    lost: BTreeMap<ServerId, LostServer>,
     sums: BTreeMap<PoolId, PoolSum>,
     light: BTreeMap<PoolId, Vec<ServerId>>,
     team_open: BTreeMap<TeamId, u32>,
@@ -88,6 +97,7 @@
             rules: PolicyRules::default(),
             ledgers: BTreeMap::new(),
             ceded: BTreeMap::new(),
+            lost: BTreeMap::new(),
             sums: BTreeMap::new(),
             light: BTreeMap::new(),
             team_open: BTreeMap::new(),
@@ -117,7 +127,8 @@
     /// the next [`Self::poll`].
     pub fn set_owned(&mut self, now: ClockTime, owned: &[ServerSpec]) -> OwnedChange {
         self.changed = true;
-        let lost = self.remove_unowned(owned);
+        let lost = self.remove_unowned(now, owned);
+        self.lost.retain(|_, lost| now < lost.until);
         self.ceded.retain(|_, until| now < *until);
         let mut gained = Vec::new();
         for spec in owned.iter().filter(|spec| !self.ceded.contains_key(&spec.server)) {
@@ -156,6 +167,9 @@
     /// Takes the end of a request, or the cancellation of one that waits. Repeats change nothing.
     pub fn release(&mut self, now: ClockTime, release: &GrantRelease) {
         self.closed.insert((release.request, release.server), ());
+        if let Some(lost) = self.lost.get_mut(&release.server) {
+            lost.export.grants.retain(|grant| grant.request != release.request);
+        }
         let Some(ledger) = self.ledgers.get_mut(&release.server) else {
             return;
         };
@@ -223,11 +237,11 @@
     /// Loads of the owned servers that take work, for the aggregators of their pools.
     pub fn load_reports(&self, _now: ClockTime) -> Vec<LoadReport> {
         let mut reports: BTreeMap<PoolId, LoadReport> = BTreeMap::new();
-        for ledger in self.ledgers.values().filter(|ledger| ledger.counts_in_mean()) {
+        for ledger in self.ledgers.values() {
             for pool in &ledger.spec.pools {
                 let empty = LoadReport { pool: *pool, loads: Vec::new() };
                 let report = reports.entry(*pool).or_insert(empty);
-                report.loads.push(ledger.server_load());
+                report.loads.extend(ledger.counts_in_mean().then(|| ledger.server_load()));
             }
         }
         reports.into_values().collect()
@@ -239,11 +253,15 @@
     }
 
     /// Hands `server` to another router that believes itself its owner: no more is admitted here,
-    /// and [`Self::set_owned`] takes it back only after a while. `None` if it isn't owned.
+    /// and [`Self::set_owned`] takes it back only after a while. A server lost not long ago is
+    /// handed on once more. `None` if it isn't known.
     pub fn cede(&mut self, now: ClockTime, server: ServerId) -> Option<GrantExport> {
-        let export = self.remove_ledger(server)?;
-        self.ceded.insert(server, now.plus_millis(CEDE_MILLIS));
-        Some(export)
+        if let Some(export) = self.remove_ledger(now, server) {
+            self.ceded.insert(server, now.plus_millis(CEDE_MILLIS));
+            return Some(export);
+        }
+        let lost = self.lost.get(&server).filter(|lost| now < lost.until);
+        lost.map(|lost| lost.export.clone())
     }
 
     /// Takes over what a former owner told, which ends the handover.
@@ -561,10 +579,12 @@
 
     /// Most requests that the server may carry, by the mean of each of its pools.
     fn bound(&self, now: ClockTime, ledger: &ServerLedger) -> u32 {
+        let rules = BoundRules {
+            percent: self.rules.bound_percent,
+            service_micros: self.history.mean_micros(),
+        };
         let sums = ledger.spec.pools.iter().map(|pool| self.sums.get(pool));
-        let bounds = sums.map(|sum| {
-            sum.map_or(1, |sum| sum.bound(now, ledger.spec.weight, self.rules.bound_percent))
-        });
+        let bounds = sums.map(|sum| sum.map_or(1, |sum| sum.bound(now, ledger.spec.weight, rules)));
         bounds.min().unwrap_or(1)
     }
 
@@ -594,13 +614,13 @@
         }
     }
 
-    fn remove_unowned(&mut self, owned: &[ServerSpec]) -> Vec<GrantExport> {
+    fn remove_unowned(&mut self, now: ClockTime, owned: &[ServerSpec]) -> Vec<GrantExport> {
         let kept = |server: &ServerId| owned.iter().any(|spec| spec.server == *server);
         let lost: Vec<ServerId> = self.ledgers.keys().copied().filter(|id| !kept(id)).collect();
-        lost.into_iter().filter_map(|server| self.remove_ledger(server)).collect()
+        lost.into_iter().filter_map(|server| self.remove_ledger(now, server)).collect()
     }
 
-    fn remove_ledger(&mut self, server: ServerId) -> Option<GrantExport> {
+    fn remove_ledger(&mut self, now: ClockTime, server: ServerId) -> Option<GrantExport> {
         let mut ledger = self.ledgers.remove(&server)?;
         for entry in ledger.queue.take_all(|_| true) {
             let ask = entry.ask;
@@ -612,7 +632,10 @@
         for team in teams {
             self.count_closed(team);
         }
-        Some(ledger.export())
+        let export = ledger.export();
+        let until = now.plus_millis(CEDE_MILLIS);
+        self.lost.insert(server, LostServer { until, export: export.clone() });
+        Some(export)
     }
 
     fn server_state(&self, now: ClockTime, ledger: &ServerLedger) -> ServerState {
--- /dev/null
+++ b/crates/catkin-policy/src/report.rs
@@ -0,0 +1,88 @@
+//! When and to whom owners report the load of their servers.
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, PoolId, VmId, hash_parts};
+
+use crate::load::LoadReport;
+use crate::rank::choose_keyholder;
+use crate::spec::RouterSpec;
+
+/// Most live routers among which each owner tells all others of each change.
+const PROMPT_ROUTERS: usize = 12;
+/// Least time between two prompt reports of one pool, in milliseconds.
+const PROMPT_GAP_MILLIS: u64 = 10;
+/// Time after which an unchanged load is reported again, in milliseconds.
+pub(crate) const HEARTBEAT_MILLIS: u64 = 500;
+
+/// How load reports travel in a fleet of the present size.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReportMode {
+    /// Each owner tells every router of each change, and each router sums for itself.
+    Prompt,
+    /// Each owner reports at intervals to the aggregator of the pool, which returns the sum.
+    Aggregated,
+}
+
+impl ReportMode {
+    /// The mode for a number of live routers.
+    pub fn for_routers(count: usize) -> Self {
+        if count <= PROMPT_ROUTERS { Self::Prompt } else { Self::Aggregated }
+    }
+}
+
+/// The router that sums the load of `pool`.
+pub fn choose_aggregator(pool: PoolId, routers: &[RouterSpec]) -> Option<VmId> {
+    choose_keyholder(hash_parts(&[b"pool", &pool.0.to_le_bytes()]), routers)
+}
+
+/// Selects the load reports that are worth sending now, in prompt mode.
+#[derive(Debug, Clone, Default)]
+pub struct ReportPacer {
+    sent: BTreeMap<PoolId, SentReport>,
+}
+
+#[derive(Debug, Clone)]
+struct SentReport {
+    at: ClockTime,
+    report: LoadReport,
+}
+
+impl ReportPacer {
+    /// A pacer that has sent nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The reports to send now: those that changed, or that were not sent for a while. A pool that
+    /// is no longer reported gets one empty report.
+    pub fn take_due(&mut self, now: ClockTime, current: Vec<LoadReport>) -> Vec<LoadReport> {
+        let reported: Vec<PoolId> = current.iter().map(|report| report.pool).collect();
+        let gone = self.sent.keys().copied().filter(|pool| !reported.contains(pool));
+        let gone: Vec<LoadReport> =
+            gone.map(|pool| LoadReport { pool, loads: Vec::new() }).collect();
+        let due: Vec<LoadReport> =
+            current.into_iter().filter(|report| self.is_due(now, report)).collect();
+        for report in &due {
+            self.sent.insert(report.pool, SentReport { at: now, report: report.clone() });
+        }
+        for report in &gone {
+            self.sent.remove(&report.pool);
+        }
+        due.into_iter().chain(gone).collect()
+    }
+
+    /// When [`Self::take_due`] should be called next if a load changed at `now`.
+    pub fn next_due(&self, now: ClockTime) -> ClockTime {
+        let last = self.sent.values().map(|sent| sent.at).max();
+        last.map_or(now, |last| last.plus_millis(PROMPT_GAP_MILLIS).max(now))
+    }
+
+    fn is_due(&self, now: ClockTime, report: &LoadReport) -> bool {
+        let Some(sent) = self.sent.get(&report.pool) else {
+            return true;
+        };
+        let age = now.millis_since(sent.at);
+        age >= HEARTBEAT_MILLIS || (age >= PROMPT_GAP_MILLIS && sent.report != *report)
+    }
+}
