Keep the bound when an owner takes over, when two admit, and when an entry router dies

Cause: a new owner forgot requests that the former one had not granted itself; a late report hid them behind newer own grants; grants of a dead entry router kept the mean high until it was declared dead. Exports now carry the count of such requests (OwnerCount.foreign on the wire), an owner that sees another's new grants leaves room for those unseen, and grants of suspect routers don't raise the mean. PoolBook keeps the newest load of each server, whoever reports it.

--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -277,6 +277,9 @@
     pub grants: ::prost::alloc::vec::Vec<OpenGrant>,
     #[prost(message, repeated, tag = "3")]
     pub chats: ::prost::alloc::vec::Vec<WarmChat>,
+    /// open requests that the former owner did not grant
+    #[prost(uint32, tag = "4")]
+    pub foreign: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenGrant {
--- a/crates/catkin-policy/benches/policy/fleet.rs
+++ b/crates/catkin-policy/benches/policy/fleet.rs
@@ -1,6 +1,6 @@
 //! The routers under test: the production decisions joined by datagrams with delay and loss.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::RequestDigest;
 use catkin_base::{ClockTime, PoolId, RefusalReason, RequestId, ServerId, VmId, hash_parts};
@@ -16,7 +16,7 @@
 use super::scenario::Fault;
 use super::stage::{OpenRequest, PlacementWay, Stage};
 use super::trace::TraceRequest;
-use super::view::{RouterView, ViewChange};
+use super::view::{NumberedChange, RouterView, ViewChange};
 
 /// Share of datagrams that are lost.
 const DATAGRAM_LOSS: f64 = 0.001;
@@ -27,6 +27,8 @@
 const QUERY_TIMEOUT_MILLIS: u64 = 200;
 const MAX_SENDS: u32 = 3;
 const MAX_QUERIES: u32 = 10;
+/// Bounds of the time until a router suspects one that is gone, in milliseconds.
+const SUSPECT_MILLIS: std::ops::Range<u64> = 200..1_000;
 /// Bounds of the time until a router learns of a change, in milliseconds.
 const LEARN_MILLIS: std::ops::Range<u64> = 500..4_000;
 /// Bytes that a router sends each second for membership, and for a probe of a server.
@@ -48,7 +50,8 @@
     PromptReport(VmId),
     AskTimeout(RequestId, u32),
     QueryTimeout(VmId, ServerId, u32),
-    Learn(VmId, ViewChange),
+    Suspect(VmId, VmId),
+    Learn(VmId, NumberedChange),
 }
 
 /// All routers.
@@ -56,6 +59,7 @@
     routers: Vec<RouterNode>,
     calls: BTreeMap<RequestId, EntryCall>,
     split: bool,
+    changes: u64,
 }
 
 struct RouterNode {
@@ -65,6 +69,7 @@
     book: OwnerBook,
     sums: PoolBook,
     pacer: ReportPacer,
+    suspects: BTreeSet<VmId>,
     report_at: Option<ClockTime>,
     view: RouterView,
     poll_at: Option<ClockTime>,
@@ -98,11 +103,12 @@
             book: new_book(spec.vm, deployment),
             sums: new_sums(deployment),
             pacer: ReportPacer::new(),
+            suspects: BTreeSet::new(),
             report_at: None,
             view: view.clone(),
             poll_at: None,
         });
-        Self { routers: routers.collect(), calls: BTreeMap::new(), split: false }
+        Self { routers: routers.collect(), calls: BTreeMap::new(), split: false, changes: 0 }
     }
 
     fn node(&mut self, vm: VmId) -> &mut RouterNode {
@@ -136,7 +142,7 @@
         let now = stage.now;
         match message {
             PeerMessage::Ask(ask) => self.take_ask(stage, to, &ask),
-            PeerMessage::Answer(answer) => self.take_answer(stage, to, from, &answer),
+            PeerMessage::Answer(answer, ceded) => self.take_answer(stage, to, from, &answer, ceded),
             PeerMessage::Release(release) => {
                 self.node(to).book.release(now, &release);
                 self.poll(stage, to);
@@ -182,7 +188,8 @@
                 stage.admit(answer.request, answer.server, pool);
             }
         }
-        self.send(stage, vm, answer.entry, PeerMessage::Answer(answer));
+        let ceded = self.node(vm).book.ceded_to(answer.server);
+        self.send(stage, vm, answer.entry, PeerMessage::Answer(answer, ceded));
     }
 
     fn poll(&mut self, stage: &mut FleetStage, vm: VmId) {
@@ -205,7 +212,7 @@
     }
 
     fn take_query(&mut self, stage: &mut FleetStage, vm: VmId, from: VmId, server: ServerId) {
-        let export = self.node(vm).book.cede(stage.now, server);
+        let export = self.node(vm).book.cede(stage.now, server, from);
         let answer = export.map_or(PeerMessage::NotOwned(server), PeerMessage::Export);
         self.send(stage, vm, from, answer);
         self.poll(stage, vm);
@@ -230,7 +237,14 @@
         self.send(stage, vm, from, answer);
     }
 
-    fn take_answer(&mut self, stage: &mut FleetStage, vm: VmId, from: VmId, answer: &GrantAnswer) {
+    fn take_answer(
+        &mut self,
+        stage: &mut FleetStage,
+        vm: VmId,
+        from: VmId,
+        answer: &GrantAnswer,
+        ceded: Option<VmId>,
+    ) {
         let granted = matches!(answer.result, GrantResult::Granted { .. });
         let call = self.calls.get_mut(&answer.request).filter(|call| call.entry == vm);
         let current = call.filter(|call| {
@@ -255,7 +269,12 @@
             call.waiting = false;
         }
         let step = call.plan.note_answer(answer);
-        self.follow(stage, answer.request, step);
+        match (answer.result, step, ceded) {
+            (GrantResult::NotOwner, PlanStep::Ask(ask), Some(owner)) => {
+                self.ask_router(stage, answer.request, ask, owner);
+            }
+            _ => self.follow(stage, answer.request, step),
+        }
     }
 
     fn runs_on(&self, stage: &FleetStage, request: RequestId, server: ServerId) -> bool {
@@ -288,6 +307,16 @@
         let Some(owner) = self.node(entry).view.owner(ask.server) else {
             return self.give_up(stage, request, RefusalReason::Overloaded);
         };
+        self.ask_router(stage, request, ask, owner);
+    }
+
+    fn ask_router(
+        &mut self,
+        stage: &mut FleetStage,
+        request: RequestId,
+        ask: PlanAsk,
+        owner: VmId,
+    ) {
         let Some(call) = self.calls.get_mut(&request) else {
             return;
         };
@@ -490,7 +519,7 @@
         }
         let pools: Vec<PoolId> = self.node(vm).sums.pools().collect();
         for pool in pools {
-            let reporters: Vec<VmId> = self.node(vm).sums.reporters(pool).collect();
+            let reporters = self.node(vm).sums.reporters(pool);
             let Some(sum) = self.node(vm).sums.sum(now, pool) else {
                 continue;
             };
@@ -509,12 +538,16 @@
         }
     }
 
-    fn learn(&mut self, stage: &mut FleetStage, vm: VmId, change: ViewChange) {
+    fn learn(&mut self, stage: &mut FleetStage, vm: VmId, numbered: NumberedChange) {
         let node = &mut self.routers[vm.0 as usize - 1];
-        if !node.up {
+        if !node.up || !node.view.apply_numbered(&stage.deployment, numbered) {
             return;
         }
-        node.view.apply(&stage.deployment, change);
+        let change = numbered.change;
+        if let ViewChange::RouterDown(router) | ViewChange::RouterUp(router) = change {
+            node.suspects.remove(&VmId(router as u64 + 1));
+            node.book.set_suspects(node.suspects.clone());
+        }
         if let ViewChange::RouterDown(router) = change {
             node.book.drop_router(stage.now, VmId(router as u64 + 1));
         }
@@ -523,6 +556,15 @@
         }
     }
 
+    fn suspect(&mut self, stage: &mut FleetStage, vm: VmId, suspect: VmId) {
+        let node = self.node(vm);
+        if node.up && node.view.is_alive(suspect) {
+            node.suspects.insert(suspect);
+            node.book.set_suspects(node.suspects.clone());
+            self.poll(stage, vm);
+        }
+    }
+
     fn take_servers(&mut self, stage: &mut FleetStage, vm: VmId) {
         let now = stage.now;
         let node = &mut self.routers[vm.0 as usize - 1];
@@ -571,6 +613,7 @@
         node.up = false;
         node.life += 1;
         self.tell_all(stage, vm, ViewChange::RouterDown(router));
+        self.suspect_everywhere(stage, vm);
         let lost: Vec<RequestId> =
             self.calls.iter().filter(|(_, call)| call.entry == vm).map(|(id, _)| *id).collect();
         for request in lost {
@@ -614,18 +657,31 @@
         stage.schedule(stage.now.plus_millis(audit), FleetEvent::Audit(vm, life));
     }
 
+    fn suspect_everywhere(&mut self, stage: &mut FleetStage, suspect: VmId) {
+        let others: Vec<VmId> =
+            self.routers.iter().map(|node| node.vm).filter(|vm| *vm != suspect).collect();
+        for vm in others {
+            let delay = stage.random.random_range(SUSPECT_MILLIS);
+            stage.schedule(stage.now.plus_millis(delay), FleetEvent::Suspect(vm, suspect));
+        }
+    }
+
     /// Tells every other router of a change, each after its own delay.
     fn tell_all(&mut self, stage: &mut FleetStage, about: VmId, change: ViewChange) {
         let others: Vec<VmId> =
             self.routers.iter().map(|node| node.vm).filter(|vm| *vm != about).collect();
+        self.changes += 1;
+        let numbered = NumberedChange { number: self.changes, change };
         for vm in others {
             let delay = stage.random.random_range(LEARN_MILLIS);
-            stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(vm, change));
+            stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(vm, numbered));
         }
     }
 
     fn set_split(&mut self, stage: &mut FleetStage, split: bool) {
         self.split = split;
+        self.changes += 1;
+        let number = self.changes;
         let vms: Vec<VmId> = self.routers.iter().map(|node| node.vm).collect();
         for vm in &vms {
             for other in vms.iter().filter(|other| split_side(**other) != split_side(*vm)) {
@@ -633,7 +689,8 @@
                 let change =
                     if split { ViewChange::RouterDown(index) } else { ViewChange::RouterUp(index) };
                 let delay = stage.random.random_range(LEARN_MILLIS);
-                stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(*vm, change));
+                let numbered = NumberedChange { number, change };
+                stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(*vm, numbered));
             }
         }
     }
@@ -708,7 +765,8 @@
             FleetEvent::QueryTimeout(vm, server, tries) => {
                 self.time_out_query(stage, vm, server, tries);
             }
-            FleetEvent::Learn(vm, change) => self.learn(stage, vm, change),
+            FleetEvent::Suspect(vm, suspect) => self.suspect(stage, vm, suspect),
+            FleetEvent::Learn(vm, numbered) => self.learn(stage, vm, numbered),
         }
     }
 
--- a/crates/catkin-policy/benches/policy/message.rs
+++ b/crates/catkin-policy/benches/policy/message.rs
@@ -1,6 +1,6 @@
 //! Datagrams between routers, and their sizes in the peer protocol.
 
-use catkin_base::{ChatId, RequestId, ServerId};
+use catkin_base::{ChatId, RequestId, ServerId, VmId};
 use catkin_policy::{
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRelease, LoadReport, PoolLoad,
 };
@@ -16,16 +16,24 @@
 #[derive(Debug, Clone)]
 pub enum PeerMessage {
     Ask(GrantAsk),
-    Answer(GrantAnswer),
+    /// An answer, with the router to which the server was ceded if it is not owned.
+    Answer(GrantAnswer, Option<VmId>),
     Release(GrantRelease),
-    Placement { chat: ChatId, home: ServerId, server: ServerId },
+    Placement {
+        chat: ChatId,
+        home: ServerId,
+        server: ServerId,
+    },
     Report(LoadReport),
     Sum(PoolLoad),
     Query(ServerId),
     Export(GrantExport),
     NotOwned(ServerId),
     Audit(GrantAudit),
-    AuditAnswer { server: ServerId, closed: Vec<RequestId> },
+    AuditAnswer {
+        server: ServerId,
+        closed: Vec<RequestId>,
+    },
 }
 
 impl PeerMessage {
@@ -33,7 +41,7 @@
     pub fn wire_bytes(&self) -> u64 {
         let body = match self {
             Self::Ask(_) => 7 * WORD_BYTES + 6 * NUMBER_BYTES,
-            Self::Answer(_) => 3 * WORD_BYTES + 3 * NUMBER_BYTES,
+            Self::Answer(..) => 4 * WORD_BYTES + 3 * NUMBER_BYTES,
             Self::Release(_) => 3 * WORD_BYTES + 2 * NUMBER_BYTES,
             Self::Placement { .. } => 3 * WORD_BYTES,
             Self::Report(report) => {
@@ -46,7 +54,7 @@
             Self::Export(export) => {
                 let grants = export.grants.len() as u64 * (4 * WORD_BYTES + NUMBER_BYTES);
                 let chats = export.chats.len() as u64 * (2 * WORD_BYTES + NUMBER_BYTES);
-                WORD_BYTES + grants + chats
+                WORD_BYTES + NUMBER_BYTES + grants + chats
             }
             Self::Audit(audit) => WORD_BYTES + audit.requests.len() as u64 * WORD_BYTES,
             Self::AuditAnswer { closed, .. } => WORD_BYTES + closed.len() as u64 * WORD_BYTES,
--- a/crates/catkin-policy/benches/policy/view.rs
+++ b/crates/catkin-policy/benches/policy/view.rs
@@ -5,6 +5,13 @@
 
 use super::deployment::Deployment;
 
+/// A change, numbered so that one that arrives late doesn't undo a newer one.
+#[derive(Debug, Clone, Copy)]
+pub struct NumberedChange {
+    pub number: u64,
+    pub change: ViewChange,
+}
+
 /// A change that a router learns of.
 #[derive(Debug, Clone, Copy)]
 pub enum ViewChange {
@@ -21,6 +28,8 @@
     listed: Vec<bool>,
     owners: Vec<Option<VmId>>,
     tables: Vec<RankTable>,
+    router_numbers: Vec<u64>,
+    server_numbers: Vec<u64>,
 }
 
 impl RouterView {
@@ -30,6 +39,8 @@
             listed: vec![true; deployment.servers.len()],
             owners: vec![None; deployment.servers.len()],
             tables: vec![RankTable::default(); deployment.pools],
+            router_numbers: vec![0; deployment.routers.len()],
+            server_numbers: vec![0; deployment.servers.len()],
         };
         view.choose_owners(deployment);
         for pool in 0..deployment.pools {
@@ -38,6 +49,24 @@
         view
     }
 
+    /// Applies a change; false if a newer one is known.
+    pub fn apply_numbered(&mut self, deployment: &Deployment, numbered: NumberedChange) -> bool {
+        let known = match numbered.change {
+            ViewChange::RouterUp(router) | ViewChange::RouterDown(router) => {
+                &mut self.router_numbers[router]
+            }
+            ViewChange::ServerListed(server) | ViewChange::ServerUnlisted(server) => {
+                &mut self.server_numbers[server]
+            }
+        };
+        if *known >= numbered.number {
+            return false;
+        }
+        *known = numbered.number;
+        self.apply(deployment, numbered.change);
+        true
+    }
+
     pub fn apply(&mut self, deployment: &Deployment, change: ViewChange) {
         match change {
             ViewChange::RouterUp(router) => self.alive[router] = true,
--- a/crates/catkin-policy/src/grant.rs
+++ b/crates/catkin-policy/src/grant.rs
@@ -157,6 +157,8 @@
         pub server: ServerId,
         /// Its open grants.
         pub grants: Vec<OpenGrant>,
+        /// Requests open on the server that the former owner did not grant.
+        pub foreign: u32,
         /// Directory entries of chats whose first-ranked server it is, and chats warm on it.
         pub chats: Vec<WarmChat>,
     }
--- a/crates/catkin-policy/src/ledger.rs
+++ b/crates/catkin-policy/src/ledger.rs
@@ -1,6 +1,6 @@
 //! Grants, queue and evidence of one owned server.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::{ClassId, ClockTime, RequestId, ServerId, TeamId, VmId};
 
@@ -18,8 +18,12 @@
 pub(crate) const JOIN_SETTLE_MILLIS: u64 = 3_000;
 /// Most time by which a server's report of its load is late, in milliseconds.
 const REPORT_LAG_MILLIS: u64 = 2_000;
-/// Reports over whose time the peak of own grants is kept.
-const PEAK_REPORTS: usize = 3;
+/// Reports over whose time the range of own grants is kept.
+const RANGE_REPORTS: usize = 3;
+/// Reports in a row without grants of others after which there are taken to be none.
+const CLEAN_REPORTS: u32 = 3;
+/// Reports for which another owner is taken to admit as well, once its new grants were seen.
+const CONTESTED_REPORTS: u32 = 10;
 /// Most chats told to a new owner.
 const MAX_EXPORT_CHATS: usize = 4_096;
 
@@ -51,8 +55,19 @@
     settled_at: ClockTime,
     sample: Option<LoadSample>,
     foreign: u32,
-    peaks: [u32; PEAK_REPORTS],
-    handover_grants: u32,
+    surely_foreign: u32,
+    contested_reports: u32,
+    samples: u32,
+    ranges: [GrantRange; RANGE_REPORTS],
+    unclean_reports: u32,
+    sample_grants: u32,
+}
+
+/// Least and most own grants open at once between two reports.
+#[derive(Debug, Clone, Copy, Default)]
+struct GrantRange {
+    least: u32,
+    most: u32,
 }
 
 /// The last load that the server reported.
@@ -78,8 +93,12 @@
             settled_at: now.plus_millis(JOIN_SETTLE_MILLIS),
             sample: None,
             foreign: 0,
-            peaks: [0; PEAK_REPORTS],
-            handover_grants: 0,
+            surely_foreign: 0,
+            contested_reports: 0,
+            samples: 0,
+            ranges: [GrantRange::default(); RANGE_REPORTS],
+            unclean_reports: CLEAN_REPORTS,
+            sample_grants: 0,
         }
     }
 
@@ -123,7 +142,7 @@
         quick: bool,
         rules: &PolicyRules,
     ) -> bool {
-        let load = self.load();
+        let load = self.load() + self.contested_margin();
         let limit = if now < self.settled_at { 1 } else { bound.min(self.spec.slots) };
         if load >= limit || !self.handover_allows(load, limit) {
             return false;
@@ -140,12 +159,9 @@
         if !row.quick {
             self.long_open += 1;
         }
-        if self.phase == OwnerPhase::Handover {
-            self.handover_grants += 1;
-        }
+        self.sample_grants += 1;
         self.grants.insert(request, row);
-        let own = self.grants.len() as u32;
-        self.peaks[0] = self.peaks[0].max(own);
+        self.note_own();
     }
 
     pub(crate) fn remove_grant(&mut self, request: RequestId) -> Option<GrantRow> {
@@ -153,6 +169,7 @@
         if !row.quick {
             self.long_open -= 1;
         }
+        self.note_own();
         Some(row)
     }
 
@@ -169,6 +186,10 @@
         if self.health.note_success() {
             self.settled_at = now.plus_millis(JOIN_SETTLE_MILLIS);
         }
+        let in_service = report.open > 0 || report.event_sequence > 0;
+        if self.is_blind() && in_service {
+            self.settled_at = now;
+        }
         self.warm.note_report(now, report);
         self.leaving = report.leaving;
         self.note_sample(now, report.open);
@@ -184,20 +205,26 @@
         }
     }
 
-    pub(crate) fn finish_import(&mut self, now: ClockTime) {
+    /// Ends the handover with the imported grants and those that the former owner didn't know.
+    pub(crate) fn finish_import(&mut self, now: ClockTime, foreign: u32) {
         self.phase = OwnerPhase::Steady;
         self.given_up = true;
         self.settled_at = now;
+        self.foreign = foreign;
+        self.samples = 0;
+        self.unclean_reports = if foreign > 0 { CLEAN_REPORTS } else { 0 };
+        let own = self.grants.len() as u32;
+        self.ranges = [GrantRange { least: own, most: own }; RANGE_REPORTS];
     }
 
-    /// Whether the server counts in the mean of its pools.
-    pub(crate) fn counts_in_mean(&self) -> bool {
-        !self.leaving && !self.health.is_down() && !self.is_blind()
-    }
-
-    pub(crate) fn server_load(&self) -> ServerLoad {
-        let weight = self.spec.weight.max(1);
-        ServerLoad { server: self.spec.server, open: self.load(), weight }
+    /// Its load; without weight if it takes no work and so doesn't count in the mean.
+    ///
+    /// The mean must not be taken too high, so that requests which may be gone are left out: grants
+    /// held by `suspects` and requests of others that no report has surely shown.
+    pub(crate) fn server_load(&self, suspects: &BTreeSet<VmId>) -> ServerLoad {
+        let counts = !self.leaving && !self.health.is_down();
+        let weight = if counts { self.spec.weight.max(1) } else { 0 };
+        ServerLoad { server: self.spec.server, open: self.least_load(suspects), weight }
     }
 
     pub(crate) fn export(&self) -> GrantExport {
@@ -212,6 +239,7 @@
         GrantExport {
             server: self.server(),
             grants: grants.collect(),
+            foreign: self.foreign,
             chats: away.chain(here).take(MAX_EXPORT_CHATS).collect(),
         }
     }
@@ -224,6 +252,20 @@
         }
     }
 
+    fn least_load(&self, suspects: &BTreeSet<VmId>) -> u32 {
+        let trusted = self.grants.values().filter(|row| !suspects.contains(&row.entry));
+        let trusted = trusted.count() as u32;
+        match (self.phase, self.sample) {
+            (OwnerPhase::Handover, Some(sample)) => trusted.max(sample.open),
+            _ => trusted + self.surely_foreign,
+        }
+    }
+
+    /// Grants that another owner may have given since the last report.
+    fn contested_margin(&self) -> u32 {
+        if self.contested_reports > 0 { 1 + self.sample_grants } else { 0 }
+    }
+
     fn server(&self) -> ServerId {
         self.spec.server
     }
@@ -239,16 +281,38 @@
         if self.phase == OwnerPhase::Steady {
             return true;
         }
-        let room_at_sample = limit.saturating_sub(load.saturating_sub(self.handover_grants));
-        self.sample.is_some() && self.handover_grants < room_at_sample / 2
+        let room_at_sample = limit.saturating_sub(load.saturating_sub(self.sample_grants));
+        self.sample.is_some() && self.sample_grants < room_at_sample / 2
     }
 
+    fn note_own(&mut self) {
+        let own = self.grants.len() as u32;
+        let range = &mut self.ranges[0];
+        range.least = range.least.min(own);
+        range.most = range.most.max(own);
+    }
+
+    /// Compares a late report with the own grants of that time. Another owner's grants show when the
+    /// report exceeds the most that were own; from then on, until they are gone, only the least that
+    /// were own at that time are taken off it.
     fn note_sample(&mut self, now: ClockTime, open: u32) {
-        let peak = self.peaks.iter().copied().max().unwrap_or(0);
-        self.foreign = open.saturating_sub(peak);
-        self.peaks.rotate_right(1);
-        self.peaks[0] = self.grants.len() as u32;
+        let most = self.ranges.iter().map(|range| range.most).max().unwrap_or(0);
+        let least = self.ranges.iter().map(|range| range.least).min().unwrap_or(0);
+        let surely_foreign = open.saturating_sub(most);
+        let known = self.samples >= RANGE_REPORTS as u32;
+        let grew = known && surely_foreign > self.foreign;
+        self.contested_reports =
+            if grew { CONTESTED_REPORTS } else { self.contested_reports.saturating_sub(1) };
+        self.unclean_reports =
+            if surely_foreign > 0 { CLEAN_REPORTS } else { self.unclean_reports.saturating_sub(1) };
+        let own_then = if self.unclean_reports > 0 { least } else { most };
+        self.foreign = open.saturating_sub(own_then);
+        self.surely_foreign = surely_foreign;
+        self.ranges.rotate_right(1);
+        let own = self.grants.len() as u32;
+        self.ranges[0] = GrantRange { least: own, most: own };
+        self.samples = self.samples.saturating_add(1);
         self.sample = Some(LoadSample { at: now, open });
-        self.handover_grants = 0;
+        self.sample_grants = 0;
     }
 }
--- a/crates/catkin-policy/src/load.rs
+++ b/crates/catkin-policy/src/load.rs
@@ -8,7 +8,7 @@
 /// Reports older than this no longer count, in milliseconds.
 const REPORT_LIFE_MILLIS: u64 = 10_000;
 /// Age given to a report that is sent at each change, while it is fresh, in milliseconds.
-const PROMPT_AGE_MILLIS: u64 = 20;
+const PROMPT_AGE_MILLIS: u64 = 12;
 /// Light servers named in a sum.
 const LIGHT_SERVERS: usize = 4;
 
@@ -19,7 +19,7 @@
         pub server: ServerId,
         /// Requests open on it.
         pub open: u32,
-        /// Its weight.
+        /// Its weight; zero if it takes no work.
         pub weight: u32,
     }
 
@@ -78,13 +78,14 @@
 #[derive(Debug, Clone)]
 pub struct PoolBook {
     mode: ReportMode,
-    pools: BTreeMap<PoolId, BTreeMap<VmId, ReportRow>>,
+    pools: BTreeMap<PoolId, BTreeMap<ServerId, LoadRow>>,
 }
 
-#[derive(Debug, Clone)]
-struct ReportRow {
+#[derive(Debug, Clone, Copy)]
+struct LoadRow {
     at: ClockTime,
-    loads: Vec<ServerLoad>,
+    from: VmId,
+    load: ServerLoad,
 }
 
 impl Default for PoolBook {
@@ -104,11 +105,14 @@
         self.mode = mode;
     }
 
-    /// Takes the report of `from`, which replaces its former one.
+    /// Takes the report of `from`. For each server the newest report counts, whoever sent it, until
+    /// it is too old or says that the server no longer takes work.
     pub fn note_report(&mut self, now: ClockTime, from: VmId, report: &LoadReport) {
         let rows = self.pools.entry(report.pool).or_default();
-        rows.insert(from, ReportRow { at: now, loads: report.loads.clone() });
-        rows.retain(|_, row| now.millis_since(row.at) <= REPORT_LIFE_MILLIS);
+        for load in &report.loads {
+            rows.insert(load.server, LoadRow { at: now, from, load: *load });
+        }
+        rows.retain(|_, row| row.load.weight > 0 && is_recent(now, row));
     }
 
     /// Pools with at least one report.
@@ -117,51 +121,43 @@
     }
 
     /// Routers whose reports of `pool` are kept, to which its sum goes.
-    pub fn reporters(&self, pool: PoolId) -> impl Iterator<Item = VmId> + '_ {
-        self.pools.get(&pool).into_iter().flat_map(|rows| rows.keys().copied())
+    pub fn reporters(&self, pool: PoolId) -> BTreeSet<VmId> {
+        self.pools.get(&pool).into_iter().flat_map(BTreeMap::values).map(|row| row.from).collect()
     }
 
     /// The load of `pool`; `None` without a recent report.
-    ///
-    /// A server reported by two routers counts once, with the newer report.
     pub fn sum(&self, now: ClockTime, pool: PoolId) -> Option<PoolLoad> {
-        let rows = self.pools.get(&pool)?;
-        let mut recent: Vec<&ReportRow> =
-            rows.values().filter(|row| now.millis_since(row.at) <= REPORT_LIFE_MILLIS).collect();
-        recent.sort_by_key(|row| std::cmp::Reverse(row.at));
-        let mut seen = BTreeSet::new();
-        let mut loads = Vec::new();
-        let mut age_sum = 0;
-        for row in recent {
-            let fresh = row.loads.iter().filter(|load| seen.insert(load.server));
-            for load in fresh {
-                age_sum += self.counted_age(now, row) * u64::from(load.open + 1);
-                loads.push(*load);
-            }
-        }
+        let rows = self.pools.get(&pool)?.values().filter(|row| is_recent(now, row));
+        let mut loads: Vec<ServerLoad> = rows.clone().map(|row| row.load).collect();
         if loads.is_empty() {
             return None;
         }
+        let age_sum: u64 =
+            rows.map(|row| self.counted_age(now, row) * u64::from(row.load.open + 1)).sum();
         loads.sort_by(|left, right| compare_loads(*left, *right));
         let open: u32 = loads.iter().map(|load| load.open).sum();
         let servers = loads.len() as u32;
         Some(PoolLoad {
             pool,
             open,
-            weight: loads.iter().map(|load| load.weight.max(1)).sum(),
+            weight: loads.iter().map(|load| load.weight).sum(),
             servers,
             age_millis: age_sum.div_ceil(u64::from(open + servers)) as u32,
             light_servers: loads.iter().take(LIGHT_SERVERS).map(|load| load.server).collect(),
         })
     }
 
-    fn counted_age(&self, now: ClockTime, row: &ReportRow) -> u64 {
+    fn counted_age(&self, now: ClockTime, row: &LoadRow) -> u64 {
         let age = now.millis_since(row.at);
         let silent = self.mode == ReportMode::Prompt && age <= 2 * HEARTBEAT_MILLIS;
         if silent { PROMPT_AGE_MILLIS.min(age) } else { age }
     }
 }
 
+fn is_recent(now: ClockTime, row: &LoadRow) -> bool {
+    now.millis_since(row.at) <= REPORT_LIFE_MILLIS
+}
+
 fn compare_loads(left: ServerLoad, right: ServerLoad) -> std::cmp::Ordering {
     let left_share = u64::from(left.open) * u64::from(right.weight.max(1));
     let right_share = u64::from(right.open) * u64::from(left.weight.max(1));
--- a/crates/catkin-policy/src/owner.rs
+++ b/crates/catkin-policy/src/owner.rs
@@ -1,6 +1,6 @@
 //! The admission owner of servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::{
     ChatId, ClockTime, PoolId, RefusalReason, RequestId, ServerId, TeamId, VmId, copy_type,
@@ -64,6 +64,13 @@
     }
 }
 
+/// A server that was handed to a router that asked for it.
+#[derive(Debug, Clone, Copy)]
+struct CededServer {
+    until: ClockTime,
+    to: VmId,
+}
+
 /// What is kept of a server that was lost to another owner.
 #[derive(Debug, Clone)]
 struct LostServer {
@@ -77,8 +84,9 @@
     vm: VmId,
     rules: PolicyRules,
     ledgers: BTreeMap<ServerId, ServerLedger>,
-    ceded: BTreeMap<ServerId, ClockTime>,
+    ceded: BTreeMap<ServerId, CededServer>,
     lost: BTreeMap<ServerId, LostServer>,
+    suspects: BTreeSet<VmId>,
     sums: BTreeMap<PoolId, PoolSum>,
     light: BTreeMap<PoolId, Vec<ServerId>>,
     team_open: BTreeMap<TeamId, u32>,
@@ -98,6 +106,7 @@
             ledgers: BTreeMap::new(),
             ceded: BTreeMap::new(),
             lost: BTreeMap::new(),
+            suspects: BTreeSet::new(),
             sums: BTreeMap::new(),
             light: BTreeMap::new(),
             team_open: BTreeMap::new(),
@@ -129,7 +138,7 @@
         self.changed = true;
         let lost = self.remove_unowned(now, owned);
         self.lost.retain(|_, lost| now < lost.until);
-        self.ceded.retain(|_, until| now < *until);
+        self.ceded.retain(|_, ceded| now < ceded.until);
         let mut gained = Vec::new();
         for spec in owned.iter().filter(|spec| !self.ceded.contains_key(&spec.server)) {
             if let Some(ledger) = self.ledgers.get_mut(&spec.server) {
@@ -234,14 +243,15 @@
         }
     }
 
-    /// Loads of the owned servers that take work, for the aggregators of their pools.
+    /// Loads of the owned servers, for the aggregators of their pools. A server that takes no work
+    /// has no weight; one whose load isn't known yet is left out.
     pub fn load_reports(&self, _now: ClockTime) -> Vec<LoadReport> {
         let mut reports: BTreeMap<PoolId, LoadReport> = BTreeMap::new();
-        for ledger in self.ledgers.values() {
+        for ledger in self.ledgers.values().filter(|ledger| !ledger.is_blind()) {
             for pool in &ledger.spec.pools {
                 let empty = LoadReport { pool: *pool, loads: Vec::new() };
                 let report = reports.entry(*pool).or_insert(empty);
-                report.loads.extend(ledger.counts_in_mean().then(|| ledger.server_load()));
+                report.loads.push(ledger.server_load(&self.suspects));
             }
         }
         reports.into_values().collect()
@@ -255,15 +265,21 @@
     /// Hands `server` to another router that believes itself its owner: no more is admitted here,
     /// and [`Self::set_owned`] takes it back only after a while. A server lost not long ago is
     /// handed on once more. `None` if it isn't known.
-    pub fn cede(&mut self, now: ClockTime, server: ServerId) -> Option<GrantExport> {
+    pub fn cede(&mut self, now: ClockTime, server: ServerId, to: VmId) -> Option<GrantExport> {
         if let Some(export) = self.remove_ledger(now, server) {
-            self.ceded.insert(server, now.plus_millis(CEDE_MILLIS));
+            let until = now.plus_millis(CEDE_MILLIS);
+            self.ceded.insert(server, CededServer { until, to });
             return Some(export);
         }
         let lost = self.lost.get(&server).filter(|lost| now < lost.until);
         lost.map(|lost| lost.export.clone())
     }
 
+    /// The router to which `server` was ceded not long ago, for those who still ask this one.
+    pub fn ceded_to(&self, server: ServerId) -> Option<VmId> {
+        self.ceded.get(&server).map(|ceded| ceded.to)
+    }
+
     /// Takes over what a former owner told, which ends the handover.
     pub fn import_grants(&mut self, now: ClockTime, export: &GrantExport) {
         let Some(ledger) = self.ledgers.get_mut(&export.server) else {
@@ -290,7 +306,7 @@
         for chat in &export.chats {
             ledger.import_chat(now, *chat);
         }
-        ledger.finish_import(now);
+        ledger.finish_import(now, export.foreign);
         self.changed = true;
         for team in teams {
             *self.team_open.entry(team).or_default() += 1;
@@ -306,6 +322,12 @@
         }
     }
 
+    /// Takes the routers that may be gone. Their requests may have ended, so that they no longer
+    /// raise the mean; they count on their servers until [`Self::drop_router`].
+    pub fn set_suspects(&mut self, suspects: BTreeSet<VmId>) {
+        self.suspects = suspects;
+    }
+
     /// Reaps the grants and waiting requests of a router that is gone.
     pub fn drop_router(&mut self, _now: ClockTime, vm: VmId) {
         let mut teams = Vec::new();
@@ -450,6 +472,10 @@
         let wait_micros = self.expect_wait(now, ledger, &entry);
         let worth_waiting = entry.warm && self.prefers_waiting(&entry, wait_micros);
         if !entry.ask.must_queue && !worth_waiting {
+            let away = ledger.directory.find(entry.ask.chat);
+            if let Some(server) = away.filter(|_| entry.ask.follow_directory) {
+                return GrantResult::Redirect { server };
+            }
             let cause =
                 if ledger.is_blind() { OverflowCause::Handover } else { OverflowCause::Full };
             return self.overflow(&entry.ask, cause);
@@ -524,7 +550,6 @@
         };
         ledger.insert_grant(ask.request, row);
         ledger.warm.note_use(now, ask.chat);
-        ledger.directory.forget(ask.chat);
         *self.team_open.entry(ask.team).or_default() += 1;
         GrantResult::Granted { warm }
     }
--- a/crates/catkin-router/src/wire.rs
+++ b/crates/catkin-router/src/wire.rs
@@ -177,6 +177,7 @@
         server: export.server.0,
         grants: export.grants.iter().map(grant_to_wire).collect(),
         chats: export.chats.iter().map(chat_to_wire).collect(),
+        foreign: export.foreign,
     }))
 }
 
@@ -185,6 +186,7 @@
         server: ServerId(message.server),
         grants: message.grants.iter().map(grant_from_wire).collect(),
         chats: message.chats.iter().map(chat_from_wire).collect(),
+        foreign: message.foreign,
     }
 }
 
