--- a/crates/catkin-operator/src/apply.rs
+++ b/crates/catkin-operator/src/apply.rs
@@ -16,6 +16,9 @@
 /// Times that the head's write is tried while its answers are lost.
 const HEAD_WRITE_ATTEMPTS: u32 = 6;
 
+/// Times that a head older than the base is read.
+const BASE_READ_ATTEMPTS: u32 = 3;
+
 /// First pause between attempts; each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
@@ -87,7 +90,7 @@
         return Err(ApplyError::Invalid(errors));
     }
     let cut = cut_declarations(declarations);
-    let current = read_versioned_head(store).await.map_err(ApplyError::Unavailable)?;
+    let current = read_base(store, base).await.map_err(ApplyError::Unavailable)?;
     let in_force = current.as_ref().map_or(0, |current| current.head.revision);
     let base = base.unwrap_or(in_force);
     if let Some(head) = find_applied(store, current.as_ref(), base, note).await {
@@ -157,6 +160,23 @@
     members.flat_map(|members| members.keys().cloned()).collect()
 }
 
+/// Reads the head, again if it is older than `base`, which a stale read may give.
+async fn read_base<S: ObjectStore>(
+    store: &S,
+    base: Option<u64>,
+) -> Result<Option<VersionedHead>, StoreError> {
+    let mut current = read_versioned_head(store).await?;
+    for _ in 1..BASE_READ_ATTEMPTS {
+        let in_force = current.as_ref().map_or(0, |current| current.head.revision);
+        if base.is_none_or(|base| in_force >= base) {
+            break;
+        }
+        tokio::time::sleep(FIRST_PAUSE).await;
+        current = read_versioned_head(store).await?;
+    }
+    Ok(current)
+}
+
 fn outcome_of(head: &RevisionHead, unchanged: bool) -> ApplyOutcome {
     ApplyOutcome { revision: head.revision, digest: head.digest.clone(), unchanged }
 }
--- a/crates/catkin-operator/src/listener.rs
+++ b/crates/catkin-operator/src/listener.rs
@@ -68,6 +68,8 @@
     }
 
     /// Stops taking requests and waits for those under way.
+    ///
+    /// The library's own accepting thread cannot be joined; it closes the socket right afterwards.
     pub fn stop(mut self) {
         self.join_workers();
     }
