Size a router's platform budget by the platform's list of VMs

A share of one write a second with a burst of two refused the third write of a claim. At least 20 calls may now be saved up, and the client takes its share of the platform's rates from the number of VMs that it lists.

--- a/crates/catkin-control/tests/control.rs
+++ b/crates/catkin-control/tests/control.rs
@@ -19,6 +19,9 @@
 type Courier = OrderCourier<HttpLink>;
 
 const SERVER: &str = "estimator-1";
+/// Longer than any test takes: no verdict depends on the time that passes.
+const LEASE_DURATION: Duration = Duration::from_secs(3600);
+
 const LEASE_KEY: &str = "leases/ch";
 
 fn start_engine(checks_fence: bool) -> EngineStandin {
@@ -34,8 +37,8 @@
 
 /// The courier of an owner whose servers had no order under way when it became their owner.
 fn courier() -> Arc<Courier> {
-    let limits = GateLimits { quiet: Duration::ZERO, verify_window: Duration::from_secs(60) };
-    let options = CourierOptions { limits, timeout: Duration::from_secs(5) };
+    let limits = GateLimits { quiet: Duration::ZERO, verify_window: LEASE_DURATION };
+    let options = CourierOptions { limits, timeout: Duration::from_secs(60) };
     Arc::new(OrderCourier::new(Arc::new(HttpLink), options))
 }
 
@@ -76,7 +79,11 @@
     courier: &Arc<Courier>,
     incarnation: u64,
 ) -> ControlLoop<HttpStore, Courier> {
-    let options = LeaseOptions::for_region("ch", &format!("vm-{incarnation}"), incarnation);
+    let options = LeaseOptions {
+        duration: LEASE_DURATION,
+        renew_every: LEASE_DURATION,
+        ..LeaseOptions::for_region("ch", &format!("vm-{incarnation}"), incarnation)
+    };
     let lease = Arc::new(LeaseHolder::new(Arc::clone(store), options));
     ControlLoop::new(lease, Arc::clone(courier), OrderLimits::default())
 }
@@ -179,8 +186,8 @@
     let engine = start_engine(false);
     let one_owner = courier();
     let raced = RacedLink { order: order(&engine, false, 2, 1), inner: HttpLink };
-    let limits = GateLimits { quiet: Duration::ZERO, verify_window: Duration::from_secs(60) };
-    let options = CourierOptions { limits, timeout: Duration::from_secs(5) };
+    let limits = GateLimits { quiet: Duration::ZERO, verify_window: LEASE_DURATION };
+    let options = CourierOptions { limits, timeout: Duration::from_secs(60) };
     let other_owner = OrderCourier::new(Arc::new(raced), options);
 
     let slipped = other_owner.deliver(&order(&engine, false, 1, 1)).await;
--- a/crates/catkin-platform/src/http_store.rs
+++ b/crates/catkin-platform/src/http_store.rs
@@ -14,7 +14,9 @@
 
 use crate::call_counts::{CallCounts, CallKind};
 use crate::http_call::{HttpCall, WholeAnswer};
-use crate::platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
+use crate::platform_guard::{
+    GuardLimits, HoldReason, PlatformGuard, PlatformHealth, PlatformRates,
+};
 use crate::store::{
     ObjectStore, StoreError, StoreFault, StoredObject, VmDirectory, VmListing, WriteCondition,
 };
@@ -32,6 +34,9 @@
     pub watch_threads: usize,
     /// Budget and back-off.
     pub limits: GuardLimits,
+    /// What the platform handles for the whole fleet. If given, the budget follows the number of
+    /// VMs in the platform's list.
+    pub rates: Option<PlatformRates>,
     /// Seed of the back-off's jitter; routers need different ones.
     pub seed: u64,
 }
@@ -45,6 +50,7 @@
             call_threads: 8,
             watch_threads: 2,
             limits: GuardLimits::default(),
+            rates: Some(PlatformRates::default()),
             seed,
         }
     }
@@ -141,6 +147,13 @@
         }
     }
 
+    /// Takes this router's share of the platform's rates.
+    fn share_rates(&self, routers: usize) {
+        let Some(rates) = self.options.rates else { return };
+        let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+        self.state().guard.set_limits(self.options.limits.for_fleet(routers, rates));
+    }
+
     fn note_answered(&self, answered: &Result<WholeAnswer, StoreError>) {
         let now = self.now();
         let mut state = self.state();
@@ -239,6 +252,7 @@
     async fn list_vms(&self) -> Result<Vec<VmListing>, StoreError> {
         let call = self.call(CallKind::ListVms, Method::Get, "/vms");
         let documents: Vec<VmDocument> = self.send(call).await?.into_document()?;
+        self.share_rates(documents.len());
         Ok(documents.into_iter().map(VmListing::from).collect())
     }
 }
--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -29,7 +29,7 @@
 pub use group_store::GroupStore;
 pub use http_store::{HttpStore, HttpStoreOptions};
 pub use lease_holder::{LeaseGrant, LeaseHolder, LeaseOptions, LeaseStep};
-pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth};
+pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth, PlatformRates};
 pub use store::{
     ObjectStore, StoreError, StoreFault, StoredObject, VmDirectory, VmListing, WriteCondition,
 };
--- a/crates/catkin-platform/src/platform_guard.rs
+++ b/crates/catkin-platform/src/platform_guard.rs
@@ -14,6 +14,9 @@
         pub reads_per_second: u32,
         /// Seconds of unused budget that it may save up.
         pub burst_seconds: u32,
+        /// Calls that it may save up at least, so that a claim is not cut short where the share
+        /// of one router is small.
+        pub least_burst: u32,
         /// Failures in a row after which it backs off.
         pub failures_to_open: u32,
         /// Longest first back-off.
@@ -31,6 +34,7 @@
             writes_per_second: 50,
             reads_per_second: 50,
             burst_seconds: 2,
+            least_burst: 20,
             failures_to_open: 3,
             first_backoff: Duration::from_millis(200),
             longest_backoff: Duration::from_secs(10),
@@ -39,14 +43,30 @@
     }
 }
 
+copy_type! {
+    /// Calls that the platform handles a second, for the whole fleet.
+    pub struct PlatformRates {
+        /// Writes.
+        pub writes_per_second: u32,
+        /// Reads, lists and watches.
+        pub reads_per_second: u32,
+    }
+}
+
+impl Default for PlatformRates {
+    fn default() -> Self {
+        Self { writes_per_second: 400, reads_per_second: 2000 }
+    }
+}
+
 impl GuardLimits {
-    /// Limits of one of `routers` routers that share what the platform handles a second.
-    pub fn for_fleet(routers: u32, writes_per_second: u32, reads_per_second: u32) -> Self {
+    /// These limits with the budget of one of `routers` routers that share the platform.
+    pub fn for_fleet(self, routers: u32, rates: PlatformRates) -> Self {
         let routers = routers.max(1);
         Self {
-            writes_per_second: (writes_per_second / routers).max(1),
-            reads_per_second: (reads_per_second / routers).max(1),
-            ..Self::default()
+            writes_per_second: (rates.writes_per_second / routers).max(1),
+            reads_per_second: (rates.reads_per_second / routers).max(1),
+            ..self
         }
     }
 }
@@ -84,10 +104,19 @@
 }
 
 impl CallBudget {
-    fn new(per_second: u32, burst_seconds: u32) -> Self {
-        let per_second = f64::from(per_second);
-        let most = (per_second * f64::from(burst_seconds)).max(1.0);
-        Self { per_second, most, tokens: most, filled_at: ClockTime::ZERO }
+    fn new(per_second: u32, limits: GuardLimits) -> Self {
+        let most = f64::from(
+            per_second.saturating_mul(limits.burst_seconds).max(limits.least_burst).max(1),
+        );
+        Self { per_second: f64::from(per_second), most, tokens: most, filled_at: ClockTime::ZERO }
+    }
+
+    /// Changes the rate and keeps what was saved up, as far as the new bound allows.
+    fn resize(&mut self, per_second: u32, limits: GuardLimits) {
+        let resized = Self::new(per_second, limits);
+        self.tokens = self.tokens.min(resized.most);
+        self.most = resized.most;
+        self.per_second = resized.per_second;
     }
 
     fn take(&mut self, now: ClockTime, share: f64) -> bool {
@@ -133,8 +162,8 @@
     pub fn new(limits: GuardLimits) -> Self {
         Self {
             limits,
-            reads: CallBudget::new(limits.reads_per_second, limits.burst_seconds),
-            writes: CallBudget::new(limits.writes_per_second, limits.burst_seconds),
+            reads: CallBudget::new(limits.reads_per_second, limits),
+            writes: CallBudget::new(limits.writes_per_second, limits),
             state: GuardState::Closed,
             failures: 0,
             backoffs: 0,
@@ -142,6 +171,13 @@
         }
     }
 
+    /// Changes the limits, for a fleet that has grown or shrunk.
+    pub fn set_limits(&mut self, limits: GuardLimits) {
+        self.reads.resize(limits.reads_per_second, limits);
+        self.writes.resize(limits.writes_per_second, limits);
+        self.limits = limits;
+    }
+
     /// Whether a call may be sent now.
     pub fn admit(&mut self, now: ClockTime, is_write: bool) -> Result<(), HoldReason> {
         match self.state {
--- a/crates/catkin-platform/tests/common/fleet.rs
+++ b/crates/catkin-platform/tests/common/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet's calls to the platform through an outage, without input or output.
 
 use catkin_base::ClockTime;
-use catkin_platform::{GuardLimits, PlatformGuard, PlatformHealth};
+use catkin_platform::{GuardLimits, PlatformGuard, PlatformHealth, PlatformRates};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -28,7 +28,9 @@
 /// Runs routers that each want a read every 50 ms, through an outage of two minutes.
 pub fn run_fleet(seed: u64) -> FleetTrace {
     let mut generator = StdRng::seed_from_u64(seed);
-    let limits = GuardLimits::for_fleet(ROUTERS, PLATFORM_WRITES, PLATFORM_READS);
+    let rates =
+        PlatformRates { writes_per_second: PLATFORM_WRITES, reads_per_second: PLATFORM_READS };
+    let limits = GuardLimits::default().for_fleet(ROUTERS, rates);
     let mut guards: Vec<PlatformGuard> = (0..ROUTERS).map(|_| PlatformGuard::new(limits)).collect();
     let mut calls = vec![0; (END_MILLIS / 1000) as usize];
     for millis in (0..END_MILLIS).step_by(STEP_MILLIS as usize) {
--- a/crates/catkin-platform/tests/http_store.rs
+++ b/crates/catkin-platform/tests/http_store.rs
@@ -5,8 +5,8 @@
 
 use catkin_base::RunVerdict;
 use catkin_platform::{
-    GuardLimits, HttpStore, HttpStoreOptions, ObjectStore, PlatformHealth, StoreError, StoreFault,
-    VmDirectory, WriteCondition,
+    GuardLimits, HttpStore, HttpStoreOptions, ObjectStore, PlatformHealth, PlatformRates,
+    StoreError, StoreFault, VmDirectory, WriteCondition,
 };
 use catkin_standin::{OutageKind, PlatformOptions, PlatformStandin, VmEntry};
 
@@ -111,10 +111,10 @@
     assert_eq!(limited, Err(error(StoreFault::RateLimited, RunVerdict::NotRun)));
 }
 
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn budget_holds_calls_back_before_they_are_sent() {
     let (platform, _) = start();
-    let limits = GuardLimits { writes_per_second: 1, burst_seconds: 3, ..GuardLimits::default() };
+    let limits = GuardLimits { writes_per_second: 0, least_burst: 3, ..GuardLimits::default() };
     let options = HttpStoreOptions { limits, ..HttpStoreOptions::new(platform.address(), 1) };
     let store = HttpStore::new(options);
 
@@ -185,13 +185,7 @@
 #[tokio::test]
 async fn vms_are_listed() {
     let (platform, store) = start();
-    platform.set_vms(vec![VmEntry {
-        name: "vm-1".to_owned(),
-        peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7000)),
-        domain: "a".to_owned(),
-        region: "ch".to_owned(),
-        leaving: true,
-    }]);
+    platform.set_vms(vec![vm_entry(1)]);
 
     let vms = store.list_vms().await.expect("listed");
 
@@ -199,6 +193,37 @@
     assert!(vms[0].leaving);
 }
 
+#[tokio::test(start_paused = true)]
+async fn budget_follows_the_number_of_vms() {
+    let (platform, _) = start();
+    let limits = GuardLimits { burst_seconds: 1, least_burst: 1, ..GuardLimits::default() };
+    let rates = PlatformRates { writes_per_second: 4, reads_per_second: 1000 };
+    let options = HttpStoreOptions {
+        limits,
+        rates: Some(rates),
+        ..HttpStoreOptions::new(platform.address(), 1)
+    };
+    let store = HttpStore::new(options);
+    platform.set_vms((0..4).map(vm_entry).collect());
+
+    store.list_vms().await.expect("listed");
+    let first = store.put("key/1", b"", WriteCondition::Absent).await;
+    let second = store.put("key/2", b"", WriteCondition::Absent).await;
+
+    assert!(first.is_ok());
+    assert_eq!(second, Err(error(StoreFault::RateLimited, RunVerdict::NotRun)));
+}
+
+fn vm_entry(index: u16) -> VmEntry {
+    VmEntry {
+        name: format!("vm-{index}"),
+        peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 7000 + index)),
+        domain: "a".to_owned(),
+        region: "ch".to_owned(),
+        leaving: index == 1,
+    }
+}
+
 #[tokio::test]
 async fn own_counts_match_the_platform_s() {
     let (platform, store) = start();
--- a/crates/catkin-standin/tests/standins.rs
+++ b/crates/catkin-standin/tests/standins.rs
@@ -337,16 +337,21 @@
 
 #[test]
 fn weight_store_limits_loads() {
-    let options = WeightOptions { loads_per_second: 1, ..WeightOptions::default() };
-    let store = WeightStandin::start(&options).expect("the store starts");
-    let url = format!("http://{}/weights/estimator", store.address());
+    let start = |loads_per_second| {
+        let options = WeightOptions { loads_per_second, ..WeightOptions::default() };
+        WeightStandin::start(&options).expect("the store starts")
+    };
+    let load = |store: &WeightStandin| {
+        let url = format!("http://{}/weights/estimator", store.address());
+        minreq::get(url).send().expect("answered").status_code
+    };
+    let (open, closed) = (start(1000), start(0));
 
-    let first = minreq::get(&url).send().expect("answered");
-    let second = minreq::get(&url).send().expect("answered");
+    let statuses = (load(&open), load(&closed));
 
-    assert_eq!(first.status_code, 200);
-    assert_eq!(second.status_code, 429);
-    assert_eq!(store.counts().loads["estimator"], 1);
+    assert_eq!(statuses, (200, 429));
+    assert_eq!(open.counts().loads["estimator"], 1);
+    assert_eq!(closed.counts().rate_limited, 1);
 }
 
 /// Whether an answer is missing or incomplete. The client library takes a connection that closes
