--- a/crates/catkin-control/src/order_courier.rs
+++ b/crates/catkin-control/src/order_courier.rs
@@ -50,6 +50,11 @@
         self.gate().drop_server(server);
     }
 
+    /// Whether an older order took effect after a newer one on `server` since the last call.
+    pub fn take_undone_on(&self, server: ServerId) -> bool {
+        self.undone().remove(&server)
+    }
+
     /// Takes the servers on which an older order took effect after a newer one, which the next
     /// report to the lease's holder has to say.
     pub fn take_undone(&self) -> BTreeSet<ServerId> {
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -79,6 +79,8 @@
         ServerOrder(super::ServerOrder),
         #[prost(message, tag = "20")]
         ServerOrderAnswer(super::ServerOrderAnswer),
+        #[prost(message, tag = "21")]
+        ServerState(super::ServerState),
     }
 }
 /// Membership. One update a member: the highest incarnation wins, then refutation, then state.
@@ -368,11 +370,25 @@
     pub server: u64,
     #[prost(uint64, tag = "2")]
     pub fence: u64,
-    #[prost(bool, tag = "3")]
-    pub accepted: bool,
+    #[prost(enumeration = "OrderResult", tag = "3")]
+    pub result: i32,
     #[prost(uint64, tag = "4")]
     pub newest_fence: u64,
 }
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerState {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, repeated, tag = "3")]
+    pub models: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "4")]
+    pub fence: u64,
+    /// an older order took effect after a newer one
+    #[prost(bool, tag = "5")]
+    pub undone: bool,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
@@ -551,3 +567,38 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderResult {
+    Accepted = 0,
+    /// a newer one, `newest_fence`, was taken before
+    Older = 1,
+    /// not sent yet
+    Held = 2,
+    /// sent, and nothing came back
+    Unanswered = 3,
+}
+impl OrderResult {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "ORDER_RESULT_ACCEPTED",
+            Self::Older => "ORDER_RESULT_OLDER",
+            Self::Held => "ORDER_RESULT_HELD",
+            Self::Unanswered => "ORDER_RESULT_UNANSWERED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ORDER_RESULT_ACCEPTED" => Some(Self::Accepted),
+            "ORDER_RESULT_OLDER" => Some(Self::Older),
+            "ORDER_RESULT_HELD" => Some(Self::Held),
+            "ORDER_RESULT_UNANSWERED" => Some(Self::Unanswered),
+            _ => None,
+        }
+    }
+}
--- a/crates/catkin-router/src/identity.rs
+++ b/crates/catkin-router/src/identity.rs
@@ -18,6 +18,8 @@
         pub domain: DomainId,
         /// Its region.
         pub region: RegionId,
+        /// Name of its region.
+        pub region_name: String,
         /// Address of its peer listener.
         pub peer_address: SocketAddr,
     }
@@ -32,6 +34,7 @@
             incarnation,
             domain: DomainId::from_name(&settings.domain),
             region: RegionId::from_name(&settings.region),
+            region_name: settings.region.clone(),
             peer_address: settings.peer_address,
         }
     }
--- a/crates/catkin-router/src/index.rs
+++ b/crates/catkin-router/src/index.rs
@@ -19,6 +19,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) spec: ServerSpec,
     pub(crate) resumes: bool,
+    pub(crate) checks_fencing: bool,
 }
 
 /// A declared team.
@@ -139,7 +140,13 @@
         weight: rule.weight,
         slots: rule.slots,
     };
-    ServerEntry { name: name.to_owned(), address: rule.address, spec, resumes: rule.resumes }
+    ServerEntry {
+        name: name.to_owned(),
+        address: rule.address,
+        spec,
+        resumes: rule.resumes,
+        checks_fencing: rule.checks_fencing,
+    }
 }
 
 fn group_pools(servers: &BTreeMap<ServerId, ServerEntry>) -> BTreeMap<PoolId, RankTable> {
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -22,6 +22,7 @@
 mod metric;
 mod once;
 mod operator;
+mod orders;
 mod ownership;
 mod parts;
 mod peers;
--- a/crates/catkin-router/src/ownership.rs
+++ b/crates/catkin-router/src/ownership.rs
@@ -77,6 +77,7 @@
     }
     for export in change.lost {
         table.former.remove(&export.server);
+        parts.courier.drop_server(export.server);
         hand_over(parts, index, &roster, export);
     }
     parts.admission_due.notify_one();
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, RequestId, ServerId, VmId};
+use catkin_control::{CourierOptions, OrderCourier, ServerReport};
 use catkin_peer::PeerLink;
 use catkin_peer::messages::PeerMessage;
 use catkin_platform::{ClaimBook, ClaimOptions};
@@ -21,6 +22,7 @@
 use crate::hint::HintKey;
 use crate::identity::RouterIdentity;
 use crate::index::FleetIndex;
+use crate::orders::OrderReplies;
 use crate::revision::{ChunkRequests, RevisionState};
 use crate::strikes::CrashSuspicion;
 use crate::wire::{answer_to_wire, release_to_wire};
@@ -30,7 +32,7 @@
     pub(crate) identity: RouterIdentity,
     pub(crate) clock: RuntimeClock,
     pub(crate) store: Arc<E::Store>,
-    pub(crate) backend: E::Backend,
+    pub(crate) backend: Arc<E::Backend>,
     pub(crate) peers: E::Peers,
     pub(crate) gate: Arc<DrainGate>,
     pub(crate) revisions: RevisionState,
@@ -48,6 +50,13 @@
     pub(crate) claims: ClaimBook<E::Store>,
     /// Calls that go on without their callers; joined when the router stops.
     pub(crate) once_tasks: TaskTracker,
+    /// Short tasks that answer other routers; joined when the router stops.
+    pub(crate) background: TaskTracker,
+    /// Passes orders to the servers that this router owns.
+    pub(crate) courier: OrderCourier<E::Backend>,
+    pub(crate) order_replies: OrderReplies,
+    /// Reports of servers for the holder of the region's lease.
+    pub(crate) server_reports: flume::Sender<ServerReport>,
     index: RwLock<Option<Arc<FleetIndex>>>,
     control: Mutex<ControlState>,
     pending: Mutex<BTreeMap<RequestId, PendingAsk>>,
@@ -73,6 +82,7 @@
     pub(crate) backend: E::Backend,
     pub(crate) peers: E::Peers,
     pub(crate) suspects: flume::Sender<CrashSuspicion>,
+    pub(crate) server_reports: flume::Sender<ServerReport>,
     pub(crate) hint_key: [u8; 32],
     pub(crate) start_unix: Duration,
     pub(crate) seed: u64,
@@ -84,11 +94,13 @@
         let options = ClaimOptions::new(input.identity.incarnation);
         let claims = ClaimBook::new(Arc::clone(&input.store), options);
         let control = ControlState::new(&input.identity, input.seed, clock.now());
+        let backend = Arc::new(input.backend);
+        let courier = OrderCourier::new(Arc::clone(&backend), CourierOptions::default());
         Self {
             identity: input.identity,
             clock,
             store: input.store,
-            backend: input.backend,
+            backend,
             peers: input.peers,
             gate: Arc::default(),
             revisions: RevisionState::default(),
@@ -99,6 +111,10 @@
             hints: HintKey::new(input.hint_key),
             claims,
             once_tasks: TaskTracker::new(),
+            background: TaskTracker::new(),
+            courier,
+            order_replies: OrderReplies::default(),
+            server_reports: input.server_reports,
             index: RwLock::new(None),
             control: Mutex::new(control),
             pending: Mutex::default(),
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -1,5 +1,7 @@
 //! Handles messages from other routers.
 
+use std::sync::Arc;
+
 use catkin_base::{ChatId, ClockTime, RequestDigest, RequestId, ServerId, VmId};
 use catkin_membership::{MemberAction, MessageOrigin};
 use catkin_peer::messages as wire;
@@ -8,6 +10,7 @@
 
 use crate::environment::RouterEnvironment;
 use crate::grants::decide_ask;
+use crate::orders::{take_order, take_state};
 use crate::parts::RouterParts;
 use crate::strikes::{CrashSuspicion, check_suspicion, note_strike};
 use crate::wire::{
@@ -16,7 +19,7 @@
 };
 
 /// Receives and handles messages until the link is closed.
-pub(crate) async fn run_peers<E: RouterEnvironment>(parts: &RouterParts<E>) {
+pub(crate) async fn run_peers<E: RouterEnvironment>(parts: &Arc<RouterParts<E>>) {
     while let Some((source, message)) = parts.peers.receive().await {
         parts.control().note_address(source.vm, source.address);
         handle_message(parts, source, &message);
@@ -24,7 +27,7 @@
 }
 
 fn handle_message<E: RouterEnvironment>(
-    parts: &RouterParts<E>,
+    parts: &Arc<RouterParts<E>>,
     source: MessageSource,
     message: &wire::PeerMessage,
 ) {
@@ -43,7 +46,7 @@
     handle_kind(parts, source.vm, kind);
 }
 
-fn handle_kind<E: RouterEnvironment>(parts: &RouterParts<E>, from: VmId, kind: &Kind) {
+fn handle_kind<E: RouterEnvironment>(parts: &Arc<RouterParts<E>>, from: VmId, kind: &Kind) {
     let now = parts.now();
     match kind {
         Kind::GrantAsk(ask) => {
@@ -75,7 +78,11 @@
         }
         Kind::ChunkAsk(ask) => answer_chunk_ask(parts, from, &ask.digest),
         Kind::ChunkData(data) => parts.chunks.take(data),
-        _ => {}
+        Kind::ServerOrder(order) => take_order(parts, from, order),
+        Kind::ServerOrderAnswer(answer) => parts.order_replies.take(answer),
+        Kind::ServerState(state) => take_state(parts, state),
+        // Membership messages were handled before; strikes are told, not asked for.
+        Kind::Ping(_) | Kind::PingAck(_) | Kind::PingRequest(_) | Kind::StrikeQuery(_) => {}
     }
 }
 
--- a/crates/catkin-router/src/probes.rs
+++ b/crates/catkin-router/src/probes.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use catkin_backend::{BackendError, BackendLink, ServerProbe};
-use catkin_base::ServerId;
+use catkin_base::{ClockTime, ServerId};
 use catkin_policy::{CacheNote, ServerReport};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval_at};
 
 use crate::environment::RouterEnvironment;
+use crate::orders::report_state;
 use crate::parts::RouterParts;
 use crate::strikes::{CrashSuspicion, confirm_strike};
 
@@ -20,6 +21,16 @@
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Interval between two reports of a server's state to the lease's holder.
+const STATE_INTERVAL_MILLIS: u64 = 5_000;
+
+/// What is remembered of a server between probes.
+#[derive(Debug, Clone, Copy, Default)]
+struct ProbeMemory {
+    incarnation: u64,
+    reported: Option<ClockTime>,
+}
+
 /// What a probe found.
 struct ProbeEnd {
     server: ServerId,
@@ -32,7 +43,7 @@
     parts: Arc<RouterParts<E>>,
     suspects: flume::Receiver<CrashSuspicion>,
 ) {
-    let mut incarnations = BTreeMap::new();
+    let mut memories = BTreeMap::new();
     let mut probes = JoinSet::new();
     let mut ticks = interval_at(Instant::now(), PROBE_INTERVAL);
     loop {
@@ -41,7 +52,7 @@
             Ok(suspicion) = suspects.recv_async() => {
                 spawn_probe(&parts, &mut probes, suspicion.server, Some(suspicion));
             }
-            Some(Ok(end)) = probes.join_next() => take_probe(&parts, &mut incarnations, &end),
+            Some(Ok(end)) = probes.join_next() => take_probe(&parts, &mut memories, &end),
         }
     }
 }
@@ -78,15 +89,17 @@
 
 fn take_probe<E: RouterEnvironment>(
     parts: &RouterParts<E>,
-    incarnations: &mut BTreeMap<ServerId, u64>,
+    memories: &mut BTreeMap<ServerId, ProbeMemory>,
     end: &ProbeEnd,
 ) {
     let now = parts.now();
+    let memory = memories.entry(end.server).or_default();
     let crashed = match &end.result {
         Ok(probe) => {
             parts.control().owner.note_probe(now, end.server, &to_report(probe));
-            let known = incarnations.insert(end.server, probe.incarnation);
-            known.is_some_and(|known| known != probe.incarnation)
+            report_if_due(parts, memory, end.server, probe);
+            let known = std::mem::replace(&mut memory.incarnation, probe.incarnation);
+            known != 0 && known != probe.incarnation
         }
         Err(_) => {
             parts.control().owner.note_probe_failure(now, end.server);
@@ -99,6 +112,34 @@
     parts.admission_due.notify_one();
 }
 
+fn report_if_due<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    memory: &mut ProbeMemory,
+    server: ServerId,
+    probe: &ServerProbe,
+) {
+    let now = parts.now();
+    let fresh = memory.reported.is_some_and(|at| now.millis_since(at) < STATE_INTERVAL_MILLIS);
+    if !fresh || memory.incarnation != probe.incarnation {
+        memory.reported = Some(now);
+        report_state(parts, &to_state(parts, server, probe));
+    }
+}
+
+fn to_state<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    server: ServerId,
+    probe: &ServerProbe,
+) -> catkin_control::ServerReport {
+    catkin_control::ServerReport {
+        server,
+        incarnation: probe.incarnation,
+        models: probe.models.clone(),
+        fence: probe.fence,
+        undone: parts.courier.take_undone_on(server),
+    }
+}
+
 fn to_report(probe: &ServerProbe) -> ServerReport {
     let events = probe.events.iter().map(|event| CacheNote {
         sequence: event.sequence,
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -14,6 +14,7 @@
 use crate::environment::RouterEnvironment;
 use crate::fleet::{run_audits, run_directory, run_fleet, run_reports};
 use crate::identity::RouterIdentity;
+use crate::orders::{REPORT_QUEUE_LENGTH, run_orders};
 use crate::parts::{PartsInput, RouterParts};
 use crate::peers::{run_peers, send_actions};
 use crate::probes::run_probes;
@@ -56,6 +57,7 @@
     /// Starts the tasks of a router on the current runtime.
     pub fn start(input: RouterInput<E>) -> Self {
         let (suspects, suspect_queue) = flume::bounded(SUSPECT_QUEUE_LENGTH);
+        let (server_reports, report_queue) = flume::bounded(REPORT_QUEUE_LENGTH);
         let seeds = input.seeds;
         let parts = Arc::new(RouterParts::new(PartsInput {
             identity: input.identity,
@@ -63,6 +65,7 @@
             backend: input.backend,
             peers: input.peers,
             suspects,
+            server_reports,
             hint_key: input.hint_key,
             start_unix: input.start_unix,
             seed: input.seed,
@@ -80,6 +83,7 @@
         core.spawn(|parts| async move { run_revisions(&parts).await });
         core.spawn(|parts| async move { run_directory(&parts, seeds).await });
         core.spawn(|parts| async move { run_probes(parts, suspect_queue).await });
+        core.spawn(|parts| async move { run_orders(parts, report_queue).await });
         core
     }
 
@@ -133,6 +137,8 @@
     async fn join_tasks(&mut self) {
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
+        self.parts.background.close();
+        self.parts.background.wait().await;
     }
 
     fn spawn<F>(&mut self, run: impl FnOnce(Arc<RouterParts<E>>) -> F)
