Tell two routers apart that started in the same microsecond

A router's incarnation is the time of its start. Two routers with the same one gave their claims the same nonce: each took the other's claim for its own, and both sent. The nonce now comes from the VM and the incarnation.

--- a/crates/catkin-platform/src/claim_book.rs
+++ b/crates/catkin-platform/src/claim_book.rs
@@ -29,8 +29,8 @@
 copy_type! {
     /// How a router handles claims.
     pub struct ClaimOptions {
-        /// Drawn at random when the router starts.
-        pub incarnation: u64,
+        /// The router's process, see [`process_nonce`](crate::process_nonce).
+        pub process: u64,
         /// Whether claims are marked when their request is sent.
         pub mode: ClaimMode,
         /// Tries to settle a call whose answer was lost.
@@ -46,10 +46,10 @@
 }
 
 impl ClaimOptions {
-    /// Defaults for a router's incarnation.
-    pub fn new(incarnation: u64) -> Self {
+    /// Defaults for a router's process.
+    pub fn new(process: u64) -> Self {
         Self {
-            incarnation,
+            process,
             mode: ClaimMode::Marked,
             settle_tries: 3,
             settle_pause: Duration::from_millis(50),
@@ -252,7 +252,7 @@
         };
         ClaimDocument {
             body_digest: body_digest.to_owned(),
-            nonce: ClaimNonce { incarnation: self.options.incarnation, sequence },
+            nonce: ClaimNonce { process: self.options.process, sequence },
             state,
             claimed_at_unix: moment.unix_seconds,
             answer: None,
--- a/crates/catkin-platform/src/claim_document.rs
+++ b/crates/catkin-platform/src/claim_document.rs
@@ -2,7 +2,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use catkin_base::{TeamId, copy_type, digest_hex, document_type, value_type};
+use catkin_base::{TeamId, VmId, copy_type, digest_hex, document_type, hash_parts, value_type};
 
 /// Largest answer body that is recorded, in bytes. Encoded it stays below the platform's limit.
 pub const MAX_RECORDED_BYTES: usize = 512 * 1024;
@@ -31,13 +31,19 @@
 /// Prefix of the keys of all claims.
 pub(crate) const CLAIM_PREFIX: &str = "claims/";
 
+/// Names one process among all routers: VMs may start in the same instant and so have the same
+/// incarnation number.
+pub fn process_nonce(vm: VmId, incarnation: u64) -> u64 {
+    hash_parts(&[&vm.0.to_le_bytes(), &incarnation.to_le_bytes()])
+}
+
 copy_type! {
-    /// Tells one claim from every other: the router's incarnation and a number of its own.
+    /// Tells one claim from every other: the router's process and a number of its own.
     #[derive(serde::Serialize, serde::Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct ClaimNonce {
-        /// Drawn at random when the router started.
-        pub incarnation: u64,
+        /// The router's process, see [`process_nonce`].
+        pub process: u64,
         /// Counts the router's claims.
         pub sequence: u64,
     }
@@ -45,7 +51,7 @@
 
 impl ClaimNonce {
     /// The least nonce.
-    pub(crate) const FIRST: Self = Self { incarnation: 0, sequence: 0 };
+    pub(crate) const FIRST: Self = Self { process: 0, sequence: 0 };
 }
 
 copy_type! {
--- a/crates/catkin-platform/src/group_log.rs
+++ b/crates/catkin-platform/src/group_log.rs
@@ -21,7 +21,7 @@
     pub struct GroupOptions {
         /// Prefix of the keys of its segments, with a slash at the end.
         pub prefix: String,
-        /// Drawn at random when the router starts.
+        /// The writer's process, see [`process_nonce`](crate::process_nonce).
         pub writer: u64,
         /// Seconds since 1970 at the start of the router.
         pub unix_at_start: u64,
--- a/crates/catkin-platform/src/lease_holder.rs
+++ b/crates/catkin-platform/src/lease_holder.rs
@@ -15,8 +15,8 @@
         pub object_key: String,
         /// Name of this router, shown to operators.
         pub holder: String,
-        /// Drawn at random when the router starts.
-        pub incarnation: u64,
+        /// This router's process, see [`process_nonce`](crate::process_nonce).
+        pub process: u64,
         /// Time without a renewal after which others take the lease over.
         pub duration: Duration,
         /// Time before the end at which the holder stops to act.
@@ -28,11 +28,11 @@
 
 impl LeaseOptions {
     /// Defaults for the lease of a region.
-    pub fn for_region(region: &str, holder: &str, incarnation: u64) -> Self {
+    pub fn for_region(region: &str, holder: &str, process: u64) -> Self {
         Self {
             object_key: format!("leases/{region}"),
             holder: holder.to_owned(),
-            incarnation,
+            process,
             duration: Duration::from_secs(10),
             margin: Duration::from_secs(3),
             renew_every: Duration::from_secs(2),
@@ -45,7 +45,7 @@
     #[derive(Eq)]
     struct LeaseDocument {
         holder: String,
-        incarnation: u64,
+        process: u64,
         fence: u64,
         renewals: u64,
         released: bool,
@@ -195,7 +195,7 @@
             return LeaseStep::Waiting;
         };
         let condition = WriteCondition::Version(found.version);
-        if document.incarnation == self.options.incarnation {
+        if document.process == self.options.process {
             return self.step_as_own(document, found.version).await;
         }
         self.state().held = None;
@@ -233,7 +233,7 @@
     async fn take(&self, former_fence: u64, condition: WriteCondition) -> LeaseStep {
         let document = LeaseDocument {
             holder: self.options.holder.clone(),
-            incarnation: self.options.incarnation,
+            process: self.options.process,
             fence: former_fence + 1,
             renewals: 0,
             released: false,
--- a/crates/catkin-platform/tests/claims.rs
+++ b/crates/catkin-platform/tests/claims.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, TeamId};
+use catkin_base::{ClockTime, TeamId, VmId};
 use catkin_platform::{
     ClaimBook, ClaimKey, ClaimMode, ClaimMoment, ClaimOptions, ClaimOutcome, ClaimTicket,
-    MAX_RECORDED_BYTES, MarkError, RecordEnd, RecordedAnswer, RecordedBody,
+    MAX_RECORDED_BYTES, MarkError, RecordEnd, RecordedAnswer, RecordedBody, process_nonce,
 };
 use common::{MemoryStore, WriteFault};
 
@@ -400,6 +400,19 @@
     assert_eq!(words, ["fresh", "in-progress"]);
 }
 
+/// Routers count their incarnations from the time of their start, which two may share.
+#[tokio::test(start_paused = true)]
+async fn two_routers_started_in_the_same_instant_send_once() {
+    let store = MemoryStore::shared();
+    let start = |name: &str| book(&store, process_nonce(VmId::from_name(name), 1_700_000_000));
+    let (first, second) = (start("vm-1"), start("vm-2"));
+
+    let one = claim(&first, "k", 0).await;
+    let two = claim(&second, "k", 0).await;
+
+    assert_eq!((word(&one), word(&two)), ("fresh", "in-progress"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn same_key_with_another_body_is_refused() {
     let store = MemoryStore::shared();
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -8,7 +8,7 @@
 use catkin_control::{CourierOptions, OrderCourier, ServerReport};
 use catkin_peer::PeerLink;
 use catkin_peer::messages::PeerMessage;
-use catkin_platform::{ClaimBook, ClaimOptions};
+use catkin_platform::{ClaimBook, ClaimOptions, process_nonce};
 use catkin_policy::{GrantAnswer, GrantExport, GrantRelease, ServerSpec, choose_owner};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -91,7 +91,8 @@
 impl<E: RouterEnvironment> RouterParts<E> {
     pub(crate) fn new(input: PartsInput<E>) -> Self {
         let clock = RuntimeClock::start_now(input.start_unix);
-        let options = ClaimOptions::new(input.identity.incarnation);
+        let process = process_nonce(input.identity.vm, input.identity.incarnation);
+        let options = ClaimOptions::new(process);
         let claims = ClaimBook::new(Arc::clone(&input.store), options);
         let control = ControlState::new(&input.identity, input.seed, clock.now());
         let backend = Arc::new(input.backend);
