Keep membership between routers: probes, suspicion, refutation, merging

The table knew only its own router. It now probes one member a second, asks three others where no answer came, and spreads beliefs on its messages; where the views of two routers differ, by a digest, the rest of a message is filled with beliefs in turn. Dead members are probed rarely, so that halves of a split fleet merge again. A frame may leave its receiver unnamed if it is a ping: the addresses in the settings name no VM.

--- a/crates/catkin-membership/src/lib.rs
+++ b/crates/catkin-membership/src/lib.rs
@@ -22,7 +22,10 @@
 
 mod member;
 mod message;
+mod probe;
+mod record;
 mod rules;
+mod spread;
 mod table;
 
 pub use member::{MemberEvent, MemberEventKind, MemberSpec, MemberState, MemberUpdate, MemberView};
--- a/crates/catkin-membership/src/rules.rs
+++ b/crates/catkin-membership/src/rules.rs
@@ -24,6 +24,8 @@
         pub indirect_probes: usize,
         /// Most updates in one message.
         pub updates_per_message: usize,
+        /// Members told directly when this router leaves.
+        pub leave_messages: usize,
         /// Times that one update is sent, per doubling of the number of members.
         pub sends_per_doubling: u32,
     }
@@ -41,6 +43,7 @@
             forget_millis: 15 * 60 * 1_000,
             indirect_probes: 3,
             updates_per_message: 8,
+            leave_messages: 16,
             sends_per_doubling: 3,
         }
     }
--- /dev/null
+++ b/crates/catkin-membership/src/spread.rs
@@ -0,0 +1,39 @@
+//! Which beliefs are spread next.
+
+use std::collections::BTreeMap;
+
+use catkin_base::VmId;
+
+/// Members whose beliefs changed, with how often each was sent since.
+#[derive(Debug, Default)]
+pub(crate) struct SpreadQueue {
+    sends: BTreeMap<VmId, u32>,
+}
+
+impl SpreadQueue {
+    /// Starts to spread the belief about `vm`, from the beginning if it was spreading.
+    pub(crate) fn push(&mut self, vm: VmId) {
+        self.sends.insert(vm, 0);
+    }
+
+    /// Stops spreading the belief about `vm`.
+    pub(crate) fn remove(&mut self, vm: VmId) {
+        self.sends.remove(&vm);
+    }
+
+    /// Takes up to `count` members, least sent first; each leaves the queue after `max_sends`.
+    pub(crate) fn take(&mut self, count: usize, max_sends: u32) -> Vec<VmId> {
+        let mut waiting: Vec<(u32, VmId)> =
+            self.sends.iter().map(|(&vm, &sends)| (sends, vm)).collect();
+        waiting.sort_unstable();
+        waiting.truncate(count);
+        for &(sends, vm) in &waiting {
+            if sends + 1 < max_sends {
+                self.sends.insert(vm, sends + 1);
+            } else {
+                self.sends.remove(&vm);
+            }
+        }
+        waiting.into_iter().map(|(_, vm)| vm).collect()
+    }
+}
--- /dev/null
+++ b/crates/catkin-membership/tests/common/mod.rs
@@ -0,0 +1,256 @@
+//! A fleet of member tables on simulated time, with delay, loss and splits between them.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use catkin_base::{ClockTime, DomainId, RegionId, VmId};
+use catkin_membership::{
+    MemberAction, MemberEvent, MemberEventKind, MemberMessage, MemberSpec, MemberTable,
+    MembershipRules, MessageOrigin,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const MIN_DELAY_MICROS: u64 = 500;
+const MAX_DELAY_MICROS: u64 = 5_000;
+
+/// A message on its way.
+#[derive(Debug, Clone)]
+struct Flight {
+    origin: MessageOrigin,
+    address: SocketAddr,
+    message: MemberMessage,
+}
+
+/// A running router.
+pub struct SimNode {
+    pub table: MemberTable,
+    pub spec: MemberSpec,
+    pub events: Vec<(ClockTime, MemberEvent)>,
+    pub sent_bytes: u64,
+    pub paused: bool,
+}
+
+/// A fleet on simulated time.
+pub struct SimFleet {
+    pub now: ClockTime,
+    pub loss_percent: u32,
+    pub nodes: BTreeMap<SocketAddr, SimNode>,
+    rules: MembershipRules,
+    random: StdRng,
+    flights: BTreeMap<(ClockTime, u64), Flight>,
+    flown: u64,
+    cut: Option<(BTreeSet<SocketAddr>, BTreeSet<SocketAddr>)>,
+    message_bytes: fn(&MemberMessage) -> u64,
+}
+
+/// The router with this number, in the first start of its process.
+pub fn spec(number: u16) -> MemberSpec {
+    MemberSpec {
+        vm: VmId(1_000 + u64::from(number)),
+        incarnation: 1,
+        address: ([10, 0, (number >> 8) as u8, number as u8], 7001).into(),
+        domain: DomainId(u64::from(number % 3)),
+        region: RegionId(1),
+    }
+}
+
+pub fn specs(count: u16) -> Vec<MemberSpec> {
+    (0..count).map(spec).collect()
+}
+
+impl SimFleet {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: ClockTime::from_millis(1_000),
+            loss_percent: 0,
+            nodes: BTreeMap::new(),
+            rules: MembershipRules::default(),
+            random: StdRng::seed_from_u64(seed),
+            flights: BTreeMap::new(),
+            flown: 0,
+            cut: None,
+            message_bytes: |_| 0,
+        }
+    }
+
+    /// Counts sent bytes by this measure.
+    pub fn measuring(mut self, message_bytes: fn(&MemberMessage) -> u64) -> Self {
+        self.message_bytes = message_bytes;
+        self
+    }
+
+    /// A fleet in which every router knows every other, run until their views agree.
+    pub fn settled(count: u16, seed: u64) -> Self {
+        let mut fleet = Self::new(seed);
+        fleet.start_all(count);
+        fleet.run_millis(20_000);
+        fleet
+    }
+
+    /// Starts routers that take their first list of VMs from the platform.
+    pub fn start_all(&mut self, count: u16) {
+        let listed = specs(count);
+        for spec in &listed {
+            self.start(*spec, &listed);
+        }
+    }
+
+    /// Starts a router that was given a list of others.
+    pub fn start(&mut self, spec: MemberSpec, listed: &[MemberSpec]) {
+        let seed = self.random.random();
+        let mut table = MemberTable::new(spec, self.rules, seed, self.now);
+        table.seed(self.now, listed);
+        let node = SimNode { table, spec, events: Vec::new(), sent_bytes: 0, paused: false };
+        self.nodes.insert(spec.address, node);
+    }
+
+    /// Ends a router's process without notice.
+    pub fn crash(&mut self, number: u16) {
+        self.nodes.remove(&spec(number).address);
+    }
+
+    /// Shuts a router down gracefully; its process goes on until [`Self::crash`].
+    pub fn leave(&mut self, number: u16) {
+        let address = spec(number).address;
+        let now = self.now;
+        let actions = self.node_mut(number).table.leave(now);
+        self.send_all(address, &actions);
+    }
+
+    /// Cuts the network between the first `count` routers and the rest.
+    pub fn split(&mut self, count: u16) {
+        let left: BTreeSet<SocketAddr> = (0..count).map(|number| spec(number).address).collect();
+        let right = self.nodes.keys().copied().filter(|it| !left.contains(it)).collect();
+        self.cut = Some((left, right));
+    }
+
+    pub fn heal(&mut self) {
+        self.cut = None;
+    }
+
+    pub fn node(&self, number: u16) -> &SimNode {
+        &self.nodes[&spec(number).address]
+    }
+
+    pub fn node_mut(&mut self, number: u16) -> &mut SimNode {
+        self.nodes.get_mut(&spec(number).address).unwrap()
+    }
+
+    pub fn run_millis(&mut self, millis: u64) {
+        let end = self.now.plus_millis(millis);
+        while let Some(next) = self.next_step().filter(|&next| next <= end) {
+            self.now = self.now.max(next);
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done`, at most `max_millis`; returns the milliseconds that it took.
+    pub fn run_until(&mut self, max_millis: u64, done: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start = self.now;
+        while self.now.millis_since(start) <= max_millis {
+            if done(self) {
+                return Some(self.now.millis_since(start));
+            }
+            self.run_millis(100);
+        }
+        None
+    }
+
+    /// Routers, by number of its VM, that this router takes as live.
+    pub fn live_at(&self, number: u16) -> Vec<u64> {
+        self.node(number).table.live().map(|view| view.spec.vm.0 - 1_000).collect()
+    }
+
+    /// Whether every running router takes exactly `count` routers as live.
+    pub fn all_see(&self, count: usize) -> bool {
+        self.nodes.values().all(|node| node.table.live().count() == count)
+    }
+
+    /// Events of one kind at all routers.
+    pub fn count_events(&self, kind: MemberEventKind) -> usize {
+        let events = self.nodes.values().flat_map(|node| &node.events);
+        events.filter(|(_, event)| event.kind == kind).count()
+    }
+
+    pub fn clear_events(&mut self) {
+        self.nodes.values_mut().for_each(|node| node.events.clear());
+    }
+
+    pub fn sent_bytes(&self) -> u64 {
+        self.nodes.values().map(|node| node.sent_bytes).sum()
+    }
+
+    fn next_step(&self) -> Option<ClockTime> {
+        let running = self.nodes.values().filter(|node| !node.paused);
+        let due = running.map(|node| node.table.next_due()).min();
+        let arrival = self.flights.keys().next().map(|&(time, _)| time);
+        due.into_iter().chain(arrival).min()
+    }
+
+    fn step(&mut self) {
+        while let Some(entry) = self.flights.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let flight = entry.remove();
+            self.arrive(&flight);
+        }
+        let now = self.now;
+        let due: Vec<SocketAddr> = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| !node.paused && node.table.next_due() <= now)
+            .map(|(&address, _)| address)
+            .collect();
+        for address in due {
+            let node = self.nodes.get_mut(&address).unwrap();
+            let actions = node.table.tick(now);
+            node.take_events(now);
+            self.send_all(address, &actions);
+        }
+    }
+
+    fn arrive(&mut self, flight: &Flight) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&flight.address).filter(|node| !node.paused) else {
+            return;
+        };
+        let actions = node.table.receive(now, flight.origin, &flight.message);
+        node.take_events(now);
+        self.send_all(flight.address, &actions);
+    }
+
+    fn send_all(&mut self, from: SocketAddr, actions: &[MemberAction]) {
+        let spec = self.nodes[&from].spec;
+        let origin =
+            MessageOrigin { vm: spec.vm, incarnation: spec.incarnation, address: spec.address };
+        for action in actions {
+            let MemberAction::Send { address, message, .. } = action;
+            self.nodes.get_mut(&from).unwrap().sent_bytes += (self.message_bytes)(message);
+            if self.is_cut(from, *address) || self.random.random_range(0..100) < self.loss_percent {
+                continue;
+            }
+            let delay = self.random.random_range(MIN_DELAY_MICROS..MAX_DELAY_MICROS);
+            self.flown += 1;
+            let flight = Flight { origin, address: *address, message: message.clone() };
+            self.flights.insert((ClockTime(self.now.0 + delay), self.flown), flight);
+        }
+    }
+
+    fn is_cut(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        self.cut.as_ref().is_some_and(|(left, right)| {
+            (left.contains(&from) && right.contains(&to))
+                || (right.contains(&from) && left.contains(&to))
+        })
+    }
+}
+
+impl SimNode {
+    fn take_events(&mut self, now: ClockTime) {
+        let events = self.table.events();
+        self.events.extend(events.into_iter().map(|event| (now, event)));
+    }
+}
--- a/crates/catkin-peer/src/frame.rs
+++ b/crates/catkin-peer/src/frame.rs
@@ -7,12 +7,16 @@
 
 use crate::ignored::IgnoreReason;
 use crate::key::{PeerKey, TAG_BYTES};
+use crate::messages::peer_message::Kind;
 use crate::messages::{Envelope, PeerMessage};
 use crate::replay::SenderWindows;
 
 /// Version of the protocol that this program speaks. It takes frames of one version apart.
 pub const PROTOCOL_VERSION: u32 = 1;
 
+/// Receiver of a frame whose sender knows only the address.
+const UNNAMED_RECEIVER: u64 = 0;
+
 /// The tag is the envelope's last field: its field key and its length.
 const TAG_PREFIX: [u8; 2] = [0x3a, TAG_BYTES as u8];
 
@@ -137,6 +141,7 @@
         check_version(envelope)?;
         self.check_receiver(envelope)?;
         let message = decode_body(envelope)?;
+        check_unnamed(envelope, &message)?;
         self.senders.take(sender.vm, sender.incarnation, envelope.sequence)?;
         Ok(OpenedFrame { sender, message })
     }
@@ -153,7 +158,7 @@
     }
 
     fn check_receiver(&self, envelope: &Envelope) -> Result<(), IgnoreReason> {
-        if envelope.receiver != self.own.vm.0 {
+        if ![self.own.vm.0, UNNAMED_RECEIVER].contains(&envelope.receiver) {
             return Err(IgnoreReason::OtherReceiver);
         }
         let meant = envelope.receiver_incarnation;
@@ -171,6 +176,15 @@
     Ok(())
 }
 
+/// A sender that does not know the receiver's VM may only ping it.
+fn check_unnamed(envelope: &Envelope, message: &PeerMessage) -> Result<(), IgnoreReason> {
+    let is_ping = matches!(message.kind, Some(Kind::Ping(_)));
+    if envelope.receiver == UNNAMED_RECEIVER && !is_ping {
+        return Err(IgnoreReason::OtherReceiver);
+    }
+    Ok(())
+}
+
 fn decode_body(envelope: &Envelope) -> Result<PeerMessage, IgnoreReason> {
     PeerMessage::decode(envelope.body.as_slice()).map_err(|_| IgnoreReason::Malformed)
 }
--- a/crates/catkin-peer/tests/frames.rs
+++ b/crates/catkin-peer/tests/frames.rs
@@ -64,6 +64,19 @@
     assert_eq!(reason, Some(IgnoreReason::OtherReceiver));
 }
 
+#[test]
+fn only_a_ping_may_leave_its_receiver_unnamed() {
+    let unnamed = VmId(0);
+    let sealer = sealer(9);
+    let ask = PeerMessage { kind: Some(Kind::ChunkAsk(Default::default())) };
+    let mut opener = opener();
+
+    let reasons =
+        [ping(1), ask].map(|message| open_reason(&mut opener, &sealer.seal(unnamed, 0, &message)));
+
+    assert_eq!(reasons, [None, Some(IgnoreReason::OtherReceiver)]);
+}
+
 #[test]
 fn frame_for_an_earlier_process_of_the_receiver_is_ignored_with_its_sender_known() {
     let frame = sealer(9).seal(RECEIVER, 4, &ping(3));
