--- /dev/null
+++ b/crates/catkin-ctl/src/cli.rs
@@ -0,0 +1,144 @@
+//! The command line: commands, arguments and help.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use clap_complete::Shell;
+
+/// Name of the program.
+pub(crate) const PROGRAM: &str = "catkin-ctl";
+
+/// Seconds that an accepted revision gets to be in force everywhere.
+const DEFAULT_WAIT_SECONDS: &str = "10";
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  refused or failed
+  2  wrong command line
+  3  another revision is in force than the base
+  4  accepted, but not in force on every live router in time";
+
+/// The whole command line.
+pub(crate) fn build_command() -> Command {
+    Command::new(PROGRAM)
+        .about("Checks, applies and reads back the declarations of a catkinpitch fleet")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global_arguments())
+        .subcommands(file_commands())
+        .subcommands(router_commands())
+}
+
+fn global_arguments() -> [Arg; 4] {
+    [
+        Arg::new("router")
+            .long("router")
+            .value_name("IP:PORT")
+            .help("Operators' address of a router; several are tried in order")
+            .action(ArgAction::Append)
+            .value_parser(value_parser!(SocketAddr))
+            .global(true),
+        Arg::new("token-file")
+            .long("token-file")
+            .value_name("FILE")
+            .help("File with the operators' token; else the variable CATKIN_TOKEN")
+            .value_parser(value_parser!(PathBuf))
+            .global(true),
+        Arg::new("timeout")
+            .long("timeout")
+            .value_name("SECONDS")
+            .help("Time that a router gets for an answer")
+            .default_value("30")
+            .value_parser(value_parser!(u64).range(1..=3600))
+            .global(true),
+        Arg::new("json").long("json").help("Writes JSON").action(ArgAction::SetTrue).global(true),
+    ]
+}
+
+fn file_commands() -> [Command; 4] {
+    [
+        Command::new("check")
+            .about("Checks declarations, or a router's settings, without a router")
+            .arg(path_argument())
+            .arg(
+                Arg::new("kind")
+                    .long("kind")
+                    .value_parser(["declarations", "router"])
+                    .default_value("declarations")
+                    .help("What the file holds"),
+            ),
+        Command::new("diff")
+            .about("Shows what would change if the declarations were applied")
+            .arg(path_argument()),
+        Command::new("apply")
+            .about("Puts declarations in force, whole or not at all, and waits for every router")
+            .arg(path_argument())
+            .arg(base_argument().required(true))
+            .args(note_arguments())
+            .arg(wait_argument()),
+        Command::new("completions").about("Writes completions for a shell").arg(
+            Arg::new("shell").required(true).value_name("SHELL").value_parser(value_parser!(Shell)),
+        ),
+    ]
+}
+
+fn router_commands() -> [Command; 5] {
+    [
+        Command::new("status").about("Shows routers, servers, leases, quarantine and platform"),
+        Command::new("show").about("Writes the declarations in force"),
+        Command::new("history").about("Lists the newest revisions"),
+        Command::new("rollback")
+            .about("Puts an older revision in force again, as a new one")
+            .arg(
+                Arg::new("revision")
+                    .required(true)
+                    .value_name("REVISION")
+                    .value_parser(value_parser!(u64)),
+            )
+            .arg(base_argument())
+            .args(note_arguments())
+            .arg(wait_argument()),
+        Command::new("drain").about("Drains the first router named by --router"),
+    ]
+}
+
+fn path_argument() -> Arg {
+    Arg::new("path")
+        .required(true)
+        .value_name("PATH")
+        .help("File, or folder whose .json files are read as one")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn base_argument() -> Arg {
+    Arg::new("base")
+        .long("base")
+        .value_name("REVISION")
+        .help("Revision that the change was made from; 0 if none was in force")
+        .value_parser(value_parser!(u64))
+}
+
+fn note_arguments() -> [Arg; 2] {
+    [
+        Arg::new("author").long("author").value_name("NAME").help("Who applies; else USER"),
+        Arg::new("comment")
+            .long("comment")
+            .short('m')
+            .value_name("TEXT")
+            .default_value("")
+            .help("Why"),
+    ]
+}
+
+fn wait_argument() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .value_name("SECONDS")
+        .help("Time that every live router gets to have the revision in force")
+        .default_value(DEFAULT_WAIT_SECONDS)
+        .value_parser(value_parser!(u64).range(0..=3600))
+}
--- a/crates/catkin-ctl/src/main.rs
+++ b/crates/catkin-ctl/src/main.rs
@@ -1,3 +1,10 @@
 //! Operators' command line.
 
-fn main() {}
+use std::io;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let verdict =
+        catkin_ctl::run_command(std::env::args_os(), &mut io::stdout(), &mut io::stderr());
+    ExitCode::from(verdict.code())
+}
--- a/crates/catkin-router/src/operator.rs
+++ b/crates/catkin-router/src/operator.rs
@@ -69,7 +69,7 @@
     fn rollback(&self, request: RollbackRequest) -> Result<ApplyAnswer, OperatorError> {
         let note = self.note(request.apply_id, request.author, request.comment);
         let store = self.view.store();
-        let applied = rollback_declarations(store, request.revision, None, &note);
+        let applied = rollback_declarations(store, request.revision, request.base, &note);
         Ok(to_answer(self.runtime.block_on(applied)?))
     }
 
