--- a/crates/catkin-ctl/src/apply.rs
+++ b/crates/catkin-ctl/src/apply.rs
@@ -26,6 +26,7 @@
         digest: String,
         unchanged: bool,
         lacking: Vec<String>,
+        newest: u64,
     }
 }
 
@@ -84,6 +85,14 @@
     matches.get_one::<String>("comment").cloned().unwrap_or_default()
 }
 
+/// How far a revision has come.
+struct RevisionReach {
+    /// VMs of the live routers that are not known to have it.
+    lacking: Vec<String>,
+    /// The newest revision known.
+    newest: u64,
+}
+
 /// Waits until every live router has the revision, and writes which do not.
 fn await_in_force(
     client: &OperatorClient,
@@ -92,46 +101,62 @@
     output: &mut impl Write,
 ) -> Result<(), CommandFailure> {
     let seconds = matches.get_one::<u64>("wait").copied().unwrap_or_default();
-    let lacking = poll_lacking(client, answer.revision, seconds * 1000 / POLL_MILLIS)?;
+    let reach = poll_reach(client, answer.revision, seconds * 1000 / POLL_MILLIS)?;
     if is_json(matches) {
-        let report = ApplyReport {
-            revision: answer.revision,
-            digest: answer.digest.clone(),
-            unchanged: answer.unchanged,
-            lacking: lacking.clone(),
-        };
-        write_json(&report, output)?;
-    } else if answer.unchanged {
-        writeln!(output, "revision {} holds this already", answer.revision)?;
+        write_json(&report_of(answer, &reach), output)?;
     } else {
-        writeln!(output, "revision {} is accepted", answer.revision)?;
+        write_reach(answer, &reach, output)?;
+    }
+    if reach.lacking.is_empty() {
+        return Ok(());
     }
-    if !lacking.is_empty() {
-        return Err(CommandFailure::NotInForce { revision: answer.revision, lacking });
+    Err(CommandFailure::NotInForce { revision: answer.revision, lacking: reach.lacking })
+}
+
+fn report_of(answer: &ApplyAnswer, reach: &RevisionReach) -> ApplyReport {
+    ApplyReport {
+        revision: answer.revision,
+        digest: answer.digest.clone(),
+        unchanged: answer.unchanged,
+        lacking: reach.lacking.clone(),
+        newest: reach.newest,
     }
-    if !is_json(matches) {
+}
+
+fn write_reach(
+    answer: &ApplyAnswer,
+    reach: &RevisionReach,
+    output: &mut impl Write,
+) -> Result<(), CommandFailure> {
+    let revision = answer.revision;
+    let result = if answer.unchanged { "holds this already" } else { "is accepted" };
+    writeln!(output, "revision {revision} {result}")?;
+    if reach.newest > revision {
+        writeln!(output, "revision {} has replaced it since", reach.newest)?;
+    } else if reach.lacking.is_empty() {
         writeln!(output, "in force on every live router")?;
     }
     Ok(())
 }
 
-fn poll_lacking(
+fn poll_reach(
     client: &OperatorClient,
     revision: u64,
     polls: u64,
-) -> Result<Vec<String>, CommandFailure> {
+) -> Result<RevisionReach, CommandFailure> {
     for _ in 0..polls {
-        let status = client.status();
-        if status.is_ok_and(|status| list_lacking(&status, revision).is_empty()) {
-            return Ok(Vec::new());
+        if let Ok(status) = client.status() {
+            let reach = reach_of(&status, revision);
+            if reach.lacking.is_empty() {
+                return Ok(reach);
+            }
         }
         thread::sleep(Duration::from_millis(POLL_MILLIS));
     }
-    Ok(list_lacking(&client.status()?, revision))
+    Ok(reach_of(&client.status()?, revision))
 }
 
-/// VMs of the live routers that are not known to have the revision.
-fn list_lacking(status: &FleetStatus, revision: u64) -> Vec<String> {
+fn reach_of(status: &FleetStatus, revision: u64) -> RevisionReach {
     let is_lacking =
         |member: &&MemberStatus| is_live(member) && member.revision.is_none_or(|r| r < revision);
     let lacking = status.members.iter().filter(is_lacking).map(|member| member.vm.clone());
@@ -139,7 +164,9 @@
     if status.revision.is_none_or(|held| held < revision) && !lacking.contains(&status.router) {
         lacking.push(status.router.clone());
     }
-    lacking
+    let known = status.members.iter().filter_map(|member| member.revision);
+    let newest = known.chain(status.revision).max().unwrap_or(revision);
+    RevisionReach { lacking, newest }
 }
 
 fn is_live(member: &MemberStatus) -> bool {
