Keep the lease while owners are slow, and give it up where no reports arrive

A holder waited up to 5 s for each order's reply and renewed its lease only between rounds: two silent owners cost it the lease. It now renews before each order. A holder that is no longer a candidate of its region gets no reports from owners; it releases the lease, as does a router that drains. The lease names the process by VM and start, not by the start alone.

Test holder_keeps_its_lease_while_owners_are_silent: 'NotHolder' before, five orders under one term after (cargo test -p catkin-control, 30 passed).

--- a/crates/catkin-control/src/control_loop.rs
+++ b/crates/catkin-control/src/control_loop.rs
@@ -75,7 +75,7 @@
     async fn deliver_due(&mut self, grant: LeaseGrant) -> ControlStep {
         let mut ordered = 0;
         while let Some(order) = self.book.next_order(self.now()) {
-            if !self.lease.is_current(grant) {
+            if !self.still_holds(grant).await {
                 return ControlStep::NotHolder;
             }
             let reply = self.route.deliver(&order).await;
@@ -89,6 +89,14 @@
         ControlStep::Ordered(ordered)
     }
 
+    /// Whether the grant still holds. Renews the lease if that is due, since replies may be slow.
+    async fn still_holds(&self, grant: LeaseGrant) -> bool {
+        match self.lease.step().await {
+            LeaseStep::Held(current) => current.fence == grant.fence,
+            LeaseStep::Waiting | LeaseStep::PlatformDown => false,
+        }
+    }
+
     fn now(&self) -> ClockTime {
         ClockTime::ZERO.plus(self.started_at.elapsed())
     }
--- /dev/null
+++ b/crates/catkin-control/tests/slow_owner.rs
@@ -0,0 +1,64 @@
+//! Owners that don't reply cost the holder time, not its lease.
+
+#[path = "../../catkin-platform/tests/common/mod.rs"]
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use catkin_base::ServerId;
+use catkin_control::{
+    ControlLoop, ControlStep, OrderLimits, OrderReply, OrderRoute, ServerOrder, ServerReport,
+    ServerTarget,
+};
+use catkin_platform::{LeaseHolder, LeaseOptions};
+use common::MemoryStore;
+
+/// A route whose owners never reply.
+struct SilentRoute;
+
+impl OrderRoute for SilentRoute {
+    async fn deliver(&self, _order: &ServerOrder) -> OrderReply {
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        OrderReply::Unanswered
+    }
+}
+
+fn target(name: &str) -> ServerTarget {
+    ServerTarget {
+        server: ServerId::from_name(name),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        checks_fencing: true,
+        desired: "state".to_owned(),
+        models: Vec::new(),
+    }
+}
+
+fn report(name: &str) -> ServerReport {
+    ServerReport {
+        server: ServerId::from_name(name),
+        incarnation: 1,
+        models: Vec::new(),
+        fence: 0,
+        undone: false,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_keeps_its_lease_while_owners_are_silent() {
+    let store = MemoryStore::shared();
+    let lease = Arc::new(LeaseHolder::new(store, LeaseOptions::for_region("ch", "vm-1", 1)));
+    let limits = OrderLimits { retry_after: Duration::from_secs(3600), ..OrderLimits::default() };
+    let mut control = ControlLoop::new(Arc::clone(&lease), Arc::new(SilentRoute), limits);
+    let names = ["a", "b", "c", "d", "e"];
+    control.set_targets(1, names.map(target).to_vec());
+    for name in names {
+        control.note_report(&report(name));
+    }
+
+    let step = control.step().await;
+
+    assert_eq!(step, ControlStep::Ordered(5));
+    assert_eq!(lease.grant().map(|grant| grant.fence), Some(1));
+}
--- a/crates/catkin-router/src/orders.rs
+++ b/crates/catkin-router/src/orders.rs
@@ -11,7 +11,7 @@
 };
 use catkin_peer::messages as wire;
 use catkin_peer::messages::peer_message::Kind;
-use catkin_platform::{LeaseHolder, LeaseOptions};
+use catkin_platform::{LeaseHolder, LeaseOptions, process_nonce};
 use catkin_policy::{RouterSpec, choose_keyholder};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
@@ -111,8 +111,8 @@
     reports: flume::Receiver<ServerReport>,
 ) {
     let identity = &parts.identity;
-    let options =
-        LeaseOptions::for_region(&identity.region_name, &identity.name, identity.incarnation);
+    let process = process_nonce(identity.vm, identity.incarnation);
+    let options = LeaseOptions::for_region(&identity.region_name, &identity.name, process);
     let lease = Arc::new(LeaseHolder::new(Arc::clone(&parts.store), options));
     let route = Arc::new(OwnerRoute { parts: Arc::clone(&parts) });
     let mut control = ControlLoop::new(Arc::clone(&lease), route, OrderLimits::default());
@@ -130,7 +130,11 @@
             let targets = list_targets(index.declarations(), &parts.identity.region_name);
             control.set_targets(generation, targets);
         }
-        if !is_candidate(&parts) && lease.grant().is_none() {
+        if parts.gate.is_draining() || !is_candidate(&parts) {
+            // Owners report to the candidates only, so no other router can give orders.
+            if lease.release().await.is_err() {
+                log::debug!("control: The lease was not released and will lapse.");
+            }
             continue;
         }
         if let ControlStep::Ordered(count) = control.step().await
