Wake a caller's connection and an answer's idle timer less often

Each wake of a connection polled three cancellation tokens, two of them shared by all connections, and each part of an answer set and cleared a timer. Now one token of the connection's own, and a timer that is set anew only when it fires.

--- a/crates/catkin-backend/src/lib.rs
+++ b/crates/catkin-backend/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod headers;
 mod http_link;
+mod idle_limit;
 mod link;
 mod stream;
 
--- a/crates/catkin-backend/src/stream.rs
+++ b/crates/catkin-backend/src/stream.rs
@@ -8,10 +8,10 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
-use tokio::time::timeout;
 
 use crate::exchange::HttpExchange;
 use crate::headers::CACHED_HEADER;
+use crate::idle_limit::IdleLimit;
 use crate::{AnswerHead, BackendError, BackendFault, BackendStream};
 
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
@@ -24,7 +24,7 @@
     body: Incoming,
     head: AnswerHead,
     scanner: Option<SseScanner>,
-    idle_timeout: Duration,
+    idle_limit: IdleLimit,
     ran: RunVerdict,
     ended: bool,
 }
@@ -44,17 +44,18 @@
         let scanner = head.streamed.then(|| SseScanner::new(MAX_EVENT_BYTES));
         let body = response.into_body();
         let ran = RunVerdict::MayHaveRun;
-        Ok(Self { exchange, body, head, scanner, idle_timeout, ran, ended: false })
+        let idle_limit = IdleLimit::new(idle_timeout);
+        Ok(Self { exchange, body, head, scanner, idle_limit, ran, ended: false })
     }
 
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, BackendError> {
         loop {
             let framing = self.exchange.drive(self.body.frame());
-            let frame = match timeout(self.idle_timeout, framing).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return Err(self.fail(BackendFault::Broken)),
-                Ok(None) => return Ok(None),
-                Err(_) => return Err(self.fail(BackendFault::TimedOut)),
+            let frame = match self.idle_limit.watch(framing).await {
+                Some(Some(Ok(frame))) => frame,
+                Some(Some(Err(_))) => return Err(self.fail(BackendFault::Broken)),
+                Some(None) => return Ok(None),
+                None => return Err(self.fail(BackendFault::TimedOut)),
             };
             match frame.into_data() {
                 Ok(bytes) if !bytes.is_empty() => return Ok(Some(bytes)),
--- a/crates/catkin-caller/src/idle.rs
+++ b/crates/catkin-caller/src/idle.rs
@@ -50,21 +50,21 @@
 #[derive(Debug)]
 pub(crate) struct IdleSlot {
     book: Arc<IdleBook>,
-    evicted: CancellationToken,
+    stop: CancellationToken,
     position: Mutex<Option<u64>>,
 }
 
 impl IdleSlot {
-    /// A slot of a connection that is idle from now on.
-    pub(crate) fn new(book: &Arc<IdleBook>) -> Self {
-        let evicted = CancellationToken::new();
-        let position = Mutex::new(Some(book.enter(&evicted)));
-        Self { book: Arc::clone(book), evicted, position }
+    /// A slot of a connection that is idle from now on and stops when `closing` is cancelled.
+    pub(crate) fn new(book: &Arc<IdleBook>, closing: &CancellationToken) -> Self {
+        let stop = closing.child_token();
+        let position = Mutex::new(Some(book.enter(&stop)));
+        Self { book: Arc::clone(book), stop, position }
     }
 
-    /// Cancelled when the connection has to make room.
-    pub(crate) fn evicted(&self) -> &CancellationToken {
-        &self.evicted
+    /// Waits until the connection has to make room or the listener closes.
+    pub(crate) async fn stopped(&self) {
+        self.stop.cancelled().await;
     }
 
     /// Whether no request is open on the connection.
@@ -103,7 +103,7 @@
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
-        let position = self.slot.book.enter(&self.slot.evicted);
+        let position = self.slot.book.enter(&self.slot.stop);
         *self.slot.lock() = Some(position);
     }
 }
--- a/crates/catkin-caller/src/listener.rs
+++ b/crates/catkin-caller/src/listener.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::sleep;
 
 use crate::answer::{ConnectionMode, ConnectionShared, ListenerShared, answer_request};
@@ -59,9 +59,13 @@
         let mut connections = JoinSet::new();
         self.accept_until_closing(&mut connections).await;
         drop(self.socket);
-        while let Some(joined) = connections.join_next().await {
-            note_joined(joined);
+        let finished = join_all(&mut connections);
+        tokio::select! {
+            () = finished => return,
+            () = self.shared.shutdown.aborting().cancelled() => {}
         }
+        connections.abort_all();
+        join_all(&mut connections).await;
     }
 
     async fn accept_until_closing(&self, connections: &mut JoinSet<()>) {
@@ -113,9 +117,18 @@
     kind == io::ErrorKind::ConnectionAborted || kind == io::ErrorKind::ConnectionReset
 }
 
-fn note_joined(joined: Result<(), tokio::task::JoinError>) {
-    if let Err(error) = joined {
-        log::error!("caller: connection task failed: {error}");
+async fn join_all(connections: &mut JoinSet<()>) {
+    while let Some(joined) = connections.join_next().await {
+        note_joined(joined);
+    }
+}
+
+fn note_joined(joined: Result<(), JoinError>) {
+    match joined {
+        Err(error) if !error.is_cancelled() => {
+            log::error!("caller: connection task failed: {error}");
+        }
+        _ => {}
     }
 }
 
@@ -125,7 +138,7 @@
     idle: &Arc<IdleBook>,
     mode: ConnectionMode,
 ) -> impl Future<Output = ()> + Send + use<S> {
-    let slot = Arc::new(IdleSlot::new(idle));
+    let slot = Arc::new(IdleSlot::new(idle, listener.shutdown.closing()));
     async move {
         let cut = CutFlag::default();
         let connection = Arc::new(ConnectionShared { listener, slot, cut, mode });
@@ -135,7 +148,6 @@
 
 async fn run_connection<S: CallService>(stream: TcpStream, shared: Arc<ConnectionShared<S>>) {
     let limits = &shared.listener.limits;
-    let shutdown = &shared.listener.shutdown;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller: no-delay not set: {error}");
     }
@@ -144,22 +156,16 @@
     let builder = build_http(limits, shared.mode);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut closing = false;
-    loop {
-        tokio::select! {
-            result = connection.as_mut() => return note_ended(result),
-            () = shutdown.aborting().cancelled() => return,
-            () = shutdown.closing().cancelled(), if !closing => {}
-            () = shared.slot.evicted().cancelled(), if !closing => {
-                if shared.slot.is_idle() {
-                    metrics::counter!("catkin_caller_evictions_total").increment(1);
-                    return;
-                }
-            }
-        }
-        closing = true;
-        connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        result = connection.as_mut() => return note_ended(result),
+        () = shared.slot.stopped() => {}
+    }
+    if !shared.listener.shutdown.is_closing() && shared.slot.is_idle() {
+        metrics::counter!("catkin_caller_evictions_total").increment(1);
+        return;
     }
+    connection.as_mut().graceful_shutdown();
+    note_ended(connection.await);
 }
 
 fn build_http(limits: &CallerLimits, mode: ConnectionMode) -> http1::Builder {
--- a/crates/catkin-caller/src/shutdown.rs
+++ b/crates/catkin-caller/src/shutdown.rs
@@ -33,6 +33,10 @@
         self.leaving.is_cancelled()
     }
 
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.is_cancelled()
+    }
+
     pub(crate) fn closing(&self) -> &CancellationToken {
         &self.closing
     }
