--- a/crates/catkin-caller/benches/passthrough/main.rs
+++ b/crates/catkin-caller/benches/passthrough/main.rs
@@ -7,7 +7,8 @@
 //! ```
 //!
 //! To see the memory of the router's side alone, run it in a process of its own, then the load in
-//! another; the first prints its memory each second:
+//! another; the first prints its memory and
+//! processor time each second:
 //!
 //! ```text
 //! passthrough router 127.0.0.1:7001 127.0.0.1:7002
@@ -36,6 +37,8 @@
 const ENGINE_THREADS: usize = 2;
 const LOAD_THREADS: usize = 2;
 const ROUTER_THREADS: usize = 2;
+/// Place of the user time behind the command's closing parenthesis; the system time follows.
+const USER_TIME_FIELD: usize = 11;
 const MEMORY_PAUSE: Duration = Duration::from_secs(1);
 
 fn main() {
@@ -89,7 +92,7 @@
         tokio::spawn(listener.serve());
         loop {
             sleep(MEMORY_PAUSE).await;
-            println!("{}", read_memory());
+            println!("{}, {} ticks of 10 ms", read_memory(), read_ticks());
         }
     });
 }
@@ -100,6 +103,12 @@
     status.lines().filter(wanted).collect::<Vec<_>>().join(" ")
 }
 
+fn read_ticks() -> u64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    fields.skip(USER_TIME_FIELD).take(2).filter_map(|field| field.parse::<u64>().ok()).sum()
+}
+
 fn measure(router: SocketAddr, engine: SocketAddr, start: Instant) {
     build_runtime(LOAD_THREADS).block_on(async {
         for streams in STREAM_STEPS {
