Take a revision without holding up other tasks; check with fewer allocations

Paths of faults were built for every value checked, and a router decoded the whole revision in one go. Paths are now built for a fault only, and the reader yields after each chunk.

--- a/crates/catkin-operator/src/cut.rs
+++ b/crates/catkin-operator/src/cut.rs
@@ -41,12 +41,6 @@
     }
 }
 
-/// One shard of servers.
-pub(crate) type ServerShard = BTreeMap<String, ServerRule>;
-
-/// One shard of teams.
-pub(crate) type TeamShard = BTreeMap<String, TeamRule>;
-
 /// Chunks by digest, and the references to them.
 pub(crate) struct ChunkCut {
     /// Contents by digest.
@@ -72,11 +66,11 @@
     ChunkCut { contents, refs: ChunkRefs { common, servers, team_groups } }
 }
 
-/// Puts declarations together from their decoded chunks.
+/// Puts declarations together from their parts.
 pub(crate) fn join_declarations(
     common: CommonChunk,
-    servers: Vec<ServerShard>,
-    teams: Vec<TeamShard>,
+    servers: BTreeMap<String, ServerRule>,
+    teams: BTreeMap<String, TeamRule>,
 ) -> FleetDeclarations {
     FleetDeclarations {
         deployment: common.deployment,
@@ -84,8 +78,8 @@
         default_class: common.default_class,
         models: common.models,
         services: common.services,
-        servers: servers.into_iter().flatten().collect(),
-        teams: teams.into_iter().flatten().collect(),
+        servers,
+        teams,
         placement: common.placement,
         limits: common.limits,
     }
--- a/crates/catkin-operator/src/reader.rs
+++ b/crates/catkin-operator/src/reader.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::chunks::ChunkSource;
-use crate::cut::{CommonChunk, GroupChunk, ServerShard, TeamShard, join_declarations};
+use crate::cut::{GroupChunk, join_declarations};
 use crate::head::RevisionHead;
 
 /// Result of an attempt to take a revision.
@@ -50,7 +50,7 @@
 }
 
 /// The newest revision taken, with its chunks.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RevisionReader {
     head: Option<RevisionHead>,
     chunks: BTreeMap<String, Vec<u8>>,
@@ -105,7 +105,7 @@
             return Err(unusable(head, "its digest is not that of its chunks"));
         }
         let references = self.fetch_chunks(source, head).await?;
-        let declarations = self.decode_revision(head, &references)?;
+        let declarations = self.decode_revision(head, &references).await?;
         self.chunks.retain(|digest, _| references.all.contains(digest));
         self.head = Some(head.clone());
         let declarations = Box::new(declarations);
@@ -153,19 +153,16 @@
         Ok(())
     }
 
-    fn decode_revision(
+    /// Decodes a revision, and lets other tasks run after each chunk.
+    async fn decode_revision(
         &self,
         head: &RevisionHead,
         references: &ChunkReferences,
     ) -> Result<FleetDeclarations, FetchError> {
-        let common: CommonChunk = self.decode_chunk(head, &head.chunks.common)?;
-        let servers = head.chunks.servers.iter();
-        let servers: Result<Vec<ServerShard>, _> =
-            servers.map(|digest| self.decode_chunk(head, digest)).collect();
-        let teams = references.team_shards.iter();
-        let teams: Result<Vec<TeamShard>, _> =
-            teams.map(|digest| self.decode_chunk(head, digest)).collect();
-        let declarations = join_declarations(common, servers?, teams?);
+        let common = self.decode_chunk(head, &head.chunks.common)?;
+        let servers = self.decode_table(head, &head.chunks.servers).await?;
+        let teams = self.decode_table(head, &references.team_shards).await?;
+        let declarations = join_declarations(common, servers, teams);
         let faults = check_declarations(&declarations);
         match faults.iter().find(|fault| fault.level == FaultLevel::Error) {
             Some(fault) => Err(unusable(head, &fault.to_string())),
@@ -173,6 +170,19 @@
         }
     }
 
+    async fn decode_table<T: DeserializeOwned>(
+        &self,
+        head: &RevisionHead,
+        shards: &[String],
+    ) -> Result<BTreeMap<String, T>, FetchError> {
+        let mut table = BTreeMap::new();
+        for digest in shards {
+            table.extend(self.decode_chunk::<BTreeMap<String, T>>(head, digest)?);
+            tokio::task::yield_now().await;
+        }
+        Ok(table)
+    }
+
     fn decode_chunk<T: DeserializeOwned>(
         &self,
         head: &RevisionHead,
--- a/crates/catkin-settings/src/check.rs
+++ b/crates/catkin-settings/src/check.rs
@@ -45,12 +45,12 @@
     for (name, rule) in &declarations.classes {
         let path = |key| JsonPath::of_keys(&["classes", name, key]);
         faults.extend(check_range(
-            path("deadline_millis"),
+            || path("deadline_millis"),
             rule.deadline_millis,
             &DEADLINE_MILLI_RANGE,
         ));
         faults.extend(check_range(
-            path("expected_tokens"),
+            || path("expected_tokens"),
             rule.expected_tokens.into(),
             &EXPECTED_TOKEN_RANGE,
         ));
@@ -74,9 +74,13 @@
 }
 
 fn check_pools(declarations: &FleetDeclarations, faults: &mut Vec<SettingsFault>) {
-    let servers = || declarations.servers.values();
+    let servers = declarations.servers.values();
+    let served_models: BTreeSet<&String> =
+        servers.clone().flat_map(|server| &server.models).collect();
+    let served_services: BTreeSet<&String> =
+        servers.filter_map(|server| server.service.as_ref()).collect();
     for (name, rule) in &declarations.models {
-        if !servers().any(|server| server.models.contains(name)) {
+        if !served_models.contains(name) {
             let path = JsonPath::of_keys(&["models", name]);
             faults.push(SettingsFault::error(path, "no server serves this model"));
         }
@@ -89,7 +93,7 @@
         }
     }
     for (name, rule) in &declarations.services {
-        if !servers().any(|server| server.service.as_ref() == Some(name)) {
+        if !served_services.contains(name) {
             let path = JsonPath::of_keys(&["services", name]);
             faults.push(SettingsFault::error(path, "no server serves this service"));
         }
@@ -110,8 +114,8 @@
     for (name, rule) in &declarations.servers {
         let path = |key| JsonPath::of_keys(&["servers", name, key]);
         check_server_pools(declarations, name, rule, faults);
-        faults.extend(check_range(path("weight"), rule.weight.into(), &WEIGHT_RANGE));
-        faults.extend(check_range(path("slots"), rule.slots.into(), &SLOT_RANGE));
+        faults.extend(check_range(|| path("weight"), rule.weight.into(), &WEIGHT_RANGE));
+        faults.extend(check_range(|| path("slots"), rule.slots.into(), &SLOT_RANGE));
         if let Some(other) = addresses.insert(rule.address, name) {
             let message = format!("server `{other}` has this address too");
             faults.push(SettingsFault::error(path("address"), message));
@@ -176,8 +180,8 @@
     let mut tokens: BTreeMap<&str, &str> = BTreeMap::new();
     for (name, rule) in &declarations.teams {
         let path = |key| JsonPath::of_keys(&["teams", name, key]);
-        faults.extend(check_range(path("weight"), rule.weight.into(), &WEIGHT_RANGE));
-        faults.extend(check_range(path("max_open"), rule.max_open.into(), &OPEN_RANGE));
+        faults.extend(check_range(|| path("weight"), rule.weight.into(), &WEIGHT_RANGE));
+        faults.extend(check_range(|| path("max_open"), rule.max_open.into(), &OPEN_RANGE));
         if !is_hex_digest(&rule.token_digest) {
             let message = "must be 64 lower-case hexadecimal characters";
             faults.push(SettingsFault::error(path("token_digest"), message));
@@ -231,40 +235,42 @@
         ("limits", "loads_at_once", limits.loads_at_once.into(), LOAD_RANGE),
     ];
     for (table, key, value, range) in &bounds {
-        faults.extend(check_range(JsonPath::of_keys(&[table, key]), *value, range));
+        faults.extend(check_range(|| JsonPath::of_keys(&[table, key]), *value, range));
     }
 }
 
 fn check_identifiers(declarations: &FleetDeclarations, faults: &mut Vec<SettingsFault>) {
+    let classes = declarations.classes.keys().map(String::as_str);
+    let servers = declarations.servers.keys().map(String::as_str);
+    let teams = declarations.teams.keys().map(String::as_str);
+    let pools = declarations.models.keys().chain(declarations.services.keys());
     let domains = declarations.servers.values().map(|rule| rule.domain.as_str());
     let domains: BTreeSet<&str> = domains.collect();
-    let pools = declarations.models.keys().chain(declarations.services.keys());
-    check_collisions("classes", declarations.classes.keys(), ClassId::from_name, faults);
-    check_collisions("servers", declarations.servers.keys(), ServerId::from_name, faults);
-    check_collisions("teams", declarations.teams.keys(), TeamId::from_name, faults);
-    check_collisions("models", pools, PoolId::from_name, faults);
-    check_collisions("servers", domains, DomainId::from_name, faults);
+    check_collisions("classes", classes, ClassId::from_name, faults);
+    check_collisions("servers", servers, ServerId::from_name, faults);
+    check_collisions("teams", teams, TeamId::from_name, faults);
+    check_collisions("models", pools.map(String::as_str), PoolId::from_name, faults);
+    check_collisions("servers", domains.into_iter(), DomainId::from_name, faults);
 }
 
 /// Reports empty names and names whose identifiers are the same.
-fn check_collisions<I: Ord>(
+fn check_collisions<'a, I: Ord>(
     table: &str,
-    names: impl IntoIterator<Item = impl AsRef<str>>,
+    names: impl Iterator<Item = &'a str>,
     identify: impl Fn(&str) -> I,
     faults: &mut Vec<SettingsFault>,
 ) {
-    let mut seen: BTreeMap<I, String> = BTreeMap::new();
+    let mut seen: BTreeMap<I, &str> = BTreeMap::new();
     for name in names {
-        let name = name.as_ref();
-        let path = JsonPath::of_keys(&[table, name]);
+        let path = || JsonPath::of_keys(&[table, name]);
         if name.trim().is_empty() {
-            faults.push(SettingsFault::error(path.clone(), "the name is empty"));
+            faults.push(SettingsFault::error(path(), "the name is empty"));
         }
-        if let Some(other) = seen.insert(identify(name), name.to_owned())
+        if let Some(other) = seen.insert(identify(name), name)
             && other != name
         {
             let message = format!("has the same identifier as `{other}`; rename one of them");
-            faults.push(SettingsFault::error(path, message));
+            faults.push(SettingsFault::error(path(), message));
         }
     }
 }
--- a/crates/catkin-settings/src/check_router.rs
+++ b/crates/catkin-settings/src/check_router.rs
@@ -30,9 +30,9 @@
         && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
 }
 
-/// A fault if `value` lies outside `range`.
+/// A fault if `value` lies outside `range`; the path is built for a fault only.
 pub(crate) fn check_range(
-    path: JsonPath,
+    path: impl FnOnce() -> JsonPath,
     value: u64,
     range: &RangeInclusive<u64>,
 ) -> Option<SettingsFault> {
@@ -40,7 +40,7 @@
         return None;
     }
     let message = format!("{value} is not between {} and {}", range.start(), range.end());
-    Some(SettingsFault::error(path, message))
+    Some(SettingsFault::error(path(), message))
 }
 
 fn check_names(settings: &RouterSettings, faults: &mut Vec<SettingsFault>) {
@@ -107,7 +107,7 @@
         ("drain_millis", settings.drain_millis, DRAIN_MILLI_RANGE),
     ];
     for (key, value, range) in &bounds {
-        faults.extend(check_range(JsonPath::of_keys(&[key]), *value, range));
+        faults.extend(check_range(|| JsonPath::of_keys(&[key]), *value, range));
     }
     if !LOG_LEVELS.contains(&settings.log.level.as_str()) {
         let message = format!("must be one of {}", LOG_LEVELS.join(", "));
