Hand servers over by query and report loads at once in a small fleet

Cause: routers asked for no grants on a change of owner that the former had ceded, summed loads a second old, and owned every server before they knew the others.

--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -282,6 +282,9 @@
     /// open requests that the former owner did not grant
     #[prost(uint32, tag = "4")]
     pub foreign: u32,
+    /// the sender does not know the server
+    #[prost(bool, tag = "5")]
+    pub unknown: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenGrant {
--- a/crates/catkin-router/src/admission.rs
+++ b/crates/catkin-router/src/admission.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use catkin_base::{PoolId, VmId};
+use catkin_base::{ClockTime, PoolId, VmId};
 use catkin_peer::messages as wire;
 use catkin_peer::messages::peer_message::Kind;
-use catkin_policy::{LoadReport, choose_keyholder};
+use catkin_policy::{LoadReport, PoolLoad, ReportMode, choose_aggregator};
 use tokio::time::sleep_until;
 
 use crate::environment::RouterEnvironment;
@@ -15,18 +15,23 @@
 
 /// Longest wait before queued asks are looked at again.
 const IDLE_POLL: Duration = Duration::from_secs(1);
-/// Routers up to which every one gets the sums of every pool.
-const SMALL_FLEET: usize = 16;
+/// Least time between two looks at queued asks.
+const POLL_PAUSE: Duration = Duration::from_millis(1);
+/// Least time between two looks at the loads that may have changed.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Answers queued asks as they become due.
+/// Answers queued asks as they become due, and reports changed loads at once in a small fleet.
 pub(crate) async fn run_admission<E: RouterEnvironment>(parts: &RouterParts<E>) {
     loop {
         let now = parts.now();
+        if parts.control().report_mode() == ReportMode::Prompt {
+            send_prompt_reports(parts);
+        }
         let answers = parts.control().owner.poll(now);
         for answer in &answers {
             parts.deliver_answer(answer);
         }
-        let due = parts.control().owner.next_due(now).unwrap_or(now.plus(IDLE_POLL));
+        let due = next_due(parts, now);
         tokio::select! {
             () = parts.admission_due.notified() => {}
             () = sleep_until(parts.clock.instant_of(due)) => {}
@@ -34,10 +39,49 @@
     }
 }
 
-/// Sends the loads of owned servers to the aggregators of their pools.
+fn next_due<E: RouterEnvironment>(parts: &RouterParts<E>, now: ClockTime) -> ClockTime {
+    let control = parts.control();
+    let idle = now.plus(IDLE_POLL);
+    let poll = control.owner.next_due(now).unwrap_or(idle);
+    let report = match control.report_mode() {
+        ReportMode::Prompt => control.pacer.next_due(now),
+        ReportMode::Aggregated => idle,
+    };
+    // A moment later at least, so that the loop always yields.
+    poll.min(report.max(now.plus(REPORT_PAUSE))).min(idle).max(now.plus(POLL_PAUSE))
+}
+
+/// Tells every router of the loads that changed.
+fn send_prompt_reports<E: RouterEnvironment>(parts: &RouterParts<E>) {
+    let now = parts.now();
+    let own = parts.identity.vm;
+    let mut control = parts.control();
+    let current = control.owner.load_reports(now);
+    let reports = control.pacer.take_due(now, current);
+    for report in &reports {
+        control.sums.note_report(now, own, report);
+        control.take_own_sum(now, report.pool);
+    }
+    let others: Vec<VmId> =
+        control.roster.iter().map(|router| router.vm).filter(|vm| *vm != own).collect();
+    drop(control);
+    for report in &reports {
+        let message = report_to_wire(report);
+        for vm in &others {
+            parts.send_to(*vm, &message);
+        }
+    }
+}
+
+/// Sends the loads of owned servers to the aggregators of their pools, in a large fleet.
 pub(crate) fn send_load_reports<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
-    let reports = parts.control().owner.load_reports(now);
+    let control = parts.control();
+    if control.report_mode() == ReportMode::Prompt {
+        return;
+    }
+    let reports = control.owner.load_reports(now);
+    drop(control);
     for report in reports {
         send_load_report(parts, &report);
     }
@@ -45,49 +89,50 @@
 
 fn send_load_report<E: RouterEnvironment>(parts: &RouterParts<E>, report: &LoadReport) {
     let now = parts.now();
-    let aggregator = aggregator_of(parts, report.pool);
-    if aggregator == Some(parts.identity.vm) {
-        parts.control().sums.note_report(now, parts.identity.vm, report);
-    } else if let Some(vm) = aggregator {
+    let own = parts.identity.vm;
+    let mut control = parts.control();
+    let aggregator = choose_aggregator(report.pool, &control.roster);
+    if aggregator == Some(own) {
+        control.sums.note_report(now, own, report);
+    }
+    drop(control);
+    if let Some(vm) = aggregator.filter(|vm| *vm != own) {
         parts.send_to(vm, &report_to_wire(report));
     }
 }
 
-/// Sends the sums of the pools that this router aggregates to all routers that need them.
+/// Sends the sums of the pools that this router aggregates to the owners of their servers.
 pub(crate) fn send_pool_loads<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
     let own = parts.identity.vm;
-    let pools: Vec<PoolId> = parts.control().sums.pools().collect();
-    for pool in pools.into_iter().filter(|pool| aggregator_of(parts, *pool) == Some(own)) {
-        let control = parts.control();
-        let Some(load) = control.sums.sum(now, pool) else { continue };
-        drop(control);
-        let receivers = pool_readers(parts, pool);
-        let message = pool_load_to_wire(&load);
-        for vm in receivers.into_iter().filter(|vm| *vm != own) {
-            parts.send_to(vm, &message);
+    let mut control = parts.control();
+    if control.report_mode() == ReportMode::Prompt {
+        return;
+    }
+    let pools: Vec<PoolId> = control.sums.pools().collect();
+    let mut sums = Vec::new();
+    for pool in pools {
+        if choose_aggregator(pool, &control.roster) != Some(own) {
+            continue;
         }
-        let mut control = parts.control();
-        control.owner.note_pool_load(now, &load);
-        control.pool_loads.insert(pool, load);
-        drop(control);
-        parts.admission_due.notify_one();
+        let Some(load) = control.sums.sum(now, pool) else { continue };
+        control.take_pool_load(now, load.clone());
+        sums.push(PoolSum { readers: control.sums.reporters(pool), load });
     }
-}
-
-/// Routers that need the sum of a pool: all in a small fleet, else the owners of its servers.
-fn pool_readers<E: RouterEnvironment>(parts: &RouterParts<E>, pool: PoolId) -> BTreeSet<VmId> {
-    let control = parts.control();
-    if control.roster.len() <= SMALL_FLEET {
-        return control.roster.iter().map(|router| router.vm).collect();
+    drop(control);
+    for sum in sums {
+        let message = pool_load_to_wire(&sum.load);
+        for vm in sum.readers.iter().filter(|vm| **vm != own) {
+            parts.send_to(*vm, &message);
+        }
     }
-    let Some(index) = parts.index() else { return BTreeSet::new() };
-    let servers = index.servers().filter(|entry| entry.spec.pools.contains(&pool));
-    servers.filter_map(|entry| control.owners.get(&entry.spec.server).copied()).collect()
+    parts.admission_due.notify_one();
 }
 
-fn aggregator_of<E: RouterEnvironment>(parts: &RouterParts<E>, pool: PoolId) -> Option<VmId> {
-    choose_keyholder(pool.0, &parts.control().roster)
+/// The sum of a pool and the routers that need it.
+struct PoolSum {
+    load: PoolLoad,
+    readers: BTreeSet<VmId>,
 }
 
 /// Asks the routers that hold old grants to confirm them.
--- a/crates/catkin-router/src/calls.rs
+++ b/crates/catkin-router/src/calls.rs
@@ -32,7 +32,8 @@
 
     async fn run(&self, request: CallRequest) -> Result<RouterAnswer<E>, CallRefusal> {
         let open = DrainGate::open_call(&self.parts.gate).ok_or_else(refuse_draining)?;
-        let index = self.parts.index().ok_or_else(refuse_undeclared)?;
+        let index = self.parts.index().filter(|_| self.parts.is_joined());
+        let index = index.ok_or_else(refuse_undeclared)?;
         let now = self.parts.now();
         let call = CheckedCall::check(&index, &self.parts.hints, request, now)?;
         self.check_quarantine(&call)?;
--- a/crates/catkin-router/src/control.rs
+++ b/crates/catkin-router/src/control.rs
@@ -1,12 +1,13 @@
 //! The decision state of one router, behind one lock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use catkin_base::{ClockTime, PoolId, RequestDigest, ServerId, VmId};
-use catkin_membership::{MemberSpec, MemberTable, MembershipRules};
+use catkin_membership::{MemberSpec, MemberState, MemberTable, MembershipRules};
 use catkin_policy::{
-    GrantExport, OwnerBook, PolicyRules, PoolBook, PoolLoad, RetryBudget, RouterSpec, StrikeBook,
+    OwnerBook, PolicyRules, PoolBook, PoolLoad, ReportMode, ReportPacer, RetryBudget, RouterSpec,
+    StrikeBook,
 };
 
 use crate::identity::RouterIdentity;
@@ -16,6 +17,8 @@
 pub(crate) struct ControlState {
     /// Servers that this router owns.
     pub(crate) owner: OwnerBook,
+    /// Load reports already sent.
+    pub(crate) pacer: ReportPacer,
     /// Loads of the pools that this router sums up.
     pub(crate) sums: PoolBook,
     /// Newest sum known of each pool.
@@ -30,8 +33,6 @@
     pub(crate) members: MemberTable,
     /// Live routers as the decisions see them.
     pub(crate) roster: Vec<RouterSpec>,
-    /// Grants of servers that this router owned before.
-    pub(crate) kept_exports: BTreeMap<ServerId, GrantExport>,
     /// Owner of each declared server by the present roster.
     pub(crate) owners: BTreeMap<ServerId, VmId>,
     /// Last address of each router, live or not.
@@ -44,6 +45,7 @@
         let members = MemberTable::new(own_spec(identity), MembershipRules::default(), seed, now);
         let mut state = Self {
             owner: OwnerBook::new(identity.vm),
+            pacer: ReportPacer::new(),
             sums: PoolBook::new(),
             pool_loads: BTreeMap::new(),
             strikes: StrikeBook::new(rules.crash_strikes, rules.quarantine_millis),
@@ -51,7 +53,6 @@
             budget: RetryBudget::new(rules.retry_percent),
             members,
             roster: Vec::new(),
-            kept_exports: BTreeMap::new(),
             owners: BTreeMap::new(),
             addresses: BTreeMap::new(),
         };
@@ -67,6 +68,32 @@
             self.roster.push(RouterSpec { vm, domain, region });
             self.addresses.insert(vm, address);
         }
+        self.sums.set_mode(self.report_mode());
+    }
+
+    /// How load reports travel among the live routers.
+    pub(crate) fn report_mode(&self) -> ReportMode {
+        ReportMode::for_routers(self.roster.len())
+    }
+
+    /// Tells the owner's decisions which routers may be gone.
+    pub(crate) fn refresh_suspects(&mut self) {
+        let suspects = self.members.live().filter(|view| view.state == MemberState::Suspect);
+        let suspects: BTreeSet<VmId> = suspects.map(|view| view.spec.vm).collect();
+        self.owner.set_suspects(suspects);
+    }
+
+    /// Takes the sum of a pool from this router's own reports.
+    pub(crate) fn take_own_sum(&mut self, now: ClockTime, pool: PoolId) {
+        if let Some(load) = self.sums.sum(now, pool) {
+            self.take_pool_load(now, load);
+        }
+    }
+
+    /// Takes the sum of a pool.
+    pub(crate) fn take_pool_load(&mut self, now: ClockTime, load: PoolLoad) {
+        self.owner.note_pool_load(now, &load);
+        self.pool_loads.insert(load.pool, load);
     }
 
     /// Notes the address that a message of `vm` came from.
--- a/crates/catkin-router/src/fleet.rs
+++ b/crates/catkin-router/src/fleet.rs
@@ -12,14 +12,16 @@
 use crate::admission::{send_audits, send_load_reports, send_pool_loads};
 use crate::environment::RouterEnvironment;
 use crate::metric::PEER_BYTES_TOTAL;
-use crate::ownership::{HandoverTable, pursue_handovers, refresh_ownership, take_events};
+use crate::ownership::{HandoverTable, follow_changes, pursue_handovers};
 use crate::parts::RouterParts;
 use crate::peers::send_actions;
 
 /// Interval of load reports and pool sums.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval at which handovers are pursued.
-const HANDOVER_INTERVAL: Duration = Duration::from_millis(250);
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(200);
+/// Time that a router has to learn of the others before it owns servers.
+const JOIN_TIME: Duration = Duration::from_millis(1_500);
 /// Interval of audits of old grants and of owed claims.
 const AUDIT_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Longest interval between two reads of the platform's list of VMs, in milliseconds.
@@ -40,31 +42,12 @@
         let due = parts.control().members.next_due();
         tokio::select! {
             () = sleep_until(parts.clock.instant_of(due)) => {}
-            () = parts.fleet_changed.notified() => follow_index(parts, &mut table),
+            () = parts.fleet_changed.notified() => {}
             _ = pursuit.tick() => pursue_handovers(parts, &mut table),
         }
     }
 }
 
-/// Follows a change of the live routers.
-fn follow_changes<E: RouterEnvironment>(parts: &RouterParts<E>, table: &mut HandoverTable) {
-    let former = parts.control().roster.clone();
-    if !take_events(parts) {
-        return;
-    }
-    if let Some(index) = parts.index() {
-        refresh_ownership(parts, &index, &former, table);
-    }
-}
-
-/// Follows a change of the declarations.
-fn follow_index<E: RouterEnvironment>(parts: &RouterParts<E>, table: &mut HandoverTable) {
-    let former = parts.control().roster.clone();
-    if let Some(index) = parts.index() {
-        refresh_ownership(parts, &index, &former, table);
-    }
-}
-
 /// Sends load reports and pool sums at a fixed interval.
 pub(crate) async fn run_reports<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let mut ticks = interval(REPORT_INTERVAL);
@@ -102,12 +85,24 @@
         let now = parts.now();
         parts.control().members.seed(now, &specs);
         parts.fleet_changed.notify_one();
+        if !parts.is_joined() {
+            join(parts, &specs).await;
+        }
         let lonely = parts.control().roster.len() <= 1;
         let millis = parts.jitter_millis(LIST_INTERVAL_MILLIS);
         sleep(if lonely { LONELY_INTERVAL } else { Duration::from_millis(millis) }).await;
     }
 }
 
+/// Gives this router time to learn of the others, if there are any.
+async fn join<E: RouterEnvironment>(parts: &RouterParts<E>, specs: &[MemberSpec]) {
+    let has_others = specs.iter().any(|spec| spec.vm != parts.identity.vm);
+    if has_others {
+        sleep(JOIN_TIME).await;
+    }
+    parts.note_joined();
+}
+
 /// A router of which only the address is known.
 fn seed_spec(address: SocketAddr) -> MemberSpec {
     MemberSpec { vm: VmId(0), incarnation: 0, address, domain: DomainId(0), region: RegionId(0) }
--- a/crates/catkin-router/src/grants.rs
+++ b/crates/catkin-router/src/grants.rs
@@ -40,6 +40,8 @@
 pub(crate) struct GrantHolder<E: RouterEnvironment> {
     parts: Arc<RouterParts<E>>,
     ask: GrantAsk,
+    /// The router that granted it, once one did.
+    granter: Option<VmId>,
     finished: bool,
 }
 
@@ -52,7 +54,7 @@
     pub(crate) fn finish(&mut self, outcome: ReleaseOutcome, generated_tokens: u32) {
         if !self.finished {
             self.finished = true;
-            release_ask(&self.parts, &self.ask, outcome, generated_tokens);
+            release_ask(self, outcome, generated_tokens);
         }
     }
 }
@@ -67,6 +69,8 @@
 struct AskHandle<E: RouterEnvironment> {
     holder: GrantHolder<E>,
     queue: AnswerQueue,
+    /// The router to which the last one asked handed the server.
+    ceded_to: Option<VmId>,
 }
 
 /// How an ask ended.
@@ -141,14 +145,14 @@
     let Some(entry) = index.server(plan_ask.server) else {
         return AskEnd::Step(plan.note_silence());
     };
-    let handle = AskHandle::open(parts, build_ask(parts, call, plan_ask, number));
+    let mut handle = AskHandle::open(parts, build_ask(parts, call, plan_ask, number));
     let deadline = parts.clock.instant_of(call.deadline);
     let mut silent_tries = 0;
     loop {
         if parts.now() >= call.deadline {
             return AskEnd::Step(refuse_late());
         }
-        let Some(owner) = parts.owner_of(&entry.spec) else {
+        let Some(owner) = handle.ceded_to.take().or_else(|| parts.owner_of(&entry.spec)) else {
             return AskEnd::Step(plan.note_silence());
         };
         submit_ask(parts, owner, handle.ask_until(call.deadline));
@@ -156,7 +160,9 @@
             StepWait::Step(PlanStep::Use(_)) => return AskEnd::Granted(handle.into_holder()),
             StepWait::Step(PlanStep::Ask(next)) if next == plan_ask => {
                 silent_tries = 0;
-                sleep(OWNER_DISPUTE_WAIT).await;
+                if handle.ceded_to.is_none() {
+                    sleep(OWNER_DISPUTE_WAIT).await;
+                }
             }
             StepWait::Step(step) => return AskEnd::Step(step),
             StepWait::Refresh => silent_tries = 0,
@@ -181,8 +187,8 @@
 impl<E: RouterEnvironment> AskHandle<E> {
     fn open(parts: &Arc<RouterParts<E>>, ask: GrantAsk) -> Self {
         let queue = parts.open_ask(ask.request, ask.server);
-        let holder = GrantHolder { parts: Arc::clone(parts), ask, finished: false };
-        Self { holder, queue }
+        let holder = GrantHolder { parts: Arc::clone(parts), ask, granter: None, finished: false };
+        Self { holder, queue, ceded_to: None }
     }
 
     fn into_holder(self) -> GrantHolder<E> {
@@ -196,15 +202,17 @@
         GrantAsk { deadline_millis, ..self.holder.ask }
     }
 
-    async fn wait_step(&self, plan: &mut PlacementPlan, deadline: Instant) -> StepWait {
+    async fn wait_step(&mut self, plan: &mut PlacementPlan, deadline: Instant) -> StepWait {
         let mut queued = false;
         let mut until = Instant::now() + ASK_RETRANSMIT;
         loop {
             let received = timeout_at(until.min(deadline), self.queue.recv_async()).await;
-            let Ok(Ok(answer)) = received else {
+            let Ok(Ok(received)) = received else {
                 return if queued { StepWait::Refresh } else { StepWait::Silent };
             };
-            match plan.note_answer(&answer) {
+            self.ceded_to = received.ceded_to;
+            self.holder.granter = Some(received.from);
+            match plan.note_answer(&received.answer) {
                 PlanStep::Wait => {
                     queued = true;
                     until = Instant::now() + QUEUED_REFRESH;
@@ -222,7 +230,8 @@
         return;
     }
     let answer = decide_ask(parts, &ask);
-    parts.take_answer(&answer);
+    parts.deliver_answer(&answer);
+    parts.admission_due.notify_one();
 }
 
 /// Decides on an ask at a server that this router owns.
@@ -236,11 +245,7 @@
     if hold_millis > 0 {
         return refuse_quarantined(ask, hold_millis);
     }
-    let answer = control.owner.ask(now, ask);
-    if answer.result == GrantResult::Queued {
-        parts.admission_due.notify_one();
-    }
-    answer
+    control.owner.ask(now, ask)
 }
 
 fn refuse_quarantined(ask: &GrantAsk, hold_millis: u64) -> GrantAnswer {
@@ -283,12 +288,12 @@
 }
 
 fn release_ask<E: RouterEnvironment>(
-    parts: &RouterParts<E>,
-    ask: &GrantAsk,
+    holder: &GrantHolder<E>,
     outcome: ReleaseOutcome,
     generated_tokens: u32,
 ) {
-    parts.close_ask(ask.request);
+    let ask = &holder.ask;
+    holder.parts.close_ask(ask.request);
     let release = GrantRelease {
         request: ask.request,
         server: ask.server,
@@ -296,7 +301,7 @@
         outcome,
         generated_tokens,
     };
-    parts.send_release(&release);
+    holder.parts.send_release(holder.granter, &release);
 }
 
 /// Tells the owner of the chat's home where the chat now is, if that is another server.
--- a/crates/catkin-router/src/ownership.rs
+++ b/crates/catkin-router/src/ownership.rs
@@ -13,24 +13,52 @@
 use crate::parts::RouterParts;
 use crate::wire::{export_to_wire, wrap_kind};
 
-/// Handovers that wait for a former owner.
+/// Times that a former owner is asked for its grants.
+const MAX_QUERIES: u32 = 10;
+
+/// Handovers that wait for a former owner, and the routers that were live before.
 #[derive(Debug, Default)]
 pub(crate) struct HandoverTable {
-    former: BTreeMap<ServerId, VmId>,
+    waiting: BTreeMap<ServerId, FormerOwner>,
+    roster: Option<Vec<RouterSpec>>,
+    revision: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct FormerOwner {
+    vm: VmId,
+    queries: u32,
 }
 
-/// Takes the member changes since the last call; true if the live routers changed.
-pub(crate) fn take_events<E: RouterEnvironment>(parts: &RouterParts<E>) -> bool {
+/// Follows the changes of the live routers and of the declarations since the last call.
+pub(crate) fn follow_changes<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    table: &mut HandoverTable,
+) {
+    take_events(parts);
+    let Some(index) = parts.index().filter(|_| parts.is_joined()) else { return };
+    let own = parts.identity.vm;
+    let roster = parts.control().roster.clone();
+    let others = || roster.iter().copied().filter(|router| router.vm != own).collect();
+    let former = table.roster.take().unwrap_or_else(others);
+    let changed = former != roster || table.revision != index.revision();
+    if changed {
+        refresh_ownership(parts, &index, &former, table);
+    }
+    table.roster = Some(roster);
+    table.revision = index.revision();
+}
+
+/// Takes the member changes since the last call.
+fn take_events<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
     let mut control = parts.control();
     let events = control.members.events();
     for event in &events {
         note_event(now, &mut control, event);
     }
-    if !events.is_empty() {
-        control.refresh_roster();
-    }
-    !events.is_empty()
+    control.refresh_roster();
+    control.refresh_suspects();
 }
 
 fn note_event(now: ClockTime, control: &mut crate::control::ControlState, event: &MemberEvent) {
@@ -50,7 +78,7 @@
 /// Brings ownership in line with the live routers and the declarations.
 ///
 /// `former` are the live routers before the change, whose owners are asked for their grants.
-pub(crate) fn refresh_ownership<E: RouterEnvironment>(
+fn refresh_ownership<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     index: &FleetIndex,
     former: &[RouterSpec],
@@ -66,9 +94,6 @@
         .map(|entry| entry.spec.clone())
         .collect();
     let change = control.owner.set_owned(now, &owned);
-    for spec in &owned {
-        control.kept_exports.remove(&spec.server);
-    }
     let roster = control.roster.clone();
     drop(control);
     for server in change.gained {
@@ -76,9 +101,9 @@
         begin_handover(parts, server, holder, table);
     }
     for export in change.lost {
-        table.former.remove(&export.server);
+        table.waiting.remove(&export.server);
         parts.courier.drop_server(export.server);
-        hand_over(parts, index, &roster, export);
+        hand_over(parts, index, &roster, &export);
     }
     parts.admission_due.notify_one();
 }
@@ -99,7 +124,7 @@
     let holder = holder.filter(|vm| *vm != parts.identity.vm);
     match holder {
         Some(vm) => {
-            table.former.insert(server, vm);
+            table.waiting.insert(server, FormerOwner { vm, queries: 1 });
             query_owner(parts, vm, server);
         }
         None => {
@@ -114,28 +139,32 @@
     parts: &RouterParts<E>,
     index: &FleetIndex,
     roster: &[RouterSpec],
-    export: GrantExport,
+    export: &GrantExport,
 ) {
     let owner = index.server(export.server).and_then(|entry| choose_owner(&entry.spec, roster));
     if let Some(owner) = owner.filter(|owner| *owner != parts.identity.vm) {
-        parts.send_to(owner, &export_to_wire(&export));
+        parts.send_to(owner, &export_to_wire(export));
     }
-    parts.keep_export(export);
 }
 
-/// Asks former owners again, and gives up on those that are gone.
+/// Asks former owners again, and gives up on those that are gone or silent.
 pub(crate) fn pursue_handovers<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     table: &mut HandoverTable,
 ) {
     let now = parts.now();
     let waiting = servers_in_handover(parts);
-    table.former.retain(|server, _| waiting.contains(server));
+    table.waiting.retain(|server, _| waiting.contains(server));
     for server in waiting {
-        let former = table.former.get(&server).copied();
-        let known = former.filter(|vm| parts.control().address(*vm).is_some());
+        let former = table.waiting.get_mut(&server);
+        let known = former.filter(|former| {
+            former.queries < MAX_QUERIES && parts.control().address(former.vm).is_some()
+        });
         match known {
-            Some(vm) => query_owner(parts, vm, server),
+            Some(former) => {
+                former.queries += 1;
+                query_owner(parts, former.vm, server);
+            }
             None => parts.control().owner.give_up_handover(now, server),
         }
     }
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -1,6 +1,7 @@
 //! What the tasks and calls of one router share.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use catkin_peer::PeerLink;
 use catkin_peer::messages::PeerMessage;
 use catkin_platform::{ClaimBook, ClaimOptions, process_nonce};
-use catkin_policy::{GrantAnswer, GrantExport, GrantRelease, ServerSpec, choose_owner};
+use catkin_policy::{GrantAnswer, GrantRelease, ServerSpec, choose_owner};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
@@ -57,6 +58,7 @@
     pub(crate) order_replies: OrderReplies,
     /// Reports of servers for the holder of the region's lease.
     pub(crate) server_reports: flume::Sender<ServerReport>,
+    joined: AtomicBool,
     index: RwLock<Option<Arc<FleetIndex>>>,
     control: Mutex<ControlState>,
     pending: Mutex<BTreeMap<RequestId, PendingAsk>>,
@@ -66,11 +68,21 @@
 /// An ask of this router, or the grant that it led to.
 struct PendingAsk {
     server: ServerId,
-    answers: flume::Sender<GrantAnswer>,
+    answers: flume::Sender<ReceivedAnswer>,
+}
+
+/// An answer to an ask, and where it came from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReceivedAnswer {
+    pub(crate) answer: GrantAnswer,
+    /// The router that gave it.
+    pub(crate) from: VmId,
+    /// The router to which that one handed the server.
+    pub(crate) ceded_to: Option<VmId>,
 }
 
 /// The receiving end of one ask's answers.
-pub(crate) type AnswerQueue = flume::Receiver<GrantAnswer>;
+pub(crate) type AnswerQueue = flume::Receiver<ReceivedAnswer>;
 
 /// Answers kept for one ask.
 const ANSWER_QUEUE_LENGTH: usize = 8;
@@ -116,6 +128,7 @@
             courier,
             order_replies: OrderReplies::default(),
             server_reports: input.server_reports,
+            joined: AtomicBool::new(false),
             index: RwLock::new(None),
             control: Mutex::new(control),
             pending: Mutex::default(),
@@ -127,6 +140,17 @@
         self.clock.now()
     }
 
+    /// Whether this router has had time to learn of the others.
+    pub(crate) fn is_joined(&self) -> bool {
+        self.joined.load(Ordering::SeqCst)
+    }
+
+    /// Notes that this router has had time to learn of the others.
+    pub(crate) fn note_joined(&self) {
+        self.joined.store(true, Ordering::SeqCst);
+        self.fleet_changed.notify_one();
+    }
+
     /// The decision state, locked. Never held across a wait.
     pub(crate) fn control(&self) -> MutexGuard<'_, ControlState> {
         lock(&self.control)
@@ -184,55 +208,52 @@
     }
 
     /// Hands an answer to the call that waits for it; false if none does.
-    pub(crate) fn take_answer(&self, answer: &GrantAnswer) -> bool {
+    pub(crate) fn take_answer(&self, received: ReceivedAnswer) -> bool {
         let pending = lock(&self.pending);
-        let Some(ask) = pending.get(&answer.request) else { return false };
-        let wanted = ask.server == answer.server;
+        let Some(ask) = pending.get(&received.answer.request) else { return false };
+        let wanted = ask.server == received.answer.server;
         // A full queue means that the call has had its answer.
-        wanted && (ask.answers.try_send(*answer).is_ok() || ask.answers.is_full())
+        wanted && (ask.answers.try_send(received).is_ok() || ask.answers.is_full())
     }
 
     /// Sends an owner's answer to the router that asked, which may be this one.
     pub(crate) fn deliver_answer(&self, answer: &GrantAnswer) {
+        let ceded_to = self.control().owner.ceded_to(answer.server);
         if answer.entry != self.identity.vm {
-            self.send_to(answer.entry, &answer_to_wire(answer));
+            self.send_to(answer.entry, &answer_to_wire(answer, ceded_to));
             return;
         }
-        self.take_answer(answer);
-    }
-
-    /// Tells the present owner of a server that a request is over there.
-    pub(crate) fn send_release(&self, release: &GrantRelease) {
-        let Some(index) = self.index() else { return };
-        let Some(entry) = index.server(release.server) else { return };
-        match self.owner_of(&entry.spec) {
-            Some(owner) if owner != self.identity.vm => {
-                self.send_to(owner, &release_to_wire(release));
-            }
-            _ => self.take_release(release),
-        }
+        self.take_answer(ReceivedAnswer { answer: *answer, from: self.identity.vm, ceded_to });
     }
 
-    /// What a new owner of `server` needs of this router, owner or former owner of it.
-    pub(crate) fn export_for(&self, server: ServerId) -> Option<GrantExport> {
+    /// Tells the router that granted a request, or else the server's owner, that it is over.
+    pub(crate) fn send_release(&self, granter: Option<VmId>, release: &GrantRelease) {
         let control = self.control();
-        control.owner.export_grants(server).or_else(|| control.kept_exports.get(&server).cloned())
+        let live = |vm: &VmId| control.roster.iter().any(|router| router.vm == *vm);
+        let owner = || control.owners.get(&release.server).copied();
+        let receiver = granter.filter(live).or_else(owner);
+        drop(control);
+        match receiver {
+            Some(vm) if vm != self.identity.vm => self.send_to(vm, &release_to_wire(release)),
+            _ => self.pass_release(self.identity.vm, release),
+        }
     }
 
-    /// Keeps what is known of a server that this router no longer owns, for its new owner.
-    pub(crate) fn keep_export(&self, export: GrantExport) {
-        self.control().kept_exports.insert(export.server, export);
+    /// Takes a release, or passes it on if another router owns the server by now.
+    pub(crate) fn pass_release(&self, from: VmId, release: &GrantRelease) {
+        self.take_release(release);
+        let control = self.control();
+        let ceded_to = control.owner.ceded_to(release.server);
+        let owner = ceded_to.or_else(|| control.owners.get(&release.server).copied());
+        drop(control);
+        if let Some(owner) = owner.filter(|owner| *owner != self.identity.vm && *owner != from) {
+            self.send_to(owner, &release_to_wire(release));
+        }
     }
 
-    /// Takes a release at a server that this router owns.
-    pub(crate) fn take_release(&self, release: &GrantRelease) {
+    fn take_release(&self, release: &GrantRelease) {
         let now = self.now();
-        let mut control = self.control();
-        control.owner.release(now, release);
-        if let Some(kept) = control.kept_exports.get_mut(&release.server) {
-            kept.grants.retain(|grant| grant.request != release.request);
-        }
-        drop(control);
+        self.control().owner.release(now, release);
         self.admission_due.notify_one();
     }
 }
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -7,11 +7,12 @@
 use catkin_peer::messages as wire;
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::{MessageSource, PeerLink, message_from_wire, message_to_wire};
+use catkin_policy::{LoadReport, ReportMode};
 
 use crate::environment::RouterEnvironment;
 use crate::grants::decide_ask;
 use crate::orders::{take_order, take_state};
-use crate::parts::RouterParts;
+use crate::parts::{ReceivedAnswer, RouterParts};
 use crate::strikes::{CrashSuspicion, check_suspicion, note_strike};
 use crate::wire::{
     answer_from_wire, ask_from_wire, export_from_wire, export_to_wire, pool_load_from_wire,
@@ -52,21 +53,18 @@
         Kind::GrantAsk(ask) => {
             let answer = decide_ask(parts, &ask_from_wire(from, ask));
             parts.deliver_answer(&answer);
+            parts.admission_due.notify_one();
         }
         Kind::GrantAnswer(message) => take_answer(parts, from, message),
-        Kind::GrantRelease(release) => take_release(parts, from, release),
+        Kind::GrantRelease(release) => parts.pass_release(from, &release_from_wire(release)),
         Kind::GrantAudit(audit) => answer_audit(parts, from, audit),
         Kind::GrantAuditAnswer(answer) => close_audited(parts, from, answer),
         Kind::LoadReport(report) => {
-            let report = report_from_wire(report);
-            parts.control().sums.note_report(now, from, &report);
+            take_load_report(parts, now, from, &report_from_wire(report));
         }
         Kind::PoolLoad(load) => take_pool_load(parts, now, load),
         Kind::OwnerQuery(query) => answer_owner_query(parts, from, ServerId(query.server)),
-        Kind::OwnerCount(count) => {
-            parts.control().owner.import_grants(now, &export_from_wire(count));
-            parts.admission_due.notify_one();
-        }
+        Kind::OwnerCount(count) => take_owner_count(parts, now, count),
         Kind::PlacementNote(note) => {
             let (home, server) = (ServerId(note.home), ServerId(note.server));
             parts.control().owner.note_placement(ChatId(note.chat), home, server);
@@ -86,27 +84,14 @@
     }
 }
 
-/// Takes a release, or passes it on if another router owns the server by now.
-fn take_release<E: RouterEnvironment>(
-    parts: &RouterParts<E>,
-    from: VmId,
-    message: &wire::GrantRelease,
-) {
-    let release = release_from_wire(message);
-    parts.take_release(&release);
-    let owner = parts.control().owners.get(&release.server).copied();
-    if let Some(owner) = owner.filter(|owner| *owner != parts.identity.vm && *owner != from) {
-        parts.send_to(owner, &wrap_kind(Kind::GrantRelease(*message)));
-    }
-}
-
 fn take_answer<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     from: VmId,
     message: &wire::GrantAnswer,
 ) {
     let answer = answer_from_wire(parts.identity.vm, message);
-    let wanted = parts.take_answer(&answer);
+    let ceded_to = (message.owner != 0).then_some(VmId(message.owner));
+    let wanted = parts.take_answer(ReceivedAnswer { answer, from, ceded_to });
     if !wanted && message.result() == wire::GrantResult::Granted {
         // Nobody waits for the grant any more, so it must not occupy the server.
         let mut release = wire::GrantRelease {
@@ -150,19 +135,48 @@
     now: ClockTime,
     load: &wire::PoolLoad,
 ) {
-    let load = pool_load_from_wire(load);
+    parts.control().take_pool_load(now, pool_load_from_wire(load));
+    parts.admission_due.notify_one();
+}
+
+fn take_load_report<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    now: ClockTime,
+    from: VmId,
+    report: &LoadReport,
+) {
+    let mut control = parts.control();
+    control.sums.note_report(now, from, report);
+    if control.report_mode() == ReportMode::Prompt {
+        control.take_own_sum(now, report.pool);
+        parts.admission_due.notify_one();
+    }
+}
+
+fn take_owner_count<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    now: ClockTime,
+    count: &wire::OwnerCount,
+) {
     let mut control = parts.control();
-    control.owner.note_pool_load(now, &load);
-    control.pool_loads.insert(load.pool, load);
+    if count.unknown {
+        control.owner.give_up_handover(now, ServerId(count.server));
+    } else {
+        control.owner.import_grants(now, &export_from_wire(count));
+    }
     drop(control);
     parts.admission_due.notify_one();
 }
 
 fn answer_owner_query<E: RouterEnvironment>(parts: &RouterParts<E>, from: VmId, server: ServerId) {
-    let export = parts.export_for(server);
-    if let Some(export) = export {
-        parts.send_to(from, &export_to_wire(&export));
-    }
+    let now = parts.now();
+    let export = parts.control().owner.cede(now, server, from);
+    let unknown =
+        wire::OwnerCount { server: server.0, unknown: true, ..wire::OwnerCount::default() };
+    let message =
+        export.map_or(wrap_kind(Kind::OwnerCount(unknown)), |export| export_to_wire(&export));
+    parts.send_to(from, &message);
+    parts.admission_due.notify_one();
 }
 
 fn take_strike<E: RouterEnvironment>(parts: &RouterParts<E>, report: &wire::StrikeReport) {
--- a/crates/catkin-router/src/status.rs
+++ b/crates/catkin-router/src/status.rs
@@ -39,7 +39,8 @@
 
     /// Whether it takes calls.
     pub fn is_ready(&self) -> bool {
-        !self.parts.gate.is_draining() && self.parts.index().is_some()
+        let leaving = self.parts.gate.is_draining();
+        !leaving && self.parts.is_joined() && self.parts.index().is_some()
     }
 
     /// Calls open on it.
--- a/crates/catkin-router/src/wire.rs
+++ b/crates/catkin-router/src/wire.rs
@@ -52,10 +52,11 @@
     }
 }
 
-pub(crate) fn answer_to_wire(answer: &GrantAnswer) -> PeerMessage {
+pub(crate) fn answer_to_wire(answer: &GrantAnswer, ceded_to: Option<VmId>) -> PeerMessage {
     let mut message = wire::GrantAnswer {
         request: answer.request.0,
         server: answer.server.0,
+        owner: ceded_to.map_or(0, |vm| vm.0),
         ..wire::GrantAnswer::default()
     };
     match answer.result {
@@ -178,6 +179,7 @@
         grants: export.grants.iter().map(grant_to_wire).collect(),
         chats: export.chats.iter().map(chat_to_wire).collect(),
         foreign: export.foreign,
+        unknown: false,
     }))
 }
 
