Share settling of lost answers, and part the large files of stand-ins and claims

Reading back a lost answer stood in the claim book and in the group log; it is one function now. The platform stand-in's handler, the engine's token stream, lost answers and owed claims have modules of their own.

--- a/crates/catkin-platform/src/claim_book.rs
+++ b/crates/catkin-platform/src/claim_book.rs
@@ -5,12 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use catkin_base::{ClockTime, RunVerdict, copy_type};
+use catkin_base::{ClockTime, copy_type};
 
 use crate::claim_document::{ClaimDocument, ClaimKey, ClaimNonce, ClaimState, RecordedAnswer};
-use crate::claim_pending::{PendingClaims, PendingKey, PendingTask};
+use crate::claim_pending::PendingClaims;
 use crate::claim_ticket::ClaimTicket;
-use crate::store::{ObjectStore, StoreError, StoreFault, StoredObject, WriteCondition};
+use crate::settled_write::{SettleLimits, WriteEnd, write_settled};
+use crate::store::{ObjectStore, StoredObject, WriteCondition};
 
 /// Most claims of other routers whose first sighting is remembered.
 const MAX_SIGHTINGS: usize = 10_000;
@@ -33,10 +34,8 @@
         pub process: u64,
         /// Whether claims are marked when their request is sent.
         pub mode: ClaimMode,
-        /// Tries to settle a call whose answer was lost.
-        pub settle_tries: u32,
-        /// Pause between two of these tries.
-        pub settle_pause: Duration,
+        /// How long a write whose answer was lost is pursued.
+        pub settle: SettleLimits,
         /// Time for which another router's claim must stay unchanged before it is taken over or,
         /// once marked as sent, given up as unknown.
         pub holder_patience: Duration,
@@ -51,8 +50,7 @@
         Self {
             process,
             mode: ClaimMode::Marked,
-            settle_tries: 3,
-            settle_pause: Duration::from_millis(50),
+            settle: SettleLimits::default(),
             holder_patience: Duration::from_secs(5),
             lost_write_horizon: Duration::from_secs(10),
         }
@@ -98,18 +96,6 @@
     version: u64,
 }
 
-/// What is known of an object after a write.
-enum WriteEnd {
-    /// The write took effect and gave this version.
-    Done(u64),
-    /// The object is another one than expected; this one, if any.
-    Other(Option<StoredObject>),
-    /// Nothing was written.
-    NotWritten,
-    /// It may have been written, or may yet be.
-    Unsettled,
-}
-
 /// When a router first saw another router's claim as it stands.
 struct ClaimSighting {
     version: u64,
@@ -118,10 +104,10 @@
 
 /// Claims of one router.
 pub struct ClaimBook<Store: ObjectStore> {
-    store: Arc<Store>,
-    options: ClaimOptions,
+    pub(crate) store: Arc<Store>,
+    pub(crate) options: ClaimOptions,
     sequence: AtomicU64,
-    pending: Arc<PendingClaims>,
+    pub(crate) pending: Arc<PendingClaims>,
     sightings: Mutex<BTreeMap<String, ClaimSighting>>,
 }
 
@@ -155,7 +141,7 @@
         match written.await {
             WriteEnd::Done(version) => fresh(ticket, version),
             WriteEnd::Other(found) => self.judge(ticket, found, moment.now).await,
-            WriteEnd::NotWritten => {
+            WriteEnd::NotWritten(_) => {
                 ticket.settle();
                 ClaimOutcome::PlatformDown
             }
@@ -180,7 +166,7 @@
                 Ok(())
             }
             WriteEnd::Other(_) => Err(MarkError::NotHeld),
-            WriteEnd::NotWritten | WriteEnd::Unsettled => Err(MarkError::PlatformDown),
+            WriteEnd::NotWritten(_) | WriteEnd::Unsettled => Err(MarkError::PlatformDown),
         }
     }
 
@@ -213,37 +199,10 @@
         match self.write(&claim.object_key, &recorded, condition).await {
             WriteEnd::Done(_) => RecordEnd::Recorded,
             WriteEnd::Other(_) => RecordEnd::Superseded,
-            WriteEnd::NotWritten | WriteEnd::Unsettled => RecordEnd::Owed,
+            WriteEnd::NotWritten(_) | WriteEnd::Unsettled => RecordEnd::Owed,
         }
     }
 
-    /// Writes what is owed to the platform; returns how many writes are still owed.
-    pub async fn flush(&self, now: ClockTime) -> usize {
-        for key in self.pending.keys() {
-            let Some(entry) = self.pending.note_tried(&key, now) else { continue };
-            let done = match entry.task {
-                PendingTask::Withdraw => self.withdraw(&key, now.since(entry.first_tried_at)).await,
-                PendingTask::Record(document) => self.record_owed(&key, &document).await,
-            };
-            match done {
-                Ok(true) => self.pending.remove(&key),
-                Ok(false) => {}
-                Err(StoreError { fault: StoreFault::Conflict, .. }) => {}
-                Err(StoreError { fault: StoreFault::Invalid, .. }) => {
-                    log::error!("claims: the platform refuses the outcome of {}", key.object_key);
-                    self.pending.remove(&key);
-                }
-                Err(_) => break,
-            }
-        }
-        self.pending.len()
-    }
-
-    /// Writes that are owed to the platform.
-    pub fn owed(&self) -> usize {
-        self.pending.len()
-    }
-
     fn new_document(&self, body_digest: &str, moment: ClaimMoment) -> ClaimDocument {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let state = match self.options.mode {
@@ -330,7 +289,7 @@
                 ticket.settle();
                 self.in_progress()
             }
-            WriteEnd::NotWritten => {
+            WriteEnd::NotWritten(_) => {
                 ticket.settle();
                 ClaimOutcome::PlatformDown
             }
@@ -372,11 +331,11 @@
                 ticket.settle();
                 RecordEnd::Superseded
             }
-            WriteEnd::NotWritten | WriteEnd::Unsettled => RecordEnd::Owed,
+            WriteEnd::NotWritten(_) | WriteEnd::Unsettled => RecordEnd::Owed,
         }
     }
 
-    /// Writes a claim and settles a lost answer by reading it back.
+    /// Writes a claim and settles a lost answer; its nonce makes the value its own.
     async fn write(
         &self,
         object_key: &str,
@@ -384,55 +343,7 @@
         condition: WriteCondition,
     ) -> WriteEnd {
         let value = document.encode();
-        let mut may_be_written = false;
-        for attempt in 0..=self.options.settle_tries {
-            if attempt > 0 {
-                tokio::time::sleep(self.options.settle_pause).await;
-            }
-            match self.store.put(object_key, &value, condition).await {
-                Ok(version) => return WriteEnd::Done(version),
-                Err(StoreError { fault: StoreFault::Conflict, .. }) => {
-                    if let Ok(found) = self.store.get(object_key).await {
-                        return settle(found, &value);
-                    }
-                    may_be_written = true;
-                }
-                Err(error) => {
-                    may_be_written |= error.ran != RunVerdict::NotRun;
-                    if !may_be_written {
-                        return WriteEnd::NotWritten;
-                    }
-                }
-            }
-        }
-        WriteEnd::Unsettled
-    }
-
-    /// Deletes a claim that was never used; `true` once it can't come back.
-    async fn withdraw(&self, key: &PendingKey, waited: Duration) -> Result<bool, StoreError> {
-        let settled = waited >= self.options.lost_write_horizon;
-        let Some(found) = self.store.get(&key.object_key).await? else { return Ok(settled) };
-        let held = ClaimDocument::decode(&found.value);
-        if held.is_none_or(|held| held.nonce != key.nonce) {
-            return Ok(settled);
-        }
-        self.store.delete(&key.object_key, found.version).await.map(|()| true)
-    }
-
-    /// Writes an outcome over the claim that has its nonce; `true` once nothing is owed.
-    async fn record_owed(
-        &self,
-        key: &PendingKey,
-        outcome: &ClaimDocument,
-    ) -> Result<bool, StoreError> {
-        let Some(found) = self.store.get(&key.object_key).await? else { return Ok(true) };
-        let Some(held) = ClaimDocument::decode(&found.value) else { return Ok(true) };
-        let is_done = held.nonce != outcome.nonce || held.state == ClaimState::Answered;
-        if is_done || held == *outcome {
-            return Ok(true);
-        }
-        let condition = WriteCondition::Version(found.version);
-        self.store.put(&key.object_key, &outcome.encode(), condition).await.map(|_| true)
+        write_settled(&*self.store, object_key, &value, condition, self.options.settle).await
     }
 }
 
@@ -466,14 +377,6 @@
     ClaimOutcome::Fresh(ticket)
 }
 
-/// Compares the object that was found with the value that was to be written.
-fn settle(found: Option<StoredObject>, value: &[u8]) -> WriteEnd {
-    match found {
-        Some(found) if found.value == value => WriteEnd::Done(found.version),
-        found => WriteEnd::Other(found),
-    }
-}
-
 fn unknown_claim(found: StoredObject, document: Option<ClaimDocument>) -> UnknownClaim {
     UnknownClaim { object_key: found.key, version: found.version, document }
 }
--- a/crates/catkin-platform/src/group_log.rs
+++ b/crates/catkin-platform/src/group_log.rs
@@ -11,6 +11,7 @@
     BatchNonce, SegmentDocument, SegmentRecord, record_version, segment_key, segment_sequence,
     version_place,
 };
+use crate::settled_write::{SettleLimits, WriteEnd, write_settled};
 use crate::store::{ObjectStore, StoreError, StoreFault, StoredObject, WriteCondition};
 
 /// Keys that one list call returns.
@@ -29,10 +30,8 @@
         pub retention: Duration,
         /// Longest time that a batch waits for others to join it.
         pub batch_wait: Duration,
-        /// Tries to settle a call whose answer was lost.
-        pub settle_tries: u32,
-        /// Pause between two of these tries.
-        pub settle_pause: Duration,
+        /// How long a write whose answer was lost is pursued.
+        pub settle: SettleLimits,
     }
 }
 
@@ -45,8 +44,7 @@
             unix_at_start,
             retention: Duration::from_secs(3600),
             batch_wait: Duration::from_millis(50),
-            settle_tries: 3,
-            settle_pause: Duration::from_millis(50),
+            settle: SettleLimits::default(),
         }
     }
 }
@@ -301,7 +299,7 @@
         batch
     }
 
-    /// Appends a segment and settles a lost answer by reading it back.
+    /// Appends a segment.
     async fn append(&mut self, sequence: u64, records: Vec<SegmentRecord>) -> AppendEnd {
         self.batches += 1;
         let nonce = BatchNonce { writer: self.options.writer, batch: self.batches };
@@ -309,31 +307,13 @@
         let value = segment.encode();
         let key = segment_key(&self.options.prefix, sequence);
         let sent_at = Instant::now();
-        let mut may_be_written = false;
-        for attempt in 0..=self.options.settle_tries {
-            if attempt > 0 {
-                tokio::time::sleep(self.options.settle_pause).await;
-            }
-            match self.store.put(&key, &value, WriteCondition::Absent).await {
-                Ok(_) => return self.end_append(sent_at),
-                Err(StoreError { fault: StoreFault::Conflict, .. }) => {
-                    match self.store.get(&key).await {
-                        Ok(Some(found)) if found.value == value => {
-                            return self.end_append(sent_at);
-                        }
-                        Ok(_) => return AppendEnd::Taken,
-                        Err(_) => may_be_written = true,
-                    }
-                }
-                Err(error) => {
-                    may_be_written |= error.ran != RunVerdict::NotRun;
-                    if !may_be_written {
-                        return AppendEnd::NotWritten(error.fault);
-                    }
-                }
-            }
+        let limits = self.options.settle;
+        match write_settled(&*self.store, &key, &value, WriteCondition::Absent, limits).await {
+            WriteEnd::Done(_) => self.end_append(sent_at),
+            WriteEnd::Other(_) => AppendEnd::Taken,
+            WriteEnd::NotWritten(fault) => AppendEnd::NotWritten(fault),
+            WriteEnd::Unsettled => AppendEnd::Unsettled,
         }
-        AppendEnd::Unsettled
     }
 
     /// A writer that was paused for long can't tell whether its number was taken and deleted.
--- a/crates/catkin-standin/src/engine_handler.rs
+++ b/crates/catkin-standin/src/engine_handler.rs
@@ -1,12 +1,10 @@
 //! What an engine does with each request.
 
-use std::io;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{Either, StreamBody};
-use hyper::body::{Frame, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
@@ -16,15 +14,14 @@
     AsyncHandler, ListenerCommand, ServerAnswer, empty_answer, header_text, json_answer,
     not_run_answer, read_document, set_header,
 };
-use crate::chat_content::{ChatBody, answer_text, answer_token};
+use crate::chat_content::{ChatBody, answer_text};
 use crate::engine::{EngineCounts, EngineOptions};
+use crate::lost_answers::LostAnswers;
 use crate::order_desk::{OrderBody, OrderDesk, TakenOrder};
 use crate::prefix_cache::PrefixCache;
 use crate::run_slots::{RunSlots, SlotGrant};
 use crate::server_report::{LeaveRecord, LoadHistory, ProbeAnswer};
-
-/// Parts of a stream that may wait for a slow reader.
-const STREAM_BUFFER_PARTS: usize = 4;
+use crate::token_stream::start_stream;
 
 struct StreamCut {
     remaining: u32,
@@ -39,7 +36,7 @@
     load: LoadHistory,
     leave: LeaveRecord,
     desk: OrderDesk,
-    lose_next: u32,
+    lost_answers: LostAnswers,
     cut: StreamCut,
     generator: StdRng,
 }
@@ -52,23 +49,23 @@
 }
 
 /// Headers of a chat completion call.
-struct CallHeaders {
-    attempt: String,
+pub(crate) struct CallHeaders {
+    pub(crate) attempt: String,
     request: Option<String>,
     chat: Option<u64>,
     priority: u32,
-    resume_after: Option<u32>,
+    pub(crate) resume_after: Option<u32>,
 }
 
 /// A call that was read whole.
-struct ChatCall {
-    headers: CallHeaders,
-    body: ChatBody,
+pub(crate) struct ChatCall {
+    pub(crate) headers: CallHeaders,
+    pub(crate) body: ChatBody,
 }
 
 /// A request that is open on the engine. Dropping it gives back its slot.
-struct OpenRun {
-    engine: Arc<EngineHandler>,
+pub(crate) struct OpenRun {
+    pub(crate) engine: Arc<EngineHandler>,
     incarnation: u64,
     turn: Option<flume::Receiver<()>>,
     started: bool,
@@ -117,7 +114,7 @@
             load: LoadHistory::new(options.load_lag),
             leave: LeaveRecord::default(),
             desk: OrderDesk::new(options.checks_fence),
-            lose_next: 0,
+            lost_answers: LostAnswers::new(options.lost_answer_share),
             cut: StreamCut { remaining: 0, tokens: 0 },
             generator,
         };
@@ -128,12 +125,17 @@
         self.state.lock().expect("the engine state lock is never poisoned")
     }
 
+    /// Time between two tokens.
+    pub(crate) fn token_interval(&self) -> Duration {
+        self.options.token_interval
+    }
+
     pub(crate) fn set_leaving(&self, leaving: bool) {
         self.state().leave.set(leaving);
     }
 
     pub(crate) fn lose_next_answers(&self, count: u32) {
-        self.state().lose_next = count;
+        self.state().lost_answers.lose_next(count);
     }
 
     pub(crate) fn lose_next_order_answers(&self, count: u32) {
@@ -325,7 +327,7 @@
         })))
     }
 
-    fn note_finish(&self, run: &mut OpenRun, call: &ChatCall, generated: u32) {
+    pub(crate) fn note_finish(&self, run: &mut OpenRun, call: &ChatCall, generated: u32) {
         run.finished = true;
         let mut state = self.state();
         state.counts.finished += 1;
@@ -341,20 +343,15 @@
     }
 
     fn loses_answer(&self) -> bool {
-        let share = self.options.lost_answer_share;
         let mut state = self.state();
-        let lost = if state.lose_next > 0 {
-            state.lose_next -= 1;
-            true
-        } else {
-            share > 0.0 && state.generator.random_bool(share)
-        };
-        state.counts.lost_answers += u64::from(lost);
+        let EngineState { lost_answers, generator, counts, .. } = &mut *state;
+        let lost = lost_answers.draw(generator);
+        counts.lost_answers += u64::from(lost);
         lost
     }
 
     /// Tokens after which the next stream is cut, if it is.
-    fn next_cut(&self) -> Option<u32> {
+    pub(crate) fn next_cut(&self) -> Option<u32> {
         let mut state = self.state();
         if state.cut.remaining == 0 {
             return None;
@@ -415,50 +412,3 @@
         resume_after: header_text(request, "x-resume-attempt").and(number("x-resume-after")),
     })
 }
-
-/// Answers with a stream that a task of its own generates.
-fn start_stream(run: OpenRun, call: ChatCall) -> ServerAnswer {
-    let (sender, receiver) = flume::bounded(STREAM_BUFFER_PARTS);
-    tokio::spawn(generate_tokens(run, call, sender));
-    let mut answer = Response::new(Either::Right(StreamBody::new(receiver.into_stream())));
-    set_header(&mut answer, "content-type", "text/event-stream");
-    answer
-}
-
-type PartSender = flume::Sender<io::Result<Frame<Bytes>>>;
-
-async fn generate_tokens(mut run: OpenRun, call: ChatCall, sender: PartSender) {
-    let engine = Arc::clone(&run.engine);
-    let tokens = call.body.answer_tokens();
-    let first = call.headers.resume_after.unwrap_or_default();
-    let cut = engine.next_cut();
-    for index in first..tokens {
-        if index > first {
-            tokio::time::sleep(engine.options.token_interval).await;
-        }
-        if cut == Some(index - first) {
-            let _ = sender.send_async(Err(io::Error::other("stream cut on purpose"))).await;
-            return;
-        }
-        let event = token_event(&call, index, index + 1 == tokens);
-        if sender.send_async(Ok(Frame::data(event))).await.is_err() {
-            return;
-        }
-    }
-    engine.note_finish(&mut run, &call, tokens.saturating_sub(first));
-    let _ = sender.send_async(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n")))).await;
-}
-
-fn token_event(call: &ChatCall, index: u32, last: bool) -> Bytes {
-    let chunk = json!({
-        "id": call.headers.attempt,
-        "object": "chat.completion.chunk",
-        "model": call.body.model,
-        "choices": [{
-            "index": 0,
-            "delta": { "content": answer_token(call.body.last_content(), index) },
-            "finish_reason": last.then_some("stop"),
-        }],
-    });
-    Bytes::from(format!("data: {chunk}\n\n"))
-}
--- a/crates/catkin-standin/src/lib.rs
+++ b/crates/catkin-standin/src/lib.rs
@@ -17,14 +17,17 @@
 mod chat_content;
 mod engine;
 mod engine_handler;
+mod lost_answers;
 mod object_table;
 mod order_desk;
 mod platform;
+mod platform_handler;
 mod prefix_cache;
 mod run_slots;
 mod server_report;
 mod service;
 mod thread_listener;
+mod token_stream;
 mod weights;
 
 pub use chat_content::{ChatBody, ChatMessage, answer_text, answer_token};
--- a/crates/catkin-standin/src/service.rs
+++ b/crates/catkin-standin/src/service.rs
@@ -19,6 +19,7 @@
     AsyncHandler, AsyncListener, ListenerCommand, ServerAnswer, empty_answer, header_text,
     json_answer, not_run_answer, read_document, set_header, whole_answer,
 };
+use crate::lost_answers::LostAnswers;
 use crate::order_desk::{OrderBody, OrderDesk, TakenOrder};
 use crate::server_report::{LeaveRecord, LoadHistory, ProbeAnswer};
 
@@ -111,7 +112,7 @@
     load: LoadHistory,
     leave: LeaveRecord,
     desk: OrderDesk,
-    lose_next: u32,
+    lost_answers: LostAnswers,
     crash_before_next: u32,
     generator: StdRng,
 }
@@ -147,7 +148,7 @@
             load: LoadHistory::new(options.load_lag),
             leave: LeaveRecord::default(),
             desk: OrderDesk::new(options.checks_fence),
-            lose_next: 0,
+            lost_answers: LostAnswers::new(options.lost_answer_share),
             crash_before_next: 0,
             generator,
         };
@@ -238,19 +239,14 @@
     /// Records a call; `None` if its answer is to be lost.
     fn write_record(&self, key: &str, attempt: &str, body: &[u8]) -> Option<Vec<u8>> {
         let answer = service_answer(key, body);
-        let share = self.options.lost_answer_share;
         let mut state = self.state();
         state.counts.runs += 1;
         *state.counts.runs_by_key.entry(key.to_owned()).or_default() += 1;
         *state.counts.runs_by_attempt.entry(attempt.to_owned()).or_default() += 1;
         state.recorded.entry(key.to_owned()).or_insert_with(|| answer.clone());
-        let lost = if state.lose_next > 0 {
-            state.lose_next -= 1;
-            true
-        } else {
-            share > 0.0 && state.generator.random_bool(share)
-        };
-        state.counts.lost_answers += u64::from(lost);
+        let ServiceState { lost_answers, generator, counts, .. } = &mut *state;
+        let lost = lost_answers.draw(generator);
+        counts.lost_answers += u64::from(lost);
         (!lost).then_some(answer)
     }
 }
@@ -315,7 +311,7 @@
 
     /// Records the next `count` calls and drops their answers.
     pub fn lose_next_answers(&self, count: u32) {
-        self.listener.handler().state().lose_next = count;
+        self.listener.handler().state().lost_answers.lose_next(count);
     }
 
     /// Starts or stops leaving.
