Keep the keys of teams apart at services, and don't deny earlier runs in an outage

A plain service saw a caller's key as it was: two teams with the same key met in its records, and a look-up gave one the other's answer. The key now carries the team's identifier.

With the platform down, a call whose key had run before was refused as 'not run'. The router now asks the service's look-up; only if no server has a record of the key is it 'not run', else 'may have run'.

--- a/crates/catkin-demo/src/caller.rs
+++ b/crates/catkin-demo/src/caller.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkin_base::{EventCounter, RunVerdict, value_type};
+use catkin_base::{EventCounter, RunVerdict, TeamId, value_type};
 use catkin_caller::{
     CHAT_HEADER, CLASS_HEADER, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER, PROBLEM_TYPE,
     ProblemDocument,
 };
+use catkin_router::service_key;
 use catkin_standin::{answer_text, service_answer};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -181,6 +182,11 @@
     }
 }
 
+/// A record's key as the plain service sees it.
+pub(crate) fn served_key(call: &PlannedCall, key: &str) -> String {
+    service_key(TeamId::from_name(call.team), key)
+}
+
 fn judge_answer(call: &PlannedCall, bytes: &[u8], broken: bool) -> CallEnd {
     let (whole, expected, found) = match &call.work {
         PlannedWork::Turn { chat, turn, poison, .. } => {
@@ -191,7 +197,7 @@
             (counter.is_done(), answer_text(content, call.work.tokens()), join_events(bytes))
         }
         PlannedWork::Record { key } => {
-            let expected = service_answer(key, call_body(call).as_bytes());
+            let expected = service_answer(&served_key(call, key), call_body(call).as_bytes());
             let expected = String::from_utf8_lossy(&expected).into_owned();
             (!broken, expected, String::from_utf8_lossy(bytes).into_owned())
         }
--- a/crates/catkin-demo/src/tally.rs
+++ b/crates/catkin-demo/src/tally.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::caller::{CallEnd, CallRecord};
+use crate::caller::{CallEnd, CallRecord, served_key};
 use crate::trace::{PlannedCall, PlannedWork, chat_contents};
 use crate::world::DemoWorld;
 
@@ -159,7 +159,9 @@
             let counts = world.engines.iter().map(catkin_standin::EngineStandin::counts);
             counts.map(|counts| counts.runs_by_content.get(content).copied().unwrap_or(0)).sum()
         }
-        PlannedWork::Record { key } => count_records(world).get(key).copied().unwrap_or(0),
+        PlannedWork::Record { key } => {
+            count_records(world).get(&served_key(call, key)).copied().unwrap_or(0)
+        }
     }
 }
 
@@ -183,7 +185,7 @@
     let records = count_records(world);
     let confirmed = results.iter().filter(|result| result.last() == Some(&CallEnd::Whole));
     let lost = confirmed.filter(|result| match &result.call.work {
-        PlannedWork::Record { key } => !records.contains_key(key),
+        PlannedWork::Record { key } => !records.contains_key(&served_key(&result.call, key)),
         PlannedWork::Turn { .. } => false,
     });
     lost.count() as u64
--- a/crates/catkin-router/src/attempts.rs
+++ b/crates/catkin-router/src/attempts.rs
@@ -178,7 +178,7 @@
             path: self.call.path.clone(),
             attempt: AttemptId(self.parts.random_word()),
             chat: service.is_none().then_some(self.call.chat),
-            idempotency_key: service.and_then(|service| service.key.clone()),
+            idempotency_key: service.and_then(|service| service.server_key.clone()),
             priority: self.call.priority,
             resume_after,
             body: self.call.body.clone(),
--- a/crates/catkin-router/src/call.rs
+++ b/crates/catkin-router/src/call.rs
@@ -43,6 +43,14 @@
     pub(crate) idempotent: bool,
     pub(crate) look_up_path: Option<String>,
     pub(crate) key: Option<String>,
+    /// The key as servers see it.
+    pub(crate) server_key: Option<String>,
+}
+
+/// The idempotency key that a plain service sees: teams choose their keys freely, and two teams
+/// that choose the same one must not meet in the service's records.
+pub fn service_key(team: TeamId, key: &str) -> String {
+    format!("{team}-{key}")
 }
 
 /// Where a call goes.
@@ -63,7 +71,7 @@
     ) -> Result<Self, CallRefusal> {
         let (team, team_rule) = find_team(index, &request.token)?;
         let (class_name, class) = find_class(index, team_rule, request.class.as_deref())?;
-        let route = find_route(index, &request)?;
+        let route = find_route(index, team.team, &request)?;
         let millis = request.deadline_millis.unwrap_or(class.deadline_millis);
         let chat_name = request.chat.as_deref();
         Ok(Self {
@@ -122,11 +130,15 @@
     Ok((name, class))
 }
 
-fn find_route(index: &FleetIndex, request: &CallRequest) -> Result<CallRoute, CallRefusal> {
+fn find_route(
+    index: &FleetIndex,
+    team: TeamId,
+    request: &CallRequest,
+) -> Result<CallRoute, CallRefusal> {
     match &request.target {
         CallTarget::Chat { model, streamed } => find_model(index, model, *streamed),
         CallTarget::Service { service, path } => {
-            find_service(index, service, path, request.idempotency_key.as_deref())
+            find_service(index, team, service, path, request.idempotency_key.as_deref())
         }
     }
 }
@@ -141,6 +153,7 @@
 
 fn find_service(
     index: &FleetIndex,
+    team: TeamId,
     name: &str,
     path: &str,
     key: Option<&str>,
@@ -158,6 +171,7 @@
         idempotent: rule.idempotent,
         look_up_path: rule.look_up_path.clone(),
         key: key.map(str::to_owned),
+        server_key: key.map(|key| service_key(team, key)),
     };
     Ok(CallRoute {
         pool: service_pool(name),
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -35,6 +35,7 @@
 mod wire;
 
 pub use answer::RouterAnswer;
+pub use call::service_key;
 pub use calls::RouterService;
 pub use clock::RuntimeClock;
 pub use environment::RouterEnvironment;
--- a/crates/catkin-router/src/once.rs
+++ b/crates/catkin-router/src/once.rs
@@ -61,7 +61,9 @@
         ClaimOutcome::Recorded(recorded) => replay_recorded(recorded),
         ClaimOutcome::InProgress { retry_after } => Err(refuse_in_progress(retry_after)),
         ClaimOutcome::KeyReused => Err(refuse_reused()),
-        ClaimOutcome::PlatformDown | ClaimOutcome::Unsettled => Err(refuse_platform()),
+        ClaimOutcome::PlatformDown | ClaimOutcome::Unsettled => {
+            Err(refuse_unclaimed(&runner, &service).await)
+        }
         ClaimOutcome::Unknown(unknown) => resolve_unknown(&runner, &service, unknown).await,
     }
 }
@@ -117,11 +119,11 @@
         return Err(refusal);
     }
     match look_up(runner, service).await {
-        Some(answer) => {
+        LookUpEnd::Found(answer) => {
             record_answer(&runner.parts, ticket, &answer).await;
             Ok(OnceAnswer { answer, replayed: false })
         }
-        None => {
+        LookUpEnd::Absent | LookUpEnd::Unsure => {
             runner.parts.claims.record_unknown(ticket).await;
             Err(refusal)
         }
@@ -134,28 +136,58 @@
     service: &ServiceCall,
     unknown: UnknownClaim,
 ) -> Result<OnceAnswer, CallRefusal> {
-    let Some(answer) = look_up(runner, service).await else { return Err(refuse_unknown()) };
+    let LookUpEnd::Found(answer) = look_up(runner, service).await else {
+        return Err(refuse_unknown());
+    };
     let recorded = to_recorded(&answer);
     let end = runner.parts.claims.resolve(unknown, &recorded).await;
     log::info!("entry: A lost outcome was found. request={} end={end:?}", runner.call.request);
     Ok(OnceAnswer { answer, replayed: true })
 }
 
+/// What a service's look-up of a key came to.
+enum LookUpEnd {
+    /// The key is recorded, with this answer.
+    Found(WholeAnswer),
+    /// No server has a record of it.
+    Absent,
+    /// Not every server said whether it has one.
+    Unsure,
+}
+
 /// Asks the servers of a service, one after the other, for the recorded answer to a key.
 async fn look_up<E: RouterEnvironment>(
     runner: &AttemptRunner<E>,
     service: &ServiceCall,
-) -> Option<WholeAnswer> {
-    let path = service.look_up_path.as_deref()?;
-    let key = service.key.as_deref()?;
+) -> LookUpEnd {
+    let (Some(path), Some(key)) = (&service.look_up_path, &service.server_key) else {
+        return LookUpEnd::Unsure;
+    };
     let backend = &runner.parts.backend;
     let pool = runner.call.pool;
+    let mut end = LookUpEnd::Absent;
     for entry in runner.index.servers().filter(|entry| entry.spec.pools.contains(&pool)) {
-        if let Ok(Some(body)) = backend.look_up(entry.address, path, key, LOOK_UP_TIMEOUT).await {
-            return Some(found_answer(entry.spec.server, body));
+        match backend.look_up(entry.address, path, key, LOOK_UP_TIMEOUT).await {
+            Ok(Some(body)) => return LookUpEnd::Found(found_answer(entry.spec.server, body)),
+            Ok(None) => {}
+            Err(_) => end = LookUpEnd::Unsure,
+        }
+    }
+    end
+}
+
+/// Refuses a call that could not be claimed. Nothing of it was sent; whether an earlier call with
+/// its key ran, only the service can tell as long as the platform does not answer.
+async fn refuse_unclaimed<E: RouterEnvironment>(
+    runner: &AttemptRunner<E>,
+    service: &ServiceCall,
+) -> CallRefusal {
+    match look_up(runner, service).await {
+        LookUpEnd::Absent => refuse_platform(),
+        LookUpEnd::Found(_) | LookUpEnd::Unsure => {
+            refuse_platform().with_verdict(RunVerdict::MayHaveRun)
         }
     }
-    None
 }
 
 fn found_answer(server: ServerId, body: Bytes) -> WholeAnswer {
