Confirm that the head is in force before calling an apply unchanged

A stale read of the head whose content equals what is applied made the apply answer 'unchanged, revision 1' while revision 2 was in force. The head is now written unchanged first, which fails if it is stale.

--- a/crates/catkin-operator/src/apply.rs
+++ b/crates/catkin-operator/src/apply.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use catkin_base::{RunVerdict, value_type};
-use catkin_platform::{ObjectStore, StoreError, WriteCondition};
+use catkin_platform::{ObjectStore, StoreError, StoreFault, WriteCondition};
 use catkin_settings::{FaultLevel, FleetDeclarations, SettingsFault, check_declarations};
 
 use crate::chunks::{ChunkSource, StoreChunks, write_chunk};
 use crate::cut::{ChunkCut, GroupChunk, cut_declarations};
-use crate::head::{HEAD_KEY, RevisionHead, VersionedHead, read_versioned_head};
+use crate::head::{HEAD_KEY, RevisionHead, VersionedHead, read_versioned_head, renew_head};
 use crate::history::{read_past_head, read_revision_head, record_head};
 use crate::reader::{FetchError, FetchOutcome, RevisionReader};
 
@@ -102,7 +102,7 @@
     if let Some(current) = &current
         && current.head.digest == cut.refs.digest()
     {
-        return Ok(outcome_of(&current.head, true));
+        return confirm_unchanged(store, current).await;
     }
     let head = RevisionHead {
         revision: base + 1,
@@ -177,6 +177,23 @@
     Ok(current)
 }
 
+/// Answers that `current` holds the declarations already, if it is still in force.
+async fn confirm_unchanged<S: ObjectStore>(
+    store: &S,
+    current: &VersionedHead,
+) -> Result<ApplyOutcome, ApplyError> {
+    let held = &current.head;
+    match renew_head(store, current).await {
+        Ok(()) => Ok(outcome_of(held, true)),
+        Err(error) if error.fault == StoreFault::Conflict => {
+            let newest = read_versioned_head(store).await.map_err(ApplyError::Unavailable)?;
+            let in_force = newest.map_or(0, |newest| newest.head.revision);
+            Err(conflict(store, held.revision, in_force).await)
+        }
+        Err(error) => Err(ApplyError::Unavailable(error)),
+    }
+}
+
 fn outcome_of(head: &RevisionHead, unchanged: bool) -> ApplyOutcome {
     ApplyOutcome { revision: head.revision, digest: head.digest.clone(), unchanged }
 }
--- a/crates/catkin-operator/src/garbage.rs
+++ b/crates/catkin-operator/src/garbage.rs
@@ -7,11 +7,11 @@
 use std::collections::BTreeSet;
 
 use catkin_base::{copy_type, value_type};
-use catkin_platform::{ObjectStore, StoreError, StoreFault, WriteCondition};
+use catkin_platform::{ObjectStore, StoreError, StoreFault};
 
 use crate::chunks::{CHUNK_PREFIX, ChunkSource, StoreChunks, chunk_key};
 use crate::cut::GroupChunk;
-use crate::head::{HEAD_KEY, RevisionHead, VersionedHead, read_versioned_head};
+use crate::head::{RevisionHead, read_versioned_head, renew_head};
 use crate::history::{KEPT_REVISIONS, forget_head, list_all, list_history, read_past_head};
 
 /// Most chunks deleted by one run.
@@ -71,7 +71,10 @@
     if candidates.is_empty() && expired.is_empty() {
         return Ok(outcome);
     }
-    renew_head(store, &current).await?;
+    renew_head(store, &current).await.map_err(|error| match error.fault {
+        StoreFault::Conflict => GarbageError::Superseded,
+        _ => GarbageError::Store(error),
+    })?;
     for revision in expired {
         outcome.forgotten += usize::from(forget_head(store, revision).await.is_ok());
     }
@@ -119,16 +122,3 @@
     }
     Ok(keys)
 }
-
-/// Writes the head unchanged, which proves that it was in force until now.
-async fn renew_head<S: ObjectStore>(
-    store: &S,
-    current: &VersionedHead,
-) -> Result<(), GarbageError> {
-    let condition = WriteCondition::Version(current.version);
-    match store.put(HEAD_KEY, &current.head.encode(), condition).await {
-        Ok(_) => Ok(()),
-        Err(error) if error.fault == StoreFault::Conflict => Err(GarbageError::Superseded),
-        Err(error) => Err(GarbageError::Store(error)),
-    }
-}
--- a/crates/catkin-operator/src/head.rs
+++ b/crates/catkin-operator/src/head.rs
@@ -1,7 +1,7 @@
 //! The head: the one object whose conditional update puts a revision in force.
 
 use catkin_base::{digest_hex, document_type};
-use catkin_platform::{ObjectStore, StoreError, StoreFault};
+use catkin_platform::{ObjectStore, StoreError, StoreFault, WriteCondition};
 
 /// Key of the head in the platform.
 pub const HEAD_KEY: &str = "config/head";
@@ -79,6 +79,15 @@
     Ok(Some(VersionedHead { head, version: object.version }))
 }
 
+/// Writes the head unchanged, which proves that it was in force until now.
+pub(crate) async fn renew_head<S: ObjectStore>(
+    store: &S,
+    current: &VersionedHead,
+) -> Result<(), StoreError> {
+    let condition = WriteCondition::Version(current.version);
+    store.put(HEAD_KEY, &current.head.encode(), condition).await.map(|_| ())
+}
+
 /// The fault given for an object whose content is not what this program writes.
 pub(crate) const MALFORMED: StoreError =
     StoreError { fault: StoreFault::Invalid, ran: catkin_base::RunVerdict::NotRun };
--- a/crates/catkin-operator/tests/revisions.rs
+++ b/crates/catkin-operator/tests/revisions.rs
@@ -180,6 +180,20 @@
     assert_eq!(late, Err(ApplyError::Conflict { revision: 2, changed }));
 }
 
+#[tokio::test(start_paused = true)]
+async fn content_of_a_stale_head_does_not_pass_for_unchanged() {
+    let store = MemoryStore::new();
+    let first = fleet_of(10);
+    apply(&store, &first, 0, "first").await;
+    apply(&store, &with_quota(&first, 3, 8), 1, "second").await;
+    store.plan(PlannedFault::StaleRead, HEAD_KEY);
+
+    let late = apply_declarations(&store, &first, Some(1), &note("late")).await;
+
+    let changed = vec!["teams.team-00003".to_owned()];
+    assert_eq!(late, Err(ApplyError::Conflict { revision: 2, changed }));
+}
+
 #[tokio::test(start_paused = true)]
 async fn delayed_write_of_the_head_does_not_undo_a_newer_revision() {
     let store = MemoryStore::new();
