Pace the collector of garbage and mark revisions applied meanwhile

One run reads every kept head and group, more than a router's share of the platform's calls allows at once, and was superseded by any apply in between. It now pauses between calls and marks a second time before it notes versions.

--- a/crates/catkin-operator/src/garbage.rs
+++ b/crates/catkin-operator/src/garbage.rs
@@ -5,17 +5,19 @@
 //! version of the chunks that it needs. Only the noted versions are deleted.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use catkin_base::{copy_type, value_type};
 use catkin_platform::{ObjectStore, StoreError, StoreFault};
+use tokio::time::sleep;
 
 use crate::chunks::{CHUNK_PREFIX, ChunkSource, StoreChunks, chunk_key};
 use crate::cut::GroupChunk;
-use crate::head::{RevisionHead, read_versioned_head, renew_head};
+use crate::head::{RevisionHead, VersionedHead, read_versioned_head, renew_head};
 use crate::history::{KEPT_REVISIONS, forget_head, list_all, list_history, read_past_head};
 
 /// Most chunks deleted by one run.
-const MAX_DELETED: usize = 500;
+const MAX_DELETED: usize = 100;
 
 copy_type! {
     /// What one run did.
@@ -52,73 +54,122 @@
     version: u64,
 }
 
-/// Deletes what no kept revision refers to, at most a few hundred chunks.
-pub async fn collect_garbage<S: ObjectStore>(store: &S) -> Result<GarbageOutcome, GarbageError> {
+/// Deletes what no kept revision refers to, at most a hundred chunks, pausing after each call.
+///
+/// Several routers may collect at the same time.
+pub async fn collect_garbage<S: ObjectStore>(
+    store: &S,
+    pause: Duration,
+) -> Result<GarbageOutcome, GarbageError> {
+    let paced = PacedStore { store, pause };
     let keys = list_all(store, CHUNK_PREFIX).await?;
-    let Some(current) = read_versioned_head(store).await? else {
-        return Ok(GarbageOutcome::default());
-    };
-    let (kept, expired) = split_history(store, &current.head).await?;
-    let referenced = referenced_keys(store, &kept).await?;
-    let mut candidates = Vec::new();
-    for key in keys.into_iter().filter(|key| !referenced.contains(key)).take(MAX_DELETED) {
-        if let Some(object) = store.get(&key).await? {
-            candidates.push(GarbageChunk { key, version: object.version });
-        }
-    }
+    let mut marks = ReferenceMarks::default();
+    marks.update(&paced).await?;
+    // Most of the time has passed by now: revisions may have been applied meanwhile.
+    let Some(current) = marks.update(&paced).await? else { return Ok(GarbageOutcome::default()) };
+    let candidates = paced.note_versions(keys, &marks).await?;
     let mut outcome =
         GarbageOutcome { unreferenced: candidates.len(), ..GarbageOutcome::default() };
-    if candidates.is_empty() && expired.is_empty() {
+    if candidates.is_empty() && marks.expired.is_empty() {
         return Ok(outcome);
     }
     renew_head(store, &current).await.map_err(|error| match error.fault {
         StoreFault::Conflict => GarbageError::Superseded,
         _ => GarbageError::Store(error),
     })?;
-    for revision in expired {
+    for revision in marks.expired {
         outcome.forgotten += usize::from(forget_head(store, revision).await.is_ok());
+        sleep(pause).await;
     }
     for chunk in candidates {
         outcome.deleted += usize::from(store.delete(&chunk.key, chunk.version).await.is_ok());
+        sleep(pause).await;
     }
     Ok(outcome)
 }
 
-/// Reads the heads that are kept, and names the revisions that are not.
-async fn split_history<S: ObjectStore>(
-    store: &S,
-    head: &RevisionHead,
-) -> Result<(Vec<RevisionHead>, Vec<u64>), StoreError> {
-    let oldest = head.revision.saturating_sub(KEPT_REVISIONS);
-    let mut kept = vec![head.clone()];
-    let mut expired = Vec::new();
-    for revision in list_history(store).await? {
-        if revision < oldest {
-            expired.push(revision);
-        } else {
-            kept.extend(read_past_head(store, revision).await?);
+/// A store whose reads are followed by a pause, which keeps to the router's budget of calls.
+struct PacedStore<'a, S: ObjectStore> {
+    store: &'a S,
+    pause: Duration,
+}
+
+impl<S: ObjectStore> PacedStore<'_, S> {
+    async fn read_head(&self, revision: u64) -> Result<Option<RevisionHead>, StoreError> {
+        sleep(self.pause).await;
+        read_past_head(self.store, revision).await
+    }
+
+    async fn read_group(&self, digest: &str) -> Result<GroupChunk, GarbageError> {
+        sleep(self.pause).await;
+        let content = StoreChunks::new(self.store).fetch_chunk(digest).await?;
+        let group = content.and_then(|content| serde_json::from_slice(&content).ok());
+        group.ok_or(GarbageError::Incomplete)
+    }
+
+    /// Notes the versions of unreferenced chunks.
+    async fn note_versions(
+        &self,
+        keys: Vec<String>,
+        marks: &ReferenceMarks,
+    ) -> Result<Vec<GarbageChunk>, StoreError> {
+        let mut chunks = Vec::new();
+        for key in keys.into_iter().filter(|key| !marks.keys.contains(key)).take(MAX_DELETED) {
+            sleep(self.pause).await;
+            if let Some(object) = self.store.get(&key).await? {
+                chunks.push(GarbageChunk { key, version: object.version });
+            }
         }
+        Ok(chunks)
     }
-    Ok((kept, expired))
 }
 
-async fn referenced_keys<S: ObjectStore>(
-    store: &S,
-    heads: &[RevisionHead],
-) -> Result<BTreeSet<String>, GarbageError> {
-    let mut keys = BTreeSet::new();
-    let mut groups = BTreeSet::new();
-    for head in heads {
-        keys.insert(chunk_key(&head.chunks.common));
-        keys.extend(head.chunks.servers.iter().map(|digest| chunk_key(digest)));
-        groups.extend(&head.chunks.team_groups);
+/// Keys that the kept revisions refer to.
+#[derive(Default)]
+struct ReferenceMarks {
+    revisions: BTreeSet<u64>,
+    keys: BTreeSet<String>,
+    expired: Vec<u64>,
+}
+
+impl ReferenceMarks {
+    /// Marks what revisions not seen before refer to, and returns the head in force.
+    async fn update<S: ObjectStore>(
+        &mut self,
+        paced: &PacedStore<'_, S>,
+    ) -> Result<Option<VersionedHead>, GarbageError> {
+        let Some(current) = read_versioned_head(paced.store).await? else { return Ok(None) };
+        let oldest = current.head.revision.saturating_sub(KEPT_REVISIONS);
+        let recorded = list_history(paced.store).await?;
+        let (expired, kept) = recorded.into_iter().partition(|revision| *revision < oldest);
+        self.expired = expired;
+        let kept: Vec<u64> = kept;
+        for revision in kept {
+            if !self.revisions.contains(&revision)
+                && let Some(head) = paced.read_head(revision).await?
+            {
+                self.mark(paced, &head).await?;
+            }
+        }
+        self.mark(paced, &current.head).await?;
+        Ok(Some(current))
     }
-    for digest in groups {
-        let content = StoreChunks::new(store).fetch_chunk(digest).await?;
-        let group = content.and_then(|content| serde_json::from_slice(&content).ok());
-        let GroupChunk { shards } = group.ok_or(GarbageError::Incomplete)?;
-        keys.insert(chunk_key(digest));
-        keys.extend(shards.iter().map(|shard| chunk_key(shard)));
+
+    async fn mark<S: ObjectStore>(
+        &mut self,
+        paced: &PacedStore<'_, S>,
+        head: &RevisionHead,
+    ) -> Result<(), GarbageError> {
+        self.keys.insert(chunk_key(&head.chunks.common));
+        self.keys.extend(head.chunks.servers.iter().map(|digest| chunk_key(digest)));
+        for digest in &head.chunks.team_groups {
+            if !self.keys.insert(chunk_key(digest)) {
+                continue;
+            }
+            let group = paced.read_group(digest).await?;
+            self.keys.extend(group.shards.iter().map(|shard| chunk_key(shard)));
+        }
+        self.revisions.insert(head.revision);
+        Ok(())
     }
-    Ok(keys)
 }
--- a/crates/catkin-operator/tests/revisions.rs
+++ b/crates/catkin-operator/tests/revisions.rs
@@ -431,7 +431,7 @@
     store.overwrite(orphan, b"{}");
     apply(&store, &with_quota(&first, 1, 9), 1, "second").await;
 
-    let outcome = collect_garbage(&store).await.expect("collected");
+    let outcome = collect_garbage(&store, Duration::ZERO).await.expect("collected");
 
     assert_eq!((outcome.unreferenced, outcome.deleted), (1, 1));
     let back = rollback_declarations(&store, 1, Some(2), &note("back")).await;
@@ -492,7 +492,7 @@
     let refused = apply_declarations(&store, &second, Some(1), &note("refused")).await;
     let store = ApplyBeforeDelete { store, waiting: Some(second.clone()).into() };
 
-    let outcome = collect_garbage(&store).await.expect("collected");
+    let outcome = collect_garbage(&store, Duration::ZERO).await.expect("collected");
 
     assert!(matches!(refused, Err(ApplyError::Unavailable(_))));
     assert!(outcome.unreferenced > outcome.deleted);
@@ -533,7 +533,7 @@
 
         let collector = async {
             for _ in 0..40 {
-                let _ = collect_garbage(&store).await;
+                let _ = collect_garbage(&store, Duration::ZERO).await;
             }
         };
         let (left, middle, right, ()) = tokio::join!(
