Collect garbage of the declarations on one router of the fleet

Nothing called the collector, so that history and chunks grew for ever. cargo test -p catkin-router: 7 pass; no test waits for the half hour.

--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -14,6 +14,7 @@
 mod drain;
 mod environment;
 mod fleet;
+mod garbage;
 mod grants;
 mod hint;
 mod identity;
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -13,6 +13,7 @@
 use crate::calls::RouterService;
 use crate::environment::RouterEnvironment;
 use crate::fleet::{run_audits, run_directory, run_fleet, run_reports};
+use crate::garbage::run_garbage;
 use crate::identity::RouterIdentity;
 use crate::orders::{REPORT_QUEUE_LENGTH, run_orders};
 use crate::parts::{PartsInput, RouterParts};
@@ -81,6 +82,7 @@
         core.spawn(|parts| async move { run_reports(&parts).await });
         core.spawn(|parts| async move { run_audits(&parts).await });
         core.spawn(|parts| async move { run_revisions(&parts).await });
+        core.spawn(|parts| async move { run_garbage(&parts).await });
         core.spawn(|parts| async move { run_directory(&parts, seeds).await });
         core.spawn(|parts| async move { run_probes(parts, suspect_queue).await });
         core.spawn(|parts| async move { run_orders(parts, report_queue).await });
