Let callers take the last parts of their answers before a router stops

A call counts as ended when its last part is handed to the connection, which may still hold up to 16 KiB of it unsent. The shutdown then dropped every connection at once. It now waits for the connections within the drain limit. No test: the unsent rest depends on the kernel's buffers.

--- a/crates/catkin-router/src/process.rs
+++ b/crates/catkin-router/src/process.rs
@@ -14,6 +14,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use sha2::{Digest, Sha256};
 use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
 
 use crate::environment::RouterEnvironment;
 use crate::identity::RouterIdentity;
@@ -135,13 +136,20 @@
     }
 
     /// Finishes open work, stops and joins everything. Returns whether no call was cut off.
-    pub async fn shut_down(self) -> bool {
+    pub async fn shut_down(mut self) -> bool {
         self.caller_shutdown.start_leaving();
         self.core.announce_leave().await;
         self.caller_shutdown.start_closing();
+        let limit = Instant::now() + self.drain_limit;
         let whole = self.core.shut_down(self.drain_limit).await;
-        self.caller_shutdown.abort();
-        let joined = self.callers.await.is_ok();
+        // Callers may still be taking the last parts of their answers.
+        let joined = match timeout_at(limit, &mut self.callers).await {
+            Ok(joined) => joined.is_ok(),
+            Err(_) => {
+                self.caller_shutdown.abort();
+                self.callers.await.is_ok()
+            }
+        };
         self.peers.close().await;
         self.operators.stop();
         whole && joined
