Pass an engine's error on to streams, and strike crashes in mid-stream

An answer in JSON to a call for a stream was scanned for events and came out empty: a 400 of an engine reached its caller without its body. A stream that broke after its first events and could not be resumed was not reported as a suspected crash, so a request could crash one engine after another. Two tests over real sockets failed before and pass now.

--- a/crates/catkin-router/src/answer.rs
+++ b/crates/catkin-router/src/answer.rs
@@ -155,8 +155,10 @@
             if self.scanner.is_done() {
                 return Ok(None);
             }
+            let streamed = self.open.answer.stream.head().streamed;
             let part = self.runner.next_part(&mut self.open.answer.stream).await;
             match part {
+                Ok(Some(bytes)) if !streamed => return Ok(Some(bytes)),
                 Ok(Some(bytes)) => {
                     if let Some(events) = self.scan(bytes)? {
                         return Ok(Some(events));
@@ -186,17 +188,26 @@
         if events == 0 {
             return self.restart(error).await;
         }
+        if self.resume(error.fault, events).await {
+            return Ok(());
+        }
+        self.runner.note_loss(&mut self.open.grant, error);
+        Err(self.refuse_rest(error.fault))
+    }
+
+    /// Takes up the stream on the same server; false if that can't be done.
+    async fn resume(&mut self, fault: BackendFault, events: u64) -> bool {
         let server = self.open.grant.server();
         let resumes = self.runner.index.server(server).is_some_and(|entry| entry.resumes);
-        if !resumes || error.fault != BackendFault::Broken || self.runner.is_late() {
-            return Err(self.refuse_rest(error.fault));
+        if !resumes || fault != BackendFault::Broken || self.runner.is_late() {
+            return false;
         }
         let point = ResumePoint { attempt: self.open.answer.attempt, events };
-        let resumed = self.runner.send(server, Some(point)).await;
-        self.open.answer = resumed.map_err(|_| self.refuse_rest(error.fault))?;
+        let Ok(answer) = self.runner.send(server, Some(point)).await else { return false };
+        self.open.answer = answer;
         self.delivered = events;
         self.scanner = SseScanner::new(MAX_EVENT_BYTES);
-        Ok(())
+        true
     }
 
     async fn restart(&mut self, error: BackendError) -> Result<(), CallRefusal> {
--- a/crates/catkin-router/src/attempts.rs
+++ b/crates/catkin-router/src/attempts.rs
@@ -93,6 +93,12 @@
         grant: &mut GrantHolder<E>,
         error: BackendError,
     ) -> Result<(), CallRefusal> {
+        self.note_loss(grant, error);
+        self.check_retry(error)
+    }
+
+    /// Notes that an attempt failed which no other one will follow.
+    pub(crate) fn note_loss(&mut self, grant: &mut GrantHolder<E>, error: BackendError) {
         let server = grant.server();
         self.ran = self.ran.combine(error.ran);
         self.excluded.insert(server);
@@ -106,7 +112,6 @@
             self.crashes += 1;
             report_suspicion(&self.parts, &self.index, self.call.digest, server);
         }
-        self.check_retry(error)
     }
 
     fn check_retry(&self, error: BackendError) -> Result<(), CallRefusal> {
--- a/crates/catkin-router/tests/common/mod.rs
+++ b/crates/catkin-router/tests/common/mod.rs
@@ -36,16 +36,21 @@
 
 /// Starts one router before one engine and one plain service.
 pub async fn start_fleet() -> TestFleet {
+    start_changed_fleet(EngineOptions { resumes: true, ..EngineOptions::default() }, |_| {}).await
+}
+
+/// Starts a fleet with another engine and changed declarations.
+pub async fn start_changed_fleet(
+    options: EngineOptions,
+    change: impl FnOnce(&mut FleetDeclarations),
+) -> TestFleet {
     let platform = PlatformStandin::start(&PlatformOptions::default()).expect("platform starts");
-    let engine = EngineStandin::start(EngineOptions {
-        models: vec!["estimator".to_owned()],
-        resumes: true,
-        ..EngineOptions::default()
-    })
-    .expect("engine starts");
+    let options = EngineOptions { models: vec!["estimator".to_owned()], ..options };
+    let engine = EngineStandin::start(options).expect("engine starts");
     let service = ServiceStandin::start(ServiceOptions { looks_up: true, ..Default::default() })
         .expect("service starts");
-    let declarations = declare_fleet(engine.address(), service.address());
+    let mut declarations = declare_fleet(engine.address(), service.address());
+    change(&mut declarations);
     apply_fleet(platform.address(), &declarations).await;
     let settings = router_settings(platform.address());
     let router = RouterProcess::start(&settings, 1, Duration::from_secs(1_800_000_000), 7)
