--- a/crates/catkin-settings/tests/documentation.rs
+++ b/crates/catkin-settings/tests/documentation.rs
@@ -1,7 +1,11 @@
-//! docs/CONFIGURATION.md names every key, and its example is valid.
+//! The docs: every key is described, links lead somewhere, examples parse, names exist.
 
+use std::collections::BTreeSet;
 use std::fs;
-use std::path::Path;
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use json_comments::StripComments;
 
 use catkin_settings::{
     parse_declaration_files, parse_declarations, parse_router_settings, read_declaration_files,
@@ -9,8 +13,89 @@
 use serde_json::Value;
 
 fn repository_file(path: &str) -> String {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(path);
-    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+    read(&repository_folder().join(path))
+}
+
+fn repository_folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// Files below `folder` with one of the extensions, in the order of their paths.
+fn files_below(folder: &Path, extensions: &[&str]) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    let entries = fs::read_dir(folder).expect("the folder is readable");
+    for entry in entries.map(|entry| entry.expect("the entry is readable").path()) {
+        if entry.is_dir() {
+            found.extend(files_below(&entry, extensions));
+        } else if entry.extension().is_some_and(|found| extensions.iter().any(|e| found == *e)) {
+            found.push(entry);
+        }
+    }
+    found.sort();
+    found
+}
+
+/// The pages for readers: those at the root and those below `docs`.
+fn pages() -> Vec<PathBuf> {
+    let root = repository_folder();
+    let mut pages = files_below(&root.join("docs"), &["md"]);
+    pages.extend(["README.md", "CONTRIBUTING.md"].map(|name| root.join(name)));
+    pages
+}
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Targets of inline links that lead to files.
+fn link_targets(page: &str) -> Vec<&str> {
+    let targets = page.split("](").skip(1).filter_map(|rest| rest.split(')').next());
+    let files = targets.filter(|target| !target.starts_with('#') && !target.contains("://"));
+    files.filter_map(|target| target.split('#').next()).collect()
+}
+
+/// Contents of fenced blocks of JSON.
+fn json_blocks(page: &str) -> Vec<&str> {
+    page.split("```json\n").skip(1).filter_map(|rest| rest.split("```").next()).collect()
+}
+
+#[test]
+fn links_between_pages_lead_to_files() {
+    for page in pages() {
+        let folder = page.parent().expect("a page lies in a folder");
+        for target in link_targets(&read(&page)) {
+            assert!(folder.join(target).exists(), "{}: {target}", page.display());
+        }
+    }
+}
+
+#[test]
+fn json_examples_parse() {
+    for page in pages() {
+        for block in json_blocks(&read(&page)) {
+            let mut json = String::new();
+            let stripped = StripComments::new(block.as_bytes()).read_to_string(&mut json);
+            let parsed = stripped.map(|_| serde_json::from_str::<Value>(&json));
+            assert!(matches!(parsed, Ok(Ok(_))), "{}: {parsed:?}", page.display());
+        }
+    }
+}
+
+#[test]
+fn names_in_the_glossary_exist_in_the_code() {
+    let mut words = BTreeSet::new();
+    for source in files_below(&repository_folder().join("crates"), &["rs", "proto", "toml"]) {
+        let is_word = |character: char| character.is_alphanumeric() || "_-".contains(character);
+        words.extend(read(&source).split(|c| !is_word(c)).map(str::to_owned));
+    }
+    let glossary = repository_file("docs/GLOSSARY.md");
+    let rows = glossary.lines().filter(|line| line.starts_with("| "));
+    for column in rows.filter_map(|row| row.split(" | ").nth(1)) {
+        for name in column.split('`').skip(1).step_by(2) {
+            let last = name.rsplit("::").next().expect("a name has a last part");
+            assert!(words.contains(last), "{name} is not in the code");
+        }
+    }
 }
 
 /// The text between a heading and the next one.
@@ -46,7 +131,7 @@
 #[test]
 fn every_key_of_declarations_is_documented() {
     let page = repository_file("docs/CONFIGURATION.md");
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/swiss/declarations");
+    let folder = repository_folder().join("examples/swiss/declarations");
     let files = read_declaration_files(&folder).expect("the example is readable");
     let set = parse_declaration_files(&files).expect("the example is valid");
 
@@ -65,10 +150,9 @@
 #[test]
 fn example_of_the_page_is_valid() {
     let page = repository_file("docs/CONFIGURATION.md");
-    let start = page.find("```json\n").expect("the page has an example") + "```json\n".len();
-    let length = page[start..].find("```").expect("the example ends");
+    let example = json_blocks(&page)[0];
 
-    let set = parse_declarations(&page[start..start + length], "example.json");
+    let set = parse_declarations(example, "example.json");
 
     assert!(set.is_ok(), "{:?}", set.err());
 }
