--- a/crates/catkin-router/tests/backend_faults.rs
+++ b/crates/catkin-router/tests/backend_faults.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use catkin_router::RouterProcess;
 use catkin_standin::EngineOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/catkin-router/tests/common/mod.rs
+++ b/crates/catkin-router/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Fixtures of the router's tests: stand-ins and one router on loopback.
+#![allow(dead_code)] // each test file uses a part of it
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
