--- /dev/null
+++ b/crates/catkin-peer/benches/membership.rs
@@ -0,0 +1,130 @@
+//! Control traffic, detection time and false reports of the membership, on simulated time.
+
+use catkin_base::VmId;
+use catkin_membership::{MemberEventKind, MemberMessage, MemberSpec};
+use catkin_peer::{FrameSealer, PeerIdentity, PeerKey, message_to_wire};
+
+#[path = "../../catkin-membership/tests/common/mod.rs"]
+mod common;
+
+use common::{SimFleet, spec, specs};
+
+const FLEETS: [u16; 3] = [8, 80, 330];
+const SEEDS: u64 = 5;
+const UDP_HEADER_BYTES: u64 = 28;
+const STEADY_SECONDS: u64 = 120;
+const LOSSY_SECONDS: u64 = 300;
+const CHURN_SECONDS: u64 = 120;
+const RESTART_INTERVAL_SECONDS: u64 = 5;
+const SPLIT_SECONDS: u64 = 180;
+const LIMIT_MILLIS: u64 = 120_000;
+
+fn main() {
+    if std::env::args().any(|argument| argument == "--test") {
+        return;
+    }
+    println!("routers  measure                              value");
+    for count in FLEETS {
+        print_row(count, "steady, bytes/s a router", steady_rate(count));
+        print_row(count, "1% loss, bytes/s a router", lossy_run(count, 1).rate);
+        print_row(count, "1% loss, wrongly dead in 300 s", lossy_run(count, 1).wrongly_dead);
+        print_row(count, "10% loss, bytes/s a router", lossy_run(count, 10).rate);
+        print_row(count, "10% loss, wrongly dead in 300 s", lossy_run(count, 10).wrongly_dead);
+        print_row(count, "restart each 5 s, bytes/s a router", churn_rate(count));
+        let detections = detection_millis(count);
+        print_row(count, "crash known everywhere, ms, median", detections[detections.len() / 2]);
+        print_row(count, "crash known everywhere, ms, worst", detections[detections.len() - 1]);
+        let split = split_run(count);
+        print_row(count, "split in halves, bytes/s a router", split.rate);
+        print_row(count, "views merged after the split, ms", split.merge_millis);
+    }
+}
+
+fn print_row(count: u16, measure: &str, value: u64) {
+    println!("{count:>7}  {measure:<36} {value:>6}");
+}
+
+fn message_bytes(message: &MemberMessage) -> u64 {
+    let key = PeerKey::from_hex(&"5c".repeat(32)).expect("64 digits");
+    let own = PeerIdentity { vm: VmId(1 << 60), incarnation: 1 << 40, port: 7001 };
+    let sealer = FrameSealer::new(key, own);
+    let frame = sealer.seal(VmId(1 << 61), 1 << 40, &message_to_wire(message));
+    frame.len() as u64 + UDP_HEADER_BYTES
+}
+
+fn settled(count: u16, seed: u64) -> SimFleet {
+    let mut fleet = SimFleet::new(seed).measuring(message_bytes);
+    fleet.start_all(count);
+    fleet.run_millis(30_000);
+    fleet.clear_events();
+    fleet
+}
+
+/// Runs the fleet and returns bytes sent by a router in a second.
+fn measure_rate(fleet: &mut SimFleet, seconds: u64) -> u64 {
+    let before = fleet.sent_bytes();
+    fleet.run_millis(seconds * 1_000);
+    (fleet.sent_bytes() - before) / seconds / fleet.nodes.len() as u64
+}
+
+fn steady_rate(count: u16) -> u64 {
+    measure_rate(&mut settled(count, 1), STEADY_SECONDS)
+}
+
+struct LossyRun {
+    rate: u64,
+    wrongly_dead: u64,
+}
+
+fn lossy_run(count: u16, loss_percent: u32) -> LossyRun {
+    let mut fleet = settled(count, 2);
+    fleet.loss_percent = loss_percent;
+    let rate = measure_rate(&mut fleet, LOSSY_SECONDS);
+    LossyRun { rate, wrongly_dead: fleet.count_events(MemberEventKind::Died) as u64 }
+}
+
+/// Restarts one router after the other, as a rolling upgrade does.
+fn churn_rate(count: u16) -> u64 {
+    let mut fleet = settled(count, 3);
+    let listed = specs(count);
+    let before = fleet.sent_bytes();
+    let rounds = CHURN_SECONDS / RESTART_INTERVAL_SECONDS;
+    for round in 0..rounds {
+        let number = (round % u64::from(count)) as u16;
+        let sent = fleet.node(number).sent_bytes;
+        let incarnation = fleet.node(number).spec.incarnation + 1;
+        fleet.start(MemberSpec { incarnation, ..spec(number) }, &listed);
+        fleet.node_mut(number).sent_bytes = sent;
+        fleet.run_millis(RESTART_INTERVAL_SECONDS * 1_000);
+    }
+    (fleet.sent_bytes() - before) / CHURN_SECONDS / u64::from(count)
+}
+
+fn detection_millis(count: u16) -> Vec<u64> {
+    let mut detections: Vec<u64> = (0..SEEDS)
+        .map(|seed| {
+            let mut fleet = settled(count, 10 + seed);
+            fleet.crash(1);
+            let all = usize::from(count) - 1;
+            fleet.run_until(LIMIT_MILLIS, |fleet| fleet.all_see(all)).unwrap_or(u64::MAX)
+        })
+        .collect();
+    detections.sort_unstable();
+    detections
+}
+
+struct SplitRun {
+    rate: u64,
+    merge_millis: u64,
+}
+
+fn split_run(count: u16) -> SplitRun {
+    let mut fleet = settled(count, 4);
+    fleet.split(count / 2);
+    let rate = measure_rate(&mut fleet, SPLIT_SECONDS);
+    fleet.heal();
+    let all = usize::from(count);
+    let merge_millis =
+        fleet.run_until(LIMIT_MILLIS, |fleet| fleet.all_see(all)).unwrap_or(u64::MAX);
+    SplitRun { rate, merge_millis }
+}
--- a/crates/catkin-peer/src/udp.rs
+++ b/crates/catkin-peer/src/udp.rs
@@ -248,9 +248,10 @@
     let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
     loop {
         let received = tokio::select! {
-            () = cancel.cancelled() => return,
-            received = shared.socket.recv_from(&mut buffer) => received,
-        };
+        biased;
+               () = cancel.cancelled() => return,
+               received = shared.socket.recv_from(&mut buffer) => received,
+           };
         match received {
             Ok((length, address)) => shared.take_frame(&buffer[..length], address),
             Err(error) => log::debug!("peer: receive failed: {error}"),
--- a/crates/catkin-router/src/admission.rs
+++ b/crates/catkin-router/src/admission.rs
@@ -33,6 +33,7 @@
         }
         let due = next_due(parts, now);
         tokio::select! {
+            biased;
             () = parts.admission_due.notified() => {}
             () = sleep_until(parts.clock.instant_of(due)) => {}
         }
--- a/crates/catkin-router/src/fleet.rs
+++ b/crates/catkin-router/src/fleet.rs
@@ -41,9 +41,10 @@
         follow_changes(parts, &mut table);
         let due = parts.control().members.next_due();
         tokio::select! {
-            () = sleep_until(parts.clock.instant_of(due)) => {}
-            () = parts.fleet_changed.notified() => {}
+            biased;
             _ = pursuit.tick() => pursue_handovers(parts, &mut table),
+            () = parts.fleet_changed.notified() => {}
+            () = sleep_until(parts.clock.instant_of(due)) => {}
         }
     }
 }
--- a/crates/catkin-router/src/probes.rs
+++ b/crates/catkin-router/src/probes.rs
@@ -48,6 +48,7 @@
     let mut ticks = interval_at(Instant::now(), PROBE_INTERVAL);
     loop {
         tokio::select! {
+            biased;
             _ = ticks.tick() => probe_owned(&parts, &mut probes),
             Ok(suspicion) = suspects.recv_async() => {
                 spawn_probe(&parts, &mut probes, suspicion.server, Some(suspicion));
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -150,10 +150,7 @@
         let future = run(Arc::clone(&self.parts));
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
-            tokio::select! {
-                () = future => {}
-                () = stop.cancelled() => {}
-            }
+            stop.run_until_cancelled(future).await;
         });
     }
 }
