Let callers that are still sending see their refusal

A caller that sent a body of 8 MiB got a broken pipe instead of a 413: closing with unread bytes resets the connection. The listener now reads and drops what it still sends, for at most 2 s.

--- a/crates/catkin-caller/src/answer.rs
+++ b/crates/catkin-caller/src/answer.rs
@@ -13,7 +13,7 @@
 
 use crate::body::{AnswerFrames, AnswerHold, ResponseBody, pass_answer};
 use crate::check::{CallRoute, CheckError, HINT_HEADER, check_body, check_headers, check_route};
-use crate::guard::CutFlag;
+use crate::guard::{CutFlag, UnreadFlag};
 use crate::held::{HeldBudget, HeldShare};
 use crate::idle::{BusyGuard, IdleSlot};
 use crate::problem::PROBLEM_TYPE;
@@ -55,6 +55,7 @@
     pub(crate) listener: Arc<ListenerShared<S>>,
     pub(crate) slot: Arc<IdleSlot>,
     pub(crate) cut: CutFlag,
+    pub(crate) unread: UnreadFlag,
     pub(crate) mode: ConnectionMode,
 }
 
@@ -88,6 +89,7 @@
 ) -> Result<Response<ResponseBody<impl AnswerFrames + use<S>>>, Infallible> {
     let busy = connection.slot.begin();
     let id = connection.listener.ids.next_id();
+    connection.unread.set(!request.body().is_end_stream());
     let route = check_version_and_route(&request);
     if route == Ok(CallRoute::Health) {
         return Ok(health_response(&connection.listener.shutdown, busy));
@@ -130,6 +132,7 @@
     let headers = check_headers(request.headers())?;
     let mut share = HeldShare::new(&listener.held);
     let body = read_body(request.into_body(), &listener.limits, &mut share).await?;
+    connection.unread.set(false);
     let target = check_body(route, &body)?;
     let call = CallRequest {
         request: id,
--- a/crates/catkin-caller/src/guard.rs
+++ b/crates/catkin-caller/src/guard.rs
@@ -8,9 +8,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Sleep, sleep, timeout};
+
+const LINGER_TIME: Duration = Duration::from_secs(2);
+const LINGER_BUFFER_BYTES: usize = 64 << 10;
 
 /// Set once the last byte of a cut answer was handed over.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +29,20 @@
     }
 }
 
+/// Set while a request's body has not been read to its end.
+#[derive(Debug, Default)]
+pub(crate) struct UnreadFlag(AtomicBool);
+
+impl UnreadFlag {
+    pub(crate) fn set(&self, unread: bool) {
+        self.0.store(unread, Ordering::Release);
+    }
+
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 /// A caller's connection.
 #[derive(Debug)]
 pub(crate) struct GuardedStream {
@@ -40,6 +57,15 @@
         Self { stream, cut, write_timeout, stall: None }
     }
 
+    /// Reads and drops what the caller still sends: closing now would reset the connection, and
+    /// the caller might not see its answer.
+    pub(crate) async fn linger(&mut self) {
+        let mut buffer = vec![0; LINGER_BUFFER_BYTES];
+        let draining = async { while self.stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {} };
+        // The caller had its time.
+        let _ = timeout(LINGER_TIME, draining).await;
+    }
+
     fn watch_write(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/catkin-caller/src/listener.rs
+++ b/crates/catkin-caller/src/listener.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::answer::{ConnectionMode, ConnectionShared, ListenerShared, answer_request};
-use crate::guard::{CutFlag, GuardedStream};
+use crate::guard::{CutFlag, GuardedStream, UnreadFlag};
 use crate::held::HeldBudget;
 use crate::idle::{IdleBook, IdleSlot};
 use crate::{CallService, CallerLimits, CallerShutdown, RequestIds};
@@ -141,23 +141,35 @@
     let slot = Arc::new(IdleSlot::new(idle, listener.shutdown.closing()));
     async move {
         let cut = CutFlag::default();
-        let connection = Arc::new(ConnectionShared { listener, slot, cut, mode });
+        let unread = UnreadFlag::default();
+        let connection = Arc::new(ConnectionShared { listener, slot, cut, unread, mode });
         run_connection(stream, connection).await;
     }
 }
 
 async fn run_connection<S: CallService>(stream: TcpStream, shared: Arc<ConnectionShared<S>>) {
-    let limits = &shared.listener.limits;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller: no-delay not set: {error}");
     }
-    let stream = GuardedStream::new(stream, shared.cut.clone(), limits.write_timeout);
-    let service = service_fn(|request| answer_request(Arc::clone(&shared), request));
-    let builder = build_http(limits, shared.mode);
+    let write_timeout = shared.listener.limits.write_timeout;
+    let mut stream = GuardedStream::new(stream, shared.cut.clone(), write_timeout);
+    serve_requests(&mut stream, &shared).await;
+    if shared.unread.is_set() {
+        stream.linger().await;
+    }
+}
+
+async fn serve_requests<S: CallService>(
+    stream: &mut GuardedStream,
+    shared: &Arc<ConnectionShared<S>>,
+) {
+    let served = Arc::clone(shared);
+    let service = service_fn(move |request| answer_request(Arc::clone(&served), request));
+    let builder = build_http(&shared.listener.limits, shared.mode);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        result = connection.as_mut() => return note_ended(result),
+        result = connection.as_mut() => return note_ended(shared, result),
         () = shared.slot.stopped() => {}
     }
     if !shared.listener.shutdown.is_closing() && shared.slot.is_idle() {
@@ -165,7 +177,7 @@
         return;
     }
     connection.as_mut().graceful_shutdown();
-    note_ended(connection.await);
+    note_ended(shared, connection.await);
 }
 
 fn build_http(limits: &CallerLimits, mode: ConnectionMode) -> http1::Builder {
@@ -179,11 +191,12 @@
     builder
 }
 
-fn note_ended(result: Result<(), hyper::Error>) {
+fn note_ended<S>(connection: &ConnectionShared<S>, result: Result<(), hyper::Error>) {
     let Err(error) = result else {
         return;
     };
     let kind = if error.is_parse() {
+        connection.unread.set(true);
         "malformed"
     } else if error.is_timeout() {
         "timeout"
--- a/crates/catkin-caller/tests/limits.rs
+++ b/crates/catkin-caller/tests/limits.rs
@@ -182,3 +182,15 @@
     listener.drops.recv_async().await.unwrap();
     drop(caller);
 }
+
+#[tokio::test]
+async fn large_body_that_is_sent_anyway_gets_its_refusal() {
+    let listener = start_listener(whole_json(), CallerLimits::default()).await;
+    let body = " ".repeat(8 * BIG_PART_BYTES);
+
+    let mut caller = RawCaller::send(listener.address, &chat_call("", &body)).await;
+    let seen = caller.read_to_end().await;
+
+    assert!(seen.starts_with("HTTP/1.1 413 "), "{seen:?}");
+    assert!(seen.ends_with('}'), "{seen:?}");
+}
