Test that engines cancel abandoned runs and honour priorities; ask callers back sooner

A call that meets another one with its key is asked back after 1 s instead of 5 s, which is how long a router waits before it takes a claim over.

--- a/crates/catkin-platform/src/claim_book.rs
+++ b/crates/catkin-platform/src/claim_book.rs
@@ -39,6 +39,8 @@
         /// Time for which another router's claim must stay unchanged before it is taken over or,
         /// once marked as sent, given up as unknown.
         pub holder_patience: Duration,
+        /// When a caller may come back for a key that is being worked on.
+        pub retry_after: Duration,
         /// Longest time that a lost write may still take effect.
         pub lost_write_horizon: Duration,
     }
@@ -52,6 +54,7 @@
             mode: ClaimMode::Marked,
             settle: SettleLimits::default(),
             holder_patience: Duration::from_secs(5),
+            retry_after: Duration::from_secs(1),
             lost_write_horizon: Duration::from_secs(10),
         }
     }
@@ -228,7 +231,7 @@
     }
 
     fn in_progress(&self) -> ClaimOutcome {
-        ClaimOutcome::InProgress { retry_after: self.options.holder_patience }
+        ClaimOutcome::InProgress { retry_after: self.options.retry_after }
     }
 
     /// Judges a key that has a claim already.
--- a/crates/catkin-standin/tests/standins.rs
+++ b/crates/catkin-standin/tests/standins.rs
@@ -1,5 +1,7 @@
 //! The stand-ins do what their options say.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use catkin_standin::{
@@ -215,6 +217,51 @@
     assert_eq!(engine.counts().cancelled, 1);
 }
 
+/// Sends a request whose answer takes longer than any test.
+fn open_stream(engine: &EngineStandin, priority: &str) -> TcpStream {
+    let body = r#"{"model":"estimator","messages":[],"stream":true,"max_tokens":4000000}"#;
+    let head = [
+        "POST /v1/chat/completions HTTP/1.1".to_owned(),
+        "host: engine".to_owned(),
+        format!("x-attempt-id: {priority}"),
+        format!("x-priority: {priority}"),
+        format!("content-length: {}", body.len()),
+    ];
+    let mut caller = TcpStream::connect(engine.address()).expect("connected");
+    let request = format!("{}\r\n\r\n{body}", head.join("\r\n"));
+    caller.write_all(request.as_bytes()).expect("sent");
+    caller
+}
+
+#[test]
+fn engine_cancels_the_run_of_a_caller_that_goes_away() {
+    let (engine, _) = start_engine(EngineOptions::default());
+    let mut caller = open_stream(&engine, "0");
+    caller.read_exact(&mut [0; 64]).expect("an answer begins");
+
+    drop(caller);
+
+    wait_until(|| engine.counts().cancelled == 1);
+    wait_until(|| engine.open() == 0);
+}
+
+#[test]
+fn engine_runs_lower_priority_numbers_first() {
+    let (engine, _) = start_engine(EngineOptions { slots: 1, ..EngineOptions::default() });
+    let running = open_stream(&engine, "0");
+    wait_until(|| engine.open() == 1);
+    let _patient = open_stream(&engine, "5");
+    wait_until(|| engine.open() == 2);
+    let _urgent = open_stream(&engine, "1");
+    wait_until(|| engine.open() == 3);
+
+    drop(running);
+    wait_until(|| engine.counts().runs == 2);
+
+    let attempts = engine.counts().runs_by_attempt;
+    assert_eq!(attempts.keys().collect::<Vec<_>>(), ["0", "1"]);
+}
+
 #[test]
 fn engine_counts_work_that_arrives_while_it_leaves() {
     let (engine, url) = start_engine(EngineOptions::default());
@@ -366,6 +413,12 @@
     }
 }
 
+fn wait_until(is_so: impl Fn() -> bool) {
+    while !is_so() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 fn retry_until_served(
     mut call: impl FnMut() -> Result<minreq::Response, minreq::Error>,
 ) -> minreq::Response {
