--- a/crates/catkin-platform/src/claim_sweeper.rs
+++ b/crates/catkin-platform/src/claim_sweeper.rs
@@ -35,41 +35,53 @@
         pub read: u32,
         /// Claims deleted.
         pub deleted: u32,
-        /// Whether the step reached the last claim; the next one starts anew.
-        pub is_round_done: bool,
     }
 }
 
-/// Walks over all claims in small steps. One router sweeps, the holder of the region's lease;
-/// more than one would do no harm.
+/// Walks over claims in small steps, shard by shard. Routers share the shards out among them;
+/// two that sweep the same one do no harm.
 pub struct ClaimSweeper<Store: ObjectStore> {
     store: Arc<Store>,
     retention: ClaimRetention,
+    shard: u8,
     after: String,
 }
 
 impl<Store: ObjectStore> ClaimSweeper<Store> {
-    /// A sweeper at the start of a round.
+    /// A sweeper at the first shard.
     pub fn new(store: Arc<Store>, retention: ClaimRetention) -> Self {
-        Self { store, retention, after: String::new() }
+        Self { store, retention, shard: 0, after: String::new() }
     }
 
-    /// Sweeps over the next claims, at most `limit`. After an error the next step goes on where
-    /// this one stopped.
-    pub async fn step(&mut self, limit: u32, unix_seconds: u64) -> Result<SweepCounts, StoreError> {
+    /// Sweeps over the next claims, at most `limit`, of one shard that this router owns. After an
+    /// error the next step goes on where this one stopped.
+    pub async fn step(
+        &mut self,
+        owns_shard: impl Fn(u8) -> bool,
+        limit: u32,
+        unix_seconds: u64,
+    ) -> Result<SweepCounts, StoreError> {
         let mut counts = SweepCounts::default();
-        for key in self.store.list(CLAIM_PREFIX, &self.after, limit).await? {
+        let Some(shard) = next_owned(self.shard, owns_shard) else { return Ok(counts) };
+        if shard != self.shard {
+            self.enter_shard(shard);
+        }
+        for key in self.store.list(&shard_prefix(shard), &self.after, limit).await? {
             counts.read += 1;
             counts.deleted += u32::from(self.sweep_claim(&key, unix_seconds).await?);
             self.after = key;
         }
         if counts.read < limit {
-            counts.is_round_done = true;
-            self.after.clear();
+            self.enter_shard(shard.wrapping_add(1));
         }
         Ok(counts)
     }
 
+    fn enter_shard(&mut self, shard: u8) {
+        self.shard = shard;
+        self.after.clear();
+    }
+
     /// Deletes the claim if it is past its retention and was not changed meanwhile.
     async fn sweep_claim(&self, key: &str, unix_seconds: u64) -> Result<bool, StoreError> {
         let Some(object) = self.store.get(key).await? else { return Ok(false) };
@@ -95,3 +107,12 @@
         unix_seconds.saturating_sub(claim.claimed_at_unix) > retention.as_secs()
     }
 }
+
+/// The first owned shard from `first` on, around the end.
+fn next_owned(first: u8, owns_shard: impl Fn(u8) -> bool) -> Option<u8> {
+    (0..=u8::MAX).map(|step| first.wrapping_add(step)).find(|shard| owns_shard(*shard))
+}
+
+fn shard_prefix(shard: u8) -> String {
+    format!("{CLAIM_PREFIX}{shard:02x}/")
+}
--- a/crates/catkin-platform/tests/claim_sweeper.rs
+++ b/crates/catkin-platform/tests/claim_sweeper.rs
@@ -8,7 +8,7 @@
 use catkin_base::{ClockTime, TeamId};
 use catkin_platform::{
     ClaimBook, ClaimKey, ClaimMoment, ClaimOptions, ClaimOutcome, ClaimRetention, ClaimSweeper,
-    RecordedAnswer,
+    ObjectStore, RecordedAnswer,
 };
 use common::{MemoryStore, WriteFault};
 
@@ -36,14 +36,25 @@
     ClaimSweeper::new(Arc::clone(store), RETENTION)
 }
 
+/// Sweeps over all owned shards once; returns how many claims were read and deleted.
+async fn sweep_round(store: &Arc<MemoryStore>, owns: fn(u8) -> bool, seconds: u64) -> (u32, u32) {
+    let mut sweeper = sweeper(store);
+    let mut sums = (0, 0);
+    for _ in (0..=u8::MAX).filter(|shard| owns(*shard)) {
+        let counts = sweeper.step(owns, 100, START + seconds).await.expect("swept");
+        sums = (sums.0 + counts.read, sums.1 + counts.deleted);
+    }
+    sums
+}
+
 #[tokio::test(start_paused = true)]
 async fn claims_within_the_retention_stay() {
     let store = MemoryStore::shared();
     add_claim(&store, "k", true).await;
 
-    let counts = sweeper(&store).step(10, START + 100).await.expect("swept");
+    let sums = sweep_round(&store, |_| true, 100).await;
 
-    assert_eq!((counts.read, counts.deleted, counts.is_round_done), (1, 0, true));
+    assert_eq!(sums, (1, 0));
 }
 
 #[tokio::test(start_paused = true)]
@@ -52,39 +63,71 @@
     add_claim(&store, "answered", true).await;
     add_claim(&store, "unknown", false).await;
 
-    let soon = sweeper(&store).step(10, START + 101).await.expect("swept");
-    let late = sweeper(&store).step(10, START + 1001).await.expect("swept");
+    let soon = sweep_round(&store, |_| true, 101).await;
+    let late = sweep_round(&store, |_| true, 1001).await;
 
-    assert_eq!((soon.deleted, late.deleted), (1, 1));
+    assert_eq!((soon, late), ((2, 1), (1, 1)));
     assert_eq!(store.object_count(), 0);
 }
 
 #[tokio::test(start_paused = true)]
-async fn steps_cover_all_claims_once_in_a_round() {
+async fn two_routers_share_the_shards() {
     let store = MemoryStore::shared();
-    for index in 0..25 {
+    for index in 0..40 {
+        add_claim(&store, &index.to_string(), true).await;
+    }
+
+    let (even, _) = sweep_round(&store, |shard| shard % 2 == 0, 0).await;
+    let (odd, _) = sweep_round(&store, |shard| shard % 2 == 1, 0).await;
+
+    assert_eq!(even + odd, 40);
+    assert!(even > 0 && odd > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn steps_of_one_claim_cover_a_shard_once() {
+    let store = MemoryStore::shared();
+    for index in 0..40 {
         add_claim(&store, &index.to_string(), true).await;
     }
     let mut sweeper = sweeper(&store);
-    let mut reads = Vec::new();
+    let mut read = 0;
 
-    for _ in 0..3 {
-        reads.push(sweeper.step(10, START).await.expect("swept").read);
+    // Each shard takes a step for each of its claims and one that finds its end.
+    for _ in 0..40 + 256 {
+        read += sweeper.step(|_| true, 1, START).await.expect("swept").read;
     }
 
-    assert_eq!(reads, [10, 10, 5]);
+    assert_eq!(read, 40);
+}
+
+#[tokio::test(start_paused = true)]
+async fn router_without_a_shard_makes_no_call() {
+    let store = MemoryStore::shared();
+
+    let counts = sweeper(&store).step(|_| false, 10, START).await.expect("swept");
+
+    assert_eq!((counts.read, store.reads()), (0, 0));
 }
 
 #[tokio::test(start_paused = true)]
 async fn failed_step_goes_on_where_it_stopped() {
     let store = MemoryStore::shared();
     add_claim(&store, "k", true).await;
+    let shard = claim_shard(&store).await;
     let mut sweeper = sweeper(&store);
     store.fail_next(&[WriteFault::Refused]);
 
-    let failed = sweeper.step(10, START + 101).await;
-    let again = sweeper.step(10, START + 101).await.expect("swept");
+    let failed = sweeper.step(|owned| owned == shard, 10, START + 101).await;
+    let again = sweeper.step(|owned| owned == shard, 10, START + 101).await.expect("swept");
 
     assert!(failed.is_err());
     assert_eq!(again.deleted, 1);
 }
+
+/// Shard of the only claim.
+async fn claim_shard(store: &MemoryStore) -> u8 {
+    let keys = store.list("claims/", "", 1).await.expect("listed");
+    let digits = keys[0].split('/').nth(1).expect("a shard");
+    u8::from_str_radix(digits, 16).expect("two digits")
+}
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -33,6 +33,7 @@
 mod router;
 mod status;
 mod strikes;
+mod sweeps;
 mod wire;
 
 pub use answer::RouterAnswer;
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -21,6 +21,7 @@
 use crate::probes::run_probes;
 use crate::revision::run_revisions;
 use crate::status::RouterView;
+use crate::sweeps::run_sweeps;
 
 /// Suspicions of crashes that may wait for a probe.
 const SUSPECT_QUEUE_LENGTH: usize = 1_024;
@@ -81,6 +82,7 @@
         core.spawn(|parts| async move { run_admission(&parts).await });
         core.spawn(|parts| async move { run_reports(&parts).await });
         core.spawn(|parts| async move { run_audits(&parts).await });
+        core.spawn(|parts| async move { run_sweeps(&parts).await });
         core.spawn(|parts| async move { run_revisions(&parts).await });
         core.spawn(|parts| async move { run_garbage(&parts).await });
         core.spawn(|parts| async move { run_directory(&parts, seeds).await });
