--- a/crates/catkin-ctl/src/status.rs
+++ b/crates/catkin-ctl/src/status.rs
@@ -110,13 +110,12 @@
 }
 
 fn lease_table(leases: &[LeaseStatus]) -> TextTable {
-    let mut table = TextTable::new(&["LEASE", "HOLDER", "FENCE", "LEFT"]);
+    let mut table = TextTable::new(&["LEASE", "HOLDER", "FENCE"]);
     for lease in leases {
         table.add_row([
             lease.name.clone(),
             lease.holder.clone().unwrap_or_else(|| "-".to_owned()),
             lease.fence.to_string(),
-            seconds_text(lease.left_millis),
         ]);
     }
     table
@@ -132,10 +131,12 @@
 }
 
 fn render_platform(platform: &PlatformStatus) -> String {
-    let mut table = TextTable::new(&["PLATFORM CALL", "MADE", "FAILED"]);
-    for (kind, calls) in &platform.calls {
-        table.add_row([kind.clone(), calls.made.to_string(), calls.failed.to_string()]);
+    let mut table = TextTable::new(&["PLATFORM CALLS", "COUNT"]);
+    for (kind, count) in &platform.calls {
+        table.add_row([kind.clone(), count.to_string()]);
     }
+    table.add_row(["failed".to_owned(), platform.failed.to_string()]);
+    table.add_row(["held back".to_owned(), platform.held_back.to_string()]);
     let health = if platform.healthy { "answers" } else { "does not answer" };
     format!("The platform {health}.\n{}", table.render())
 }
--- a/crates/catkin-ctl/tests/commands.rs
+++ b/crates/catkin-ctl/tests/commands.rs
@@ -8,8 +8,8 @@
 use catkin_ctl::{ExitVerdict, run_command};
 use catkin_operator::{
     ApplyAnswer, ApplyRequest, ChunkRefs, DrainAnswer, FleetStatus, HistoryAnswer, MemberStatus,
-    OperatorError, OperatorListener, OperatorService, PlatformCalls, PlatformStatus,
-    RevisionAnswer, RevisionHead, RollbackRequest, ServerStatus,
+    OperatorError, OperatorListener, OperatorService, PlatformStatus, RevisionAnswer, RevisionHead,
+    RollbackRequest, ServerStatus,
 };
 use catkin_settings::{FleetDeclarations, parse_declaration_files, read_declaration_files};
 
@@ -59,7 +59,6 @@
 impl OperatorService for FakeFleet {
     fn status(&self) -> FleetStatus {
         let behind = if self.lagging { 3 } else { self.revision() };
-        let platform = PlatformCalls { made: 12, failed: 1 };
         FleetStatus {
             router: "entry-1".to_owned(),
             domain: "aarau".to_owned(),
@@ -72,7 +71,9 @@
             servers: vec![server("estimator-01")],
             platform: PlatformStatus {
                 healthy: true,
-                calls: [("get".to_owned(), platform)].into(),
+                calls: [("get".to_owned(), 12)].into(),
+                failed: 1,
+                held_back: 0,
             },
             ..FleetStatus::default()
         }
--- a/crates/catkin-operator/src/documents.rs
+++ b/crates/catkin-operator/src/documents.rs
@@ -68,12 +68,10 @@
     pub struct LeaseStatus {
         /// Its name.
         pub name: String,
-        /// VM that holds it.
+        /// VM that holds it or held it last; absent if it was given up.
         pub holder: Option<String>,
-        /// Its fencing number.
+        /// The fencing number given out last.
         pub fence: u64,
-        /// Milliseconds until it lapses.
-        pub left_millis: u64,
     }
 
     /// One quarantined request.
@@ -88,21 +86,16 @@
     }
 
     /// The platform as one router sees it.
-    #[derive(Default)]
+    #[derive(Eq, Default)]
     pub struct PlatformStatus {
         /// Whether its last calls were answered.
         pub healthy: bool,
-        /// Calls by kind.
-        pub calls: BTreeMap<String, PlatformCalls>,
-    }
-
-    /// Calls of one kind.
-    #[derive(Eq, Default)]
-    pub struct PlatformCalls {
-        /// Calls made.
-        pub made: u64,
+        /// Calls that this router sent, by kind.
+        pub calls: BTreeMap<String, u64>,
         /// Calls without a usable answer.
         pub failed: u64,
+        /// Calls not sent: over the router's budget, or during its back-off.
+        pub held_back: u64,
     }
 
     /// Asks to put declarations in force.
--- a/crates/catkin-operator/src/lib.rs
+++ b/crates/catkin-operator/src/lib.rs
@@ -29,8 +29,7 @@
 pub use cut::shard_count;
 pub use documents::{
     ApplyAnswer, ApplyRequest, DrainAnswer, FleetStatus, HistoryAnswer, LeaseStatus, MemberStatus,
-    PlatformCalls, PlatformStatus, QuarantineStatus, RefusalAnswer, RevisionAnswer,
-    RollbackRequest, ServerStatus,
+    PlatformStatus, QuarantineStatus, RefusalAnswer, RevisionAnswer, RollbackRequest, ServerStatus,
 };
 pub use garbage::{GarbageError, GarbageOutcome, collect_garbage};
 pub use head::{ChunkRefs, HEAD_KEY, RevisionHead};
--- a/crates/catkin-platform/src/lease_holder.rs
+++ b/crates/catkin-platform/src/lease_holder.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use catkin_base::{ClockTime, copy_type, document_type, value_type};
+use catkin_base::{ClockTime, RunVerdict, copy_type, document_type, value_type};
 use tokio::time::Instant;
 
 use crate::store::{ObjectStore, StoreError, StoreFault, StoredObject, WriteCondition};
@@ -30,7 +30,7 @@
     /// Defaults for the lease of a region.
     pub fn for_region(region: &str, holder: &str, process: u64) -> Self {
         Self {
-            object_key: format!("leases/{region}"),
+            object_key: lease_key(region),
             holder: holder.to_owned(),
             process,
             duration: Duration::from_secs(10),
@@ -52,6 +52,32 @@
     }
 }
 
+value_type! {
+    /// A lease as anyone may read it. Only its holder knows how long its right lasts.
+    pub struct LeaseView {
+        /// The holder; absent if it was released.
+        pub holder: Option<String>,
+        /// The fencing number given out last.
+        pub fence: u64,
+    }
+}
+
+/// Reads a region's lease; `None` if none was ever taken.
+pub async fn read_lease<Store: ObjectStore>(
+    store: &Store,
+    region: &str,
+) -> Result<Option<LeaseView>, StoreError> {
+    let Some(object) = store.get(&lease_key(region)).await? else { return Ok(None) };
+    let malformed = |_| StoreError { fault: StoreFault::Invalid, ran: RunVerdict::NotRun };
+    let document: LeaseDocument = serde_json::from_slice(&object.value).map_err(malformed)?;
+    let holder = (!document.released).then_some(document.holder);
+    Ok(Some(LeaseView { holder, fence: document.fence }))
+}
+
+fn lease_key(region: &str) -> String {
+    format!("leases/{region}")
+}
+
 copy_type! {
     /// The right to act, up to a time by this router's clock.
     pub struct LeaseGrant {
--- a/crates/catkin-platform/src/lib.rs
+++ b/crates/catkin-platform/src/lib.rs
@@ -50,7 +50,7 @@
 pub use group_log::GroupOptions;
 pub use group_store::GroupStore;
 pub use http_store::{HttpStore, HttpStoreOptions};
-pub use lease_holder::{LeaseGrant, LeaseHolder, LeaseOptions, LeaseStep};
+pub use lease_holder::{LeaseGrant, LeaseHolder, LeaseOptions, LeaseStep, LeaseView, read_lease};
 pub use platform_guard::{GuardLimits, HoldReason, PlatformGuard, PlatformHealth, PlatformRates};
 pub use settled_write::SettleLimits;
 pub use store::{
--- a/crates/catkin-router/src/fleet.rs
+++ b/crates/catkin-router/src/fleet.rs
@@ -80,7 +80,10 @@
     loop {
         let mut specs: Vec<MemberSpec> = seeds.iter().copied().map(seed_spec).collect();
         match parts.store.list_vms().await {
-            Ok(listings) => specs.extend(listings.iter().map(listing_spec)),
+            Ok(listings) => {
+                specs.extend(listings.iter().map(listing_spec));
+                parts.note_vms(&listings);
+            }
             Err(error) => log::debug!("members: The list of VMs was not read. error={error}"),
         }
         let now = parts.now();
--- a/crates/catkin-router/src/operator.rs
+++ b/crates/catkin-router/src/operator.rs
@@ -1,11 +1,13 @@
 //! Answers operators' requests on one router.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use catkin_operator::{
     ApplyAnswer, ApplyNote, ApplyOutcome, ApplyRequest, DrainAnswer, FleetStatus, HistoryAnswer,
-    OperatorError, OperatorService, PlatformCalls, PlatformStatus, RevisionAnswer, RollbackRequest,
+    LeaseStatus, OperatorError, OperatorService, PlatformStatus, RevisionAnswer, RollbackRequest,
     apply_declarations, read_history, rollback_declarations,
 };
-use catkin_platform::{CallCounts, PlatformHealth};
+use catkin_platform::{CallCounts, CallKind, HttpStore, PlatformHealth, read_lease};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::runtime::Handle;
 
@@ -38,9 +40,15 @@
 impl OperatorService for RouterOperator {
     fn status(&self) -> FleetStatus {
         let store = self.view.store();
-        let healthy = store.health() == PlatformHealth::Up;
-        let platform = PlatformStatus { healthy, calls: list_calls(&store.counts()) };
-        FleetStatus { platform, ..self.view.status() }
+        let counts = store.counts();
+        let platform = PlatformStatus {
+            healthy: store.health() == PlatformHealth::Up,
+            calls: list_calls(&counts),
+            failed: counts.failures,
+            held_back: counts.held_back,
+        };
+        let leases = self.runtime.block_on(read_leases(store, &self.view.regions()));
+        FleetStatus { platform, leases, ..self.view.status() }
     }
 
     fn declarations(&self) -> Result<RevisionAnswer, OperatorError> {
@@ -92,17 +100,26 @@
     ApplyAnswer { revision: outcome.revision, digest: outcome.digest, unchanged: outcome.unchanged }
 }
 
-fn list_calls(counts: &CallCounts) -> std::collections::BTreeMap<String, PlatformCalls> {
+/// Reads the regions' leases; those that cannot be read are left out.
+async fn read_leases(store: &HttpStore, regions: &BTreeSet<String>) -> Vec<LeaseStatus> {
+    let mut leases = Vec::new();
+    for region in regions {
+        if let Ok(Some(lease)) = read_lease(store, region).await {
+            let name = region.clone();
+            leases.push(LeaseStatus { name, holder: lease.holder, fence: lease.fence });
+        }
+    }
+    leases
+}
+
+fn list_calls(counts: &CallCounts) -> BTreeMap<String, u64> {
     let kinds = [
-        ("get", counts.gets),
-        ("put", counts.puts),
-        ("delete", counts.deletes),
-        ("list", counts.lists),
-        ("watch", counts.watches),
-        ("list-vms", counts.vm_lists),
+        (CallKind::Get, counts.gets),
+        (CallKind::Put, counts.puts),
+        (CallKind::Delete, counts.deletes),
+        (CallKind::List, counts.lists),
+        (CallKind::Watch, counts.watches),
+        (CallKind::ListVms, counts.vm_lists),
     ];
-    let calls = kinds
-        .into_iter()
-        .map(|(kind, made)| (kind.to_owned(), PlatformCalls { made, ..PlatformCalls::default() }));
-    calls.collect()
+    kinds.into_iter().map(|(kind, sent)| (kind.as_word().to_owned(), sent)).collect()
 }
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -9,7 +9,7 @@
 use catkin_control::{CourierOptions, OrderCourier, ServerReport};
 use catkin_peer::PeerLink;
 use catkin_peer::messages::PeerMessage;
-use catkin_platform::{ClaimBook, ClaimOptions, process_nonce};
+use catkin_platform::{ClaimBook, ClaimOptions, VmListing, process_nonce};
 use catkin_policy::{GrantAnswer, GrantRelease, ServerSpec, choose_owner};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -59,6 +59,8 @@
     /// Reports of servers for the holder of the region's lease.
     pub(crate) server_reports: flume::Sender<ServerReport>,
     joined: AtomicBool,
+    /// Names of VMs, as the platform lists them.
+    vm_names: RwLock<BTreeMap<VmId, String>>,
     index: RwLock<Option<Arc<FleetIndex>>>,
     control: Mutex<ControlState>,
     pending: Mutex<BTreeMap<RequestId, PendingAsk>>,
@@ -129,6 +131,7 @@
             order_replies: OrderReplies::default(),
             server_reports: input.server_reports,
             joined: AtomicBool::new(false),
+            vm_names: RwLock::default(),
             index: RwLock::new(None),
             control: Mutex::new(control),
             pending: Mutex::default(),
@@ -136,6 +139,18 @@
         }
     }
 
+    /// Takes the names of the VMs that the platform lists.
+    pub(crate) fn note_vms(&self, listings: &[VmListing]) {
+        let names = listings.iter().map(|vm| (VmId::from_name(&vm.name), vm.name.clone()));
+        let names = names.collect();
+        *self.vm_names.write().unwrap_or_else(PoisonError::into_inner) = names;
+    }
+
+    /// Name of a VM that the platform listed.
+    pub(crate) fn vm_name(&self, vm: VmId) -> Option<String> {
+        self.vm_names.read().unwrap_or_else(PoisonError::into_inner).get(&vm).cloned()
+    }
+
     pub(crate) fn now(&self) -> ClockTime {
         self.clock.now()
     }
--- a/crates/catkin-router/src/status.rs
+++ b/crates/catkin-router/src/status.rs
@@ -1,6 +1,6 @@
 //! What operators read of a router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use catkin_base::{DomainId, VmId};
@@ -78,7 +78,14 @@
         self.parts.gate.start_drain();
     }
 
-    /// What this router knows of the fleet; the state of the platform is left to the caller.
+    /// Regions of the declared servers.
+    pub fn regions(&self) -> BTreeSet<String> {
+        let index = self.parts.index();
+        let servers = index.iter().flat_map(|index| index.declarations().servers.values());
+        servers.map(|server| server.region.clone()).collect()
+    }
+
+    /// What this router knows of the fleet; platform and leases are left to the caller.
     pub fn status(&self) -> FleetStatus {
         let index = self.parts.index();
         let names = index.as_deref().map(name_domains).unwrap_or_default();
@@ -144,7 +151,10 @@
     }
 
     fn name_vm(&self, vm: VmId) -> String {
-        if vm == self.parts.identity.vm { self.parts.identity.name.clone() } else { vm.to_string() }
+        if vm == self.parts.identity.vm {
+            return self.parts.identity.name.clone();
+        }
+        self.parts.vm_name(vm).unwrap_or_else(|| vm.to_string())
     }
 }
 
