Redirect from a closed or full home to where the directory has the chat; hints in the bench

Half of the bench's callers now carry back the server's name, as the design has it; small fleets repeat a release once; routers know a restart by the life in the frames, so that a late notice of the former life's death no longer drops grants of the new one.

--- a/crates/catkin-policy/benches/policy/fleet.rs
+++ b/crates/catkin-policy/benches/policy/fleet.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::RequestDigest;
-use catkin_base::{ClockTime, PoolId, RefusalReason, RequestId, ServerId, VmId, hash_parts};
+use catkin_base::{
+    ChatId, ClockTime, PoolId, RefusalReason, RequestId, ServerId, VmId, hash_parts,
+};
 use catkin_policy::{
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRelease, GrantResult, OwnerBook,
     PlacementPlan, PlanAsk, PlanStep, PoolBook, ReleaseOutcome, ReportMode, ReportPacer,
@@ -26,6 +28,8 @@
 const ASK_TIMEOUT_MILLIS: u64 = 60;
 const QUERY_TIMEOUT_MILLIS: u64 = 200;
 const MAX_SENDS: u32 = 3;
+/// Time after which a small fleet sends a release again, since the first may be lost.
+const RELEASE_REPEAT_MILLIS: u64 = 50;
 const MAX_QUERIES: u32 = 10;
 /// Bounds of the time until a router suspects one that is gone, in milliseconds.
 const SUSPECT_MILLIS: std::ops::Range<u64> = 200..1_000;
@@ -34,6 +38,8 @@
 /// Bytes that a router sends each second for membership, and for a probe of a server.
 const MEMBERSHIP_BYTES: u64 = 400;
 const PROBE_BYTES: u64 = 250;
+/// Share of the callers that carry back the name of the server that they were answered by.
+const HINT_SHARE: f64 = 0.5;
 /// Servers of a chat's ranking that a plan considers.
 const RANK_LIMIT: usize = 5;
 
@@ -50,6 +56,7 @@
     PromptReport(VmId),
     AskTimeout(RequestId, u32),
     QueryTimeout(VmId, ServerId, u32),
+    RepeatRelease(VmId, VmId, GrantRelease),
     Suspect(VmId, VmId),
     Learn(VmId, NumberedChange),
 }
@@ -58,6 +65,7 @@
 pub struct FleetWay {
     routers: Vec<RouterNode>,
     calls: BTreeMap<RequestId, EntryCall>,
+    hints: BTreeMap<ChatId, ServerId>,
     split: bool,
     changes: u64,
 }
@@ -70,6 +78,7 @@
     sums: PoolBook,
     pacer: ReportPacer,
     suspects: BTreeSet<VmId>,
+    lives: BTreeMap<VmId, u64>,
     report_at: Option<ClockTime>,
     view: RouterView,
     poll_at: Option<ClockTime>,
@@ -104,11 +113,18 @@
             sums: new_sums(deployment),
             pacer: ReportPacer::new(),
             suspects: BTreeSet::new(),
+            lives: BTreeMap::new(),
             report_at: None,
             view: view.clone(),
             poll_at: None,
         });
-        Self { routers: routers.collect(), calls: BTreeMap::new(), split: false, changes: 0 }
+        Self {
+            routers: routers.collect(),
+            calls: BTreeMap::new(),
+            hints: BTreeMap::new(),
+            split: false,
+            changes: 0,
+        }
     }
 
     fn node(&mut self, vm: VmId) -> &mut RouterNode {
@@ -174,7 +190,18 @@
         }
     }
 
+    /// Frames carry the sender's life, so that a restart shows before it is announced.
+    fn note_life(&mut self, stage: &mut FleetStage, vm: VmId, from: VmId) {
+        let life = self.node(from).life;
+        let node = self.node(vm);
+        let known = node.lives.insert(from, life).unwrap_or(0);
+        if life > known && from != vm {
+            node.book.drop_router(stage.now, from);
+        }
+    }
+
     fn take_ask(&mut self, stage: &mut FleetStage, vm: VmId, ask: &GrantAsk) {
+        self.note_life(stage, vm, ask.entry);
         let answer = self.node(vm).book.ask(stage.now, ask);
         self.tell_answer(stage, vm, answer);
         self.poll(stage, vm);
@@ -381,6 +408,12 @@
             return;
         };
         let (entry, chat) = (call.entry, call.trace.chat);
+        if carries_hint(chat) {
+            self.hints.insert(chat, server);
+        }
+        let Some(call) = self.calls.get(&request) else {
+            return;
+        };
         let home = call.plan.home().filter(|home| *home != server);
         let Some(home) = home else {
             return;
@@ -423,11 +456,15 @@
         let release = GrantRelease {
             request,
             server,
-            chat: chat.unwrap_or(catkin_base::ChatId(0)),
+            chat: chat.unwrap_or(ChatId(0)),
             outcome,
             generated_tokens: 0,
         };
         self.send(stage, entry, owner, PeerMessage::Release(release));
+        if report_mode(&stage.deployment) == ReportMode::Prompt {
+            let at = stage.now.plus_millis(RELEASE_REPEAT_MILLIS);
+            stage.schedule(at, FleetEvent::RepeatRelease(entry, owner, release));
+        }
         let current = self.node(entry).view.owner(server).filter(|current| *current != owner);
         if let Some(current) = current {
             self.send(stage, entry, current, PeerMessage::Release(release));
@@ -540,6 +577,12 @@
 
     fn learn(&mut self, stage: &mut FleetStage, vm: VmId, numbered: NumberedChange) {
         let node = &mut self.routers[vm.0 as usize - 1];
+        if let ViewChange::RouterDown(router) = numbered.change {
+            let known = node.lives.get(&VmId(router as u64 + 1)).copied().unwrap_or(0);
+            if known > numbered.life {
+                return;
+            }
+        }
         if !node.up || !node.view.apply_numbered(&stage.deployment, numbered) {
             return;
         }
@@ -611,8 +654,8 @@
         let vm = VmId(router as u64 + 1);
         let node = self.node(vm);
         node.up = false;
-        node.life += 1;
         self.tell_all(stage, vm, ViewChange::RouterDown(router));
+        self.node(vm).life += 1;
         self.suspect_everywhere(stage, vm);
         let lost: Vec<RequestId> =
             self.calls.iter().filter(|(_, call)| call.entry == vm).map(|(id, _)| *id).collect();
@@ -671,7 +714,8 @@
         let others: Vec<VmId> =
             self.routers.iter().map(|node| node.vm).filter(|vm| *vm != about).collect();
         self.changes += 1;
-        let numbered = NumberedChange { number: self.changes, change };
+        let life = self.routers.iter().find(|node| node.vm == about).map_or(0, |node| node.life);
+        let numbered = NumberedChange { number: self.changes, life, change };
         for vm in others {
             let delay = stage.random.random_range(LEARN_MILLIS);
             stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(vm, numbered));
@@ -689,7 +733,7 @@
                 let change =
                     if split { ViewChange::RouterDown(index) } else { ViewChange::RouterUp(index) };
                 let delay = stage.random.random_range(LEARN_MILLIS);
-                let numbered = NumberedChange { number, change };
+                let numbered = NumberedChange { number, life: u64::MAX, change };
                 stage.schedule(stage.now.plus_millis(delay), FleetEvent::Learn(*vm, numbered));
             }
         }
@@ -721,7 +765,8 @@
             self.routers.iter().filter(|node| node.up).map(|node| node.vm).collect();
         let entry = live[stage.random.random_range(0..live.len())];
         let ranked = self.node(entry).view.table(request.pool).rank(request.chat, RANK_LIMIT);
-        let plan = PlacementPlan::new(request.chat, ranked, Vec::new(), None);
+        let hint = self.hints.get(&request.chat).copied();
+        let plan = PlacementPlan::new(request.chat, ranked, Vec::new(), hint);
         let plan = if request.returning { plan } else { plan.without_history() };
         let first = plan.next_ask();
         let call = EntryCall {
@@ -765,6 +810,9 @@
             FleetEvent::QueryTimeout(vm, server, tries) => {
                 self.time_out_query(stage, vm, server, tries);
             }
+            FleetEvent::RepeatRelease(entry, owner, release) => {
+                self.send(stage, entry, owner, PeerMessage::Release(release));
+            }
             FleetEvent::Suspect(vm, suspect) => self.suspect(stage, vm, suspect),
             FleetEvent::Learn(vm, numbered) => self.learn(stage, vm, numbered),
         }
@@ -842,6 +890,12 @@
     stage.random.random_range(mean / 2..=mean * 3 / 2)
 }
 
+/// Whether the caller of a chat carries hints back.
+fn carries_hint(chat: ChatId) -> bool {
+    let place = hash_parts(&[b"hint", &chat.0.to_le_bytes()]) % 1_000;
+    (place as f64) < HINT_SHARE * 1_000.0
+}
+
 /// Side of a router in a split network.
 fn split_side(vm: VmId) -> u64 {
     hash_parts(&[&vm.0.to_le_bytes()]) % 2
--- a/crates/catkin-policy/benches/policy/view.rs
+++ b/crates/catkin-policy/benches/policy/view.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct NumberedChange {
     pub number: u64,
+    /// Life of the router that changed, which rises at each restart.
+    pub life: u64,
     pub change: ViewChange,
 }
 
--- a/crates/catkin-policy/src/load.rs
+++ b/crates/catkin-policy/src/load.rs
@@ -8,7 +8,7 @@
 /// Reports older than this no longer count, in milliseconds.
 const REPORT_LIFE_MILLIS: u64 = 10_000;
 /// Age given to a report that is sent at each change, while it is fresh, in milliseconds.
-const PROMPT_AGE_MILLIS: u64 = 12;
+const PROMPT_AGE_MILLIS: u64 = 6;
 /// Light servers named in a sum.
 const LIGHT_SERVERS: usize = 4;
 
--- a/crates/catkin-policy/src/owner.rs
+++ b/crates/catkin-policy/src/owner.rs
@@ -426,7 +426,8 @@
             return Some(self.overflow(ask, OverflowCause::WrongPool));
         }
         if let Some(cause) = closed_cause(now, ledger) {
-            return Some(self.overflow(ask, cause));
+            let away = find_away(ledger, ask);
+            return Some(away.unwrap_or_else(|| self.overflow(ask, cause)));
         }
         if self.team_open(ask.team) >= self.rules.team(ask.team).max_open {
             return Some(refused(RefusalReason::TeamLimit, RETRY_MILLIS));
@@ -443,9 +444,8 @@
         ledger: &ServerLedger,
         ask: &GrantAsk,
     ) -> Option<GrantResult> {
-        let away = ledger.directory.find(ask.chat).filter(|server| *server != ask.server);
-        if let Some(server) = away {
-            return Some(GrantResult::Redirect { server });
+        if let Some(redirect) = find_away(ledger, ask) {
+            return Some(redirect);
         }
         let at_home = ask.rank == 0 && !ledger.warm.is_complete(now);
         (!at_home).then(|| self.overflow(ask, OverflowCause::NotWarm))
@@ -471,9 +471,8 @@
         let wait_micros = self.expect_wait(now, ledger, &entry);
         let worth_waiting = entry.warm && self.prefers_waiting(&entry, wait_micros);
         if !entry.ask.must_queue && !worth_waiting {
-            let away = ledger.directory.find(entry.ask.chat);
-            if let Some(server) = away.filter(|_| entry.ask.follow_directory) {
-                return GrantResult::Redirect { server };
+            if let Some(redirect) = find_away(ledger, &entry.ask) {
+                return redirect;
             }
             let cause =
                 if ledger.is_blind() { OverflowCause::Handover } else { OverflowCause::Full };
@@ -683,6 +682,12 @@
     GrantResult::Refused(GrantRefusal { reason, retry_after_millis })
 }
 
+/// A redirect to the other server where the directory has the chat, if the ask follows those.
+fn find_away(ledger: &ServerLedger, ask: &GrantAsk) -> Option<GrantResult> {
+    let away = ledger.directory.find(ask.chat).filter(|server| *server != ask.server);
+    away.filter(|_| ask.follow_directory).map(|server| GrantResult::Redirect { server })
+}
+
 fn doubtful_grants(now: ClockTime, ledger: &ServerLedger, vm: VmId) -> Vec<RequestId> {
     let age = if ledger.has_excess() { AUDIT_AGE_MILLIS } else { AUDIT_ALWAYS_MILLIS };
     let held = ledger.grants().filter(|(_, row)| row.entry == vm);
--- a/crates/catkin-policy/src/report.rs
+++ b/crates/catkin-policy/src/report.rs
@@ -11,7 +11,7 @@
 /// Most live routers among which each owner tells all others of each change.
 const PROMPT_ROUTERS: usize = 12;
 /// Least time between two prompt reports of one pool, in milliseconds.
-const PROMPT_GAP_MILLIS: u64 = 10;
+const PROMPT_GAP_MILLIS: u64 = 5;
 /// Time after which an unchanged load is reported again, in milliseconds.
 pub(crate) const HEARTBEAT_MILLIS: u64 = 500;
 
