Let the requests of a former owner only become fewer, and ask fewer servers

Cause: after a takeover without a handover, own new grants were counted twice until three reports had passed. A plan asks four servers for room instead of six, and nine at most instead of twelve.

--- a/crates/catkin-policy/src/ledger.rs
+++ b/crates/catkin-policy/src/ledger.rs
@@ -20,8 +20,6 @@
 const REPORT_LAG_MILLIS: u64 = 2_000;
 /// Reports over whose time the range of own grants is kept.
 const RANGE_REPORTS: usize = 3;
-/// Reports in a row without grants of others after which there are taken to be none.
-const CLEAN_REPORTS: u32 = 3;
 /// Reports for which grants are audited after one that showed fewer requests than grants.
 const EXCESS_REPORTS: u32 = 3;
 /// Reports for which another owner is taken to admit as well, once its new grants were seen.
@@ -62,7 +60,6 @@
     samples: u32,
     excess_reports: u32,
     ranges: [GrantRange; RANGE_REPORTS],
-    unclean_reports: u32,
     sample_grants: u32,
 }
 
@@ -101,7 +98,6 @@
             samples: 0,
             excess_reports: 0,
             ranges: [GrantRange::default(); RANGE_REPORTS],
-            unclean_reports: CLEAN_REPORTS,
             sample_grants: 0,
         }
     }
@@ -221,7 +217,6 @@
         self.settled_at = now;
         self.foreign = foreign;
         self.samples = 0;
-        self.unclean_reports = if foreign > 0 { CLEAN_REPORTS } else { 0 };
         let own = self.grants.len() as u32;
         self.ranges = [GrantRange { least: own, most: own }; RANGE_REPORTS];
     }
@@ -305,24 +300,24 @@
         range.most = range.most.max(own);
     }
 
-    /// Compares a late report with the own grants of that time. Another owner's grants show when the
-    /// report exceeds the most that were own; from then on, until they are gone, only the least that
-    /// were own at that time are taken off it.
+    /// Compares a late report with the own grants of that time.
+    ///
+    /// Another owner's grants show when the report exceeds the most that were own. Else the grants
+    /// of others are those of a former owner, which only become fewer.
     fn note_sample(&mut self, now: ClockTime, open: u32) {
         let most = self.ranges.iter().map(|range| range.most).max().unwrap_or(0);
         let least = self.ranges.iter().map(|range| range.least).min().unwrap_or(0);
-        let surely_foreign = open.saturating_sub(most);
+        let first = self.sample.is_none();
+        self.surely_foreign = open.saturating_sub(most);
+        self.excess_reports =
+            if open < least { EXCESS_REPORTS } else { self.excess_reports.saturating_sub(1) };
         let known = self.samples >= RANGE_REPORTS as u32;
-        let grew = known && surely_foreign > self.foreign;
+        let grew = known && self.surely_foreign > self.foreign;
         self.contested_reports =
             if grew { CONTESTED_REPORTS } else { self.contested_reports.saturating_sub(1) };
-        self.excess_reports =
-            if open < least { EXCESS_REPORTS } else { self.excess_reports.saturating_sub(1) };
-        self.unclean_reports =
-            if surely_foreign > 0 { CLEAN_REPORTS } else { self.unclean_reports.saturating_sub(1) };
-        let own_then = if self.unclean_reports > 0 { least } else { most };
-        self.foreign = open.saturating_sub(own_then);
-        self.surely_foreign = surely_foreign;
+        let foreign = open.saturating_sub(least);
+        let may_grow = first || self.contested_reports > 0;
+        self.foreign = if may_grow { foreign } else { foreign.min(self.foreign) };
         self.ranges.rotate_right(1);
         let own = self.grants.len() as u32;
         self.ranges[0] = GrantRange { least: own, most: own };
--- a/crates/catkin-policy/src/plan.rs
+++ b/crates/catkin-policy/src/plan.rs
@@ -7,9 +7,9 @@
 use crate::grant::{GrantAnswer, GrantRefusal, GrantResult, OverflowCause};
 
 /// Most asks for one request before it is refused.
-const MAX_ASKS: u32 = 12;
+const MAX_ASKS: u32 = 9;
 /// Servers asked for a free place before the request waits at one.
-const MAX_PLACES: usize = 6;
+const MAX_PLACES: usize = 4;
 /// Ranked servers asked for a place before lightly loaded ones.
 const RANKED_FIRST: usize = 3;
 /// Asks at one server whose owner is in dispute.
