Keep callers' calls off the paths of probes and orders

A call to /services/<service>/orders was passed on to the server's own path for orders, and some servers don't check who orders. Such paths are refused, and so are paths with needless escapes, which a server may take for the same path. The digest of a request that crashes servers now covers its path as well. The test failed without the check and passes with it.

--- a/crates/catkin-backend/src/control.rs
+++ b/crates/catkin-backend/src/control.rs
@@ -15,8 +15,24 @@
 use crate::exchange::HttpExchange;
 use crate::{BackendError, BackendFault, CacheEvent, ServerProbe};
 
+/// Path of probes.
+pub const PROBE_PATH: &str = "/probe";
+/// Path of orders.
+pub const ORDERS_PATH: &str = "/orders";
+
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// Whether a path of a server is for routers only, so that no caller's call may go there.
+///
+/// The path must be without escapes of letters and digits.
+pub fn is_control_path(path: &str) -> bool {
+    [PROBE_PATH, ORDERS_PATH].iter().any(|control| {
+        let rest = path.get(control.len()..).unwrap_or_default();
+        path.get(..control.len()).is_some_and(|start| start.eq_ignore_ascii_case(control))
+            && (rest.is_empty() || rest.starts_with(['/', ';', '?']))
+    })
+}
+
 /// A small answer, read to its end.
 #[derive(Debug)]
 pub(crate) struct SmallAnswer {
--- a/crates/catkin-backend/src/http_link.rs
+++ b/crates/catkin-backend/src/http_link.rs
@@ -11,7 +11,10 @@
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response, StatusCode};
 
-use crate::control::{escape_query, fetch_answer, format_order, parse_order_answer, parse_probe};
+use crate::control::{
+    ORDERS_PATH, PROBE_PATH, escape_query, fetch_answer, format_order, parse_order_answer,
+    parse_probe,
+};
 use crate::exchange::HttpExchange;
 use crate::headers::{
     ATTEMPT_HEADER, CHAT_ID_HEADER, KEY_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER,
@@ -41,7 +44,7 @@
         after_event: u64,
         timeout: Duration,
     ) -> Result<ServerProbe, BackendError> {
-        let target = format!("/probe?after={after_event}");
+        let target = format!("{PROBE_PATH}?after={after_event}");
         let answer = fetch_answer(address, Method::GET, &target, Bytes::new(), timeout).await?;
         require_status(answer.status, StatusCode::OK)?;
         parse_probe(&answer.body).ok_or_else(malformed_error)
@@ -72,7 +75,7 @@
         timeout: Duration,
     ) -> Result<u64, BackendError> {
         let body = format_order(fence, generation, desired);
-        let answer = fetch_answer(address, Method::POST, "/orders", body, timeout).await?;
+        let answer = fetch_answer(address, Method::POST, ORDERS_PATH, body, timeout).await?;
         require_status(answer.status, StatusCode::OK)?;
         parse_order_answer(&answer.body).ok_or_else(malformed_error)
     }
--- a/crates/catkin-backend/src/lib.rs
+++ b/crates/catkin-backend/src/lib.rs
@@ -25,6 +25,7 @@
 mod link;
 mod stream;
 
+pub use control::{ORDERS_PATH, PROBE_PATH, is_control_path};
 pub use headers::{
     ATTEMPT_HEADER, CACHED_HEADER, CHAT_ID_HEADER, KEY_HEADER, NOT_RUN_HEADER, PRIORITY_HEADER,
     RESUME_AFTER_HEADER, RESUME_ATTEMPT_HEADER,
--- a/crates/catkin-caller/src/check.rs
+++ b/crates/catkin-caller/src/check.rs
@@ -45,8 +45,10 @@
     /// The path has a query, which is never passed on.
     #[error("the path must not have a query")]
     QueryGiven,
-    /// The path is too long or has empty or dot segments.
-    #[error("the path must have at most 1024 characters and no empty or dot segments")]
+    /// The path is too long or has empty or dot segments or needless escapes.
+    #[error(
+        "the path must have at most 1024 characters, no empty or dot segments, and only needed escapes"
+    )]
     BadPath,
     /// The protocol can't tell a whole answer from a cut one.
     #[error("calls need HTTP/1.1")]
@@ -174,8 +176,16 @@
 }
 
 fn is_bad_segment(segment: &str) -> bool {
-    let plain = segment.replace("%2e", ".").replace("%2E", ".");
-    matches!(plain.as_str(), "" | "." | "..")
+    matches!(segment, "" | "." | "..") || segment.split('%').skip(1).any(is_needless_escape)
+}
+
+/// Whether an escape is cut, or stands for a character that needs none: such a path has two forms.
+fn is_needless_escape(escape: &str) -> bool {
+    let digits = escape.get(..2).unwrap_or_default();
+    match u8::from_str_radix(digits, 16) {
+        Ok(byte) => byte.is_ascii_alphanumeric() || b"-._~".contains(&byte),
+        Err(_) => true,
+    }
 }
 
 /// Headers of a call, checked.
--- a/crates/catkin-caller/tests/bad_input.rs
+++ b/crates/catkin-caller/tests/bad_input.rs
@@ -35,6 +35,8 @@
     assert_refused(&call_to("POST /services/a%2f/b HTTP/1.1"), 404, "not-found").await;
     assert_refused(&call_to("POST /services/a/../b HTTP/1.1"), 400, "dot segments").await;
     assert_refused(&call_to("POST /services/a/%2E%2e/b HTTP/1.1"), 400, "dot segments").await;
+    assert_refused(&call_to("POST /services/a/%6Frders HTTP/1.1"), 400, "escapes").await;
+    assert_refused(&call_to("POST /services/a/b%2 HTTP/1.1"), 400, "escapes").await;
     assert_refused(&call_to("POST /services/a/b?c=d HTTP/1.1"), 400, "query").await;
     assert_refused(&call_to("POST /v1/chat/completions HTTP/1.0"), 505, "HTTP/1.1").await;
 }
--- a/crates/catkin-router/src/call.rs
+++ b/crates/catkin-router/src/call.rs
@@ -1,6 +1,7 @@
 //! A caller's call once its team, class and target have been checked.
 
 use bytes::Bytes;
+use catkin_backend::is_control_path;
 use catkin_base::{
     CallRefusal, ChatId, ClassId, ClockTime, PoolId, RefusalReason, RequestDigest, RequestId,
     ServerId, TeamId, digest_hex, hash_parts,
@@ -85,11 +86,11 @@
             chat: find_chat(team.team, chat_name, request.request),
             returning: chat_name.is_some() && route.service.is_none(),
             pool: route.pool,
-            path: route.path,
             streamed: route.streamed,
             service: route.service,
             hint: request.hint.as_deref().and_then(|hint| hints.read(team.team, hint)),
-            digest: RequestDigest(hash_parts(&[&team.team.0.to_le_bytes(), &request.body])),
+            digest: digest_request(team.team, &route.path, &request.body),
+            path: route.path,
             body: request.body,
         })
     }
@@ -104,6 +105,10 @@
     }
 }
 
+fn digest_request(team: TeamId, path: &str, body: &[u8]) -> RequestDigest {
+    RequestDigest(hash_parts(&[&team.0.to_le_bytes(), path.as_bytes(), body]))
+}
+
 fn find_team<'a>(
     index: &'a FleetIndex,
     token: &str,
@@ -162,6 +167,10 @@
         let detail = "The service is not declared.";
         return Err(CallRefusal::not_run(RefusalReason::NotFound, detail));
     };
+    if is_control_path(path) {
+        let detail = "The path is not open to callers.";
+        return Err(CallRefusal::not_run(RefusalReason::Forbidden, detail));
+    }
     if !rule.idempotent && key.is_none() {
         let detail = "This service may not repeat calls: an idempotency-key header is needed.";
         return Err(CallRefusal::not_run(RefusalReason::BadRequest, detail));
