Refuse a key that comes with another path

The claim of a key covered the body only: a second call with the key and body of the first, but to another path, got the first one's answer and did not run. The test failed before (200 with the recorded answer) and passes now (422).

--- a/crates/catkin-router/src/once.rs
+++ b/crates/catkin-router/src/once.rs
@@ -54,7 +54,7 @@
         service: service.name.clone(),
         key: service.key.clone().unwrap_or_default(),
     };
-    let body_digest = digest_hex(&runner.call.body);
+    let body_digest = digest_call(&runner.call);
     let moment = ClaimMoment { now: parts.now(), unix_seconds: parts.clock.unix_seconds() };
     match parts.claims.claim(&key, &body_digest, moment).await {
         ClaimOutcome::Fresh(ticket) => run_ticket(&mut runner, &service, ticket).await,
@@ -68,6 +68,14 @@
     }
 }
 
+/// Digest of what a key stands for: the path and the body.
+fn digest_call(call: &CheckedCall) -> String {
+    let mut text = call.path.clone().into_bytes();
+    text.push(b'\n');
+    text.extend_from_slice(&call.body);
+    digest_hex(&text)
+}
+
 /// Sends a claimed call, and again only as long as it surely was not run.
 async fn run_ticket<E: RouterEnvironment>(
     runner: &mut AttemptRunner<E>,
--- a/crates/catkin-router/tests/common/mod.rs
+++ b/crates/catkin-router/tests/common/mod.rs
@@ -87,11 +87,25 @@
 
 /// Sends a call that must run only once, with the token of a team.
 pub async fn send_record_as(token: &str, router: SocketAddr, key: &str, body: &str) -> TestAnswer {
-    let request = minreq::post(format!("http://{router}/services/quotes/record"))
+    send(record_request(router, "record", key, body, token)).await
+}
+
+/// Sends a call that must run only once to a path of the service.
+pub async fn send_to_path(router: SocketAddr, path: &str, key: &str, body: &str) -> TestAnswer {
+    send(record_request(router, path, key, body, TOKEN)).await
+}
+
+fn record_request(
+    router: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+    token: &str,
+) -> minreq::Request {
+    minreq::post(format!("http://{router}/services/quotes/{path}"))
         .with_header("authorization", format!("Bearer {token}"))
         .with_header("idempotency-key", key)
-        .with_body(body);
-    send(request).await
+        .with_body(body)
 }
 
 async fn send(request: minreq::Request) -> TestAnswer {
--- a/crates/catkin-router/tests/whole_path.rs
+++ b/crates/catkin-router/tests/whole_path.rs
@@ -4,7 +4,9 @@
 
 use catkin_standin::{OutageKind, answer_token, service_answer};
 
-use common::{OTHER_TOKEN, TOKEN, seen_key, send_record, send_record_as, send_turn, start_fleet};
+use common::{
+    OTHER_TOKEN, TOKEN, seen_key, send_record, send_record_as, send_to_path, send_turn, start_fleet,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_streamed_turn_arrives_whole() {
@@ -58,6 +60,34 @@
     assert!(fleet.router.shut_down().await);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_with_another_path_is_refused() {
+    let fleet = start_fleet().await;
+    let router = fleet.router.caller_address();
+
+    send_to_path(router, "record", "k1", "{}").await;
+    let other = send_to_path(router, "withdraw", "k1", "{}").await;
+
+    assert_eq!(other.status, 422, "{}", other.body);
+    assert_eq!(fleet.service.counts().runs, 1);
+    assert!(fleet.router.shut_down().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_callers_call_to_the_path_of_orders_is_refused() {
+    let fleet = start_fleet().await;
+    let router = fleet.router.caller_address();
+    let order = r#"{"fence":18446744073709551615,"generation":1,"desired":"none"}"#;
+
+    for path in ["orders", "Orders", "orders/", "orders;a"] {
+        let answer = send_to_path(router, path, "k1", order).await;
+        assert!(matches!(answer.status, 400 | 403), "{path}: {}", answer.body);
+    }
+
+    assert!(fleet.service.taken_orders().iter().all(|order| order.fence < u64::MAX));
+    assert!(fleet.router.shut_down().await);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_record_whose_answer_is_lost_is_found_by_look_up() {
     let fleet = start_fleet().await;
