Test placement, evidence of servers, pool sums and limits

35 tests: ranking by weight, ownership by domain, the plan's order and end, cache events with gaps, restarts, hold-down, joins, two owners at once, retry budget, strikes, back-off.

--- /dev/null
+++ b/crates/catkin-policy/tests/evidence.rs
@@ -0,0 +1,169 @@
+//! Probes: cache events, restarts, flapping, and two owners at once.
+
+mod fixture;
+
+use catkin_base::{ChatId, ClockTime};
+use catkin_policy::{CacheNote, GrantResult, OverflowCause, OwnerBook, ServerReport};
+use fixture::{ask, chat_ask, owned_book, probe, rules, server, spec, steady_load, vm};
+
+const START: ClockTime = ClockTime::from_millis(10_000);
+const SECOND: u64 = 1_000;
+
+fn cached(sequence: u64, chat: u64, cached: bool) -> CacheNote {
+    CacheNote { sequence, chat: ChatId(chat), cached }
+}
+
+fn report(incarnation: u64, event_sequence: u64, events: Vec<CacheNote>) -> ServerReport {
+    ServerReport { incarnation, event_sequence, events, ..probe(0) }
+}
+
+fn overflow_cause(result: GrantResult) -> Option<OverflowCause> {
+    match result {
+        GrantResult::Overflow { cause, .. } => Some(cause),
+        _ => None,
+    }
+}
+
+#[test]
+fn cache_event_makes_a_chat_warm() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.note_probe(START, server(1), &report(1, 1, vec![cached(1, 7, true)]));
+
+    let answer = book.ask(START, &chat_ask(1, 1, 7));
+
+    assert_eq!(answer.result, GrantResult::Granted { warm: true });
+}
+
+#[test]
+fn returning_chat_without_evidence_is_sought_elsewhere_first() {
+    let mut book = owned_book(START, &[spec(1)]);
+
+    let answer = book.ask(START, &chat_ask(1, 1, 7));
+
+    assert_eq!(overflow_cause(answer.result), Some(OverflowCause::NotWarm));
+}
+
+#[test]
+fn gap_in_cache_events_is_counted_and_repeats_are_ignored() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.note_probe(START, server(1), &report(1, 5, vec![cached(1, 7, true), cached(5, 8, true)]));
+    book.note_probe(START, server(1), &report(1, 5, vec![cached(1, 9, true)]));
+
+    let state = book.server_states(START)[0];
+
+    assert_eq!(state.event_gaps, 1);
+    assert_eq!(state.warm_chats, 2);
+    assert_eq!(book.last_event(server(1)), 5);
+}
+
+#[test]
+fn late_eviction_does_not_undo_a_newer_use() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.ask(START, &ask(7, 1));
+    book.note_probe(START.plus_millis(SECOND), server(1), &report(1, 1, vec![cached(1, 7, false)]));
+
+    assert_eq!(book.server_states(START)[0].warm_chats, 1);
+}
+
+#[test]
+fn restart_empties_the_evidence() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.note_probe(START, server(1), &report(1, 1, vec![cached(1, 7, true)]));
+    book.note_probe(START.plus_millis(SECOND), server(1), &report(2, 0, Vec::new()));
+
+    assert_eq!(book.server_states(START)[0].warm_chats, 0);
+    assert_eq!(book.last_event(server(1)), 0);
+}
+
+#[test]
+fn failed_probes_stop_admission_until_one_is_answered() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.note_probe_failure(START, server(1));
+    let failed = book.ask(START, &ask(1, 1)).result;
+    book.note_probe(START.plus_millis(SECOND), server(1), &probe(0));
+    let answered = book.ask(START.plus_millis(SECOND), &ask(2, 1)).result;
+
+    assert_eq!(overflow_cause(failed), Some(OverflowCause::HeldDown));
+    assert_eq!(answered, GrantResult::Granted { warm: false });
+}
+
+#[test]
+fn flapping_server_is_held_down_for_longer_each_time() {
+    let mut book = owned_book(START, &[spec(1)]);
+    let mut holds = Vec::new();
+    for flap in 0..4 {
+        let now = START.plus_millis(flap * 4 * SECOND);
+        book.note_probe_failure(now, server(1));
+        book.note_probe_failure(now, server(1));
+        book.note_probe(now, server(1), &probe(0));
+        holds.push(book.server_states(now)[0].hold_millis);
+    }
+
+    assert_eq!(holds, [0, 10_000, 20_000, 40_000]);
+}
+
+#[test]
+fn server_that_joins_gets_one_request_until_it_counts_in_all_sums() {
+    let mut book = OwnerBook::new(vm(1));
+    book.set_rules(rules());
+    book.set_owned(START, &[spec(1)]);
+    book.give_up_handover(START, server(1));
+    book.note_probe(START, server(1), &probe(0));
+    book.note_pool_load(START, &steady_load(100, 10));
+
+    let first = book.ask(START, &ask(1, 1)).result;
+    let second = book.ask(START, &ask(2, 1)).result;
+    let settled = START.plus_millis(3 * SECOND);
+    book.note_pool_load(settled, &steady_load(100, 10));
+    let third = book.ask(settled, &ask(3, 1)).result;
+
+    assert_eq!(first, GrantResult::Granted { warm: false });
+    assert_eq!(overflow_cause(second), Some(OverflowCause::Full));
+    assert_eq!(third, GrantResult::Granted { warm: false });
+}
+
+#[test]
+fn two_owners_at_once_stay_below_twice_the_bound() {
+    let mut books = [owned_book(START, &[spec(1)]), owned_book(START, &[spec(1)])];
+    let mut open: u32 = 0;
+    let mut most = 0;
+    let bound = 13;
+
+    for round in 0..40 {
+        let now = START.plus_millis(round * SECOND);
+        for (index, book) in books.iter_mut().enumerate() {
+            book.note_probe(now, server(1), &probe(open));
+            book.note_pool_load(now, &steady_load(100, 10));
+            let request = round * 2 + index as u64;
+            let granted =
+                matches!(book.ask(now, &ask(request, 1)).result, GrantResult::Granted { .. });
+            open += u32::from(granted);
+        }
+        most = most.max(open);
+    }
+
+    assert!(most <= bound + 1, "{most} requests on a server with bound {bound}");
+}
+
+#[test]
+fn burst_at_two_owners_stays_below_twice_the_bound() {
+    let mut former = owned_book(START, &[spec(1)]);
+    let mut successor = OwnerBook::new(vm(2));
+    successor.set_rules(rules());
+    successor.set_owned(START, &[spec(1)]);
+    successor.note_probe(START, server(1), &probe(0));
+    for book in [&mut former, &mut successor] {
+        book.note_pool_load(START.plus_millis(10), &steady_load(100, 10));
+    }
+    let now = START.plus_millis(10);
+
+    let mut granted = 0;
+    for request in 0..40 {
+        for (index, book) in [&mut former, &mut successor].into_iter().enumerate() {
+            let ask = ask(request * 2 + index as u64, 1);
+            granted += u32::from(matches!(book.ask(now, &ask).result, GrantResult::Granted { .. }));
+        }
+    }
+
+    assert!(granted < 2 * 13, "{granted} granted by two owners with a bound of 13");
+}
--- /dev/null
+++ b/crates/catkin-policy/tests/limits.rs
@@ -0,0 +1,156 @@
+//! Pool sums, load reports, retry budgets, strikes and back-off.
+
+mod fixture;
+
+use catkin_base::{ClockTime, RequestDigest};
+use catkin_policy::{
+    BackoffPlan, LoadReport, PoolBook, ReportMode, ReportPacer, RetryBudget, ServerLoad, StrikeBook,
+};
+use fixture::{pool, server, vm};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: ClockTime = ClockTime::from_millis(100_000);
+const DIGEST: RequestDigest = RequestDigest(9);
+
+fn report(loads: &[(u64, u32, u32)]) -> LoadReport {
+    let loads = loads.iter().map(|(number, open, weight)| ServerLoad {
+        server: server(*number),
+        open: *open,
+        weight: *weight,
+    });
+    LoadReport { pool: pool(), loads: loads.collect() }
+}
+
+#[test]
+fn newest_report_of_a_server_counts_once() {
+    let mut book = PoolBook::new();
+    book.note_report(NOW, vm(1), &report(&[(1, 5, 1), (2, 7, 2)]));
+    book.note_report(NOW.plus_millis(10), vm(2), &report(&[(1, 9, 1)]));
+
+    let sum = book.sum(NOW.plus_millis(10), pool()).expect("there are reports");
+
+    assert_eq!((sum.open, sum.weight, sum.servers), (16, 3, 2));
+    assert_eq!(sum.light_servers, [server(2), server(1)]);
+}
+
+#[test]
+fn server_without_weight_leaves_the_sum() {
+    let mut book = PoolBook::new();
+    book.note_report(NOW, vm(1), &report(&[(1, 5, 1), (2, 7, 1)]));
+    book.note_report(NOW, vm(1), &report(&[(1, 5, 0)]));
+
+    let sum = book.sum(NOW, pool()).expect("there are reports");
+
+    assert_eq!((sum.open, sum.weight, sum.servers), (7, 1, 1));
+}
+
+#[test]
+fn sum_tells_its_age_and_forgets_old_reports() {
+    let mut book = PoolBook::new();
+    book.note_report(NOW, vm(1), &report(&[(1, 5, 1)]));
+
+    let aged = book.sum(NOW.plus_millis(4_000), pool()).expect("the report is recent");
+    let gone = book.sum(NOW.plus_millis(20_000), pool());
+
+    assert_eq!(aged.age_millis, 4_000);
+    assert_eq!(gone, None);
+}
+
+#[test]
+fn silence_in_prompt_mode_is_an_unchanged_load_for_a_while() {
+    let mut book = PoolBook::new();
+    book.set_mode(ReportMode::Prompt);
+    book.note_report(NOW, vm(1), &report(&[(1, 5, 1)]));
+
+    let quiet = book.sum(NOW.plus_millis(400), pool()).expect("the report is recent");
+    let silent = book.sum(NOW.plus_millis(3_000), pool()).expect("the report is recent");
+
+    assert!(quiet.age_millis < 50);
+    assert_eq!(silent.age_millis, 3_000);
+}
+
+#[test]
+fn pacer_sends_changes_and_heartbeats_only() {
+    let mut pacer = ReportPacer::new();
+    let first = report(&[(1, 5, 1)]);
+    let changed = report(&[(1, 6, 1)]);
+
+    let sent = pacer.take_due(NOW, vec![first.clone()]);
+    let unchanged = pacer.take_due(NOW.plus_millis(100), vec![first]);
+    let update = pacer.take_due(NOW.plus_millis(100), vec![changed.clone()]);
+    let heartbeat = pacer.take_due(NOW.plus_millis(2_000), vec![changed.clone()]);
+
+    assert_eq!(sent.len(), 1);
+    assert!(unchanged.is_empty());
+    assert_eq!(update, std::slice::from_ref(&changed));
+    assert_eq!(heartbeat, [changed]);
+}
+
+#[test]
+fn retries_are_a_share_of_recent_requests() {
+    let mut budget = RetryBudget::new(10);
+    for _ in 0..100 {
+        budget.note_request(NOW);
+    }
+
+    let allowed = (0..100).filter(|_| budget.try_retry(NOW)).count();
+    let later = budget.try_retry(NOW.plus_millis(20_000));
+
+    assert_eq!(allowed, 13);
+    assert!(later);
+}
+
+#[test]
+fn content_is_held_after_it_crashed_two_servers() {
+    let mut book = StrikeBook::new(2, 60_000);
+
+    book.note_strike(NOW, DIGEST, server(1));
+    book.note_strike(NOW, DIGEST, server(1));
+    let once = book.state(NOW, DIGEST);
+    book.note_strike(NOW, DIGEST, server(2));
+    let twice = book.state(NOW.plus_millis(1_000), DIGEST);
+    let after = book.state(NOW.plus_millis(60_000), DIGEST);
+
+    assert_eq!((once.strikes, once.hold_millis), (1, 0));
+    assert_eq!((twice.strikes, twice.hold_millis), (2, 59_000));
+    assert_eq!((after.strikes, after.hold_millis), (0, 0));
+}
+
+#[test]
+fn strikes_stay_bounded_and_keep_the_worst() {
+    let mut book = StrikeBook::new(2, 600_000);
+    book.note_strike(NOW, DIGEST, server(1));
+    book.note_strike(NOW, DIGEST, server(2));
+
+    for other in 1_000..6_000 {
+        book.note_strike(NOW, RequestDigest(other), server(1));
+    }
+
+    assert!(book.len() <= 4_096);
+    assert_eq!(book.state(NOW, DIGEST).strikes, 2);
+}
+
+#[test]
+fn backoff_doubles_with_jitter_up_to_its_limit() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut plan = BackoffPlan::new(100, 1_000);
+
+    let delays: Vec<u64> = (0..6).map(|_| plan.next_delay(&mut random)).collect();
+    plan.reset();
+    let again = plan.next_delay(&mut random);
+
+    for (delay, ceiling) in delays.iter().zip([100, 200, 400, 800, 1_000, 1_000]) {
+        assert!((ceiling / 2..=ceiling).contains(delay), "{delay} below {ceiling}");
+    }
+    assert!(again <= 100);
+}
+
+#[test]
+fn clients_of_one_failed_service_do_not_return_together() {
+    let delays: std::collections::BTreeSet<u64> = (0..50)
+        .map(|seed| BackoffPlan::new(1_000, 8_000).next_delay(&mut SmallRng::seed_from_u64(seed)))
+        .collect();
+
+    assert!(delays.len() > 40);
+}
--- /dev/null
+++ b/crates/catkin-policy/tests/placement.rs
@@ -0,0 +1,242 @@
+//! Ranking, ownership and the entry router's plan.
+
+mod fixture;
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ChatId, DomainId, RefusalReason, RegionId, RequestId, ServerId};
+use catkin_policy::{
+    GrantAnswer, GrantRefusal, GrantResult, OverflowCause, PlacementPlan, PlanStep, RankTable,
+    RouterSpec, ServerSpec, choose_keyholder, choose_owner, rank_servers,
+};
+use fixture::{server, spec, vm};
+
+const CHAT: ChatId = ChatId(7);
+
+fn answer(server: ServerId, result: GrantResult) -> GrantAnswer {
+    GrantAnswer { request: RequestId(1), entry: vm(1), server, result }
+}
+
+fn overflow(cause: OverflowCause) -> GrantResult {
+    GrantResult::Overflow { cause, light: None }
+}
+
+fn full() -> GrantResult {
+    overflow(OverflowCause::Full)
+}
+
+fn router(number: u64, domain: u64, region: u64) -> RouterSpec {
+    RouterSpec { vm: vm(number), domain: DomainId(domain), region: RegionId(region) }
+}
+
+fn ranked() -> Vec<ServerId> {
+    (1..=5).map(server).collect()
+}
+
+/// Asks of a plan until it ends, each answered by `reply`.
+fn asks_until_end(
+    plan: &mut PlacementPlan,
+    mut reply: impl FnMut(ServerId) -> GrantResult,
+) -> (Vec<ServerId>, PlanStep) {
+    let mut asked = Vec::new();
+    loop {
+        let ask = plan.next_ask().expect("the plan has not ended");
+        asked.push(ask.server);
+        let step = plan.note_answer(&answer(ask.server, reply(ask.server)));
+        if !matches!(step, PlanStep::Ask(_)) {
+            return (asked, step);
+        }
+    }
+}
+
+#[test]
+fn ranking_follows_the_weights() {
+    let mut specs: Vec<ServerSpec> = (1..=4).map(spec).collect();
+    specs[0].weight = 3;
+    let table = RankTable::new(&specs);
+
+    let mut first = BTreeMap::new();
+    for chat in 0..6_000 {
+        *first.entry(table.rank(ChatId(chat), 1)[0]).or_insert(0) += 1;
+    }
+
+    assert!((2_850..3_150).contains(&first[&server(1)]), "{first:?}");
+}
+
+#[test]
+fn table_and_list_rank_alike() {
+    let specs: Vec<ServerSpec> = (1..=50).map(spec).collect();
+    let table = RankTable::new(&specs);
+
+    for chat in (0..200).map(ChatId) {
+        assert_eq!(table.rank(chat, 4), rank_servers(chat, &specs, 4));
+        assert_eq!(table.rank(chat, 50)[..4], table.rank(chat, 4));
+    }
+}
+
+#[test]
+fn join_moves_only_chats_that_rank_the_new_server_first() {
+    let before: Vec<ServerSpec> = (1..=10).map(spec).collect();
+    let after: Vec<ServerSpec> = (1..=11).map(spec).collect();
+
+    for chat in (0..1_000).map(ChatId) {
+        let old = rank_servers(chat, &before, 2);
+        let new = rank_servers(chat, &after, 2);
+        assert!(new[0] == old[0] || (new[0] == server(11) && new[1] == old[0]));
+    }
+}
+
+#[test]
+fn owner_is_of_the_servers_domain_then_region_then_any() {
+    let target = ServerSpec { domain: DomainId(1), region: RegionId(1), ..spec(1) };
+    let near = router(1, 1, 1);
+    let regional = router(2, 2, 1);
+    let far = router(3, 3, 2);
+
+    assert_eq!(choose_owner(&target, &[far, regional, near]), Some(near.vm));
+    assert_eq!(choose_owner(&target, &[far, regional]), Some(regional.vm));
+    assert_eq!(choose_owner(&target, &[far]), Some(far.vm));
+    assert_eq!(choose_owner(&target, &[]), None);
+}
+
+#[test]
+fn keyholder_does_not_depend_on_the_order_of_routers() {
+    let routers = [router(1, 1, 1), router(2, 1, 1), router(3, 2, 1)];
+    let turned = [routers[2], routers[0], routers[1]];
+
+    for key in 0..100 {
+        assert_eq!(choose_keyholder(key, &routers), choose_keyholder(key, &turned));
+    }
+}
+
+#[test]
+fn plan_asks_the_hinted_server_first_and_home_next() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), Some(server(4)));
+
+    let hinted = plan.next_ask().map(|ask| ask.server);
+    let step = plan.note_answer(&answer(server(4), full()));
+
+    assert_eq!(hinted, Some(server(4)));
+    assert!(matches!(step, PlanStep::Ask(ask) if ask.server == server(1) && ask.follow_directory));
+}
+
+#[test]
+fn plan_follows_a_redirect() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None);
+
+    let step = plan.note_answer(&answer(server(1), GrantResult::Redirect { server: server(5) }));
+    let end = plan.note_answer(&answer(server(5), GrantResult::Granted { warm: true }));
+
+    assert!(matches!(step, PlanStep::Ask(ask) if ask.server == server(5)));
+    assert_eq!(end, PlanStep::Use(server(5)));
+}
+
+#[test]
+fn chat_that_is_cold_at_a_joined_home_is_sought_at_the_former_one() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None);
+
+    let step = plan.note_answer(&answer(server(1), overflow(OverflowCause::NotWarm)));
+    let end = plan.note_answer(&answer(server(2), GrantResult::Granted { warm: true }));
+
+    assert!(matches!(step, PlanStep::Ask(ask) if ask.server == server(2) && ask.follow_directory));
+    assert_eq!(end, PlanStep::Use(server(2)));
+}
+
+#[test]
+fn chat_that_is_warm_nowhere_goes_home() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None);
+    let mut asks = 0;
+
+    let (asked, end) = asks_until_end(&mut plan, |_| {
+        asks += 1;
+        if asks <= 2 {
+            overflow(OverflowCause::NotWarm)
+        } else {
+            GrantResult::Granted { warm: false }
+        }
+    });
+
+    assert_eq!(asked, [server(1), server(2), server(1)]);
+    assert_eq!(end, PlanStep::Use(server(1)));
+}
+
+#[test]
+fn plan_queues_at_home_when_all_are_full() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None).without_history();
+
+    let mut queued_at = None;
+    for _ in 0..20 {
+        let ask = plan.next_ask().expect("the plan has not ended");
+        if ask.must_queue {
+            queued_at = Some(ask.server);
+            break;
+        }
+        plan.note_answer(&answer(ask.server, full()));
+    }
+
+    assert_eq!(queued_at, Some(server(1)));
+}
+
+#[test]
+fn plan_does_not_queue_at_a_leaving_server() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None).without_history();
+
+    let (asked, end) = asks_until_end(&mut plan, |server| match server.0 {
+        1 => overflow(OverflowCause::Leaving),
+        _ => full(),
+    });
+
+    assert_eq!(asked.iter().filter(|asked| **asked == server(1)).count(), 1);
+    assert!(matches!(
+        end,
+        PlanStep::GiveUp(GrantRefusal { reason: RefusalReason::Overloaded, .. })
+    ));
+}
+
+#[test]
+fn plan_uses_a_light_server_that_an_owner_names() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None).without_history();
+    let light = Some(server(9));
+
+    let (asked, _) = asks_until_end(&mut plan, |asked| match asked.0 {
+        9 => GrantResult::Granted { warm: false },
+        _ => GrantResult::Overflow { cause: OverflowCause::Full, light },
+    });
+
+    assert_eq!(asked.last(), Some(&server(9)));
+}
+
+#[test]
+fn plan_retries_a_disputed_owner_and_then_goes_on() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None);
+
+    let (asked, _) = asks_until_end(&mut plan, |asked| match asked.0 {
+        1 => GrantResult::NotOwner,
+        _ => GrantResult::Granted { warm: false },
+    });
+
+    assert_eq!(asked, [server(1), server(1), server(1), server(2)]);
+}
+
+#[test]
+fn answer_of_another_server_changes_nothing() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None);
+    let before = plan.next_ask();
+
+    let step = plan.note_answer(&answer(server(3), GrantResult::Granted { warm: true }));
+
+    assert_eq!(step, PlanStep::Wait);
+    assert_eq!(plan.next_ask(), before);
+}
+
+#[test]
+fn every_plan_ends() {
+    for cause in [OverflowCause::Full, OverflowCause::NotWarm, OverflowCause::HeldDown] {
+        let mut plan = PlacementPlan::new(CHAT, ranked(), vec![server(8)], Some(server(3)));
+
+        let (asked, end) = asks_until_end(&mut plan, |_| overflow(cause));
+
+        assert!(asked.len() < 20);
+        assert!(matches!(end, PlanStep::GiveUp(_)));
+    }
+}
