Give operators' applies a budget of their own and let them wait for it

A router's share of the platform's writes is 1 a second among 330 routers. An apply of 546 chunks ended after the 20 saved-up writes with 'nothing was changed', and each repetition spent its writes on the chunks written before. Applies, rollbacks and histories now use a client with 40 writes and 100 reads a second, and wait while it is spent.

--- a/crates/catkin-operator/tests/revisions.rs
+++ b/crates/catkin-operator/tests/revisions.rs
@@ -2,13 +2,13 @@
 
 mod support;
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use catkin_operator::{
-    ApplyError, ApplyOutcome, ChunkSource, FetchError, FetchOutcome, HEAD_KEY, RevisionHead,
-    RevisionReader, StoreChunks, apply_declarations, changed_paths, collect_garbage, read_history,
-    rollback_declarations,
+    ApplyError, ApplyOutcome, ChunkSource, FetchError, FetchOutcome, HEAD_KEY, PatientStore,
+    RevisionHead, RevisionReader, StoreChunks, apply_declarations, changed_paths, collect_garbage,
+    read_history, rollback_declarations,
 };
 use catkin_platform::{ObjectStore, StoreError, StoredObject, WriteCondition};
 use catkin_settings::FleetDeclarations;
@@ -258,6 +258,40 @@
     assert_eq!(after, second);
 }
 
+#[tokio::test(start_paused = true)]
+async fn apply_of_many_chunks_waits_for_its_rate() {
+    let store = Arc::new(MemoryStore::new());
+    for _ in 0..300 {
+        store.plan(PlannedFault::Limit, "config/chunks/");
+    }
+    let declarations = large_fleet(100, 1_000);
+    let patient = PatientStore::new(Arc::clone(&store));
+
+    let impatient = apply_declarations(&*store, &declarations, Some(0), &note("first")).await;
+    let applied = apply_declarations(&patient, &declarations, Some(0), &note("first")).await;
+
+    assert!(matches!(impatient, Err(ApplyError::Unavailable(_))));
+    assert_eq!(applied.expect("the rate allows it in the end").revision, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn paused_reader_takes_the_newest_revision_and_not_the_one_it_was_reading() {
+    let store = MemoryStore::new();
+    let first = fleet_of(10);
+    apply(&store, &first, 0, "first").await;
+    let (mut reader, _) = read_all(&store).await;
+    apply(&store, &with_quota(&first, 1, 8), 1, "second").await;
+    let paused = reader.read_head(&StoreChunks::new(&store)).await.expect("readable");
+    apply(&store, &with_quota(&first, 1, 9), 2, "third").await;
+
+    let newest = take(&mut reader, &StoreChunks::new(&store)).await.expect("readable");
+    let late = reader.fetch(&StoreChunks::new(&store), &paused.expect("in force")).await;
+
+    assert_eq!(newest, Some(with_quota(&first, 1, 9)));
+    assert_eq!(late, Ok(FetchOutcome::NotNewer));
+    assert_eq!(reader.revision(), Some(3));
+}
+
 #[tokio::test(start_paused = true)]
 async fn outage_refuses_and_changes_nothing() {
     let store = MemoryStore::new();
--- a/crates/catkin-operator/tests/support/mod.rs
+++ b/crates/catkin-operator/tests/support/mod.rs
@@ -15,6 +15,8 @@
 
 const UNAVAILABLE: StoreError =
     StoreError { fault: StoreFault::Unavailable, ran: RunVerdict::NotRun };
+const RATE_LIMITED: StoreError =
+    StoreError { fault: StoreFault::RateLimited, ran: RunVerdict::NotRun };
 const LOST_ANSWER: StoreError =
     StoreError { fault: StoreFault::Unavailable, ran: RunVerdict::MayHaveRun };
 const CONFLICT: StoreError = StoreError { fault: StoreFault::Conflict, ran: RunVerdict::NotRun };
@@ -39,6 +41,8 @@
     DelayWrite,
     /// The write is refused by an outage.
     Refuse,
+    /// The write is refused because of the rate.
+    Limit,
     /// The read gives the value before the newest one.
     StaleRead,
 }
@@ -176,8 +180,8 @@
     }
 
     fn write_fault(&mut self, key: &str) -> Option<PlannedFault> {
-        use PlannedFault::{DelayWrite, LoseAnswer, LoseWrite, Refuse};
-        let planned = self.take_planned(key, &[LoseAnswer, LoseWrite, DelayWrite, Refuse]);
+        use PlannedFault::{DelayWrite, Limit, LoseAnswer, LoseWrite, Refuse};
+        let planned = self.take_planned(key, &[LoseAnswer, LoseWrite, DelayWrite, Refuse, Limit]);
         if planned.is_some() {
             return planned;
         }
@@ -235,6 +239,9 @@
         if fault == Some(PlannedFault::Refuse) {
             return Err(UNAVAILABLE);
         }
+        if fault == Some(PlannedFault::Limit) {
+            return Err(RATE_LIMITED);
+        }
         if fault == Some(PlannedFault::LoseWrite) {
             return Err(LOST_ANSWER);
         }
--- a/crates/catkin-platform/src/call_counts.rs
+++ b/crates/catkin-platform/src/call_counts.rs
@@ -76,6 +76,20 @@
         *count += 1;
     }
 
+    /// The sums of these counts and others.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            gets: self.gets + other.gets,
+            puts: self.puts + other.puts,
+            deletes: self.deletes + other.deletes,
+            lists: self.lists + other.lists,
+            watches: self.watches + other.watches,
+            vm_lists: self.vm_lists + other.vm_lists,
+            failures: self.failures + other.failures,
+            held_back: self.held_back + other.held_back,
+        }
+    }
+
     /// All calls that were sent.
     pub fn sent(&self) -> u64 {
         self.gets + self.puts + self.deletes + self.lists + self.watches + self.vm_lists
--- a/crates/catkin-router/src/operator.rs
+++ b/crates/catkin-router/src/operator.rs
@@ -1,11 +1,12 @@
 //! Answers operators' requests on one router.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use catkin_operator::{
     ApplyAnswer, ApplyNote, ApplyOutcome, ApplyRequest, DrainAnswer, FleetStatus, HistoryAnswer,
-    LeaseStatus, OperatorError, OperatorService, PlatformStatus, RevisionAnswer, RollbackRequest,
-    apply_declarations, read_history, rollback_declarations,
+    LeaseStatus, OperatorError, OperatorService, PatientStore, PlatformStatus, RevisionAnswer,
+    RollbackRequest, apply_declarations, read_history, rollback_declarations,
 };
 use catkin_platform::{CallCounts, CallKind, HttpStore, PlatformHealth, read_lease};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -20,6 +21,8 @@
 /// Answers operators' requests on one router, on the listener's threads.
 pub(crate) struct RouterOperator {
     view: RouterView<ProcessEnvironment>,
+    /// The platform for what operators ask, with a budget of its own.
+    store: PatientStore<HttpStore>,
     metrics: Option<PrometheusHandle>,
     runtime: Handle,
 }
@@ -27,9 +30,10 @@
 impl RouterOperator {
     pub(crate) fn new(
         view: RouterView<ProcessEnvironment>,
+        store: Arc<HttpStore>,
         metrics: Option<PrometheusHandle>,
     ) -> Self {
-        Self { view, metrics, runtime: Handle::current() }
+        Self { view, store: PatientStore::new(store), metrics, runtime: Handle::current() }
     }
 
     fn note(&self, apply_id: String, author: String, comment: String) -> ApplyNote {
@@ -40,7 +44,7 @@
 impl OperatorService for RouterOperator {
     fn status(&self) -> FleetStatus {
         let store = self.view.store();
-        let counts = store.counts();
+        let counts = store.counts().plus(self.store.inner().counts());
         let platform = PlatformStatus {
             healthy: store.health() == PlatformHealth::Up,
             calls: list_calls(&counts),
@@ -63,21 +67,19 @@
     }
 
     fn history(&self) -> Result<HistoryAnswer, OperatorError> {
-        let read = self.runtime.block_on(read_history(self.view.store(), HISTORY_LENGTH));
+        let read = self.runtime.block_on(read_history(&self.store, HISTORY_LENGTH));
         read.map(|revisions| HistoryAnswer { revisions }).map_err(|_| OperatorError::Unavailable)
     }
 
     fn apply(&self, request: ApplyRequest) -> Result<ApplyAnswer, OperatorError> {
         let note = self.note(request.apply_id, request.author, request.comment);
-        let store = self.view.store();
-        let applied = apply_declarations(store, &request.declarations, request.base, &note);
+        let applied = apply_declarations(&self.store, &request.declarations, request.base, &note);
         Ok(to_answer(self.runtime.block_on(applied)?))
     }
 
     fn rollback(&self, request: RollbackRequest) -> Result<ApplyAnswer, OperatorError> {
         let note = self.note(request.apply_id, request.author, request.comment);
-        let store = self.view.store();
-        let applied = rollback_declarations(store, request.revision, request.base, &note);
+        let applied = rollback_declarations(&self.store, request.revision, request.base, &note);
         Ok(to_answer(self.runtime.block_on(applied)?))
     }
 
--- a/crates/catkin-router/src/process.rs
+++ b/crates/catkin-router/src/process.rs
@@ -9,7 +9,7 @@
 use catkin_caller::{CallerLimits, CallerListener, CallerShutdown, RequestIds};
 use catkin_operator::{ListenerError, OperatorListener};
 use catkin_peer::{BindError, KeyError, LinkSettings, PeerKey, UdpLink};
-use catkin_platform::{HttpStore, HttpStoreOptions};
+use catkin_platform::{GuardLimits, HttpStore, HttpStoreOptions};
 use catkin_settings::RouterSettings;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use sha2::{Digest, Sha256};
@@ -27,6 +27,10 @@
 const SECONDS_BUCKETS: [f64; 14] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 10.0, 60.0, 600.0];
 
+/// Platform calls a second that a router makes for operators at most.
+const OPERATOR_WRITES_PER_SECOND: u32 = 40;
+const OPERATOR_READS_PER_SECOND: u32 = 100;
+
 /// The real parts of the world.
 pub struct ProcessEnvironment;
 
@@ -93,7 +97,11 @@
         let callers = bind_callers(settings, &core, seed).await?;
         let caller_shutdown = callers.shutdown_handle();
         let caller_address = callers.local_address().unwrap_or(settings.caller_address);
-        let operator = Arc::new(RouterOperator::new(core.view(), metrics_handle()));
+        let operator = Arc::new(RouterOperator::new(
+            core.view(),
+            Arc::new(HttpStore::new(operator_store_options(settings, seed))),
+            metrics_handle(),
+        ));
         let operators = OperatorListener::start(
             settings.operator_address,
             &operator,
@@ -200,6 +208,21 @@
         .map_err(|source| ProcessError::Callers { address, source })
 }
 
+/// Options of the platform's client for operators: a fixed part of the platform's rates, since
+/// few applies are under way at once however large the fleet is.
+fn operator_store_options(settings: &RouterSettings, seed: u64) -> HttpStoreOptions {
+    let limits = GuardLimits {
+        writes_per_second: OPERATOR_WRITES_PER_SECOND,
+        reads_per_second: OPERATOR_READS_PER_SECOND,
+        ..GuardLimits::default()
+    };
+    HttpStoreOptions {
+        limits,
+        rates: None,
+        ..HttpStoreOptions::new(settings.platform_address, seed)
+    }
+}
+
 /// The process's metrics; `None` if another recorder was installed before.
 fn metrics_handle() -> Option<PrometheusHandle> {
     static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
