Release only what an owner granted or queued, and count messages by kind

Cause: each ask that an owner declined was also released; the demo's answers were so short that the mean load was about one request an engine and most asks overflowed.

--- a/crates/catkin-demo/src/driver.rs
+++ b/crates/catkin-demo/src/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use catkin_router::MessageCount;
 use catkin_standin::OutageKind;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -67,6 +68,7 @@
     world: &mut DemoWorld,
     calls: Vec<PlannedCall>,
     length: Duration,
+    calm: bool,
 ) -> FinishedRun {
     let added_latency = crate::latency::measure_added(world, LATENCY_PAIRS).await;
     let (entries, entry_reader) = watch::channel(world.entries());
@@ -83,7 +85,8 @@
     let mut samples = Vec::new();
     let mut drained_whole = true;
     let mut ticks = interval(SAMPLE_INTERVAL);
-    let mut faults = FAULT_PLAN.iter().peekable();
+    let faults: &[(u32, FaultKind)] = if calm { &[] } else { &FAULT_PLAN };
+    let mut faults = faults.iter().peekable();
     let mut control_rate = 0.0;
     while began.elapsed() < length {
         ticks.tick().await;
@@ -96,10 +99,15 @@
             if *fault == FaultKind::DrainRouter {
                 // Routers that stop take their byte counts with them.
                 control_rate = control_rate_since(world, bytes_before, elapsed);
+                print_traffic(world, elapsed);
             }
             drained_whole &= cause_fault(world, *fault, &entries, &draining).await;
         }
     }
+    if calm {
+        control_rate = control_rate_since(world, bytes_before, began.elapsed());
+        print_traffic(world, began.elapsed());
+    }
     let results = callers.await.unwrap_or_default();
     let measure = RunMeasure {
         samples,
@@ -120,6 +128,23 @@
     bytes as f64 / routers as f64 / elapsed.as_secs_f64()
 }
 
+/// Shows what the routers sent to each other, by kind, for each router and second.
+fn print_traffic(world: &DemoWorld, elapsed: Duration) {
+    let mut sums: BTreeMap<&'static str, MessageCount> = BTreeMap::new();
+    let routers = world.routers.iter().flatten();
+    for row in routers.clone().flat_map(|router| router.view().sent_messages()) {
+        let sum = sums.entry(row.0).or_default();
+        sum.messages += row.1.messages;
+        sum.bytes += row.1.bytes;
+    }
+    let share = elapsed.as_secs_f64() * routers.count().max(1) as f64;
+    for (kind, sum) in sums {
+        let messages = sum.messages as f64 / share;
+        let bytes = sum.bytes as f64 / share;
+        println!("          {kind:20} {messages:8.2} messages/s {bytes:9.0} bytes/s");
+    }
+}
+
 fn sample_load(world: &DemoWorld) -> LoadSample {
     LoadSample { open: world.engines.iter().map(|engine| engine.open()).collect() }
 }
--- a/crates/catkin-demo/src/main.rs
+++ b/crates/catkin-demo/src/main.rs
@@ -11,7 +11,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use miette::{IntoDiagnostic, Result};
 
 use crate::deployment::DemoDeployment;
@@ -38,13 +38,19 @@
     };
     let seconds = matches.get_one::<u64>("seconds").copied().unwrap_or(30);
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
+    let calm = matches.get_flag("calm");
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let summary = runtime.into_diagnostic()?.block_on(run_demo(deployment, seconds, seed))?;
+    let summary = runtime.into_diagnostic()?.block_on(run_demo(deployment, seconds, seed, calm))?;
     print_summary(&summary)?;
     Ok(summary.keeps_promises())
 }
 
-async fn run_demo(deployment: DemoDeployment, seconds: u64, seed: u64) -> Result<RunSummary> {
+async fn run_demo(
+    deployment: DemoDeployment,
+    seconds: u64,
+    seed: u64,
+    calm: bool,
+) -> Result<RunSummary> {
     let length = Duration::from_secs(seconds);
     let shape = deployment.shape();
     println!(
@@ -54,7 +60,7 @@
     let calls = plan_calls(&shape, length, seed);
     let mut world = DemoWorld::start(shape, seed).await?;
     println!("{} calls planned", calls.len());
-    let finished = drive(&mut world, calls, length).await;
+    let finished = drive(&mut world, calls, length, calm).await;
     let mut summary = sum_up(&world, &finished.results, &finished.measure);
     for router in world.routers.iter_mut().filter_map(Option::take) {
         summary.drained_whole &= router.shut_down().await;
@@ -89,7 +95,11 @@
         .value_parser(value_parser!(u64))
         .default_value("1")
         .help("Seed of the trace and the stand-ins");
+    let calm = Arg::new("calm")
+        .long("calm")
+        .action(ArgAction::SetTrue)
+        .help("Let nothing fail, to compare with");
     Command::new("catkin-demo")
         .about("Runs a whole fleet on loopback while things fail, and counts what it promised")
-        .args([deployment, seconds, seed])
+        .args([deployment, seconds, seed, calm])
 }
--- a/crates/catkin-demo/src/trace.rs
+++ b/crates/catkin-demo/src/trace.rs
@@ -10,7 +10,7 @@
 use crate::world::POISON;
 
 /// Calls a second outside the surge.
-const CALLS_PER_SECOND: f64 = 40.0;
+const CALLS_PER_SECOND: f64 = 20.0;
 /// Factor of the calls of the surging team during the surge.
 const SURGE_FACTOR: f64 = 6.0;
 /// Share of calls that go to the first two teams.
@@ -24,8 +24,8 @@
 /// Turns after which a chat is not taken up again.
 const MAX_TURNS: u32 = 8;
 /// Tokens of a quick and of a long answer.
-const QUICK_TOKENS: u32 = 8;
-const LONG_TOKENS: u32 = 48;
+const QUICK_TOKENS: u32 = 60;
+const LONG_TOKENS: u32 = 300;
 /// Words added to a chat's prompt with each turn.
 const WORDS_PER_TURN: usize = 40;
 
@@ -149,7 +149,7 @@
         let chat = &mut self.open_chats[chat];
         let turn = chat.turns;
         chat.turns += 1;
-        chat.free_at = at + Duration::from_secs(if long { 4 } else { 2 });
+        chat.free_at = at + Duration::from_secs(if long { 5 } else { 2 });
         let work = PlannedWork::Turn { chat: chat.name.clone(), turn, long, poison: false };
         PlannedCall { at, team: chat.team, work }
     }
--- a/crates/catkin-router/src/grants.rs
+++ b/crates/catkin-router/src/grants.rs
@@ -40,8 +40,10 @@
 pub(crate) struct GrantHolder<E: RouterEnvironment> {
     parts: Arc<RouterParts<E>>,
     ask: GrantAsk,
-    /// The router that granted it, once one did.
+    /// The router that answered last.
     granter: Option<VmId>,
+    /// Whether that router declined, so that nothing is left to release.
+    settled: bool,
     finished: bool,
 }
 
@@ -155,6 +157,7 @@
         let Some(owner) = handle.ceded_to.take().or_else(|| parts.owner_of(&entry.spec)) else {
             return AskEnd::Step(plan.note_silence());
         };
+        handle.holder.settled = false;
         submit_ask(parts, owner, handle.ask_until(call.deadline));
         match handle.wait_step(plan, deadline).await {
             StepWait::Step(PlanStep::Use(_)) => return AskEnd::Granted(handle.into_holder()),
@@ -187,7 +190,13 @@
 impl<E: RouterEnvironment> AskHandle<E> {
     fn open(parts: &Arc<RouterParts<E>>, ask: GrantAsk) -> Self {
         let queue = parts.open_ask(ask.request, ask.server);
-        let holder = GrantHolder { parts: Arc::clone(parts), ask, granter: None, finished: false };
+        let holder = GrantHolder {
+            parts: Arc::clone(parts),
+            ask,
+            granter: None,
+            settled: false,
+            finished: false,
+        };
         Self { holder, queue, ceded_to: None }
     }
 
@@ -212,6 +221,7 @@
             };
             self.ceded_to = received.ceded_to;
             self.holder.granter = Some(received.from);
+            self.holder.settled = is_declined(&received.answer);
             match plan.note_answer(&received.answer) {
                 PlanStep::Wait => {
                     queued = true;
@@ -223,6 +233,11 @@
     }
 }
 
+/// Whether an owner's answer leaves nothing open at the owner.
+fn is_declined(answer: &GrantAnswer) -> bool {
+    !matches!(answer.result, GrantResult::Granted { .. } | GrantResult::Queued)
+}
+
 /// Brings an ask to the owner of its server, which may be this router.
 fn submit_ask<E: RouterEnvironment>(parts: &RouterParts<E>, owner: VmId, ask: GrantAsk) {
     if owner != parts.identity.vm {
@@ -294,6 +309,9 @@
 ) {
     let ask = &holder.ask;
     holder.parts.close_ask(ask.request);
+    if holder.settled {
+        return;
+    }
     let release = GrantRelease {
         request: ask.request,
         server: ask.server,
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -34,6 +34,7 @@
 mod status;
 mod strikes;
 mod sweeps;
+mod traffic;
 mod wire;
 
 pub use answer::RouterAnswer;
@@ -47,3 +48,4 @@
 pub use process::{ProcessEnvironment, ProcessError, RouterProcess};
 pub use router::{RouterCore, RouterInput};
 pub use status::RouterView;
+pub use traffic::MessageCount;
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -1,6 +1,7 @@
 //! What the tasks and calls of one router share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use crate::orders::OrderReplies;
 use crate::revision::{ChunkRequests, RevisionState};
 use crate::strikes::CrashSuspicion;
+use crate::traffic::TrafficTable;
 use crate::wire::{answer_to_wire, release_to_wire};
 
 /// What the tasks and calls of one router share.
@@ -36,6 +38,8 @@
     pub(crate) backend: Arc<E::Backend>,
     pub(crate) peers: E::Peers,
     pub(crate) gate: Arc<DrainGate>,
+    /// Messages sent to other routers.
+    pub(crate) traffic: TrafficTable,
     pub(crate) revisions: RevisionState,
     /// Wakes the admission task when a queued ask may have become due.
     pub(crate) admission_due: Notify,
@@ -118,6 +122,7 @@
             backend,
             peers: input.peers,
             gate: Arc::default(),
+            traffic: TrafficTable::default(),
             revisions: RevisionState::default(),
             admission_due: Notify::new(),
             fleet_changed: Notify::new(),
@@ -194,10 +199,16 @@
     pub(crate) fn send_to(&self, vm: VmId, message: &PeerMessage) {
         let address = self.control().address(vm);
         if let Some(address) = address {
-            self.peers.send(vm, address, message);
+            self.send_at(vm, address, message);
         }
     }
 
+    /// Sends a message to a router at an address.
+    pub(crate) fn send_at(&self, vm: VmId, address: SocketAddr, message: &PeerMessage) {
+        self.traffic.note_sent(message);
+        self.peers.send(vm, address, message);
+    }
+
     /// The owner of `server` by the present roster.
     pub(crate) fn owner_of(&self, server: &ServerSpec) -> Option<VmId> {
         let control = self.control();
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -199,6 +199,6 @@
 pub(crate) fn send_actions<E: RouterEnvironment>(parts: &RouterParts<E>, actions: &[MemberAction]) {
     for action in actions {
         let MemberAction::Send { vm, address, message } = action;
-        parts.peers.send(*vm, *address, &message_to_wire(message));
+        parts.send_at(*vm, *address, &message_to_wire(message));
     }
 }
--- a/crates/catkin-router/src/status.rs
+++ b/crates/catkin-router/src/status.rs
@@ -10,6 +10,7 @@
 use crate::environment::RouterEnvironment;
 use crate::index::FleetIndex;
 use crate::parts::RouterParts;
+use crate::traffic::MessageCount;
 
 /// What operators read of one router.
 pub struct RouterView<E: RouterEnvironment> {
@@ -58,6 +59,11 @@
         self.parts.peers.sent_bytes()
     }
 
+    /// Messages that it sent to other routers, by kind.
+    pub fn sent_messages(&self) -> BTreeMap<&'static str, MessageCount> {
+        self.parts.traffic.rows()
+    }
+
     /// The platform as this router reaches it.
     pub fn store(&self) -> &E::Store {
         &self.parts.store
--- /dev/null
+++ b/crates/catkin-router/src/traffic.rs
@@ -0,0 +1,77 @@
+//! Counts messages to other routers by kind.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+
+use catkin_base::copy_type;
+use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::messages::{GrantResult, PeerMessage};
+use prost::Message;
+
+copy_type! {
+    /// Messages of one kind that were sent.
+    #[derive(Default)]
+    pub struct MessageCount {
+        /// Messages.
+        pub messages: u64,
+        /// Bytes of their bodies, without the envelope.
+        pub bytes: u64,
+    }
+}
+
+/// Messages sent to other routers, by kind.
+#[derive(Debug, Default)]
+pub(crate) struct TrafficTable {
+    rows: Mutex<BTreeMap<&'static str, MessageCount>>,
+}
+
+impl TrafficTable {
+    pub(crate) fn note_sent(&self, message: &PeerMessage) {
+        let Some(kind) = &message.kind else { return };
+        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        let row = rows.entry(name_kind(kind)).or_default();
+        row.messages += 1;
+        row.bytes += message.encoded_len() as u64;
+    }
+
+    pub(crate) fn rows(&self) -> BTreeMap<&'static str, MessageCount> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn name_result(result: GrantResult) -> &'static str {
+    match result {
+        GrantResult::Granted => "grant-answer granted",
+        GrantResult::Queued => "grant-answer queued",
+        GrantResult::Redirect => "grant-answer redirect",
+        GrantResult::Overflow => "grant-answer overflow",
+        GrantResult::NotOwner => "grant-answer not-owner",
+        GrantResult::Refused => "grant-answer refused",
+    }
+}
+
+fn name_kind(kind: &Kind) -> &'static str {
+    match kind {
+        Kind::Ping(_) => "ping",
+        Kind::PingAck(_) => "ping-ack",
+        Kind::PingRequest(_) => "ping-request",
+        Kind::GrantAsk(_) => "grant-ask",
+        Kind::GrantAnswer(answer) => name_result(answer.result()),
+        Kind::GrantRelease(_) => "grant-release",
+        Kind::GrantAudit(_) => "grant-audit",
+        Kind::GrantAuditAnswer(_) => "grant-audit-answer",
+        Kind::LoadReport(_) => "load-report",
+        Kind::PoolLoad(_) => "pool-load",
+        Kind::OwnerQuery(_) => "owner-query",
+        Kind::OwnerCount(_) => "owner-count",
+        Kind::StrikeReport(_) => "strike-report",
+        Kind::StrikeQuery(_) => "strike-query",
+        Kind::StrikeAnswer(_) => "strike-answer",
+        Kind::ChunkAsk(_) => "chunk-ask",
+        Kind::ChunkData(_) => "chunk-data",
+        Kind::PlacementNote(_) => "placement-note",
+        Kind::ServerOrder(_) => "server-order",
+        Kind::ServerOrderAnswer(_) => "server-order-answer",
+        Kind::ServerState(_) => "server-state",
+    }
+}
