Fit the callers' connections into the process's file descriptors

tiny_http's accept thread, which serves the operators, panics when a process has no descriptor left. A router now lowers its bound on connections at its start: 352 at the usual limit of 1,024.

--- a/crates/catkin-caller/src/lib.rs
+++ b/crates/catkin-caller/src/lib.rs
@@ -36,7 +36,7 @@
 pub use answer::{REPLAYED_HEADER, REQUEST_HEADER};
 pub use check::{CHAT_HEADER, CLASS_HEADER, CheckError, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER};
 pub use ids::RequestIds;
-pub use limits::CallerLimits;
+pub use limits::{CallerLimits, parse_descriptor_limit, read_descriptor_limit};
 pub use listener::CallerListener;
 pub use problem::{PROBLEM_TYPE, ProblemDocument};
 pub use service::{
--- a/crates/catkin-caller/src/limits.rs
+++ b/crates/catkin-caller/src/limits.rs
@@ -4,6 +4,11 @@
 
 use catkin_base::value_type;
 
+/// Descriptors of a connection and of its call's connection to a server.
+const DESCRIPTORS_PER_CONNECTION: usize = 2;
+/// Descriptors left for peers, the platform, operators and probes.
+const RESERVED_DESCRIPTORS: usize = 256;
+
 value_type! {
     /// Bounds of a [`CallerListener`](crate::CallerListener).
     pub struct CallerLimits {
@@ -40,3 +45,27 @@
         }
     }
 }
+
+impl CallerLimits {
+    /// These bounds with no more connections than the process has file descriptors for.
+    pub fn within_descriptors(mut self, descriptors: usize) -> Self {
+        let taken = RESERVED_DESCRIPTORS.saturating_add(self.max_refused_connections);
+        let most = descriptors.saturating_sub(taken) / DESCRIPTORS_PER_CONNECTION;
+        self.max_connections = self.max_connections.min(most).max(1);
+        self
+    }
+}
+
+/// Most file descriptors that this process may open; `None` if the system does not tell.
+pub fn read_descriptor_limit() -> Option<usize> {
+    parse_descriptor_limit(&std::fs::read_to_string("/proc/self/limits").ok()?)
+}
+
+/// The soft limit of open files in the text of `/proc/<process>/limits`.
+pub fn parse_descriptor_limit(limits: &str) -> Option<usize> {
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    match line.split_whitespace().next()? {
+        "unlimited" => Some(usize::MAX),
+        number => number.parse().ok(),
+    }
+}
--- a/crates/catkin-caller/tests/limits.rs
+++ b/crates/catkin-caller/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkin_caller::CallerLimits;
+use catkin_caller::{CallerLimits, parse_descriptor_limit, read_descriptor_limit};
 use support::{
     AnswerStep, CHAT_BODY, RawCaller, ServiceScript, chat_call, data, event_script, json_script,
     start_listener,
@@ -194,3 +194,22 @@
     assert!(seen.starts_with("HTTP/1.1 413 "), "{seen:?}");
     assert!(seen.ends_with('}'), "{seen:?}");
 }
+
+#[test]
+fn connections_fit_into_the_descriptors() {
+    let bounds = CallerLimits::default();
+
+    assert_eq!(bounds.clone().within_descriptors(1024).max_connections, 352);
+    assert_eq!(bounds.clone().within_descriptors(10).max_connections, 1);
+    assert_eq!(bounds.clone().within_descriptors(usize::MAX), bounds);
+}
+
+#[test]
+fn descriptor_limit_is_read() {
+    let line = "Max open files            1024                 524288               files     \n";
+
+    assert_eq!(parse_descriptor_limit(&format!("Limit\n{line}")), Some(1024));
+    assert_eq!(parse_descriptor_limit(&line.replace("1024  ", "unlimited")), Some(usize::MAX));
+    assert_eq!(parse_descriptor_limit("Max processes 1 1\n"), None);
+    assert!(read_descriptor_limit().is_some_and(|limit| limit > 0));
+}
--- a/crates/catkin-router/src/process.rs
+++ b/crates/catkin-router/src/process.rs
@@ -6,7 +6,9 @@
 
 use catkin_backend::HttpLink;
 use catkin_base::VmId;
-use catkin_caller::{CallerLimits, CallerListener, CallerShutdown, RequestIds};
+use catkin_caller::{
+    CallerLimits, CallerListener, CallerShutdown, RequestIds, read_descriptor_limit,
+};
 use catkin_operator::{ListenerError, OperatorListener};
 use catkin_peer::{BindError, KeyError, LinkSettings, PeerKey, UdpLink};
 use catkin_platform::{GuardLimits, HttpStore, HttpStoreOptions};
@@ -196,11 +198,7 @@
     core: &RouterCore<ProcessEnvironment>,
     seed: u64,
 ) -> Result<CallerListener<crate::calls::RouterService<ProcessEnvironment>>, ProcessError> {
-    let limits = CallerLimits {
-        max_connections: settings.max_connections,
-        max_body_bytes: settings.max_body_bytes,
-        ..CallerLimits::default()
-    };
+    let limits = caller_limits(settings);
     let address = settings.caller_address;
     let service = Arc::new(core.service());
     CallerListener::bind(address, limits, RequestIds::from_seed(seed), service)
@@ -223,6 +221,22 @@
     }
 }
 
+/// The callers' bounds as set, within the file descriptors that the process may open.
+fn caller_limits(settings: &RouterSettings) -> CallerLimits {
+    let limits = CallerLimits {
+        max_connections: settings.max_connections,
+        max_body_bytes: settings.max_body_bytes,
+        ..CallerLimits::default()
+    };
+    let Some(descriptors) = read_descriptor_limit() else { return limits };
+    let fitting = limits.clone().within_descriptors(descriptors);
+    if fitting != limits {
+        let most = fitting.max_connections;
+        log::warn!("caller: Only {most} connections fit into {descriptors} file descriptors.");
+    }
+    fitting
+}
+
 /// The process's metrics; `None` if another recorder was installed before.
 fn metrics_handle() -> Option<PrometheusHandle> {
     static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
