Part writing the head from applying, and settle stale reads of the history

An apply whose answer was lost, whose revision was then replaced, and whose record a stale read did not show, was answered as a conflict. It is unsettled. The collector takes such a read as a reason to stop; it took the revision as gone and could delete its chunks. Differences are typed, with one place that computes them.

--- a/crates/catkin-operator/src/apply.rs
+++ b/crates/catkin-operator/src/apply.rs
@@ -1,26 +1,24 @@
 //! Puts declarations in force, whole or not at all.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use catkin_base::{RunVerdict, value_type};
-use catkin_platform::{ObjectStore, StoreError, StoreFault, WriteCondition};
+use catkin_base::value_type;
+use catkin_platform::{ObjectStore, StoreError, StoreFault};
 use catkin_settings::{FaultLevel, FleetDeclarations, SettingsFault, check_declarations};
 
-use crate::chunks::{ChunkSource, StoreChunks, write_chunk};
-use crate::cut::{ChunkCut, GroupChunk, cut_declarations};
-use crate::head::{HEAD_KEY, RevisionHead, VersionedHead, read_versioned_head, renew_head};
-use crate::history::{read_past_head, read_revision_head, record_head};
+use crate::changes::list_changes;
+use crate::chunks::StoreChunks;
+use crate::cut::cut_declarations;
+use crate::head::{RevisionHead, VersionedHead, read_versioned_head, renew_head};
+use crate::head_writer::{WriteResult, write_head};
+use crate::history::{is_forgotten, read_replaced_head, read_revision_head};
 use crate::reader::{FetchError, FetchOutcome, RevisionReader};
 
-/// Times that the head's write is tried while its answers are lost.
-const HEAD_WRITE_ATTEMPTS: u32 = 6;
-
 /// Times that a head older than the base is read.
 const BASE_READ_ATTEMPTS: u32 = 3;
 
-/// First pause between attempts; each further one is twice as long.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Pause before a head older than the base is read again.
+const BASE_READ_PAUSE: Duration = Duration::from_millis(50);
 
 /// Most paths that a conflict names.
 const MAX_CHANGED_PATHS: usize = 50;
@@ -93,7 +91,7 @@
     let current = read_base(store, base).await.map_err(ApplyError::Unavailable)?;
     let in_force = current.as_ref().map_or(0, |current| current.head.revision);
     let base = base.unwrap_or(in_force);
-    if let Some(head) = find_applied(store, current.as_ref(), base, note).await {
+    if let Some(head) = find_applied(store, current.as_ref(), base, note).await? {
         return Ok(outcome_of(&head, true));
     }
     if base != in_force {
@@ -114,7 +112,12 @@
         applied_unix_millis: note.unix_millis,
         chunks: cut.refs.clone(),
     };
-    HeadWriter { store, cut: &cut, head: &head, may_have_run: false }.run(current).await
+    match write_head(store, &cut, &head, current).await {
+        WriteResult::Written => Ok(outcome_of(&head, false)),
+        WriteResult::Superseded(revision) => Err(conflict(store, base, revision).await),
+        WriteResult::Failed(error) => Err(ApplyError::Unavailable(error)),
+        WriteResult::Unsettled => Err(ApplyError::Unsettled),
+    }
 }
 
 /// Puts the declarations of an older revision in force again, as the revision after `base`.
@@ -134,32 +137,6 @@
     apply_declarations(store, &declarations, base, note).await
 }
 
-/// Paths at which two declarations differ: entries of tables, and fields of the rest.
-pub fn changed_paths(old: &FleetDeclarations, new: &FleetDeclarations) -> Vec<String> {
-    let old = serde_json::to_value(old).unwrap_or_default();
-    let new = serde_json::to_value(new).unwrap_or_default();
-    let mut paths = Vec::new();
-    for key in member_names(&old, &new) {
-        let (old, new) = (&old[&key], &new[&key]);
-        if old == new {
-            continue;
-        }
-        if !old.is_object() && !new.is_object() {
-            paths.push(key);
-            continue;
-        }
-        let names = member_names(old, new).into_iter();
-        let names = names.filter(|name| old.get(name) != new.get(name));
-        paths.extend(names.map(|name| format!("{key}.{name}")));
-    }
-    paths
-}
-
-fn member_names(old: &serde_json::Value, new: &serde_json::Value) -> BTreeSet<String> {
-    let members = [old, new].into_iter().filter_map(serde_json::Value::as_object);
-    members.flat_map(|members| members.keys().cloned()).collect()
-}
-
 /// Reads the head, again if it is older than `base`, which a stale read may give.
 async fn read_base<S: ObjectStore>(
     store: &S,
@@ -171,7 +148,7 @@
         if base.is_none_or(|base| in_force >= base) {
             break;
         }
-        tokio::time::sleep(FIRST_PAUSE).await;
+        tokio::time::sleep(BASE_READ_PAUSE).await;
         current = read_versioned_head(store).await?;
     }
     Ok(current)
@@ -199,21 +176,24 @@
 }
 
 /// Finds the revision that an earlier attempt of the same apply made.
+///
+/// If another revision took the place of what that attempt may have made, only its record tells;
+/// without it the earlier attempt is not settled.
 async fn find_applied<S: ObjectStore>(
     store: &S,
     current: Option<&VersionedHead>,
     base: u64,
     note: &ApplyNote,
-) -> Option<RevisionHead> {
-    let current = &current?.head;
+) -> Result<Option<RevisionHead>, ApplyError> {
+    let Some(VersionedHead { head: current, .. }) = current else { return Ok(None) };
     if current.apply_id == note.apply_id {
-        return Some(current.clone());
+        return Ok(Some(current.clone()));
     }
-    if current.revision <= base + 1 {
-        return None;
+    if current.revision <= base + 1 || is_forgotten(base + 1, current.revision) {
+        return Ok(None);
     }
-    let made = read_past_head(store, base + 1).await.ok().flatten()?;
-    (made.apply_id == note.apply_id).then_some(made)
+    let made = read_replaced_head(store, base + 1).await.map_err(|_| ApplyError::Unsettled)?;
+    Ok((made.apply_id == note.apply_id).then_some(made))
 }
 
 async fn conflict<S: ObjectStore>(store: &S, base: u64, in_force: u64) -> ApplyError {
@@ -226,9 +206,8 @@
     let new = read_revision_head(store, newest).await.ok().flatten()?;
     let old = read_declarations(store, &old).await.ok()?;
     let new = read_declarations(store, &new).await.ok()?;
-    let mut paths = changed_paths(&old, &new);
-    paths.truncate(MAX_CHANGED_PATHS);
-    Some(paths)
+    let changes = list_changes(&old, &new).into_iter().take(MAX_CHANGED_PATHS);
+    Some(changes.map(|change| change.path).collect())
 }
 
 async fn read_declarations<S: ObjectStore>(
@@ -241,112 +220,3 @@
         FetchOutcome::NotNewer => unreachable!("a new reader holds no revision"),
     }
 }
-
-/// Writes the chunks and then the head of one revision.
-struct HeadWriter<'a, S: ObjectStore> {
-    store: &'a S,
-    cut: &'a ChunkCut,
-    head: &'a RevisionHead,
-    may_have_run: bool,
-}
-
-/// What the head shows after a write that was not confirmed.
-enum HeadState {
-    /// This apply's revision was put in force.
-    Mine,
-    /// Another apply's revision was.
-    Other(u64),
-    /// The base is still in force.
-    Base(Option<VersionedHead>),
-}
-
-impl<S: ObjectStore> HeadWriter<'_, S> {
-    async fn run(mut self, current: Option<VersionedHead>) -> Result<ApplyOutcome, ApplyError> {
-        let mut current = current;
-        let mut pause = FIRST_PAUSE;
-        let mut last = None;
-        for _ in 0..HEAD_WRITE_ATTEMPTS {
-            match self.try_write(current.as_ref()).await {
-                Ok(()) => return Ok(outcome_of(self.head, false)),
-                Err(error) => last = Some(error),
-            }
-            match self.read_state().await {
-                Ok(HeadState::Mine) => return Ok(outcome_of(self.head, false)),
-                Ok(HeadState::Other(revision)) => {
-                    return Err(conflict(self.store, self.head.base, revision).await);
-                }
-                Ok(HeadState::Base(base)) => current = base,
-                Err(_) => {}
-            }
-            tokio::time::sleep(pause).await;
-            pause *= 2;
-        }
-        match last {
-            Some(error) if !self.may_have_run => Err(ApplyError::Unavailable(error)),
-            _ => Err(ApplyError::Unsettled),
-        }
-    }
-
-    /// Writes what is missing and then the head, on the condition that `current` is in force.
-    async fn try_write(&mut self, current: Option<&VersionedHead>) -> Result<(), StoreError> {
-        self.write_chunks(current).await?;
-        if let Some(current) = current {
-            record_head(self.store, &current.head).await?;
-        }
-        let condition = current
-            .map_or(WriteCondition::Absent, |current| WriteCondition::Version(current.version));
-        match self.store.put(HEAD_KEY, &self.head.encode(), condition).await {
-            Ok(_) => Ok(()),
-            Err(error) => {
-                self.may_have_run |= error.ran != RunVerdict::NotRun;
-                Err(error)
-            }
-        }
-    }
-
-    /// Writes the chunks that the base does not refer to.
-    async fn write_chunks(&self, current: Option<&VersionedHead>) -> Result<(), StoreError> {
-        let held = match current {
-            Some(current) => self.digests_of(&current.head).await?,
-            None => BTreeSet::new(),
-        };
-        for (digest, content) in &self.cut.contents {
-            if !held.contains(digest) {
-                write_chunk(self.store, digest, content).await?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Digests that `head` refers to. Groups that the new revision has too need not be read.
-    async fn digests_of(&self, head: &RevisionHead) -> Result<BTreeSet<String>, StoreError> {
-        let refs = &head.chunks;
-        let direct = [&refs.common].into_iter().chain(&refs.servers).chain(&refs.team_groups);
-        let mut digests: BTreeSet<String> = direct.cloned().collect();
-        for digest in &refs.team_groups {
-            let content = match self.cut.contents.get(digest) {
-                Some(content) => Some(content.clone()),
-                None => StoreChunks::new(self.store).fetch_chunk(digest).await?,
-            };
-            let group = content.and_then(|content| serde_json::from_slice(&content).ok());
-            if let Some(GroupChunk { shards }) = group {
-                digests.extend(shards);
-            }
-        }
-        Ok(digests)
-    }
-
-    async fn read_state(&self) -> Result<HeadState, StoreError> {
-        let current = read_versioned_head(self.store).await?;
-        let in_force = current.as_ref().map_or(0, |current| current.head.revision);
-        if in_force < self.head.revision {
-            return Ok(HeadState::Base(current));
-        }
-        let made = match current {
-            Some(current) if in_force == self.head.revision => Some(current.head),
-            _ => read_past_head(self.store, self.head.revision).await?,
-        };
-        let is_mine = made.is_some_and(|made| made.apply_id == self.head.apply_id);
-        Ok(if is_mine { HeadState::Mine } else { HeadState::Other(in_force) })
-    }
-}
--- a/crates/catkin-operator/src/garbage.rs
+++ b/crates/catkin-operator/src/garbage.rs
@@ -14,7 +14,7 @@
 use crate::chunks::{CHUNK_PREFIX, ChunkSource, StoreChunks, chunk_key};
 use crate::cut::GroupChunk;
 use crate::head::{RevisionHead, VersionedHead, read_versioned_head, renew_head};
-use crate::history::{KEPT_REVISIONS, forget_head, list_all, list_history, read_past_head};
+use crate::history::{forget_head, is_forgotten, list_all, list_history, read_replaced_head};
 
 /// Most chunks deleted by one run.
 const MAX_DELETED: usize = 100;
@@ -95,9 +95,9 @@
 }
 
 impl<S: ObjectStore> PacedStore<'_, S> {
-    async fn read_head(&self, revision: u64) -> Result<Option<RevisionHead>, StoreError> {
+    async fn read_head(&self, revision: u64) -> Result<RevisionHead, StoreError> {
         sleep(self.pause).await;
-        read_past_head(self.store, revision).await
+        read_replaced_head(self.store, revision).await
     }
 
     async fn read_group(&self, digest: &str) -> Result<GroupChunk, GarbageError> {
@@ -139,15 +139,15 @@
         paced: &PacedStore<'_, S>,
     ) -> Result<Option<VersionedHead>, GarbageError> {
         let Some(current) = read_versioned_head(paced.store).await? else { return Ok(None) };
-        let oldest = current.head.revision.saturating_sub(KEPT_REVISIONS);
+        let newest = current.head.revision;
         let recorded = list_history(paced.store).await?;
-        let (expired, kept) = recorded.into_iter().partition(|revision| *revision < oldest);
+        let (expired, kept) =
+            recorded.into_iter().partition(|revision| is_forgotten(*revision, newest));
         self.expired = expired;
         let kept: Vec<u64> = kept;
         for revision in kept {
-            if !self.revisions.contains(&revision)
-                && let Some(head) = paced.read_head(revision).await?
-            {
+            if !self.revisions.contains(&revision) {
+                let head = paced.read_head(revision).await?;
                 self.mark(paced, &head).await?;
             }
         }
--- a/crates/catkin-operator/src/history.rs
+++ b/crates/catkin-operator/src/history.rs
@@ -1,17 +1,23 @@
 //! Heads of earlier revisions.
 
+use catkin_base::RunVerdict;
 use catkin_platform::{ObjectStore, StoreError, StoreFault, WriteCondition};
 
 use crate::head::{MALFORMED, RevisionHead, read_versioned_head};
 
 /// Revisions that stay available for a rollback.
-pub(crate) const KEPT_REVISIONS: u64 = 256;
+const KEPT_REVISIONS: u64 = 256;
 
 const HISTORY_PREFIX: &str = "config/history/";
 
 /// Keys asked for in one listing.
 const LIST_LIMIT: u32 = 1_000;
 
+/// Whether a revision's record may have been dropped once `newest` is in force.
+pub(crate) fn is_forgotten(revision: u64, newest: u64) -> bool {
+    revision < newest.saturating_sub(KEPT_REVISIONS)
+}
+
 /// Reads the newest heads, the one in force first, at most `limit`.
 pub async fn read_history<S: ObjectStore>(
     store: &S,
@@ -51,6 +57,19 @@
     RevisionHead::decode(&object.value).map(Some).ok_or(MALFORMED)
 }
 
+/// Reads the head of a revision that is known to have been replaced.
+///
+/// It was recorded before that, so a read that does not find it is stale or the record too old.
+pub(crate) async fn read_replaced_head<S: ObjectStore>(
+    store: &S,
+    revision: u64,
+) -> Result<RevisionHead, StoreError> {
+    read_past_head(store, revision).await?.ok_or(STALE)
+}
+
+/// The fault given for a read that does not show what must be there.
+const STALE: StoreError = StoreError { fault: StoreFault::Unavailable, ran: RunVerdict::NotRun };
+
 /// Records a head before it is replaced. Whoever comes second finds it recorded.
 pub(crate) async fn record_head<S: ObjectStore>(
     store: &S,
--- a/crates/catkin-operator/src/lib.rs
+++ b/crates/catkin-operator/src/lib.rs
@@ -9,12 +9,14 @@
 //! ```
 
 mod apply;
+mod changes;
 mod chunks;
 mod client;
 mod cut;
 mod documents;
 mod garbage;
 mod head;
+mod head_writer;
 mod history;
 mod listener;
 mod patient;
@@ -22,9 +24,8 @@
 mod respond;
 mod service;
 
-pub use apply::{
-    ApplyError, ApplyNote, ApplyOutcome, apply_declarations, changed_paths, rollback_declarations,
-};
+pub use apply::{ApplyError, ApplyNote, ApplyOutcome, apply_declarations, rollback_declarations};
+pub use changes::{ChangeKind, PathChange, list_changes};
 pub use chunks::{ChunkSource, StoreChunks};
 pub use client::{ClientError, OperatorClient};
 pub use cut::shard_count;
--- a/crates/catkin-operator/tests/revisions.rs
+++ b/crates/catkin-operator/tests/revisions.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use catkin_operator::{
-    ApplyError, ApplyOutcome, ChunkSource, FetchError, FetchOutcome, HEAD_KEY, PatientStore,
-    RevisionHead, RevisionReader, StoreChunks, apply_declarations, changed_paths, collect_garbage,
-    read_history, rollback_declarations,
+    ApplyError, ApplyOutcome, ChangeKind, ChunkSource, FetchError, FetchOutcome, HEAD_KEY,
+    PatientStore, RevisionHead, RevisionReader, StoreChunks, apply_declarations, collect_garbage,
+    list_changes, read_history, rollback_declarations,
 };
 use catkin_platform::{ObjectStore, StoreError, StoredObject, WriteCondition};
 use catkin_settings::FleetDeclarations;
@@ -234,6 +234,21 @@
     assert_eq!(read_history(&store, 10).await.expect("readable").len(), 3);
 }
 
+#[tokio::test(start_paused = true)]
+async fn repeated_apply_that_cannot_read_the_history_is_not_settled() {
+    let store = MemoryStore::new();
+    let first = fleet_of(10);
+    apply(&store, &first, 0, "first").await;
+    let second = with_quota(&first, 3, 9);
+    apply(&store, &second, 1, "second").await;
+    apply(&store, &with_quota(&second, 4, 9), 2, "third").await;
+    store.plan(PlannedFault::StaleRead, "config/history/");
+
+    let repeated = apply_declarations(&store, &second, Some(1), &note("second")).await;
+
+    assert_eq!(repeated, Err(ApplyError::Unsettled));
+}
+
 #[tokio::test(start_paused = true)]
 async fn apply_cut_short_among_its_chunks_leaves_the_old_revision_whole() {
     let store = MemoryStore::new();
@@ -443,17 +458,26 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn changed_paths_name_entries_and_fields() {
+async fn changes_name_entries_and_fields() {
     let old = fleet_of(3);
     let mut new = with_quota(&old, 1, 9);
     new.teams.remove("team-00002");
     new.deployment = "other".to_owned();
     new.limits.retry_percent = 20;
 
-    let paths = changed_paths(&old, &new);
+    new.teams.insert("a.b".to_owned(), old.teams["team-00000"].clone());
+
+    let changes = list_changes(&old, &new);
 
-    let expected = ["deployment", "limits.retry_percent", "teams.team-00001", "teams.team-00002"];
-    assert_eq!(paths, expected);
+    let changes: Vec<_> = changes.iter().map(|row| (row.path.as_str(), row.change)).collect();
+    let expected = [
+        ("deployment", ChangeKind::Changed),
+        ("limits.retry_percent", ChangeKind::Changed),
+        ("teams.a.b", ChangeKind::Added),
+        ("teams.team-00001", ChangeKind::Changed),
+        ("teams.team-00002", ChangeKind::Removed),
+    ];
+    assert_eq!(changes, expected);
 }
 
 #[tokio::test(start_paused = true)]
@@ -558,8 +582,14 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn writers_collectors_and_lost_answers_leave_every_revision_whole() {
-    let rates = FaultRates { lose_answer: 0.05, lose_write: 0.05, delay_write: 0.05, refuse: 0.05 };
+async fn writers_collectors_and_faults_leave_every_revision_whole() {
+    let rates = FaultRates {
+        lose_answer: 0.05,
+        lose_write: 0.05,
+        delay_write: 0.05,
+        refuse: 0.05,
+        stale_read: 0.05,
+    };
     for seed in 0..40 {
         let store = MemoryStore::with_faults(seed, FaultRates::default());
         apply(&store, &fleet_of(6), 0, "first").await;
--- a/crates/catkin-operator/tests/support/mod.rs
+++ b/crates/catkin-operator/tests/support/mod.rs
@@ -54,6 +54,7 @@
     pub lose_write: f64,
     pub delay_write: f64,
     pub refuse: f64,
+    pub stale_read: f64,
 }
 
 /// A write that takes effect when so many more calls have come in.
@@ -179,6 +180,12 @@
         self.delayed = waiting;
     }
 
+    fn read_is_stale(&mut self, key: &str) -> bool {
+        let rate = self.rates.stale_read;
+        self.take_planned(key, &[PlannedFault::StaleRead]).is_some()
+            || self.random.as_mut().is_some_and(|random| random.random_bool(rate))
+    }
+
     fn write_fault(&mut self, key: &str) -> Option<PlannedFault> {
         use PlannedFault::{DelayWrite, Limit, LoseAnswer, LoseWrite, Refuse};
         let planned = self.take_planned(key, &[LoseAnswer, LoseWrite, DelayWrite, Refuse, Limit]);
@@ -214,7 +221,7 @@
         if state.down {
             return Err(UNAVAILABLE);
         }
-        let stale = state.take_planned(key, &[PlannedFault::StaleRead]).is_some();
+        let stale = state.read_is_stale(key);
         let source = if stale { &state.earlier } else { &state.objects };
         let object = source.get(key).cloned();
         state.counts.read_bytes += object.as_ref().map_or(0, |object| object.value.len());
