--- a/crates/catkin-settings/src/check_router.rs
+++ b/crates/catkin-settings/src/check_router.rs
@@ -3,12 +3,10 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
-use crate::fault::{JsonPath, SettingsFault};
+use crate::fault::SettingsFault;
+use crate::fault_list::FaultList;
 use crate::router::RouterSettings;
 
-/// Hexadecimal characters of a 32-byte key or SHA-256 digest.
-pub(crate) const HEX_DIGEST_CHARS: usize = 64;
-
 const CONNECTION_RANGE: RangeInclusive<u64> = 1..=65_536;
 const BODY_BYTE_RANGE: RangeInclusive<u64> = 1_024..=64 << 20;
 const DRAIN_MILLI_RANGE: RangeInclusive<u64> = 0..=3_600_000;
@@ -16,101 +14,59 @@
 
 /// Finds every fault in a router's settings.
 pub fn check_router_settings(settings: &RouterSettings) -> Vec<SettingsFault> {
-    let mut faults = Vec::new();
-    check_names(settings, &mut faults);
-    check_secrets(settings, &mut faults);
-    check_addresses(settings, &mut faults);
-    check_bounds(settings, &mut faults);
-    faults
-}
-
-/// Whether `text` is a 32-byte value in lower-case hexadecimal.
-pub(crate) fn is_hex_digest(text: &str) -> bool {
-    text.len() == HEX_DIGEST_CHARS
-        && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+    let mut list = FaultList::default();
+    list.check_name(&["vm"], &settings.vm);
+    list.check_name(&["domain"], &settings.domain);
+    list.check_name(&["region"], &settings.region);
+    list.check_digest(&["peer_key"], &settings.peer_key);
+    list.check_digest(&["operator_token_digest"], &settings.operator_token_digest);
+    check_listeners(settings, &mut list);
+    check_peer_addresses(settings, &mut list);
+    check_bounds(settings, &mut list);
+    list.into_faults()
 }
 
-/// A fault if `value` lies outside `range`; the path is built for a fault only.
-pub(crate) fn check_range(
-    path: impl FnOnce() -> JsonPath,
-    value: u64,
-    range: &RangeInclusive<u64>,
-) -> Option<SettingsFault> {
-    if range.contains(&value) {
-        return None;
+fn check_listeners(settings: &RouterSettings, list: &mut FaultList) {
+    let addresses = known_addresses(settings);
+    for (position, (key, address)) in addresses.iter().enumerate() {
+        let earlier = &addresses[..position];
+        if let Some((other, _)) = earlier.iter().find(|(_, seen)| seen == address) {
+            list.add_error(&[key], format!("{address} is the address of `{other}` too"));
+        }
     }
-    let message = format!("{value} is not between {} and {}", range.start(), range.end());
-    Some(SettingsFault::error(path(), message))
-}
-
-fn check_names(settings: &RouterSettings, faults: &mut Vec<SettingsFault>) {
-    let names = [("vm", &settings.vm), ("domain", &settings.domain), ("region", &settings.region)];
-    let empty = names.iter().filter(|(_, name)| name.trim().is_empty());
-    faults.extend(
-        empty.map(|(key, _)| SettingsFault::error(JsonPath::of_keys(&[key]), "the name is empty")),
-    );
 }
 
-fn check_secrets(settings: &RouterSettings, faults: &mut Vec<SettingsFault>) {
-    let secrets = [
-        ("peer_key", &settings.peer_key),
-        ("operator_token_digest", &settings.operator_token_digest),
+/// The addresses whose port is not left to the operating system.
+fn known_addresses(settings: &RouterSettings) -> Vec<(&'static str, SocketAddr)> {
+    let addresses = [
+        ("caller_address", settings.caller_address),
+        ("peer_address", settings.peer_address),
+        ("operator_address", settings.operator_address),
+        ("platform_address", settings.platform_address),
     ];
-    for (key, secret) in secrets {
-        if !is_hex_digest(secret) {
-            let message = "must be 64 lower-case hexadecimal characters";
-            faults.push(SettingsFault::error(JsonPath::of_keys(&[key]), message));
-        }
-    }
+    addresses.into_iter().filter(|(_, address)| address.port() != 0).collect()
 }
 
-fn check_addresses(settings: &RouterSettings, faults: &mut Vec<SettingsFault>) {
-    let listeners = listener_addresses(settings);
-    for (position, (key, address)) in listeners.iter().enumerate() {
-        let path = JsonPath::of_keys(&[key]);
-        if let Some((other, _)) = listeners[..position].iter().find(|(_, seen)| seen == address) {
-            let message = format!("{address} is the address of `{other}` too");
-            faults.push(SettingsFault::error(path.clone(), message));
-        }
-    }
+fn check_peer_addresses(settings: &RouterSettings, list: &mut FaultList) {
     let peer = settings.peer_address;
     if peer.ip().is_unspecified() {
-        let message = "other routers need an address that they can reach";
-        faults.push(SettingsFault::error(JsonPath::of_keys(&["peer_address"]), message));
+        list.add_error(&["peer_address"], "other routers need an address that they can reach");
     }
     if !peer.is_ipv4() {
-        let message = "addresses between routers are IPv4";
-        faults.push(SettingsFault::error(JsonPath::of_keys(&["peer_address"]), message));
+        list.add_error(&["peer_address"], "addresses between routers are IPv4");
     }
     for (index, seed) in settings.seeds.iter().enumerate() {
         if seed.port() == 0 || seed.ip().is_unspecified() {
-            let path = JsonPath::of_keys(&["seeds"]).with_index(index);
-            faults.push(SettingsFault::error(path, format!("{seed} cannot be reached")));
+            list.add_element_error(&["seeds"], index, format!("{seed} cannot be reached"));
         }
     }
 }
 
-fn listener_addresses(settings: &RouterSettings) -> Vec<(&'static str, SocketAddr)> {
-    let listeners = [
-        ("caller_address", settings.caller_address),
-        ("peer_address", settings.peer_address),
-        ("operator_address", settings.operator_address),
-        ("platform_address", settings.platform_address),
-    ];
-    listeners.into_iter().filter(|(_, address)| address.port() != 0).collect()
-}
-
-fn check_bounds(settings: &RouterSettings, faults: &mut Vec<SettingsFault>) {
-    let bounds = [
-        ("max_connections", settings.max_connections as u64, CONNECTION_RANGE),
-        ("max_body_bytes", settings.max_body_bytes as u64, BODY_BYTE_RANGE),
-        ("drain_millis", settings.drain_millis, DRAIN_MILLI_RANGE),
-    ];
-    for (key, value, range) in &bounds {
-        faults.extend(check_range(|| JsonPath::of_keys(&[key]), *value, range));
-    }
+fn check_bounds(settings: &RouterSettings, list: &mut FaultList) {
+    list.check_range(&["max_connections"], settings.max_connections as u64, &CONNECTION_RANGE);
+    list.check_range(&["max_body_bytes"], settings.max_body_bytes as u64, &BODY_BYTE_RANGE);
+    list.check_range(&["drain_millis"], settings.drain_millis, &DRAIN_MILLI_RANGE);
     if !LOG_LEVELS.contains(&settings.log.level.as_str()) {
-        let message = format!("must be one of {}", LOG_LEVELS.join(", "));
-        faults.push(SettingsFault::error(JsonPath::of_keys(&["log", "level"]), message));
+        list.add_error(&["log", "level"], format!("must be one of {}", LOG_LEVELS.join(", ")));
     }
 }
--- a/crates/catkin-settings/src/lib.rs
+++ b/crates/catkin-settings/src/lib.rs
@@ -12,8 +12,10 @@
 
 mod check;
 mod check_router;
+mod check_servers;
 mod declarations;
 mod fault;
+mod fault_list;
 mod folder;
 mod locate;
 mod parts;
