Let the link itself bound an attempt by the call's deadline

The router cut a send off at the deadline and said that it may have run, also when the connection had never come about. The link's limit on the head now includes the connection, and its own verdict stands: unreachable, not run. The test covers both limits.

--- a/crates/catkin-backend/src/control.rs
+++ b/crates/catkin-backend/src/control.rs
@@ -58,7 +58,7 @@
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .map_err(|_| exchange.fail(BackendFault::Broken))?;
-    let response = exchange.send(request, deadline - Instant::now()).await?;
+    let response = exchange.send(request, deadline).await?;
     let status = response.status();
     let reading = collect_answer(&mut exchange, response.into_body());
     match timeout_at(deadline, reading).await {
--- a/crates/catkin-backend/src/exchange.rs
+++ b/crates/catkin-backend/src/exchange.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{BackendError, BackendFault};
 
@@ -61,15 +61,15 @@
         Ok(Self { connection: Some(Box::pin(connection)), sender, written })
     }
 
-    /// Sends the request and waits for the head of the answer.
+    /// Sends the request and waits for the head of the answer, until `deadline`.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-        head_timeout: Duration,
+        deadline: Instant,
     ) -> Result<Response<Incoming>, BackendError> {
         let sending = self.sender.send_request(request);
         let driven = drive(&mut self.connection, sending);
-        match timeout(head_timeout, driven).await {
+        match timeout_at(deadline, driven).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => {
                 log::debug!("backend: no answer head: {error}");
--- a/crates/catkin-backend/src/http_link.rs
+++ b/crates/catkin-backend/src/http_link.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap};
 use hyper::http::request::Builder;
 use hyper::{Method, Request, Response, StatusCode};
+use tokio::time::Instant;
 
 use crate::control::{
     ORDERS_PATH, PROBE_PATH, escape_query, fetch_answer, format_order, parse_order_answer,
@@ -32,8 +33,10 @@
 
     async fn send(&self, spec: &AttemptSpec) -> Result<HttpStream, BackendError> {
         let request = build_request(spec)?;
-        let mut exchange = HttpExchange::connect(spec.address, spec.connect_timeout).await?;
-        let response = exchange.send(request, spec.head_timeout).await?;
+        let deadline = Instant::now() + spec.head_timeout;
+        let connect_timeout = spec.connect_timeout.min(spec.head_timeout);
+        let mut exchange = HttpExchange::connect(spec.address, connect_timeout).await?;
+        let response = exchange.send(request, deadline).await?;
         check_head(spec, &exchange, &response)?;
         HttpStream::open(exchange, response, spec.idle_timeout)
     }
--- a/crates/catkin-backend/src/link.rs
+++ b/crates/catkin-backend/src/link.rs
@@ -28,7 +28,7 @@
         pub body: Bytes,
         /// Longest wait for the connection.
         pub connect_timeout: Duration,
-        /// Longest wait for the response head.
+        /// Longest wait for the response head, the connection included.
         pub head_timeout: Duration,
         /// Longest pause between two parts of the answer.
         pub idle_timeout: Duration,
--- a/crates/catkin-backend/tests/attempts.rs
+++ b/crates/catkin-backend/tests/attempts.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
-use catkin_backend::{BackendFault, BackendLink, BackendStream, HttpLink, ResumePoint};
+use catkin_backend::{
+    AttemptSpec, BackendError, BackendFault, BackendLink, BackendStream, HttpLink, ResumePoint,
+};
 use catkin_base::{AttemptId, ChatId, RunVerdict};
 use proptest::prelude::*;
 use support::{
-    SHORT, ServerStep, attempt_spec, error, event_head, json_answer, start_server, write,
+    NEVER, SHORT, ServerStep, attempt_spec, error, event_head, json_answer, start_server, write,
 };
 use tokio::net::{TcpListener, TcpSocket};
 
@@ -67,23 +69,31 @@
     assert_eq!(result.unwrap_err(), error(BackendFault::Unreachable, RunVerdict::NotRun));
 }
 
-#[tokio::test]
-async fn connection_that_never_completes_is_not_run() {
+/// Sends to a server that accepts nothing, until its backlog is full.
+async fn send_to_full_backlog(change: fn(&mut AttemptSpec)) -> BackendError {
     let socket = TcpSocket::new_v4().unwrap();
     socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let listener = socket.listen(1).unwrap();
     let mut spec = attempt_spec(listener.local_addr().unwrap());
-    spec.connect_timeout = SHORT;
     spec.head_timeout = SHORT;
-
-    let failed = loop {
+    change(&mut spec);
+    loop {
         let failed = HttpLink.send(&spec).await.unwrap_err();
         if failed.fault != BackendFault::TimedOut {
-            break failed;
+            return failed;
         }
-    };
+    }
+}
+
+#[tokio::test]
+async fn connection_that_never_completes_is_not_run() {
+    let unreachable = error(BackendFault::Unreachable, RunVerdict::NotRun);
+
+    let by_connect_limit = send_to_full_backlog(|spec| spec.connect_timeout = SHORT).await;
+    let by_head_limit = send_to_full_backlog(|spec| spec.connect_timeout = NEVER).await;
 
-    assert_eq!(failed, error(BackendFault::Unreachable, RunVerdict::NotRun));
+    assert_eq!(by_connect_limit, unreachable);
+    assert_eq!(by_head_limit, unreachable);
 }
 
 #[tokio::test]
@@ -107,7 +117,7 @@
     server.serving.await.unwrap();
 }
 
-async fn send_for_head(status: &str, headers: &str) -> catkin_backend::BackendError {
+async fn send_for_head(status: &str, headers: &str) -> BackendError {
     let server = start_server(vec![json_answer(status, headers, "{}")]).await;
     HttpLink.send(&attempt_spec(server.address)).await.unwrap_err()
 }
@@ -142,7 +152,7 @@
     assert_eq!(stream.next_part().await.unwrap(), None);
 }
 
-async fn read_to_error(steps: Vec<ServerStep>) -> catkin_backend::BackendError {
+async fn read_to_error(steps: Vec<ServerStep>) -> BackendError {
     let server = start_server(steps).await;
     let mut spec = attempt_spec(server.address);
     spec.idle_timeout = SHORT;
--- a/crates/catkin-router/src/attempts.rs
+++ b/crates/catkin-router/src/attempts.rs
@@ -148,8 +148,7 @@
         point: Option<ResumePoint>,
     ) -> Result<BegunAnswer<E>, BackendError> {
         let spec = self.build_spec(server, point)?;
-        let sent = timeout_at(self.deadline(), self.parts.backend.send(&spec)).await;
-        let result = sent.unwrap_or(Err(TIMED_OUT));
+        let result = self.parts.backend.send(&spec).await;
         count_attempt(&self.call, result.as_ref().err());
         Ok(BegunAnswer { attempt: spec.attempt, stream: result? })
     }
