--- /dev/null
+++ b/crates/catkin-caller/src/check_route.rs
@@ -0,0 +1,69 @@
+//! Checks of a call's method and path.
+
+use hyper::{Method, Uri};
+
+use crate::check_error::CheckError;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+const HEALTH_PATH: &str = "/healthz";
+const SERVICES_PREFIX: &str = "/services/";
+const MAX_PATH_CHARS: usize = 1024;
+const MAX_NAME_CHARS: usize = 64;
+
+/// What a path leads to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CallRoute {
+    Health,
+    Chat,
+    Service { service: String, path: String },
+}
+
+pub(crate) fn check_route(method: &Method, uri: &Uri) -> Result<CallRoute, CheckError> {
+    let route = find_route(uri.path())?;
+    let allowed = if route == CallRoute::Health { Method::GET } else { Method::POST };
+    if method != allowed {
+        let allowed = if allowed == Method::GET { "GET" } else { "POST" };
+        return Err(CheckError::WrongMethod { allowed });
+    }
+    if uri.query().is_some() && route != CallRoute::Health {
+        return Err(CheckError::QueryGiven);
+    }
+    Ok(route)
+}
+
+fn find_route(path: &str) -> Result<CallRoute, CheckError> {
+    match path {
+        HEALTH_PATH => return Ok(CallRoute::Health),
+        CHAT_PATH => return Ok(CallRoute::Chat),
+        _ => {}
+    }
+    let rest = path.strip_prefix(SERVICES_PREFIX).ok_or(CheckError::UnknownPath)?;
+    let start = rest.find('/').ok_or(CheckError::UnknownPath)?;
+    let (service, path) = rest.split_at(start);
+    if !is_name(service) {
+        return Err(CheckError::UnknownPath);
+    }
+    if path.len() > MAX_PATH_CHARS || path[1..].split('/').any(is_bad_segment) {
+        return Err(CheckError::BadPath);
+    }
+    Ok(CallRoute::Service { service: service.to_owned(), path: path.to_owned() })
+}
+
+fn is_bad_segment(segment: &str) -> bool {
+    matches!(segment, "" | "." | "..") || segment.split('%').skip(1).any(is_needless_escape)
+}
+
+/// Whether an escape is cut, or stands for a character that needs none: such a path has two forms.
+fn is_needless_escape(escape: &str) -> bool {
+    let digits = escape.get(..2).unwrap_or_default();
+    match u8::from_str_radix(digits, 16) {
+        Ok(byte) => byte.is_ascii_alphanumeric() || b"-._~".contains(&byte),
+        Err(_) => true,
+    }
+}
+
+/// Whether a text may name a class or a service.
+pub(crate) fn is_name(text: &str) -> bool {
+    let fits = (1..=MAX_NAME_CHARS).contains(&text.len());
+    fits && text.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte))
+}
--- a/crates/catkin-caller/src/lib.rs
+++ b/crates/catkin-caller/src/lib.rs
@@ -22,7 +22,10 @@
 
 mod answer;
 mod body;
-mod check;
+mod check_body;
+mod check_error;
+mod check_headers;
+mod check_route;
 mod guard;
 mod held;
 mod idle;
@@ -30,15 +33,19 @@
 mod limits;
 mod listener;
 mod problem;
+mod request_body;
+mod response;
 mod service;
+mod shared;
 mod shutdown;
 
-pub use answer::{REPLAYED_HEADER, REQUEST_HEADER};
-pub use check::{CHAT_HEADER, CLASS_HEADER, CheckError, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER};
+pub use check_error::CheckError;
+pub use check_headers::{CHAT_HEADER, CLASS_HEADER, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER};
 pub use ids::RequestIds;
 pub use limits::{CallerLimits, parse_descriptor_limit, read_descriptor_limit};
 pub use listener::CallerListener;
 pub use problem::{PROBLEM_TYPE, ProblemDocument};
+pub use response::{REPLAYED_HEADER, REQUEST_HEADER};
 pub use service::{
     AnswerCut, AnswerPart, AnswerStart, CallAnswer, CallRequest, CallService, CallTarget,
 };
--- a/crates/catkin-caller/src/listener.rs
+++ b/crates/catkin-caller/src/listener.rs
@@ -12,10 +12,11 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio::time::sleep;
 
-use crate::answer::{ConnectionMode, ConnectionShared, ListenerShared, answer_request};
+use crate::answer::answer_request;
 use crate::guard::{CutFlag, GuardedStream, UnreadFlag};
 use crate::held::HeldBudget;
 use crate::idle::{IdleBook, IdleSlot};
+use crate::shared::{ConnectionMode, ConnectionShared, ListenerShared};
 use crate::{CallService, CallerLimits, CallerShutdown, RequestIds};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
