--- a/crates/catkin-backend/src/http_link.rs
+++ b/crates/catkin-backend/src/http_link.rs
@@ -127,7 +127,8 @@
     if says_not_run(response.status(), headers) {
         return Err(BackendError { fault: BackendFault::Declined, ran: RunVerdict::NotRun });
     }
-    if response.status().is_server_error() {
+    let status = response.status();
+    if status.is_server_error() || status.is_informational() {
         return Err(exchange.fail(BackendFault::Failed));
     }
     Ok(())
--- a/crates/catkin-backend/tests/attempts.rs
+++ b/crates/catkin-backend/tests/attempts.rs
@@ -135,6 +135,7 @@
     assert_eq!(send_for_head("503 Service Unavailable", &not_run).await, declined);
     assert_eq!(send_for_head("503 Service Unavailable", ECHO).await, failed);
     assert_eq!(send_for_head("500 Internal Server Error", &not_run).await, failed);
+    assert_eq!(send_for_head("101 Switching Protocols", ECHO).await, failed);
     assert_eq!(send_for_head("200 OK", other).await, stranger);
     assert_eq!(send_for_head("200 OK", "").await, stranger);
     assert_eq!(send_for_head("200 OK", &twice).await, stranger);
