Show warnings as warnings

The derived diagnostic ignored the field with the severity, so that warnings were drawn as errors. The new assertion is on what the report draws from. cargo test -p catkin-settings -p catkin-ctl: all pass.

--- a/crates/catkin-ctl/src/check.rs
+++ b/crates/catkin-ctl/src/check.rs
@@ -49,7 +49,7 @@
     }
     let warnings = checked?;
     write_warnings(&warnings, errors)?;
-    writeln!(output, "{} is valid; {} warnings", path.display(), warnings.len())?;
+    writeln!(output, "{} is valid; warnings: {}", path.display(), warnings.len())?;
     Ok(())
 }
 
--- a/crates/catkin-settings/src/report.rs
+++ b/crates/catkin-settings/src/report.rs
@@ -1,14 +1,15 @@
 //! Errors shown to operators, with the source around them.
 
+use std::iter;
 use std::ops::Range;
 use std::sync::Arc;
 
-use miette::{Diagnostic, NamedSource, Severity};
+use miette::{Diagnostic, LabeledSpan, NamedSource, Severity, SourceCode, SourceSpan};
 
 use crate::fault::FaultLevel;
 
 /// One problem at its place in a file.
-#[derive(Debug, Clone, thiserror::Error, Diagnostic)]
+#[derive(Debug, Clone, thiserror::Error)]
 #[error("{message}")]
 pub struct SettingsProblem {
     /// What is wrong.
@@ -18,12 +19,24 @@
     /// One-based line in the file.
     pub line: usize,
     /// Whether it forbids use of the file.
-    #[diagnostic(severity)]
     pub severity: Severity,
-    #[source_code]
     source_code: NamedSource<Arc<str>>,
-    #[label]
-    span: (usize, usize),
+    span: SourceSpan,
+}
+
+/// By hand, because the derived one has the same severity for every value.
+impl Diagnostic for SettingsProblem {
+    fn severity(&self) -> Option<Severity> {
+        Some(self.severity)
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source_code)
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        Some(Box::new(iter::once(LabeledSpan::new_with_span(None, self.span))))
+    }
 }
 
 impl SettingsProblem {
@@ -45,7 +58,7 @@
             line,
             severity,
             source_code: NamedSource::new(file, Arc::clone(text)),
-            span: (range.start, range.len()),
+            span: (range.start, range.len()).into(),
         }
     }
 }
--- a/crates/catkin-settings/tests/declarations.rs
+++ b/crates/catkin-settings/tests/declarations.rs
@@ -3,7 +3,7 @@
 use catkin_settings::{
     DeclarationFile, SettingsReport, parse_declaration_files, parse_declarations,
 };
-use miette::Severity;
+use miette::{Diagnostic, Severity};
 use proptest::prelude::*;
 
 const COMMON: &str = r#"{
@@ -165,6 +165,7 @@
 
     assert_eq!(set.warnings.len(), 1);
     assert_eq!(set.warnings[0].severity, Severity::Warning);
+    assert_eq!(set.warnings[0].severity(), Some(Severity::Warning));
 }
 
 #[test]
