--- a/crates/catkin-scenario/tests/scenarios.rs
+++ b/crates/catkin-scenario/tests/scenarios.rs
@@ -25,6 +25,7 @@
 scenario_tests! {
     apply_change,
     apply_conflict,
+    apply_many_routers,
     conflict_during_split,
     crashing_request_and_router_crash,
     domain_loss,
