--- a/crates/catkin-policy/src/rank.rs
+++ b/crates/catkin-policy/src/rank.rs
@@ -1,5 +1,7 @@
 //! Weighted rendezvous ranking of servers, and of routers that own a duty.
 
+use std::collections::BTreeMap;
+
 use catkin_base::{ChatId, ServerId, VmId};
 
 use crate::spec::{RouterSpec, ServerSpec};
@@ -7,18 +9,38 @@
 /// Increment of the SplitMix64 sequence.
 const MIX_INCREMENT: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Steps of the unit interval that a hash is mapped to.
+const UNIT_STEPS: f64 = (1u64 << 53) as f64;
+/// Shift that takes a hash to those steps.
+const UNIT_SHIFT: u32 = 11;
+
 /// Weighted rendezvous ranking over a fixed set of servers.
 ///
-/// Build one for each pool and set of live servers; ranking then touches two words a server.
+/// Build one for each pool and set of live servers. Rows are grouped by weight, so that only the best
+/// of each group need a logarithm.
 #[derive(Debug, Clone, Default)]
 pub struct RankTable {
+    groups: Vec<WeightGroup>,
+}
+
+/// Servers of one weight.
+#[derive(Debug, Clone)]
+struct WeightGroup {
+    weight: f64,
     rows: Vec<RankRow>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct RankRow {
     server: ServerId,
-    weight: f64,
+    mixed: u64,
+}
+
+/// A server and the place of its hash in the unit interval.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RankHit {
+    step: u64,
+    server: ServerId,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -30,35 +52,74 @@
 impl RankTable {
     /// Builds the table of `servers`.
     pub fn new<'a>(servers: impl IntoIterator<Item = &'a ServerSpec>) -> Self {
-        let rows = servers.into_iter().map(RankRow::from_spec).collect();
-        Self { rows }
+        let mut groups: BTreeMap<u32, Vec<RankRow>> = BTreeMap::new();
+        for spec in servers {
+            let row = RankRow { server: spec.server, mixed: premix_word(spec.server.0) };
+            groups.entry(spec.weight.max(1)).or_default().push(row);
+        }
+        let groups = groups.into_iter();
+        let groups = groups.map(|(weight, rows)| WeightGroup { weight: f64::from(weight), rows });
+        Self { groups: groups.collect() }
     }
 
     /// The first `limit` servers in the rank order of `chat`, best first.
     pub fn rank(&self, chat: ChatId, limit: usize) -> Vec<ServerId> {
-        rank_rows(chat, self.rows.iter().copied(), limit)
+        let limit = limit.min(self.len());
+        let mut best: Vec<RankScore> = Vec::with_capacity(limit + 1);
+        for group in &self.groups {
+            group.rank(chat, limit, &mut best);
+        }
+        best.into_iter().map(|entry| entry.server).collect()
     }
 
     /// Number of servers in the table.
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.groups.iter().map(|group| group.rows.len()).sum()
     }
 
     /// Whether the table has no server.
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.groups.is_empty()
     }
 }
 
-impl RankRow {
-    fn from_spec(spec: &ServerSpec) -> Self {
-        Self { server: spec.server, weight: f64::from(spec.weight.max(1)) }
+impl WeightGroup {
+    /// Adds the best of this group to `best`. Within one weight the hash alone gives the order.
+    fn rank(&self, chat: ChatId, limit: usize, best: &mut Vec<RankScore>) {
+        for hit in self.best_hits(chat, limit) {
+            let unit = (hit.step as f64 + 0.5) / UNIT_STEPS;
+            let entry = RankScore { score: unit.ln() / self.weight, server: hit.server };
+            insert_score(best, entry, limit);
+        }
+    }
+
+    /// The rows with the highest hashes, best first.
+    fn best_hits(&self, chat: ChatId, limit: usize) -> Vec<RankHit> {
+        let lowest = RankHit { step: 0, server: ServerId(0) };
+        let mut hits = vec![lowest; limit.min(self.rows.len())];
+        let Some(last) = hits.len().checked_sub(1) else {
+            return hits;
+        };
+        for row in &self.rows {
+            let step = mix_word(chat.0.wrapping_add(row.mixed)) >> UNIT_SHIFT;
+            let hit = RankHit { step, server: row.server };
+            if hit <= hits[last] {
+                continue;
+            }
+            let mut place = last;
+            while place > 0 && hits[place - 1] < hit {
+                hits[place] = hits[place - 1];
+                place -= 1;
+            }
+            hits[place] = hit;
+        }
+        hits
     }
 }
 
 /// The first `limit` of `servers` in the weighted rendezvous order of `chat`, best first.
 pub fn rank_servers(chat: ChatId, servers: &[ServerSpec], limit: usize) -> Vec<ServerId> {
-    rank_rows(chat, servers.iter().map(RankRow::from_spec), limit)
+    RankTable::new(servers).rank(chat, limit)
 }
 
 /// The router that admits work to `server`: the best ranked of its domain, else of its region,
@@ -81,25 +142,6 @@
     routers.map(|router| router.vm).max_by_key(|vm| (mix_pair(key, vm.0), *vm))
 }
 
-fn rank_rows(chat: ChatId, rows: impl Iterator<Item = RankRow>, limit: usize) -> Vec<ServerId> {
-    let mut best: Vec<RankScore> = Vec::with_capacity(limit.saturating_add(1).min(64));
-    if limit == 0 {
-        return Vec::new();
-    }
-    for row in rows {
-        let unit = unit_interval(mix_pair(chat.0, row.server.0));
-        // ln(u) <= u - 1, so most rows are dismissed without a logarithm.
-        let ceiling = (unit - 1.0) / row.weight;
-        let worst = best.last().filter(|_| best.len() == limit);
-        if worst.is_some_and(|worst| ceiling < worst.score) {
-            continue;
-        }
-        let entry = RankScore { score: unit.ln() / row.weight, server: row.server };
-        insert_score(&mut best, entry, limit);
-    }
-    best.into_iter().map(|entry| entry.server).collect()
-}
-
 fn insert_score(best: &mut Vec<RankScore>, entry: RankScore, limit: usize) {
     let place =
         best.partition_point(|other| (other.score, other.server) > (entry.score, entry.server));
@@ -107,14 +149,13 @@
     best.truncate(limit);
 }
 
-/// Maps a hash to the open interval from 0 to 1.
-fn unit_interval(hash: u64) -> f64 {
-    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
 /// Hashes two words by the finalizer of SplitMix64.
 pub(crate) fn mix_pair(left: u64, right: u64) -> u64 {
-    mix_word(left.wrapping_add(mix_word(right.wrapping_add(MIX_INCREMENT))))
+    mix_word(left.wrapping_add(premix_word(right)))
+}
+
+fn premix_word(word: u64) -> u64 {
+    mix_word(word.wrapping_add(MIX_INCREMENT))
 }
 
 fn mix_word(word: u64) -> u64 {
--- a/crates/catkin-router/src/grants.rs
+++ b/crates/catkin-router/src/grants.rs
@@ -322,14 +322,14 @@
     holder.parts.send_release(holder.granter, &release);
 }
 
-/// Tells the owner of the chat's home where the chat now is, if that is another server.
+/// Tells the owner of the chat's home where the chat now is, if that is news to it.
 fn note_placement<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     index: &FleetIndex,
     plan: &PlacementPlan,
     server: ServerId,
 ) {
-    let Some(home) = plan.home().filter(|home| *home != server) else { return };
+    let Some(home) = plan.home_to_note(server) else { return };
     let Some(owner) = index.server(home).and_then(|entry| parts.owner_of(&entry.spec)) else {
         return;
     };
