Count cache reuse of the demo over the tokens of returning turns

Cause: the stand-in also caches an answer's tokens, so tokens found in a cache exceeded those of the former turn's prompt.

--- a/crates/catkin-demo/src/tally.rs
+++ b/crates/catkin-demo/src/tally.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use catkin_base::RunVerdict;
+use catkin_standin::EngineCounts;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -151,13 +152,19 @@
     said.filter(|result| count_runs(world, &result.call) > 0).count() as u64
 }
 
+/// Runs of a chat's turn on the engines.
+fn count_chat_runs(counts: &[EngineCounts], call: &PlannedCall) -> u64 {
+    let PlannedWork::Turn { chat, turn, poison, .. } = &call.work else { return 0 };
+    let contents = chat_contents(chat, *turn, *poison);
+    let Some(content) = contents.last() else { return 0 };
+    counts.iter().map(|counts| counts.runs_by_content.get(content).copied().unwrap_or(0)).sum()
+}
+
 fn count_runs(world: &DemoWorld, call: &PlannedCall) -> u64 {
     match &call.work {
-        PlannedWork::Turn { chat, turn, poison, .. } => {
-            let contents = chat_contents(chat, *turn, *poison);
-            let Some(content) = contents.last() else { return 0 };
-            let counts = world.engines.iter().map(catkin_standin::EngineStandin::counts);
-            counts.map(|counts| counts.runs_by_content.get(content).copied().unwrap_or(0)).sum()
+        PlannedWork::Turn { .. } => {
+            let counts: Vec<_> = world.engines.iter().map(|engine| engine.counts()).collect();
+            count_chat_runs(&counts, call)
         }
         PlannedWork::Record { key } => {
             count_records(world).get(&served_key(call, key)).copied().unwrap_or(0)
@@ -203,21 +210,23 @@
     late.count() as u64
 }
 
-/// Prompt tokens found in a cache, of those that an earlier turn had put into one.
+/// Share of the prompt tokens of returning turns that was found in a cache, over all runs.
 fn share_reused(world: &DemoWorld, results: &[CallResult]) -> f64 {
-    let cached: u64 = world.engines.iter().map(|engine| engine.counts().cached_tokens).sum();
-    let whole = results.iter().filter(|result| result.last() == Some(&CallEnd::Whole));
-    let reusable: u64 = whole.map(|result| earlier_tokens(&result.call)).sum();
+    let counts: Vec<_> = world.engines.iter().map(|engine| engine.counts()).collect();
+    let cached: u64 = counts.iter().map(|counts| counts.cached_tokens).sum();
+    let calls = results.iter().map(|result| &result.call);
+    let reusable: u64 =
+        calls.map(|call| returning_tokens(call) * count_chat_runs(&counts, call)).sum();
     if reusable == 0 { 1.0 } else { cached as f64 / reusable as f64 }
 }
 
-/// Tokens of the prompt that an earlier turn of the chat had.
-fn earlier_tokens(call: &PlannedCall) -> u64 {
+/// Tokens of the prompt of a chat's later turn.
+fn returning_tokens(call: &PlannedCall) -> u64 {
     let PlannedWork::Turn { chat, turn, .. } = &call.work else { return 0 };
     if *turn == 0 {
         return 0;
     }
-    let bytes: usize = chat_contents(chat, turn - 1, false).iter().map(String::len).sum();
+    let bytes: usize = chat_contents(chat, *turn, false).iter().map(String::len).sum();
     (bytes / 4) as u64
 }
 
