--- a/crates/catkin-router/src/bin/catkin-router.rs
+++ b/crates/catkin-router/src/bin/catkin-router.rs
@@ -40,6 +40,12 @@
     let seed = rand::random();
     let process = RouterProcess::start(settings, incarnation, start_unix, seed).await;
     let process = process.into_diagnostic()?;
+    log::info!(
+        "router: Listening. callers={} operators={} peers={}",
+        process.caller_address(),
+        process.operator_address(),
+        process.peer_address()
+    );
     wait_for_stop().await.into_diagnostic()?;
     Ok(process.shut_down().await)
 }
--- a/crates/catkin-router/tests/common/mod.rs
+++ b/crates/catkin-router/tests/common/mod.rs
@@ -118,7 +118,7 @@
     }
 }
 
-async fn apply_fleet(platform: SocketAddr, declarations: &FleetDeclarations) {
+pub async fn apply_fleet(platform: SocketAddr, declarations: &FleetDeclarations) {
     let store = HttpStore::new(HttpStoreOptions::new(platform, 1));
     let note = ApplyNote {
         apply_id: "test".to_owned(),
@@ -129,7 +129,7 @@
     apply_declarations(&store, declarations, None, &note).await.expect("declarations apply");
 }
 
-fn declare_fleet(engine: SocketAddr, service: SocketAddr) -> FleetDeclarations {
+pub fn declare_fleet(engine: SocketAddr, service: SocketAddr) -> FleetDeclarations {
     let digest = digest_hex(TOKEN.as_bytes());
     let other_digest = digest_hex(OTHER_TOKEN.as_bytes());
     let text = format!(
@@ -161,7 +161,7 @@
     parse_declarations(&text, "test.json").expect("the declarations are valid").declarations
 }
 
-fn router_settings(platform_address: SocketAddr) -> RouterSettings {
+pub fn router_settings(platform_address: SocketAddr) -> RouterSettings {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     RouterSettings {
         vm: "entry-1".to_owned(),
