--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -25,7 +25,9 @@
 
 mod backoff;
 mod bound;
+mod decision;
 mod grant;
+mod handover;
 mod health;
 mod history;
 mod ledger;
@@ -34,10 +36,12 @@
 mod plan;
 mod queue;
 mod rank;
+mod reaping;
 mod recent;
 mod report;
 mod retry;
 mod rules;
+mod serving;
 mod spec;
 mod state;
 mod strike;
@@ -49,8 +53,9 @@
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRefusal, GrantRelease, GrantResult,
     OpenGrant, OverflowCause, ReleaseOutcome, WarmChat,
 };
+pub use handover::OwnedChange;
 pub use load::{CacheNote, LoadReport, PoolBook, PoolLoad, ServerLoad, ServerReport};
-pub use owner::{OwnedChange, OwnerBook};
+pub use owner::OwnerBook;
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_keyholder, choose_owner, rank_servers};
 pub use report::{ReportMode, ReportPacer, choose_aggregator};
--- /dev/null
+++ b/crates/catkin-policy/src/reaping.rs
@@ -0,0 +1,108 @@
+//! The end of grants: releases, routers that are gone, and audits.
+
+use std::collections::BTreeSet;
+
+use catkin_base::{ClockTime, RequestId, ServerId, TeamId, VmId};
+
+use crate::grant::{GrantAudit, GrantRelease, ReleaseOutcome};
+use crate::ledger::ServerLedger;
+use crate::owner::OwnerBook;
+
+/// Grants older than this are audited if their server reports fewer requests than were granted, in
+/// milliseconds.
+const AUDIT_AGE_MILLIS: u64 = 5_000;
+/// Grants older than this are always audited, in milliseconds.
+const AUDIT_ALWAYS_MILLIS: u64 = 45_000;
+
+impl OwnerBook {
+    /// Takes the end of a request, or the cancellation of one that waits. Repeats change nothing.
+    pub fn release(&mut self, now: ClockTime, release: &GrantRelease) {
+        self.closed.insert((release.request, release.server), ());
+        if let Some(lost) = self.lost.get_mut(&release.server) {
+            lost.export.grants.retain(|grant| grant.request != release.request);
+        }
+        let Some(ledger) = self.ledgers.get_mut(&release.server) else {
+            return;
+        };
+        ledger.queue.remove(release.request);
+        let Some(row) = ledger.remove_grant(release.request) else {
+            return;
+        };
+        self.changed = true;
+        match release.outcome {
+            ReleaseOutcome::Crashed | ReleaseOutcome::Unreachable => ledger.health.note_suspicion(),
+            ReleaseOutcome::Done if !row.imported => {
+                self.history.note_service(row.class, now.since(row.at).as_micros() as u64);
+            }
+            _ => {}
+        }
+        self.count_closed(row.team);
+    }
+
+    /// Takes the routers that may be gone. Their requests may have ended, so that they no longer
+    /// raise the mean; they count on their servers until [`Self::drop_router`].
+    pub fn set_suspects(&mut self, suspects: BTreeSet<VmId>) {
+        self.suspects = suspects;
+    }
+
+    /// Reaps the grants and waiting requests of a router that is gone.
+    pub fn drop_router(&mut self, _now: ClockTime, vm: VmId) {
+        let mut teams = Vec::new();
+        for ledger in self.ledgers.values_mut() {
+            ledger.queue.take_all(|entry| entry.ask.entry == vm);
+            let dead = ledger.grants().filter(|(_, row)| row.entry == vm);
+            let dead: Vec<RequestId> = dead.map(|(request, _)| request).collect();
+            let rows = dead.into_iter().filter_map(|request| ledger.remove_grant(request));
+            teams.extend(rows.map(|row| row.team));
+        }
+        self.changed = true;
+        for team in teams {
+            self.count_closed(team);
+        }
+    }
+
+    /// Grants held by the router on `vm` that it should confirm: old ones, of servers that report
+    /// fewer requests than were granted, and very old ones.
+    pub fn audit(&self, now: ClockTime, vm: VmId) -> Vec<GrantAudit> {
+        let audits = self.ledgers.iter().map(|(server, ledger)| GrantAudit {
+            server: *server,
+            requests: doubtful_grants(now, ledger, vm),
+        });
+        audits.filter(|audit| !audit.requests.is_empty()).collect()
+    }
+
+    /// Closes the grants of `server` that the router on `vm` says it no longer holds.
+    pub fn close_audited(&mut self, vm: VmId, server: ServerId, closed: &[RequestId]) {
+        let Some(ledger) = self.ledgers.get_mut(&server) else {
+            return;
+        };
+        let mut teams = Vec::new();
+        for request in closed {
+            let held = ledger.grant(*request).is_some_and(|row| row.entry == vm);
+            if held {
+                teams.extend(ledger.remove_grant(*request).map(|row| row.team));
+                self.closed.insert((*request, server), ());
+            }
+        }
+        self.changed = true;
+        for team in teams {
+            self.count_closed(team);
+        }
+    }
+
+    pub(crate) fn count_closed(&mut self, team: TeamId) {
+        if let Some(open) = self.team_open.get_mut(&team) {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                self.team_open.remove(&team);
+            }
+        }
+    }
+}
+
+fn doubtful_grants(now: ClockTime, ledger: &ServerLedger, vm: VmId) -> Vec<RequestId> {
+    let age = if ledger.has_excess() { AUDIT_AGE_MILLIS } else { AUDIT_ALWAYS_MILLIS };
+    let held = ledger.grants().filter(|(_, row)| row.entry == vm);
+    let old = held.filter(|(_, row)| now.millis_since(row.at) >= age);
+    old.map(|(request, _)| request).collect()
+}
