--- a/crates/catkin-router/src/bin/catkin-router.rs
+++ b/crates/catkin-router/src/bin/catkin-router.rs
@@ -9,6 +9,9 @@
 use miette::{IntoDiagnostic, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Longest wait for platform calls under way when the process ends.
+const WATCH_GRACE: Duration = Duration::from_millis(500);
+
 fn main() -> ExitCode {
     match run() {
         Ok(true) => ExitCode::SUCCESS,
@@ -31,7 +34,11 @@
     }
     start_logging(&settings.log, &settings.vm).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    runtime.into_diagnostic()?.block_on(serve(&settings))
+    let runtime = runtime.into_diagnostic()?;
+    let whole = runtime.block_on(serve(&settings));
+    // A watch that waits on the platform holds its thread to the watch's end and nothing else.
+    runtime.shutdown_timeout(WATCH_GRACE);
+    whole
 }
 
 async fn serve(settings: &RouterSettings) -> miette::Result<bool> {
