--- a/crates/catkin-membership/src/rules.rs
+++ b/crates/catkin-membership/src/rules.rs
@@ -10,7 +10,8 @@
         pub probe_interval_millis: u64,
         /// Time between two probes of a router that has just started, in milliseconds.
         pub join_interval_millis: u64,
-        /// How long a router counts as just started, in milliseconds.
+        /// How long a router counts as just started, or as merging with one heard again, in
+        /// milliseconds.
         pub join_millis: u64,
         /// Wait for an answer before others are asked to probe, in milliseconds.
         pub ack_timeout_millis: u64,
@@ -26,6 +27,8 @@
         pub indirect_probes: usize,
         /// Most updates in one message.
         pub updates_per_message: usize,
+        /// Most updates in an answer to a member with another view.
+        pub updates_per_sync: usize,
         /// Members told directly when this router leaves.
         pub leave_messages: usize,
         /// Times that one update is sent, per doubling of the number of members.
@@ -46,6 +49,7 @@
             forget_millis: 15 * 60 * 1_000,
             indirect_probes: 3,
             updates_per_message: 8,
+            updates_per_sync: 16,
             leave_messages: 16,
             sends_per_doubling: 3,
         }
--- a/crates/catkin-membership/src/spread.rs
+++ b/crates/catkin-membership/src/spread.rs
@@ -5,12 +5,19 @@
 use catkin_base::VmId;
 
 /// Members whose beliefs changed, with how often each was sent since.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SpreadQueue {
     sends: BTreeMap<VmId, u32>,
+    /// Makes the order of equally often sent beliefs differ between routers.
+    salt: u64,
 }
 
 impl SpreadQueue {
+    /// An empty queue.
+    pub(crate) fn new(salt: u64) -> Self {
+        Self { sends: BTreeMap::new(), salt }
+    }
+
     /// Starts to spread the belief about `vm`, from the beginning if it was spreading.
     pub(crate) fn push(&mut self, vm: VmId) {
         self.sends.insert(vm, 0);
@@ -33,7 +40,7 @@
     pub(crate) fn take(&mut self, count: usize, max_sends: u32) -> Vec<VmId> {
         let mut waiting: Vec<(u32, VmId)> =
             self.sends.iter().map(|(&vm, &sends)| (sends, vm)).collect();
-        waiting.sort_unstable();
+        waiting.sort_unstable_by_key(|&(sends, vm)| (sends, vm.0 ^ self.salt));
         waiting.truncate(count);
         for &(sends, vm) in &waiting {
             if sends + 1 < max_sends {
--- a/crates/catkin-membership/src/table.rs
+++ b/crates/catkin-membership/src/table.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use catkin_base::{ClockTime, VmId};
-use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
 
 use crate::member::{
     MemberEvent, MemberEventKind, MemberSpec, MemberState, MemberUpdate, MemberView,
@@ -56,6 +56,8 @@
     last_tick: ClockTime,
     next_probe: ClockTime,
     next_dead_probe: ClockTime,
+    /// Until when dead members are probed quickly, since one of them was heard.
+    merging_until: ClockTime,
 }
 
 impl MemberTable {
@@ -63,24 +65,26 @@
     pub fn new(own: MemberSpec, rules: MembershipRules, seed: u64, now: ClockTime) -> Self {
         let update = MemberUpdate { spec: own, refutation: 0, state: MemberState::Alive };
         let record = MemberRecord::new(&update, now);
+        let mut random = StdRng::seed_from_u64(seed);
         Self {
             rules,
             own: own.vm,
-            random: StdRng::seed_from_u64(seed),
+            spread: SpreadQueue::new(random.random()),
+            sync_cursor: VmId(random.random()),
+            random,
             view_digest: record.digest(),
             records: BTreeMap::from([(own.vm, record)]),
             contacts: BTreeSet::new(),
-            spread: SpreadQueue::default(),
             probes: ProbeBook::default(),
             live_round: ProbeRound::default(),
             dead_round: ProbeRound::default(),
             events: Vec::new(),
             highest_revision: 0,
-            sync_cursor: UNKNOWN_VM,
             started: now,
             last_tick: now,
             next_probe: now,
             next_dead_probe: now,
+            merging_until: now,
         }
     }
 
@@ -269,7 +273,7 @@
         if now < self.next_dead_probe {
             return;
         }
-        let interval = if self.is_joining(now) {
+        let interval = if self.is_joining(now) || now < self.merging_until {
             self.rules.join_interval_millis
         } else {
             self.rules.dead_probe_interval_millis
@@ -331,7 +335,7 @@
         for update in &body.updates {
             self.take_update(now, update);
         }
-        self.note_heard(&origin, body);
+        self.note_heard(now, &origin, body);
         let mut actions = Vec::new();
         match message {
             MemberMessage::Ping(body) => self.acknowledge(origin, body.probe, &mut actions),
@@ -362,7 +366,7 @@
         vec![MemberAction::Send { vm: origin.vm, address: origin.address, message }]
     }
 
-    fn note_heard(&mut self, origin: &MessageOrigin, body: &ProbeBody) {
+    fn note_heard(&mut self, now: ClockTime, origin: &MessageOrigin, body: &ProbeBody) {
         self.highest_revision = self.highest_revision.max(body.revision);
         if body.view == self.view_digest {
             let (max_sends, records) = (self.max_sends(), &self.records);
@@ -375,6 +379,9 @@
         if record.view.spec.incarnation != origin.incarnation {
             return;
         }
+        if record.is_dead() {
+            self.merging_until = now.plus_millis(self.rules.join_millis);
+        }
         record.heard_view = body.view;
         record.view.revision = body.in_force;
         if record.view.state == MemberState::Leaving {
@@ -481,7 +488,6 @@
 
     /// First what the receiver has to refute, then what changed, then what may have been lost.
     fn choose_updates(&mut self, receiver: VmId, purpose: MessagePurpose) -> Vec<MemberUpdate> {
-        let limit = self.rules.updates_per_message;
         let known = self.records.get(&receiver).filter(|record| record.is_verified());
         let wrong = known.filter(|record| record.view.state != MemberState::Alive);
         let heard_view = known.map_or(0, |record| record.heard_view);
@@ -490,6 +496,8 @@
         if views_differ || heard_view == 0 {
             chosen.push(self.own);
         }
+        let limit =
+            if views_differ { self.rules.updates_per_sync } else { self.rules.updates_per_message };
         let room = limit.saturating_sub(chosen.len());
         let spreading = self.spread.take(room, self.max_sends());
         chosen.extend(spreading);
--- a/crates/catkin-scenario/src/callers.rs
+++ b/crates/catkin-scenario/src/callers.rs
@@ -183,7 +183,10 @@
     tokio::select! {
         biased;
         () = entry.died.cancelled() => Some(CallEnd::Lost),
-        end = exchange(world, plan, &*entry.service, request) => Some(end),
+        end = async {
+            entry.gate.wait().await;
+            exchange(world, plan, &*entry.service, request).await
+        } => Some(end),
     }
 }
 
--- a/crates/catkin-scenario/src/world.rs
+++ b/crates/catkin-scenario/src/world.rs
@@ -55,6 +55,7 @@
 pub(crate) struct RouterEntry {
     pub(crate) service: Arc<RouterService<ScenarioEnvironment>>,
     pub(crate) died: CancellationToken,
+    pub(crate) gate: PauseGate,
 }
 
 /// A router's VM: its process, if one runs.
@@ -122,8 +123,11 @@
         slot.starts += 1;
         slot.gate = PauseGate::default();
         let core = RouterCore::start(self.router_input(number, slot.starts, seed, &slot.gate));
-        slot.entry =
-            Some(RouterEntry { service: Arc::new(core.service()), died: CancellationToken::new() });
+        slot.entry = Some(RouterEntry {
+            service: Arc::new(core.service()),
+            died: CancellationToken::new(),
+            gate: slot.gate.clone(),
+        });
         slot.view = Some(core.view());
         slot.core = Some(core);
         slot.started = Instant::now();
