--- a/crates/catkin-scenario/tests/scenarios.rs
+++ b/crates/catkin-scenario/tests/scenarios.rs
@@ -35,7 +35,6 @@
     #[ignore = "KNOWN-RED: scenario engine_join"]
     engine_join,
     engine_leave,
-    #[ignore = "KNOWN-RED: scenario flap_and_late_reports"]
     flap_and_late_reports,
     #[ignore = "KNOWN-RED: scenario late_cache_events"]
     late_cache_events,
