--- a/crates/catkin-policy/benches/policy/suite.rs
+++ b/crates/catkin-policy/benches/policy/suite.rs
@@ -2,8 +2,11 @@
 
 mod bounds;
 mod deployment;
+mod duties;
+mod entry;
 mod fleet;
 mod measure;
+mod members;
 mod message;
 mod scenario;
 mod simple;
