--- a/crates/catkin-caller/tests/shutdown.rs
+++ b/crates/catkin-caller/tests/shutdown.rs
@@ -58,3 +58,16 @@
     listener.drops.recv_async().await.unwrap();
     assert_eq!(caller.read_to_end().await, "");
 }
+
+#[tokio::test]
+async fn closing_ends_connections_that_are_kept_alive() {
+    let script = json_script(vec![data("{}"), AnswerStep::End]);
+    let listener = start_listener(script, CallerLimits::default()).await;
+    let mut caller = RawCaller::send(listener.address, &chat_call("", CHAT_BODY)).await;
+    caller.read_until("0\r\n\r\n").await;
+
+    listener.shutdown.start_closing();
+
+    caller.read_to_end().await;
+    listener.serving.await.unwrap();
+}
