Answer by length in the platform's stand-in, and time the feeder's asks by result

A list of 330 VMs is longer than 32 KiB, and the stand-in's HTTP library sent it in chunks. The platform client takes only answers with a length as whole, so a router at 330 never read the list: it stayed alone, took itself for joined and owned all 860 servers (feeder, 330 routers, 860 servers, 31,000 teams: 0 bytes sent to others in 30 s, after which the declarations were in force at 38.5 s). The feeder takes its router's ports below those that the system gives out, since one of its peers could get the same.

--- a/crates/catkin-feeder/src/load.rs
+++ b/crates/catkin-feeder/src/load.rs
@@ -143,15 +143,16 @@
         }
     }
 
-    /// Fills the router's directory of placed chats.
+    /// Fills the router's directory with chats that were placed away from their home servers.
     pub async fn fill_directory(&self) {
         let mut ticks = interval(STEP);
         for chat in 0..CHATS {
             if chat % NOTES_PER_STEP == 0 {
                 ticks.tick().await;
             }
-            let server = ServerId::from_name(&server_name(self.server_of(chat))).0;
-            let note = PlacementNote { chat: chat_id(chat).0, home: server, server };
+            let home = ServerId::from_name(&server_name(self.server_of(chat))).0;
+            let server = ServerId::from_name(&server_name(chat as usize % self.shape.servers)).0;
+            let note = PlacementNote { chat: chat_id(CHATS + chat).0, home, server };
             self.send(chat as usize % self.peers.len(), Kind::PlacementNote(note));
         }
     }
@@ -192,7 +193,7 @@
             deadline_millis: DEADLINE_MILLIS,
             rank: 0,
             must_queue: false,
-            follow_directory: true,
+            follow_directory: false,
         };
         self.send(ask.peer, Kind::GrantAsk(message));
     }
--- a/crates/catkin-feeder/src/peer.rs
+++ b/crates/catkin-feeder/src/peer.rs
@@ -147,8 +147,8 @@
         match kind {
             Kind::GrantAsk(ask) => Some(grant(ask)),
             Kind::GrantAnswer(answer) => {
-                let granted = answer.result() == GrantResult::Granted;
-                self.traffic.note_answer(answer.request, granted);
+                log::debug!("feeder: An ask was answered. answer={answer:?}");
+                self.traffic.note_answer(answer.request, answer.result());
                 None
             }
             Kind::GrantAudit(audit) => {
--- a/crates/catkin-feeder/src/run.rs
+++ b/crates/catkin-feeder/src/run.rs
@@ -41,6 +41,10 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(180);
 /// Interval between two looks at the router.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Ports that the router listens on.
+const ROUTER_PORTS: usize = 3;
+/// Ports to choose from, below those that the system gives out by itself.
+const ROUTER_PORT_RANGE: std::ops::Range<u16> = 20_000..30_000;
 /// Changes of configuration that are timed.
 const CHANGES: usize = 3;
 /// Calls a second that the feeder itself may send to the platform.
@@ -314,10 +318,12 @@
         rates.print(name, &after.process);
         let now = self.traffic.counts();
         println!(
-            "    asks {} granted {} other {}; calls {} whole {}; peers that see it {}",
+            "    asks {} granted {} queued {} passed on {} refused {}; calls {} whole {}; seen by {}",
             now.asks - loads.asks,
             now.granted - loads.granted,
-            now.others - loads.others,
+            now.queued - loads.queued,
+            now.passed_on - loads.passed_on,
+            now.refused - loads.refused,
             now.calls - loads.calls,
             now.whole - loads.whole,
             self.traffic.sighted.load(Ordering::Relaxed),
@@ -429,13 +435,17 @@
     platform_address: SocketAddr,
 ) -> io::Result<RouterSettings> {
     let index = shape.routers - 1;
+    let addresses = find_addresses();
+    if addresses.len() < ROUTER_PORTS {
+        return Err(io::Error::from(io::ErrorKind::AddrInUse));
+    }
     Ok(RouterSettings {
         vm: place.name.clone(),
         domain: domain_name(index),
         region: region_name(index),
-        caller_address: free_address()?,
-        peer_address: free_address()?,
-        operator_address: free_address()?,
+        caller_address: addresses[0],
+        peer_address: addresses[1],
+        operator_address: addresses[2],
         platform_address,
         seeds: Vec::new(),
         peer_key: "5a".repeat(32),
@@ -447,12 +457,12 @@
     })
 }
 
-/// A port that is free for TCP and UDP at this moment.
-fn free_address() -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    let address = listener.local_addr()?;
-    UdpSocket::bind(address)?;
-    Ok(address)
+/// Addresses for the router that are free for TCP and UDP, outside the system's own choice.
+fn find_addresses() -> Vec<SocketAddr> {
+    let ports = ROUTER_PORT_RANGE.map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    let free = ports
+        .filter(|address| TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok());
+    free.take(ROUTER_PORTS).collect()
 }
 
 async fn bind_peers(shape: &FleetShape, key: &str) -> Result<Vec<Arc<LightPeer>>, RunError> {
--- a/crates/catkin-feeder/src/traffic.rs
+++ b/crates/catkin-feeder/src/traffic.rs
@@ -6,8 +6,8 @@
 
 use catkin_base::copy_type;
 use catkin_operator::RevisionReader;
-use catkin_peer::messages::PeerMessage;
 use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::messages::{GrantResult, PeerMessage};
 use prost::Message;
 
 copy_type! {
@@ -27,8 +27,12 @@
         pub asks: u64,
         /// Asks that it granted.
         pub granted: u64,
-        /// Asks that it answered in another way, queued ones included.
-        pub others: u64,
+        /// Asks that it queued.
+        pub queued: u64,
+        /// Asks for which it named another server.
+        pub passed_on: u64,
+        /// Asks that it refused.
+        pub refused: u64,
         /// Calls sent to it as entry.
         pub calls: u64,
         /// Calls answered whole.
@@ -86,14 +90,23 @@
     }
 
     /// Notes the router's answer to an ask.
-    pub fn note_answer(&self, request: u64, granted: bool) {
+    pub fn note_answer(&self, request: u64, result: GrantResult) {
         let mut counts = lock(&self.counts);
-        if !granted {
-            counts.others += 1;
-            return;
+        match result {
+            GrantResult::Granted => counts.granted += 1,
+            GrantResult::Queued => {
+                counts.queued += 1;
+                return;
+            }
+            GrantResult::Refused => counts.refused += 1,
+            GrantResult::Redirect | GrantResult::Overflow | GrantResult::NotOwner => {
+                counts.passed_on += 1;
+            }
         }
         let Some(ask) = lock(&self.asks).remove(&request) else { return };
-        counts.granted += 1;
+        if result != GrantResult::Granted {
+            return;
+        }
         self.open[ask.server].fetch_add(1, Ordering::Relaxed);
         lock(&self.granted).push((request, ask));
     }
--- a/crates/catkin-platform/tests/http_store.rs
+++ b/crates/catkin-platform/tests/http_store.rs
@@ -193,6 +193,16 @@
     assert!(vms[0].leaving);
 }
 
+#[tokio::test]
+async fn list_of_a_large_fleet_is_whole() {
+    let (platform, store) = start();
+    platform.set_vms((0..400).map(vm_entry).collect());
+
+    let vms = store.list_vms().await.expect("listed");
+
+    assert_eq!(vms.len(), 400);
+}
+
 #[tokio::test(start_paused = true)]
 async fn budget_follows_the_number_of_vms() {
     let (platform, _) = start();
--- a/crates/catkin-standin/src/answer.rs
+++ b/crates/catkin-standin/src/answer.rs
@@ -28,7 +28,10 @@
 
     /// Writes the answer. A client that went away is no error.
     pub(crate) fn write_to(self, request: Request) {
-        let mut response = Response::from_data(self.body).with_status_code(self.status);
+        // Clients tell a whole answer by its length, which a chunked one does not give.
+        let mut response = Response::from_data(self.body)
+            .with_status_code(self.status)
+            .with_chunked_threshold(usize::MAX);
         if let Some(header) = self.version.and_then(version_header) {
             response.add_header(header);
         }
