Log requests above the bound in scenarios

router_pause exceeds the bound until the end of the run, 25 s after the wake, not only at the wake: verbose runs now tell time, server and loads.

--- a/crates/catkin-scenario/src/backend.rs
+++ b/crates/catkin-scenario/src/backend.rs
@@ -113,6 +113,7 @@
     served_chats: BTreeSet<ChatId>,
     /// Requests open on all engines, at each change.
     totals: VecDeque<(Instant, u32)>,
+    started: Instant,
 }
 
 #[derive(Debug)]
@@ -143,6 +144,7 @@
             records: BTreeMap::new(),
             served_chats: BTreeSet::new(),
             totals: VecDeque::new(),
+            started: Instant::now(),
         };
         Self { state: Arc::new(Mutex::new(state)), tally }
     }
@@ -209,6 +211,9 @@
         };
         state.note_total();
         let skew = state.skew_percent();
+        if over {
+            log::info!("servers: A request is above the bound. {}", state.describe_load(address));
+        }
         drop(state);
         self.tally.change(|counts| {
             counts.late_work += u64::from(late);
@@ -273,6 +278,17 @@
         most
     }
 
+    /// Load of one engine and of all, for logs.
+    fn describe_load(&self, address: SocketAddr) -> String {
+        let open = self.servers.get(&address).map_or(0, |server| server.open);
+        let time = Instant::now().duration_since(self.started).as_millis();
+        let engines = self.engines_up().count();
+        format!(
+            "at={time}ms server={address} open={open} all={} engines={engines}",
+            self.total_open()
+        )
+    }
+
     fn note_total(&mut self) {
         let total = self.total_open();
         self.totals.push_back((Instant::now(), total));
