--- a/crates/catkin-membership/src/lib.rs
+++ b/crates/catkin-membership/src/lib.rs
@@ -20,6 +20,7 @@
 //! assert_eq!(table.live().count(), 1);
 //! ```
 
+mod change;
 mod member;
 mod message;
 mod probe;
--- a/crates/catkin-membership/src/table.rs
+++ b/crates/catkin-membership/src/table.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
+use crate::change::{is_gone, note_change};
 use crate::member::{
     MemberEvent, MemberEventKind, MemberSpec, MemberState, MemberUpdate, MemberView,
 };
@@ -591,41 +592,6 @@
     }
 }
 
-/// Whether a belief says that its member is gone or going.
-fn is_gone(update: &MemberUpdate) -> bool {
-    update.state >= MemberState::Leaving
-}
-
-/// Reports what a new belief means for the live members.
-fn note_change(
-    former: Option<&MemberRecord>,
-    update: &MemberUpdate,
-    events: &mut Vec<MemberEvent>,
-) {
-    let kept = former.filter(|record| !record.is_dead());
-    let restarted = kept.filter(|it| it.view.spec.incarnation != update.spec.incarnation);
-    let was_live = kept.is_some_and(MemberRecord::is_live);
-    let is_live = update.state <= MemberState::Suspect;
-    let spec = update.spec;
-    let mut push = |spec, kind| events.push(MemberEvent { spec, kind });
-    if was_live && is_live {
-        if restarted.is_some() {
-            push(spec, MemberEventKind::Restarted);
-        }
-        return;
-    }
-    if let Some(record) = restarted {
-        push(record.view.spec, MemberEventKind::Died);
-    } else if kept.is_some() && update.state == MemberState::Dead {
-        push(spec, MemberEventKind::Died);
-    } else if was_live && update.state == MemberState::Leaving {
-        push(spec, MemberEventKind::Left);
-    }
-    if is_live {
-        push(spec, MemberEventKind::Joined);
-    }
-}
-
 /// How often a count doubles from one; at least once.
 fn doublings(count: usize) -> u32 {
     (count + 1).ilog2().max(1)
--- a/crates/catkin-scenario/src/backend.rs
+++ b/crates/catkin-scenario/src/backend.rs
@@ -1,4 +1,4 @@
-//! Engines and plain services: slots, prefix caches, service times, crashes, leaving, lag.
+//! Links to engines and plain services, and how these run requests.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -7,93 +7,26 @@
 
 use bytes::Bytes;
 use catkin_backend::{
-    AnswerHead, AttemptSpec, BackendError, BackendFault, BackendLink, BackendStream, CacheEvent,
-    ServerProbe,
+    AnswerHead, AttemptSpec, BackendError, BackendFault, BackendLink, BackendStream, ServerProbe,
 };
 use catkin_base::{ChatId, RunVerdict};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde::{Deserialize, Serialize};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::answer::{FakeAnswer, ScenarioBody, TOKEN_TIME};
 use crate::gate::PauseGate;
+use crate::servers::{BackendRules, FakeKind, FakeServer, ServersState};
 use crate::tally::ScenarioTally;
 
 const HOP: Duration = Duration::from_millis(1);
-const TOKEN_TIME: Duration = Duration::from_millis(25);
-const TOKENS_PER_EVENT: u32 = 4;
 const PREFILL_PER_TOKEN: Duration = Duration::from_micros(100);
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// Time after which a leaving server must get no new work.
 const LEAVE_NOTICE: Duration = Duration::from_secs(5);
-const CACHED_CHATS: usize = 64;
-/// Open requests in a pool from which skew is measured, for each engine.
-const SKEW_FLOOR_PER_ENGINE: u32 = 2;
-/// Longest time from an admission to the request's arrival, on the slowest network of a scenario.
-const ADMISSION_WINDOW: Duration = Duration::from_millis(60);
-const HISTORY_LENGTH: usize = 4_096;
-
-/// A request's body, as scenarios write it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ScenarioBody {
-    /// Model, for engines.
-    pub model: String,
-    /// Identifies the request; the answer carries it.
-    pub nonce: u64,
-    /// Length of the answer, in tokens.
-    pub tokens: u32,
-    /// Length of the prompt, in tokens.
-    pub prompt: u32,
-    /// Whether it crashes each engine that runs it.
-    pub poison: bool,
-    /// Whether the answer is streamed.
-    pub stream: bool,
-}
-
-/// One event of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AnswerEvent {
-    /// The nonce of the request that it answers.
-    pub nonce: u64,
-    /// Tokens of the answer up to here.
-    pub tokens: u32,
-}
-
-/// How servers behave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BackendRules {
-    /// Lag of load reports.
-    pub probe_lag: Duration,
-    /// Lag of cache events.
-    pub event_lag: Duration,
-    /// Cache events that are never published, in percent.
-    pub event_gap_percent: u32,
-    /// Most load on an engine relative to the mean, in percent.
-    pub bound_percent: u32,
-}
-
-impl Default for BackendRules {
-    fn default() -> Self {
-        Self {
-            probe_lag: Duration::from_millis(500),
-            event_lag: Duration::from_secs(1),
-            event_gap_percent: 0,
-            bound_percent: 150,
-        }
-    }
-}
-
-/// Kind of a fake server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FakeKind {
-    /// Model engine.
-    Engine,
-    /// Plain service.
-    Service,
-}
 
 /// All servers of a scenario.
 #[derive(Debug, Clone)]
@@ -102,38 +35,6 @@
     tally: Arc<ScenarioTally>,
 }
 
-#[derive(Debug)]
-struct ServersState {
-    rules: BackendRules,
-    random: StdRng,
-    servers: BTreeMap<SocketAddr, FakeServer>,
-    /// Answers recorded by the plain service, by key.
-    records: BTreeMap<String, Bytes>,
-    /// Chats that were served before.
-    served_chats: BTreeSet<ChatId>,
-    /// Requests open on all engines, at each change.
-    totals: VecDeque<(Instant, u32)>,
-    started: Instant,
-}
-
-#[derive(Debug)]
-struct FakeServer {
-    kind: FakeKind,
-    slot_count: usize,
-    slots: Arc<Semaphore>,
-    down_until: Option<Instant>,
-    down: bool,
-    leaving_since: Option<Instant>,
-    incarnation: u64,
-    died: CancellationToken,
-    open: u32,
-    history: VecDeque<(Instant, u32)>,
-    cache: VecDeque<ChatId>,
-    events: Vec<(Instant, CacheEvent)>,
-    sequence: u64,
-    fence: u64,
-}
-
 impl FakeServers {
     /// No servers yet; gaps in cache events follow from `seed`.
     pub fn new(rules: BackendRules, tally: Arc<ScenarioTally>, seed: u64) -> Self {
@@ -241,170 +142,6 @@
     }
 }
 
-impl ServersState {
-    fn engines_up(&self) -> impl Iterator<Item = &FakeServer> {
-        let up = |server: &&FakeServer| server.kind == FakeKind::Engine && server.is_up();
-        self.servers.values().filter(up)
-    }
-
-    /// Whether one more request would put an engine above the bound.
-    fn over_bound_with(&self, address: SocketAddr) -> bool {
-        let Some(server) = self.servers.get(&address) else {
-            return false;
-        };
-        if server.kind != FakeKind::Engine || !server.is_up() {
-            return false;
-        }
-        let engines = self.engines_up().count() as u32;
-        let total = self.recent_total() + 1;
-        let limit = (total * self.rules.bound_percent).div_ceil(100 * engines.max(1));
-        server.open + 1 > limit.max(1)
-    }
-
-    fn total_open(&self) -> u32 {
-        self.engines_up().map(|engine| engine.open).sum()
-    }
-
-    /// Most requests open on all engines since the time at which one that arrives was admitted.
-    fn recent_total(&self) -> u32 {
-        let since = Instant::now() - ADMISSION_WINDOW;
-        let mut most = self.total_open();
-        for (time, total) in self.totals.iter().rev() {
-            most = most.max(*total);
-            if *time < since {
-                break;
-            }
-        }
-        most
-    }
-
-    /// Load of one engine and of all, for logs.
-    fn describe_load(&self, address: SocketAddr) -> String {
-        let open = self.servers.get(&address).map_or(0, |server| server.open);
-        let time = Instant::now().duration_since(self.started).as_millis();
-        let engines = self.engines_up().count();
-        format!(
-            "at={time}ms server={address} open={open} all={} engines={engines}",
-            self.total_open()
-        )
-    }
-
-    fn note_total(&mut self) {
-        let total = self.total_open();
-        self.totals.push_back((Instant::now(), total));
-        if self.totals.len() > HISTORY_LENGTH {
-            self.totals.pop_front();
-        }
-    }
-
-    /// Load of the busiest engine relative to the mean, in percent; zero while there is little.
-    fn skew_percent(&self) -> u64 {
-        let engines = self.engines_up().count() as u32;
-        let total = self.total_open();
-        let most = self.engines_up().map(|engine| engine.open).max().unwrap_or(0);
-        if engines == 0 || total < engines * SKEW_FLOOR_PER_ENGINE {
-            return 0;
-        }
-        u64::from(most * engines * 100 / total)
-    }
-}
-
-impl FakeServer {
-    fn new(kind: FakeKind, slot_count: usize) -> Self {
-        Self {
-            kind,
-            slot_count,
-            slots: Arc::new(Semaphore::new(slot_count)),
-            down_until: None,
-            down: false,
-            leaving_since: None,
-            incarnation: 1,
-            died: CancellationToken::new(),
-            open: 0,
-            history: VecDeque::new(),
-            cache: VecDeque::new(),
-            events: Vec::new(),
-            sequence: 0,
-            fence: 0,
-        }
-    }
-
-    fn is_up(&self) -> bool {
-        !self.down && self.down_until.is_none_or(|until| Instant::now() >= until)
-    }
-
-    fn crash(&mut self, duration: Option<Duration>) {
-        self.down = duration.is_none();
-        self.down_until = duration.map(|duration| Instant::now() + duration);
-        self.died.cancel();
-        self.died = CancellationToken::new();
-        self.slots = Arc::new(Semaphore::new(self.slot_count));
-        self.incarnation += 1;
-        self.cache.clear();
-        self.events.clear();
-        self.sequence = 0;
-        self.open = 0;
-        self.history.clear();
-    }
-
-    fn change_open(&mut self, change: i64) {
-        self.open = self.open.saturating_add_signed(change as i32);
-        self.history.push_back((Instant::now(), self.open));
-        if self.history.len() > HISTORY_LENGTH {
-            self.history.pop_front();
-        }
-    }
-
-    fn open_at(&self, time: Instant) -> u32 {
-        let seen = self.history.iter().rev().find(|(since, _)| *since <= time);
-        seen.map_or(0, |(_, open)| *open)
-    }
-
-    fn touch_chat(&mut self, chat: ChatId, gaps: &[bool]) -> bool {
-        let cached = self.cache.contains(&chat);
-        self.cache.retain(|&other| other != chat);
-        self.cache.push_back(chat);
-        if !cached {
-            self.publish(chat, true, gaps.first() == Some(&true));
-        }
-        if self.cache.len() > CACHED_CHATS
-            && let Some(evicted) = self.cache.pop_front()
-        {
-            self.publish(evicted, false, gaps.last() == Some(&true));
-        }
-        cached
-    }
-
-    fn publish(&mut self, chat: ChatId, cached: bool, is_gap: bool) {
-        self.sequence += 1;
-        if !is_gap {
-            let event = CacheEvent { sequence: self.sequence, chat, cached };
-            self.events.push((Instant::now(), event));
-        }
-    }
-
-    fn report(&self, rules: &BackendRules, after_event: u64) -> ServerProbe {
-        let now = Instant::now();
-        let seen_load = now.checked_sub(rules.probe_lag);
-        let seen_event = |at: Instant| at + rules.event_lag <= now;
-        let events: Vec<CacheEvent> = self
-            .events
-            .iter()
-            .filter(|(at, event)| seen_event(*at) && event.sequence > after_event)
-            .map(|(_, event)| event.clone())
-            .collect();
-        ServerProbe {
-            incarnation: self.incarnation,
-            open: seen_load.map_or(0, |time| self.open_at(time)),
-            leaving: self.leaving_since.is_some(),
-            models: vec![crate::world::MODEL.to_owned()],
-            event_sequence: events.last().map_or(after_event, |event| event.sequence),
-            events,
-            fence: self.fence,
-        }
-    }
-}
-
 /// A request that a server took. Dropping it ends the work.
 #[derive(Debug)]
 struct OpenWork {
@@ -486,42 +223,6 @@
     }
 }
 
-/// An answer and the parts of it that are still to come.
-#[derive(Debug)]
-struct FakeAnswer {
-    head: AnswerHead,
-    rest: VecDeque<Bytes>,
-    pause: Duration,
-}
-
-impl FakeAnswer {
-    fn whole(body: &ScenarioBody) -> Self {
-        let event = AnswerEvent { nonce: body.nonce, tokens: body.tokens };
-        let rest = VecDeque::from([Bytes::from(encode_event(&event))]);
-        Self { head: head("application/json", false), rest, pause: Duration::ZERO }
-    }
-
-    fn streamed(body: &ScenarioBody) -> Self {
-        let steps = body.tokens.div_ceil(TOKENS_PER_EVENT);
-        let events = (1..=steps).map(|step| {
-            let tokens = (step * TOKENS_PER_EVENT).min(body.tokens);
-            let event = AnswerEvent { nonce: body.nonce, tokens };
-            Bytes::from(format!("data: {}\n\n", encode_event(&event)))
-        });
-        let rest = events.chain([Bytes::from_static(b"data: [DONE]\n\n")]).collect();
-        let pause = TOKEN_TIME * TOKENS_PER_EVENT;
-        Self { head: head("text/event-stream", true), rest, pause }
-    }
-}
-
-fn head(content_type: &str, streamed: bool) -> AnswerHead {
-    AnswerHead { status: 200, content_type: content_type.to_owned(), streamed, cached_tokens: None }
-}
-
-fn encode_event(event: &AnswerEvent) -> String {
-    format!(r#"{{"nonce":{},"tokens":{}}}"#, event.nonce, event.tokens)
-}
-
 /// An answer as it arrives.
 #[derive(Debug)]
 pub struct FakeStream {
--- a/crates/catkin-scenario/src/callers.rs
+++ b/crates/catkin-scenario/src/callers.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::task::TaskTracker;
 
-use crate::backend::{AnswerEvent, ScenarioBody};
+use crate::answer::{AnswerEvent, ScenarioBody};
 use crate::script::{CallerLoad, LoadKind};
 use crate::tally::{CallEnd, ScenarioClass};
 use crate::world::{FleetWorld, MODEL, SERVICE, team_token};
--- a/crates/catkin-scenario/src/lib.rs
+++ b/crates/catkin-scenario/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(error.message, "there is no such engine: 1 are set up");
 //! ```
 
+mod answer;
 mod backend;
 mod callers;
 mod gate;
@@ -22,12 +23,12 @@
 mod report;
 mod runner;
 mod script;
+mod servers;
 mod tally;
 mod world;
 
-pub use backend::{
-    AnswerEvent, BackendRules, FakeBackend, FakeKind, FakeServers, FakeStream, ScenarioBody,
-};
+pub use answer::{AnswerEvent, ScenarioBody};
+pub use backend::{FakeBackend, FakeServers, FakeStream};
 pub use gate::PauseGate;
 pub use line::ScriptError;
 pub use network::{FakeLink, FakeNetwork, NetworkRules};
@@ -39,5 +40,6 @@
     CallerLoad, CompareKind, FleetSetup, LoadKind, NodeKind, NodeName, ScenarioMeasure,
     ScenarioScript, ScenarioStep, ScriptExpectation, TimedStep,
 };
+pub use servers::{BackendRules, FakeKind};
 pub use tally::{CallEnd, ScenarioClass, ScenarioTally};
 pub use world::{MODEL, SERVICE, ScenarioEnvironment};
--- /dev/null
+++ b/crates/catkin-scenario/src/servers.rs
@@ -0,0 +1,252 @@
+//! State of the fake servers: load, caches, reports.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkin_backend::{CacheEvent, ServerProbe};
+use catkin_base::ChatId;
+use rand::rngs::StdRng;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const CACHED_CHATS: usize = 64;
+/// Open requests in a pool from which skew is measured, for each engine.
+const SKEW_FLOOR_PER_ENGINE: u32 = 2;
+/// Longest time from an admission to the request's arrival, on the slowest network of a scenario.
+const ADMISSION_WINDOW: Duration = Duration::from_millis(60);
+const HISTORY_LENGTH: usize = 4_096;
+
+/// How servers behave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackendRules {
+    /// Lag of load reports.
+    pub probe_lag: Duration,
+    /// Lag of cache events.
+    pub event_lag: Duration,
+    /// Cache events that are never published, in percent.
+    pub event_gap_percent: u32,
+    /// Most load on an engine relative to the mean, in percent.
+    pub bound_percent: u32,
+}
+
+impl Default for BackendRules {
+    fn default() -> Self {
+        Self {
+            probe_lag: Duration::from_millis(500),
+            event_lag: Duration::from_secs(1),
+            event_gap_percent: 0,
+            bound_percent: 150,
+        }
+    }
+}
+
+/// Kind of a fake server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FakeKind {
+    /// Model engine.
+    Engine,
+    /// Plain service.
+    Service,
+}
+
+/// State of all servers.
+#[derive(Debug)]
+pub(crate) struct ServersState {
+    pub(crate) rules: BackendRules,
+    pub(crate) random: StdRng,
+    pub(crate) servers: BTreeMap<SocketAddr, FakeServer>,
+    /// Answers recorded by the plain service, by key.
+    pub(crate) records: BTreeMap<String, Bytes>,
+    /// Chats that were served before.
+    pub(crate) served_chats: BTreeSet<ChatId>,
+    /// Requests open on all engines, at each change.
+    pub(crate) totals: VecDeque<(Instant, u32)>,
+    pub(crate) started: Instant,
+}
+
+/// State of one server.
+#[derive(Debug)]
+pub(crate) struct FakeServer {
+    pub(crate) kind: FakeKind,
+    pub(crate) slot_count: usize,
+    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) down_until: Option<Instant>,
+    pub(crate) down: bool,
+    pub(crate) leaving_since: Option<Instant>,
+    pub(crate) incarnation: u64,
+    pub(crate) died: CancellationToken,
+    pub(crate) open: u32,
+    pub(crate) history: VecDeque<(Instant, u32)>,
+    pub(crate) cache: VecDeque<ChatId>,
+    pub(crate) events: Vec<(Instant, CacheEvent)>,
+    pub(crate) sequence: u64,
+    pub(crate) fence: u64,
+}
+
+impl ServersState {
+    pub(crate) fn engines_up(&self) -> impl Iterator<Item = &FakeServer> {
+        let up = |server: &&FakeServer| server.kind == FakeKind::Engine && server.is_up();
+        self.servers.values().filter(up)
+    }
+
+    /// Whether one more request would put an engine above the bound.
+    pub(crate) fn over_bound_with(&self, address: SocketAddr) -> bool {
+        let Some(server) = self.servers.get(&address) else {
+            return false;
+        };
+        if server.kind != FakeKind::Engine || !server.is_up() {
+            return false;
+        }
+        let engines = self.engines_up().count() as u32;
+        let total = self.recent_total() + 1;
+        let limit = (total * self.rules.bound_percent).div_ceil(100 * engines.max(1));
+        server.open + 1 > limit.max(1)
+    }
+
+    pub(crate) fn total_open(&self) -> u32 {
+        self.engines_up().map(|engine| engine.open).sum()
+    }
+
+    /// Most requests open on all engines since the time at which one that arrives was admitted.
+    pub(crate) fn recent_total(&self) -> u32 {
+        let since = Instant::now() - ADMISSION_WINDOW;
+        let mut most = self.total_open();
+        for (time, total) in self.totals.iter().rev() {
+            most = most.max(*total);
+            if *time < since {
+                break;
+            }
+        }
+        most
+    }
+
+    /// Load of one engine and of all, for logs.
+    pub(crate) fn describe_load(&self, address: SocketAddr) -> String {
+        let open = self.servers.get(&address).map_or(0, |server| server.open);
+        let time = Instant::now().duration_since(self.started).as_millis();
+        let engines = self.engines_up().count();
+        format!(
+            "at={time}ms server={address} open={open} all={} engines={engines}",
+            self.total_open()
+        )
+    }
+
+    pub(crate) fn note_total(&mut self) {
+        let total = self.total_open();
+        self.totals.push_back((Instant::now(), total));
+        if self.totals.len() > HISTORY_LENGTH {
+            self.totals.pop_front();
+        }
+    }
+
+    /// Load of the busiest engine relative to the mean, in percent; zero while there is little.
+    pub(crate) fn skew_percent(&self) -> u64 {
+        let engines = self.engines_up().count() as u32;
+        let total = self.total_open();
+        let most = self.engines_up().map(|engine| engine.open).max().unwrap_or(0);
+        if engines == 0 || total < engines * SKEW_FLOOR_PER_ENGINE {
+            return 0;
+        }
+        u64::from(most * engines * 100 / total)
+    }
+}
+
+impl FakeServer {
+    pub(crate) fn new(kind: FakeKind, slot_count: usize) -> Self {
+        Self {
+            kind,
+            slot_count,
+            slots: Arc::new(Semaphore::new(slot_count)),
+            down_until: None,
+            down: false,
+            leaving_since: None,
+            incarnation: 1,
+            died: CancellationToken::new(),
+            open: 0,
+            history: VecDeque::new(),
+            cache: VecDeque::new(),
+            events: Vec::new(),
+            sequence: 0,
+            fence: 0,
+        }
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        !self.down && self.down_until.is_none_or(|until| Instant::now() >= until)
+    }
+
+    pub(crate) fn crash(&mut self, duration: Option<Duration>) {
+        self.down = duration.is_none();
+        self.down_until = duration.map(|duration| Instant::now() + duration);
+        self.died.cancel();
+        self.died = CancellationToken::new();
+        self.slots = Arc::new(Semaphore::new(self.slot_count));
+        self.incarnation += 1;
+        self.cache.clear();
+        self.events.clear();
+        self.sequence = 0;
+        self.open = 0;
+        self.history.clear();
+    }
+
+    pub(crate) fn change_open(&mut self, change: i64) {
+        self.open = self.open.saturating_add_signed(change as i32);
+        self.history.push_back((Instant::now(), self.open));
+        if self.history.len() > HISTORY_LENGTH {
+            self.history.pop_front();
+        }
+    }
+
+    pub(crate) fn open_at(&self, time: Instant) -> u32 {
+        let seen = self.history.iter().rev().find(|(since, _)| *since <= time);
+        seen.map_or(0, |(_, open)| *open)
+    }
+
+    pub(crate) fn touch_chat(&mut self, chat: ChatId, gaps: &[bool]) -> bool {
+        let cached = self.cache.contains(&chat);
+        self.cache.retain(|&other| other != chat);
+        self.cache.push_back(chat);
+        if !cached {
+            self.publish(chat, true, gaps.first() == Some(&true));
+        }
+        if self.cache.len() > CACHED_CHATS
+            && let Some(evicted) = self.cache.pop_front()
+        {
+            self.publish(evicted, false, gaps.last() == Some(&true));
+        }
+        cached
+    }
+
+    pub(crate) fn publish(&mut self, chat: ChatId, cached: bool, is_gap: bool) {
+        self.sequence += 1;
+        if !is_gap {
+            let event = CacheEvent { sequence: self.sequence, chat, cached };
+            self.events.push((Instant::now(), event));
+        }
+    }
+
+    pub(crate) fn report(&self, rules: &BackendRules, after_event: u64) -> ServerProbe {
+        let now = Instant::now();
+        let seen_load = now.checked_sub(rules.probe_lag);
+        let seen_event = |at: Instant| at + rules.event_lag <= now;
+        let events: Vec<CacheEvent> = self
+            .events
+            .iter()
+            .filter(|(at, event)| seen_event(*at) && event.sequence > after_event)
+            .map(|(_, event)| event.clone())
+            .collect();
+        ServerProbe {
+            incarnation: self.incarnation,
+            open: seen_load.map_or(0, |time| self.open_at(time)),
+            leaving: self.leaving_since.is_some(),
+            models: vec![crate::world::MODEL.to_owned()],
+            event_sequence: events.last().map_or(after_event, |event| event.sequence),
+            events,
+            fence: self.fence,
+        }
+    }
+}
--- a/crates/catkin-scenario/src/world.rs
+++ b/crates/catkin-scenario/src/world.rs
@@ -21,11 +21,12 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::backend::{BackendRules, FakeBackend, FakeKind, FakeServers};
+use crate::backend::{FakeBackend, FakeServers};
 use crate::gate::PauseGate;
 use crate::network::{FakeLink, FakeNetwork, NetworkRules};
 use crate::platform::{FakePlatform, FakeStore, PlatformRules};
 use crate::script::{FleetSetup, NodeKind, NodeName};
+use crate::servers::{BackendRules, FakeKind};
 use crate::tally::ScenarioTally;
 
 /// The only model.
