--- a/crates/catkin-caller/src/body.rs
+++ b/crates/catkin-caller/src/body.rs
@@ -76,7 +76,7 @@
     first: AnswerPart,
     hold: AnswerHold,
 ) -> impl AnswerFrames + use<A> {
-    AnswerBody { step: AnswerStep::First(first), answer: Some(answer), take_part, hold }
+    AnswerBody { step: AnswerStep::First { answer, part: first }, take_part, hold }
 }
 
 async fn take_part<A: CallAnswer>(mut answer: A) -> TakenPart<A> {
@@ -89,17 +89,16 @@
     part: Result<AnswerPart, AnswerCut>,
 }
 
-enum AnswerStep<F> {
-    First(AnswerPart),
-    Idle,
+enum AnswerStep<A, F> {
+    First { answer: A, part: AnswerPart },
+    Ready(A),
     Taking(Pin<Box<F>>),
     Ended,
     Cut,
 }
 
 struct AnswerBody<A, T, F> {
-    step: AnswerStep<F>,
-    answer: Option<A>,
+    step: AnswerStep<A, F>,
     take_part: T,
     hold: AnswerHold,
 }
@@ -115,36 +114,35 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<AnswerPart, AnswerCut>>> {
-        if let Some(answer) = self.answer.take() {
-            match std::mem::replace(&mut self.step, AnswerStep::Idle) {
-                AnswerStep::First(part) => {
-                    self.answer = Some(answer);
+        loop {
+            match std::mem::replace(&mut self.step, AnswerStep::Ended) {
+                AnswerStep::First { answer, part } => {
+                    self.step = AnswerStep::Ready(answer);
                     return Poll::Ready(Some(Ok(part)));
                 }
-                _ => self.step = AnswerStep::Taking(Box::pin((self.take_part)(answer))),
-            }
-        }
-        match &mut self.step {
-            AnswerStep::Taking(future) => {
-                let taken = ready!(future.as_mut().poll(context));
-                self.step = AnswerStep::Idle;
-                self.answer = Some(taken.answer);
-                Poll::Ready(Some(taken.part))
+                AnswerStep::Ready(answer) => {
+                    self.step = AnswerStep::Taking(Box::pin((self.take_part)(answer)));
+                }
+                AnswerStep::Taking(mut future) => {
+                    let Poll::Ready(taken) = future.as_mut().poll(context) else {
+                        self.step = AnswerStep::Taking(future);
+                        return Poll::Pending;
+                    };
+                    self.step = AnswerStep::Ready(taken.answer);
+                    return Poll::Ready(Some(taken.part));
+                }
+                AnswerStep::Cut => {
+                    self.step = AnswerStep::Cut;
+                    return Poll::Pending;
+                }
+                AnswerStep::Ended => return Poll::Ready(None),
             }
-            AnswerStep::Cut => Poll::Pending,
-            _ => Poll::Ready(None),
         }
     }
 
-    fn finish(&mut self) {
-        self.answer = None;
-        self.step = AnswerStep::Ended;
-    }
-
     fn cut_off(&mut self, cut: &AnswerCut) -> Poll<FrameResult> {
         log::info!("caller: request {} cut: {}", self.hold.request, cut.refusal);
         metrics::counter!("catkin_caller_cut_answers_total").increment(1);
-        self.answer = None;
         self.step = AnswerStep::Cut;
         self.hold.cut.set();
         if !self.hold.streamed {
@@ -168,7 +166,7 @@
         match ready!(self.poll_part(context)) {
             Some(Ok(AnswerPart::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Some(Ok(AnswerPart::End)) => {
-                self.finish();
+                self.step = AnswerStep::Ended;
                 Poll::Ready(None)
             }
             Some(Err(cut)) => self.cut_off(&cut),
