Spread the flapping servers over the pools, and keep the pool that flaps as a scenario

Cause: the flapping scenario took the first 5 % of the servers, which at full size is 36 % of the largest pool. That case stays as flapping-pool; flapping now takes every twentieth server.

--- a/crates/catkin-policy/benches/policy/scenario.rs
+++ b/crates/catkin-policy/benches/policy/scenario.rs
@@ -13,6 +13,7 @@
     ChurnOne,
     ChurnTen,
     Flapping,
+    FlappingPool,
     Surge,
     SplitViews,
     DomainLoss,
@@ -21,11 +22,12 @@
 }
 
 /// All scenarios, in the order of the table.
-pub const SCENARIOS: [Scenario; 9] = [
+pub const SCENARIOS: [Scenario; 10] = [
     Scenario::Steady,
     Scenario::ChurnOne,
     Scenario::ChurnTen,
     Scenario::Flapping,
+    Scenario::FlappingPool,
     Scenario::Surge,
     Scenario::SplitViews,
     Scenario::DomainLoss,
@@ -62,6 +64,8 @@
 /// Times that a flapping server is up and down, in milliseconds.
 const FLAP_UP_MILLIS: u64 = 7_000;
 const FLAP_DOWN_MILLIS: u64 = 4_000;
+/// One in so many servers flaps.
+const FLAPPER_SHARE: usize = 20;
 /// Length of a split of views and of the loss of a domain, in milliseconds.
 const OUTAGE_MILLIS: u64 = 60_000;
 /// Time that a restarted router is away, in milliseconds.
@@ -74,6 +78,7 @@
             Self::ChurnOne => "churn-1",
             Self::ChurnTen => "churn-10",
             Self::Flapping => "flapping",
+            Self::FlappingPool => "flapping-pool",
             Self::Surge => "surge",
             Self::SplitViews => "split-views",
             Self::DomainLoss => "domain-loss",
@@ -108,7 +113,8 @@
         let mut faults = match self {
             Self::ChurnOne => churn(deployment, 0.01, from_millis, to_millis, random),
             Self::ChurnTen => churn(deployment, 0.10, from_millis, to_millis, random),
-            Self::Flapping => flapping(deployment, from_millis, to_millis),
+            Self::Flapping => flapping(deployment, FLAPPER_SHARE, from_millis, to_millis),
+            Self::FlappingPool => flapping(deployment, 1, from_millis, to_millis),
             Self::SplitViews => split(from_millis),
             Self::DomainLoss => domain_loss(deployment, from_millis),
             Self::RouterRestarts => restarts(deployment, from_millis, to_millis),
@@ -168,11 +174,18 @@
     ]
 }
 
-fn flapping(deployment: &Deployment, from_millis: u64, to_millis: u64) -> Vec<FaultPlan> {
-    let flappers = deployment.servers.len().div_ceil(20);
+/// Every server at a multiple of `spacing` flaps, up to one in twenty of all.
+fn flapping(
+    deployment: &Deployment,
+    spacing: usize,
+    from_millis: u64,
+    to_millis: u64,
+) -> Vec<FaultPlan> {
+    let flappers = deployment.servers.len().div_ceil(FLAPPER_SHARE);
     let period = FLAP_UP_MILLIS + FLAP_DOWN_MILLIS;
     let times = (from_millis..to_millis).step_by(period as usize);
-    let cycles = times.flat_map(|at| (0..flappers).map(move |server| (at + server as u64, server)));
+    let cycles =
+        times.flat_map(|at| (0..flappers).map(move |place| (at + place as u64, place * spacing)));
     let plans = cycles.flat_map(|(at, server)| {
         let start = plan(at + FLAP_DOWN_MILLIS, Fault::ServerStart(server));
         [plan(at, Fault::ServerCrash(server)), start]
