Take ceded servers back when they are handed back or their time is over

A router that was paused woke, believed itself the owner of all servers, and the true owners ceded theirs to it. Changes catkin-policy and catkin-router, since the fault is there.

--- a/crates/catkin-policy/src/handover.rs
+++ b/crates/catkin-policy/src/handover.rs
@@ -76,6 +76,20 @@
         lost.map(|lost| lost.export.clone())
     }
 
+    /// Ends the cession of `server` to `by`, which has handed it back.
+    pub fn end_cession(&mut self, server: ServerId, by: VmId) {
+        if self.ceded.get(&server).is_some_and(|ceded| ceded.to == by) {
+            self.ceded.remove(&server);
+        }
+    }
+
+    /// Whether a server that this router should own was ceded and may be taken back by
+    /// [`Self::set_owned`].
+    pub fn may_take_back(&self, now: ClockTime, server: ServerId) -> bool {
+        let is_ceded = self.ceded.get(&server).is_some_and(|ceded| now < ceded.until);
+        !is_ceded && !self.ledgers.contains_key(&server)
+    }
+
     /// The router to which `server` was ceded not long ago, for those who still ask this one.
     pub fn ceded_to(&self, server: ServerId) -> Option<VmId> {
         self.ceded.get(&server).map(|ceded| ceded.to)
--- a/crates/catkin-policy/tests/owner.rs
+++ b/crates/catkin-policy/tests/owner.rs
@@ -217,3 +217,29 @@
     assert_eq!(reports[0].loads[0].server, ServerId(1));
     assert_eq!(reports[0].loads[0].open, 1);
 }
+
+#[test]
+fn ceded_server_may_be_taken_back_once_it_is_handed_back() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.cede(START, server(1), vm(2)).expect("the server is owned");
+    let while_ceded = book.may_take_back(START, server(1));
+    book.end_cession(server(1), vm(3));
+    let after_another = book.may_take_back(START, server(1));
+
+    book.end_cession(server(1), vm(2));
+    let gained = book.set_owned(START, &[spec(1)]).gained;
+
+    assert!(!while_ceded && !after_another);
+    assert_eq!(gained, [server(1)]);
+    assert!(!book.may_take_back(START, server(1)));
+}
+
+#[test]
+fn ceded_server_that_is_never_handed_back_may_be_taken_back_after_a_while() {
+    let mut book = owned_book(START, &[spec(1)]);
+    book.cede(START, server(1), vm(2)).expect("the server is owned");
+
+    let later = START.plus_millis(20_000);
+
+    assert!(book.may_take_back(later, server(1)));
+}
--- a/crates/catkin-router/src/ownership.rs
+++ b/crates/catkin-router/src/ownership.rs
@@ -41,7 +41,7 @@
     let roster = parts.control().roster.clone();
     let others = || roster.iter().copied().filter(|router| router.vm != own).collect();
     let former = table.roster.take().unwrap_or_else(others);
-    let changed = former != roster || table.revision != index.revision();
+    let changed = former != roster || table.revision != index.revision() || has_to_take_back(parts);
     if changed {
         refresh_ownership(parts, &index, &former, table);
     }
@@ -49,6 +49,16 @@
     table.revision = index.revision();
 }
 
+/// Whether a server that this router owns was ceded to a router that has handed it back, or that
+/// should have by now.
+fn has_to_take_back<E: RouterEnvironment>(parts: &RouterParts<E>) -> bool {
+    let now = parts.now();
+    let own = parts.identity.vm;
+    let control = parts.control();
+    let mut owned = control.owners.iter().filter(|(_, owner)| **owner == own);
+    owned.any(|(server, _)| control.owner.may_take_back(now, *server))
+}
+
 /// Takes the member changes since the last call.
 fn take_events<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -64,7 +64,7 @@
         }
         Kind::PoolLoad(load) => take_pool_load(parts, now, load),
         Kind::OwnerQuery(query) => answer_owner_query(parts, from, ServerId(query.server)),
-        Kind::OwnerCount(count) => take_owner_count(parts, now, count),
+        Kind::OwnerCount(count) => take_owner_count(parts, now, from, count),
         Kind::PlacementNote(note) => {
             let (home, server) = (ServerId(note.home), ServerId(note.server));
             parts.control().owner.note_placement(ChatId(note.chat), home, server);
@@ -156,12 +156,14 @@
 fn take_owner_count<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     now: ClockTime,
+    from: VmId,
     count: &wire::OwnerCount,
 ) {
     let mut control = parts.control();
     if count.unknown {
         control.owner.give_up_handover(now, ServerId(count.server));
     } else {
+        control.owner.end_cession(ServerId(count.server), from);
         control.owner.import_grants(now, &export_from_wire(count));
     }
     drop(control);
