Give the demo's chats prompts that are worth a cache

Cause: a turn added 72 tokens, so the policy rightly preferred a cold server to a short wait; the latency pairs took 50 s because their answers had 60 tokens.

--- a/crates/catkin-demo/src/trace.rs
+++ b/crates/catkin-demo/src/trace.rs
@@ -27,7 +27,7 @@
 const QUICK_TOKENS: u32 = 60;
 const LONG_TOKENS: u32 = 300;
 /// Words added to a chat's prompt with each turn.
-const WORDS_PER_TURN: usize = 40;
+const WORDS_PER_TURN: usize = 400;
 
 value_type! {
     /// One call of the trace.
@@ -45,6 +45,8 @@
             chat: String,
             turn: u32,
             long: bool,
+            /// Tokens asked for.
+            tokens: u32,
             /// Whether its content crashes engines.
             poison: bool,
         },
@@ -57,8 +59,8 @@
     /// Tokens asked for.
     pub(crate) fn tokens(&self) -> u32 {
         match self {
-            Self::Turn { long: true, .. } => LONG_TOKENS,
-            _ => QUICK_TOKENS,
+            Self::Turn { tokens, .. } => *tokens,
+            Self::Record { .. } => 0,
         }
     }
 }
@@ -108,8 +110,13 @@
 }
 
 fn poison_call(shape: &DeploymentShape, at: Duration) -> PlannedCall {
-    let work =
-        PlannedWork::Turn { chat: "crashing".to_owned(), turn: 0, long: false, poison: true };
+    let work = PlannedWork::Turn {
+        chat: "crashing".to_owned(),
+        turn: 0,
+        long: false,
+        tokens: QUICK_TOKENS,
+        poison: true,
+    };
     PlannedCall { at, team: shape.teams[0], work }
 }
 
@@ -150,7 +157,8 @@
         let turn = chat.turns;
         chat.turns += 1;
         chat.free_at = at + Duration::from_secs(if long { 5 } else { 2 });
-        let work = PlannedWork::Turn { chat: chat.name.clone(), turn, long, poison: false };
+        let tokens = if long { LONG_TOKENS } else { QUICK_TOKENS };
+        let work = PlannedWork::Turn { chat: chat.name.clone(), turn, long, tokens, poison: false };
         PlannedCall { at, team: chat.team, work }
     }
 
--- a/crates/catkin-demo/src/world.rs
+++ b/crates/catkin-demo/src/world.rs
@@ -122,7 +122,7 @@
             models: vec![MODEL.to_owned()],
             slots: ENGINE_SLOTS as usize,
             first_token_delay: Duration::from_millis(20),
-            prefill_per_token: Duration::from_micros(100),
+            prefill_per_token: Duration::from_micros(200),
             token_interval: Duration::from_millis(10),
             cache_chats: 64,
             event_lag: Duration::from_millis(500),
