Let the feeder go on when some peers don't see the router yet

330 routers that start together took 88 s until all took the last one as live (one run, 330 routers, other builds on the machine). The feeder waits 45 s at most and says how many do.

--- a/crates/catkin-feeder/src/run.rs
+++ b/crates/catkin-feeder/src/run.rs
@@ -37,7 +37,9 @@
 const SETTLE: Duration = Duration::from_secs(15);
 /// Time that open requests take to reach their steady number.
 const RAMP: Duration = Duration::from_secs(25);
-/// Longest wait for the router or for a revision.
+/// Longest wait for all peers to take the router as live.
+const SIGHT_LIMIT: Duration = Duration::from_secs(45);
+/// Longest wait for a revision.
 const WAIT_LIMIT: Duration = Duration::from_secs(180);
 /// Interval between two looks at the router.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
@@ -94,7 +96,7 @@
     /// The process id was not given.
     #[error("the first line on standard input must be the router's process id")]
     NoProcess,
-    /// The router did not become a live member, or a revision did not come in force on it.
+    /// A revision did not come in force on the router.
     #[error("the router did not reach this within {} s: {awaited}", WAIT_LIMIT.as_secs())]
     Late {
         /// What was waited for.
@@ -239,8 +241,10 @@
         let began = Instant::now();
         self.wait_revision(1).await?;
         println!("declarations in force after {} ms", began.elapsed().as_millis());
-        self.wait_sighted().await?;
-        println!("live at all peers after {} ms", began.elapsed().as_millis());
+        self.wait_sighted().await;
+        let sighted = self.traffic.sighted.load(Ordering::Relaxed);
+        let peers = self.load.peers.len();
+        println!("live at {sighted} of {peers} peers after {} ms", began.elapsed().as_millis());
         sleep(SETTLE).await;
         print_header();
         self.measure_window("membership", process).await?;
@@ -281,15 +285,15 @@
         Err(RunError::Late { awaited: "revision in force" })
     }
 
-    async fn wait_sighted(&self) -> Result<(), RunError> {
-        let limit = Instant::now() + WAIT_LIMIT;
+    /// Waits until all peers take the router as live, or for as long as that is waited for.
+    async fn wait_sighted(&self) {
+        let limit = Instant::now() + SIGHT_LIMIT;
         while Instant::now() < limit {
             if self.traffic.sighted.load(Ordering::Relaxed) == self.load.peers.len() {
-                return Ok(());
+                return;
             }
             sleep(LOOK_INTERVAL).await;
         }
-        Err(RunError::Late { awaited: "live at all peers" })
     }
 
     async fn metrics(&self) -> Option<String> {
