--- a/crates/catkin-router/src/fleet.rs
+++ b/crates/catkin-router/src/fleet.rs
@@ -79,7 +79,9 @@
 ) {
     loop {
         let mut specs: Vec<MemberSpec> = seeds.iter().copied().map(seed_spec).collect();
-        match parts.store.list_vms().await {
+        let listed = parts.store.list_vms().await;
+        let is_read = listed.is_ok();
+        match listed {
             Ok(listings) => {
                 specs.extend(listings.iter().map(listing_spec));
                 parts.note_vms(&listings);
@@ -89,10 +91,11 @@
         let now = parts.now();
         parts.control().members.seed(now, &specs);
         parts.fleet_changed.notify_one();
-        if !parts.is_joined() {
+        let lonely = parts.control().roster.len() <= 1;
+        // Without the list and without peers it can't tell whether it is the only router.
+        if !parts.is_joined() && (is_read || !lonely) {
             join(parts, &specs).await;
         }
-        let lonely = parts.control().roster.len() <= 1;
         let millis = parts.jitter_millis(LIST_INTERVAL_MILLIS);
         sleep(if lonely { LONELY_INTERVAL } else { Duration::from_millis(millis) }).await;
     }
