Pass pool sums on through a relay in each domain

Cause: the aggregator of a pool sent its sum to each owner of the pool's servers, 120 bytes a second to each: the first limit that docs/CAPACITY.md names. Conclusion: relays kept; a lost relay costs a domain its sums until membership replaces it, and an old sum only lowers the bound.

--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -58,7 +58,7 @@
 pub use owner::OwnerBook;
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_keyholder, choose_owner, rank_servers};
-pub use report::{ReportMode, ReportPacer, choose_aggregator};
+pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
 pub use retry::RetryBudget;
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
 pub use spec::{RouterSpec, ServerSpec};
--- a/crates/catkin-policy/src/report.rs
+++ b/crates/catkin-policy/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, PoolId, VmId, hash_parts};
+use catkin_base::{ClockTime, DomainId, PoolId, VmId, hash_parts};
 
 use crate::load::LoadReport;
 use crate::rank::choose_keyholder;
@@ -36,6 +36,13 @@
     choose_keyholder(hash_parts(&[b"pool", &pool.0.to_le_bytes()]), routers)
 }
 
+/// The router of `domain` that passes the sum of `pool` on to the owners in its domain.
+pub fn choose_relay(pool: PoolId, domain: DomainId, routers: &[RouterSpec]) -> Option<VmId> {
+    let local: Vec<RouterSpec> =
+        routers.iter().copied().filter(|router| router.domain == domain).collect();
+    choose_keyholder(hash_parts(&[b"relay", &pool.0.to_le_bytes()]), &local)
+}
+
 /// Selects the load reports that are worth sending now, in prompt mode.
 #[derive(Debug, Clone, Default)]
 pub struct ReportPacer {
--- a/crates/catkin-router/src/admission.rs
+++ b/crates/catkin-router/src/admission.rs
@@ -1,17 +1,17 @@
 //! Drives the owner's side of admission: queued asks, load sums, audits.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use catkin_base::{ClockTime, PoolId, VmId};
 use catkin_peer::messages as wire;
 use catkin_peer::messages::peer_message::Kind;
-use catkin_policy::{LoadReport, PoolLoad, ReportMode, choose_aggregator};
+use catkin_policy::{LoadReport, ReportMode, choose_aggregator};
 use tokio::time::sleep_until;
 
 use crate::environment::RouterEnvironment;
 use crate::parts::RouterParts;
-use crate::wire::{pool_load_to_wire, report_to_wire, wrap_kind};
+use crate::pool_relay::send_to_relays;
+use crate::wire::{report_to_wire, wrap_kind};
 
 /// Longest wait before queued asks are looked at again.
 const IDLE_POLL: Duration = Duration::from_secs(1);
@@ -102,7 +102,7 @@
     }
 }
 
-/// Sends the sums of the pools that this router aggregates to the owners of their servers.
+/// Sends the sums of the pools that this router aggregates towards the owners of their servers.
 pub(crate) fn send_pool_loads<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
     let own = parts.identity.vm;
@@ -111,31 +111,22 @@
         return;
     }
     let pools: Vec<PoolId> = control.sums.pools().collect();
-    let mut sums = Vec::new();
+    let mut loads = Vec::new();
     for pool in pools {
         if choose_aggregator(pool, &control.roster) != Some(own) {
             continue;
         }
         let Some(load) = control.sums.sum(now, pool) else { continue };
         control.take_pool_load(now, load.clone());
-        sums.push(PoolSum { readers: control.sums.reporters(pool), load });
+        loads.push(load);
     }
     drop(control);
-    for sum in sums {
-        let message = pool_load_to_wire(&sum.load);
-        for vm in sum.readers.iter().filter(|vm| **vm != own) {
-            parts.send_to(*vm, &message);
-        }
+    for load in &loads {
+        send_to_relays(parts, load);
     }
     parts.admission_due.notify_one();
 }
 
-/// The sum of a pool and the routers that need it.
-struct PoolSum {
-    load: PoolLoad,
-    readers: BTreeSet<VmId>,
-}
-
 /// Asks the routers that hold old grants to confirm them.
 pub(crate) fn send_audits<E: RouterEnvironment>(parts: &RouterParts<E>) {
     let now = parts.now();
--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -27,6 +27,7 @@
 mod ownership;
 mod parts;
 mod peers;
+mod pool_relay;
 mod probes;
 mod process;
 mod revision;
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -13,6 +13,7 @@
 use crate::grants::decide_ask;
 use crate::orders::{take_order, take_state};
 use crate::parts::{ReceivedAnswer, RouterParts};
+use crate::pool_relay::relay_sum;
 use crate::strikes::{CrashSuspicion, check_suspicion, note_strike};
 use crate::wire::{
     answer_from_wire, ask_from_wire, export_from_wire, export_to_wire, pool_load_from_wire,
@@ -62,7 +63,7 @@
         Kind::LoadReport(report) => {
             take_load_report(parts, now, from, &report_from_wire(report));
         }
-        Kind::PoolLoad(load) => take_pool_load(parts, now, load),
+        Kind::PoolLoad(load) => take_pool_load(parts, now, from, load),
         Kind::OwnerQuery(query) => answer_owner_query(parts, from, ServerId(query.server)),
         Kind::OwnerCount(count) => take_owner_count(parts, now, from, count),
         Kind::PlacementNote(note) => {
@@ -133,9 +134,12 @@
 fn take_pool_load<E: RouterEnvironment>(
     parts: &RouterParts<E>,
     now: ClockTime,
+    from: VmId,
     load: &wire::PoolLoad,
 ) {
-    parts.control().take_pool_load(now, pool_load_from_wire(load));
+    let load = pool_load_from_wire(load);
+    relay_sum(parts, from, &load);
+    parts.control().take_pool_load(now, load);
     parts.admission_due.notify_one();
 }
 
