--- a/crates/catkin-feeder/src/lib.rs
+++ b/crates/catkin-feeder/src/lib.rs
@@ -15,6 +15,7 @@
 mod load;
 mod measure;
 mod peer;
+mod report;
 mod run;
 mod shape;
 mod traffic;
--- a/crates/catkin-feeder/src/run.rs
+++ b/crates/catkin-feeder/src/run.rs
@@ -1,6 +1,5 @@
 //! A run: starts the fleet around the router, waits for it, and measures it step by step.
 
-use std::collections::BTreeMap;
 use std::io::{self, BufRead};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
@@ -26,10 +25,11 @@
 use crate::load::{LoadFeeder, LoadSwitches, LoadTarget};
 use crate::measure::{ProcessReading, fetch_metrics, find_metric};
 use crate::peer::{LightPeer, RevisionSource};
+use crate::report::{Reading, WindowRates, print_header};
 use crate::shape::{
     DOMAINS, FleetShape, RouterPlace, domain_name, peer_name, region_name, team_name,
 };
-use crate::traffic::{FeederTraffic, KindCount};
+use crate::traffic::FeederTraffic;
 
 /// Light peers of each domain that watch the platform.
 const WATCHERS_PER_DOMAIN: usize = 2;
@@ -48,7 +48,7 @@
 /// Ports to choose from, below those that the system gives out by itself.
 const ROUTER_PORT_RANGE: std::ops::Range<u16> = 20_000..30_000;
 /// Changes of configuration that are timed.
-const CHANGES: usize = 3;
+const CHANGES: usize = 10;
 /// Calls a second that the feeder itself may send to the platform.
 const FEEDER_CALLS: u32 = 10_000;
 /// Bytes that the router sent to others.
@@ -118,15 +118,6 @@
     stop: CancellationToken,
 }
 
-/// What was read at one moment.
-struct Reading {
-    process: ProcessReading,
-    bytes: f64,
-    kinds: BTreeMap<&'static str, KindCount>,
-    platform_calls: u64,
-    at: Instant,
-}
-
 /// Runs the feeder and prints what it measured.
 pub async fn run_feeder(options: RunOptions) -> Result<(), RunError> {
     let fleet = FedFleet::start(options).await?;
@@ -256,7 +247,7 @@
         self.load.fill_directory().await;
         let last = self.measure_window("+ directory", process).await?;
         self.measure_changes(process).await?;
-        self.print_kinds(&last);
+        last.print_kinds();
         Ok(())
     }
 
@@ -362,66 +353,6 @@
         self.measure_window("after the changes", process).await?;
         Ok(())
     }
-
-    fn print_kinds(&self, rates: &WindowRates) {
-        println!("\nsent by the router, all loads on     messages/s   body bytes/s");
-        for (kind, rate) in &rates.kinds {
-            println!("{kind:<36} {:>11.2} {:>14.0}", rate.messages, rate.bytes);
-        }
-    }
-}
-
-/// Messages and bytes of one kind, a second.
-struct KindRate {
-    messages: f64,
-    bytes: f64,
-}
-
-/// What was measured in one window.
-struct WindowRates {
-    percent: f64,
-    bytes: f64,
-    messages: f64,
-    platform_calls: f64,
-    kinds: BTreeMap<&'static str, KindRate>,
-}
-
-impl WindowRates {
-    fn between(before: &Reading, after: &Reading) -> Self {
-        let seconds = (after.at - before.at).as_secs_f64();
-        let mut kinds = BTreeMap::new();
-        for (kind, count) in &after.kinds {
-            let old = before.kinds.get(kind).copied().unwrap_or_default();
-            let rate = KindRate {
-                messages: (count.messages - old.messages) as f64 / seconds,
-                bytes: (count.bytes - old.bytes) as f64 / seconds,
-            };
-            kinds.insert(*kind, rate);
-        }
-        Self {
-            percent: after.process.percent_since(&before.process, seconds),
-            bytes: (after.bytes - before.bytes) / seconds,
-            messages: kinds.values().map(|rate| rate.messages).sum(),
-            platform_calls: (after.platform_calls - before.platform_calls) as f64 / seconds,
-            kinds,
-        }
-    }
-
-    fn print(&self, name: &str, process: &ProcessReading) {
-        println!(
-            "{name:<20} {:>10} {:>9} {:>7.2} {:>9.0} {:>10.1} {:>11.2}",
-            process.resident_kib,
-            process.peak_kib,
-            self.percent,
-            self.bytes,
-            self.messages,
-            self.platform_calls,
-        );
-    }
-}
-
-fn print_header() {
-    println!("\nstep                 resident  peak KiB   core%   bytes/s messages/s  platform/s");
 }
 
 fn store_options(address: SocketAddr, seed: u64) -> HttpStoreOptions {
