Ask other servers again when a request has waited a second in a large pool

Cause: a request that found eight ranked servers full waited at one of them, however many others of its pool had room by then. Conclusion: kept for large pools.

--- a/crates/catkin-policy/src/plan.rs
+++ b/crates/catkin-policy/src/plan.rs
@@ -152,6 +152,19 @@
         self.skip_pending()
     }
 
+    /// Notes that the request has waited at the pending server for a while. The servers that were
+    /// full and `others` are asked once more before it waits again.
+    pub fn note_waited(&mut self, others: Vec<ServerId>) -> PlanStep {
+        self.skipped.retain(|_, cause| *cause != SkipCause::Full);
+        if let Some(ask) = self.pending {
+            self.skipped.insert(ask.server, SkipCause::Full);
+        }
+        self.light = others.into();
+        self.places = 0;
+        self.asks = 0;
+        self.advance()
+    }
+
     fn skip_pending(&mut self) -> PlanStep {
         if let Some(ask) = self.pending {
             self.skipped.insert(ask.server, SkipCause::Unusable);
--- a/crates/catkin-policy/tests/placement.rs
+++ b/crates/catkin-policy/tests/placement.rs
@@ -275,3 +275,27 @@
     assert_ne!(first, second);
     assert_eq!(choose_relay(PoolId(5), DomainId(2), &routers), None);
 }
+
+#[test]
+fn a_request_that_waited_asks_other_servers_before_it_waits_again() {
+    let mut plan = PlacementPlan::new(CHAT, ranked(), Vec::new(), None).without_history();
+    let queue_end = |plan: &mut PlacementPlan| loop {
+        let ask = plan.next_ask().expect("the plan has an ask");
+        if ask.must_queue {
+            return ask.server;
+        }
+        plan.note_answer(&answer(ask.server, full()));
+    };
+    let waited_at = queue_end(&mut plan);
+
+    let step = plan.note_waited(vec![server(9)]);
+    let mut asked = Vec::new();
+    while let Some(ask) = plan.next_ask().filter(|ask| !ask.must_queue) {
+        asked.push(ask.server);
+        plan.note_answer(&answer(ask.server, full()));
+    }
+
+    assert!(matches!(step, PlanStep::Ask(ask) if ask.server != waited_at));
+    assert!(asked.contains(&server(9)) && !asked.contains(&waited_at), "{asked:?}");
+    assert!(plan.next_ask().is_some_and(|ask| ask.must_queue));
+}
--- a/crates/catkin-router/src/grants.rs
+++ b/crates/catkin-router/src/grants.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use catkin_base::{
-    CallRefusal, ClockTime, RefusalReason, RequestId, RunVerdict, ServerId, VmId, hash_parts,
+    CallRefusal, ChatId, ClockTime, RefusalReason, RequestId, RunVerdict, ServerId, VmId,
+    hash_parts,
 };
 use catkin_peer::messages as wire;
 use catkin_peer::messages::peer_message::Kind;
@@ -23,6 +24,8 @@
 
 /// Servers of a pool that are considered for one request.
 const RANK_LIMIT: usize = 8;
+/// Servers drawn at random when a request has waited.
+const RANDOM_SERVERS: usize = 4;
 /// Wait before an unanswered ask is sent again.
 const ASK_RETRANSMIT: Duration = Duration::from_millis(150);
 /// Times that an ask is sent before its owner counts as silent.
@@ -125,16 +128,40 @@
     let limit = RANK_LIMIT + excluded.len();
     let mut ranked = index.rank_table(call.pool).map_or(Vec::new(), |t| t.rank(call.chat, limit));
     ranked.retain(usable);
-    let control = parts.control();
-    let light = control.pool_loads.get(&call.pool).map(|load| load.light_servers.clone());
-    drop(control);
-    let mut light = light.unwrap_or_default();
+    let mut light = light_servers(parts, call);
     light.retain(usable);
     let hint = call.hint.filter(usable).filter(|_| call.returning);
     let plan = PlacementPlan::new(call.chat, ranked, light, hint);
     if call.returning { plan } else { plan.without_history() }
 }
 
+/// Whether the pool has servers that a chat's ranking leaves out.
+fn has_unranked(index: &FleetIndex, call: &CheckedCall) -> bool {
+    index.rank_table(call.pool).is_some_and(|table| table.len() > RANK_LIMIT)
+}
+
+/// Servers of the pool that may have room by now: lightly loaded ones and some at random.
+fn list_others<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    index: &FleetIndex,
+    call: &CheckedCall,
+) -> Vec<ServerId> {
+    let any = ChatId(parts.random_word());
+    let mut others = light_servers(parts, call);
+    others.extend(index.rank_table(call.pool).map_or(Vec::new(), |t| t.rank(any, RANDOM_SERVERS)));
+    others
+}
+
+/// Servers of the pool that had the least load when it was last summed.
+fn light_servers<E: RouterEnvironment>(
+    parts: &RouterParts<E>,
+    call: &CheckedCall,
+) -> Vec<ServerId> {
+    let control = parts.control();
+    let load = control.pool_loads.get(&call.pool);
+    load.map_or(Vec::new(), |load| load.light_servers.clone())
+}
+
 /// Asks for one server until its owner grants or declines it.
 async fn run_ask<E: RouterEnvironment>(
     parts: &Arc<RouterParts<E>>,
@@ -168,6 +195,9 @@
                 }
             }
             StepWait::Step(step) => return AskEnd::Step(step),
+            StepWait::Refresh if plan_ask.must_queue && has_unranked(index, call) => {
+                return AskEnd::Step(plan.note_waited(list_others(parts, index, call)));
+            }
             StepWait::Refresh => silent_tries = 0,
             StepWait::Silent => silent_tries += 1,
         }
