Drop a message that no router sends

Cause: strikes are told to all routers; the query for them was never sent, and its handler did nothing. Before: 21 kinds of messages. Conclusion: dropped before a release makes the number fixed.

--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -65,8 +65,6 @@
         OwnerCount(super::OwnerCount),
         #[prost(message, tag = "13")]
         StrikeReport(super::StrikeReport),
-        #[prost(message, tag = "14")]
-        StrikeQuery(super::StrikeQuery),
         #[prost(message, tag = "15")]
         StrikeAnswer(super::StrikeAnswer),
         #[prost(message, tag = "16")]
@@ -327,11 +325,6 @@
     pub confirmed: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct StrikeQuery {
-    #[prost(fixed64, tag = "1")]
-    pub digest: u64,
-}
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StrikeAnswer {
     #[prost(fixed64, tag = "1")]
     pub digest: u64,
--- a/crates/catkin-router/src/traffic.rs
+++ b/crates/catkin-router/src/traffic.rs
@@ -65,7 +65,6 @@
         Kind::OwnerQuery(_) => "owner-query",
         Kind::OwnerCount(_) => "owner-count",
         Kind::StrikeReport(_) => "strike-report",
-        Kind::StrikeQuery(_) => "strike-query",
         Kind::StrikeAnswer(_) => "strike-answer",
         Kind::ChunkAsk(_) => "chunk-ask",
         Kind::ChunkData(_) => "chunk-data",
