Decode revisions on one thread

Cause: each runtime thread that decoded a revision left an allocator arena of some 14 MB for good. Conclusion: kept, so that no setting is needed; the router joins the thread when it stops. Runtimes with one thread, as in scenarios, decode on it.

--- a/crates/catkin-router/src/lib.rs
+++ b/crates/catkin-router/src/lib.rs
@@ -49,6 +49,6 @@
 pub use index::FleetIndex;
 pub use logging::start_logging;
 pub use process::{ProcessEnvironment, ProcessError, RouterProcess};
-pub use router::{RouterCore, RouterInput};
+pub use router::{RevisionDecoding, RouterCore, RouterInput};
 pub use status::RouterView;
 pub use traffic::MessageCount;
--- a/crates/catkin-router/src/process.rs
+++ b/crates/catkin-router/src/process.rs
@@ -22,7 +22,7 @@
 use crate::identity::RouterIdentity;
 use crate::metric::{ANSWER_SECONDS, FIRST_PART_SECONDS};
 use crate::operator::RouterOperator;
-use crate::router::{RouterCore, RouterInput};
+use crate::router::{RevisionDecoding, RouterCore, RouterInput};
 use crate::status::RouterView;
 
 /// Bounds of the time histograms' buckets, in seconds.
@@ -94,6 +94,7 @@
             seeds: settings.seeds.clone(),
             hint_key: derive_hint_key(&settings.peer_key),
             start_unix,
+            decoding: RevisionDecoding::OwnThread,
             seed,
         });
         let callers = bind_callers(settings, &core, seed).await?;
--- a/crates/catkin-router/src/router.rs
+++ b/crates/catkin-router/src/router.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, VmId};
+use catkin_base::{ClockTime, VmId, copy_type};
+use tokio::runtime::Handle;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -44,14 +46,27 @@
     pub hint_key: [u8; 32],
     /// Time since 1970 at the start.
     pub start_unix: Duration,
+    /// Where revisions are decoded.
+    pub decoding: RevisionDecoding,
     /// Seed of its random numbers.
     pub seed: u64,
 }
 
+copy_type! {
+    /// Where a router decodes revisions.
+    pub enum RevisionDecoding {
+        /// On the runtime's threads, as on a runtime with one thread.
+        Runtime,
+        /// On a thread of its own. Each thread that decodes keeps some memory for good.
+        OwnThread,
+    }
+}
+
 /// A running router, without its listeners.
 pub struct RouterCore<E: RouterEnvironment> {
     parts: Arc<RouterParts<E>>,
     tasks: JoinSet<()>,
+    revisions: Option<JoinHandle<()>>,
     stop: CancellationToken,
 }
 
@@ -75,6 +90,7 @@
         let mut core = Self {
             parts: Arc::clone(&parts),
             tasks: JoinSet::new(),
+            revisions: None,
             stop: CancellationToken::new(),
         };
         core.spawn(|parts| async move { run_peers(&parts).await });
@@ -83,7 +99,7 @@
         core.spawn(|parts| async move { run_reports(&parts).await });
         core.spawn(|parts| async move { run_audits(&parts).await });
         core.spawn(|parts| async move { run_sweeps(&parts).await });
-        core.spawn(|parts| async move { run_revisions(&parts).await });
+        core.start_revisions(input.decoding);
         core.spawn(|parts| async move { run_garbage(&parts).await });
         core.spawn(|parts| async move { run_directory(&parts, seeds).await });
         core.spawn(|parts| async move { run_probes(parts, suspect_queue).await });
@@ -141,10 +157,34 @@
     async fn join_tasks(&mut self) {
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
+        if let Some(thread) = self.revisions.take() {
+            let joined = tokio::task::spawn_blocking(move || thread.join()).await;
+            debug_assert!(matches!(joined, Ok(Ok(()))));
+        }
         self.parts.background.close();
         self.parts.background.wait().await;
     }
 
+    fn start_revisions(&mut self, decoding: RevisionDecoding) {
+        let parts = Arc::clone(&self.parts);
+        let stop = self.stop.clone();
+        let future = async move {
+            tokio::select! {
+                () = run_revisions(&parts) => {}
+                () = stop.cancelled() => {}
+            }
+        };
+        match decoding {
+            RevisionDecoding::Runtime => {
+                self.tasks.spawn(future);
+            }
+            RevisionDecoding::OwnThread => {
+                let runtime = Handle::current();
+                self.revisions = Some(std::thread::spawn(move || runtime.block_on(future)));
+            }
+        }
+    }
+
     fn spawn<F>(&mut self, run: impl FnOnce(Arc<RouterParts<E>>) -> F)
     where
         F: Future<Output = ()> + Send + 'static,
--- a/crates/catkin-router/tests/directory.rs
+++ b/crates/catkin-router/tests/directory.rs
@@ -13,7 +13,7 @@
     HttpStore, HttpStoreOptions, ObjectStore, StoreError, StoreFault, StoredObject, VmDirectory,
     VmListing, WriteCondition,
 };
-use catkin_router::{RouterCore, RouterEnvironment, RouterIdentity, RouterInput};
+use catkin_router::{RevisionDecoding, RouterCore, RouterEnvironment, RouterIdentity, RouterInput};
 use catkin_standin::{PlatformOptions, PlatformStandin};
 use tokio::time::sleep;
 
@@ -93,6 +93,7 @@
         seeds: Vec::new(),
         hint_key: [1; 32],
         start_unix: Duration::from_secs(1),
+        decoding: RevisionDecoding::Runtime,
         seed: 1,
     })
 }
--- a/crates/catkin-scenario/src/world.rs
+++ b/crates/catkin-scenario/src/world.rs
@@ -10,7 +10,8 @@
 use catkin_peer::MessageSource;
 use catkin_platform::VmListing;
 use catkin_router::{
-    RouterCore, RouterEnvironment, RouterIdentity, RouterInput, RouterService, RouterView,
+    RevisionDecoding, RouterCore, RouterEnvironment, RouterIdentity, RouterInput, RouterService,
+    RouterView,
 };
 use catkin_settings::{
     ClassRule, FleetDeclarations, LimitRules, ModelRule, PlacementRules, ServerKind, ServerRule,
@@ -172,6 +173,7 @@
             seeds: Vec::new(),
             hint_key: [7; 32],
             start_unix: START_UNIX,
+            decoding: RevisionDecoding::Runtime,
             seed,
         }
     }
