Keep one piece each for quarantine refusals, closed grants and the other routers

Cause: a read of the whole change found logic that stood twice. The refusal of a quarantined request was written in three places, the filter of audited grants in two, the list of the other routers in two, and a handover computed an owner that had just been stored. OnceAnswer stood apart from the code that makes it.

--- a/crates/catkin-router/src/admission.rs
+++ b/crates/catkin-router/src/admission.rs
@@ -65,8 +65,7 @@
         control.sums.note_report(now, own, report);
         control.take_own_sum(now, report.pool);
     }
-    let others: Vec<VmId> =
-        control.roster.iter().map(|router| router.vm).filter(|vm| *vm != own).collect();
+    let others = control.list_others(own);
     drop(control);
     for report in &reports {
         let message = report_to_wire(report);
@@ -144,15 +143,19 @@
 }
 
 fn refuse_quarantined(ask: &GrantAsk, hold_millis: u64) -> GrantAnswer {
-    let refusal = GrantRefusal {
-        reason: RefusalReason::Quarantined,
-        retry_after_millis: u32::try_from(hold_millis).unwrap_or(u32::MAX),
-    };
     GrantAnswer {
         request: ask.request,
         entry: ask.entry,
         server: ask.server,
-        result: GrantResult::Refused(refusal),
+        result: GrantResult::Refused(quarantine_refusal(hold_millis)),
+    }
+}
+
+/// The refusal of a request that is quarantined for this time, in milliseconds.
+pub(crate) fn quarantine_refusal(hold_millis: u64) -> GrantRefusal {
+    GrantRefusal {
+        reason: RefusalReason::Quarantined,
+        retry_after_millis: u32::try_from(hold_millis).unwrap_or(u32::MAX),
     }
 }
 
@@ -165,12 +168,7 @@
         let audits = parts.control().owner.audit(now, vm);
         for audit in audits {
             if vm == own {
-                let closed: Vec<_> = audit
-                    .requests
-                    .iter()
-                    .copied()
-                    .filter(|request| !parts.holds_grant(*request, audit.server))
-                    .collect();
+                let closed = parts.list_closed(audit.server, audit.requests.iter().copied());
                 parts.control().owner.close_audited(own, audit.server, &closed);
                 continue;
             }
--- a/crates/catkin-router/src/calls.rs
+++ b/crates/catkin-router/src/calls.rs
@@ -5,11 +5,13 @@
 use catkin_base::{CallRefusal, RefusalReason};
 use catkin_caller::{CallRequest, CallService};
 
+use crate::admission::quarantine_refusal;
 use crate::answer::{AnswerTimer, RouterAnswer, WholeAnswer, run_whole};
 use crate::attempts::AttemptRunner;
 use crate::call::CheckedCall;
 use crate::drain::{DrainGate, OpenCall};
 use crate::environment::RouterEnvironment;
+use crate::grants::refuse_placement;
 use crate::index::FleetIndex;
 use crate::metric::{OPEN_CALLS, count_refusal, count_whole};
 use crate::once::run_once;
@@ -95,11 +97,7 @@
         if hold_millis == 0 {
             return Ok(());
         }
-        let seconds = u32::try_from(hold_millis.div_ceil(1_000)).unwrap_or(u32::MAX);
-        let detail = "This request crashed servers and is refused for a while.";
-        Err(CallRefusal::not_run(RefusalReason::Quarantined, detail)
-            .with_verdict(catkin_base::RunVerdict::HasRun)
-            .with_retry_after(seconds))
+        Err(refuse_placement(quarantine_refusal(hold_millis)))
     }
 }
 
@@ -120,12 +118,6 @@
     }
 }
 
-/// An answer to a call that may run only once.
-pub(crate) struct OnceAnswer {
-    pub(crate) answer: WholeAnswer,
-    pub(crate) replayed: bool,
-}
-
 fn refuse_draining() -> CallRefusal {
     CallRefusal::not_run(RefusalReason::ShuttingDown, "This router is shutting down.")
         .with_retry_after(DRAIN_RETRY_SECONDS)
--- a/crates/catkin-router/src/control.rs
+++ b/crates/catkin-router/src/control.rs
@@ -71,6 +71,11 @@
         self.sums.set_mode(self.report_mode());
     }
 
+    /// Live routers beside `own`.
+    pub(crate) fn list_others(&self, own: VmId) -> Vec<VmId> {
+        self.roster.iter().map(|router| router.vm).filter(|vm| *vm != own).collect()
+    }
+
     /// How load reports travel among the live routers.
     pub(crate) fn report_mode(&self) -> ReportMode {
         ReportMode::for_routers(self.roster.len())
--- a/crates/catkin-router/src/grants.rs
+++ b/crates/catkin-router/src/grants.rs
@@ -127,7 +127,8 @@
         .with_retry_after(UNSERVED_RETRY_SECONDS)
 }
 
-fn refuse_placement(refusal: GrantRefusal) -> CallRefusal {
+/// The refusal that a caller gets for one by an owner.
+pub(crate) fn refuse_placement(refusal: GrantRefusal) -> CallRefusal {
     let detail = match refusal.reason {
         RefusalReason::DeadlineUnmet => "No server can answer before the deadline.",
         RefusalReason::TeamLimit => "The team has as many open requests as it may.",
--- a/crates/catkin-router/src/once.rs
+++ b/crates/catkin-router/src/once.rs
@@ -14,7 +14,6 @@
 use crate::answer::{WholeAnswer, collect_answer, finish_whole};
 use crate::attempts::{AttemptRunner, OpenAttempt};
 use crate::call::{CheckedCall, ServiceCall};
-use crate::calls::OnceAnswer;
 use crate::environment::RouterEnvironment;
 use crate::index::FleetIndex;
 use crate::parts::RouterParts;
@@ -26,6 +25,12 @@
 /// Content type of an answer found by a look-up.
 const JSON_TYPE: &str = "application/json";
 
+/// An answer to a call that may run only once.
+pub(crate) struct OnceAnswer {
+    pub(crate) answer: WholeAnswer,
+    pub(crate) replayed: bool,
+}
+
 /// Runs a call at most once, whoever sends it how often.
 ///
 /// The call goes on to its end if its caller goes away: its outcome must be recorded.
--- a/crates/catkin-router/src/ownership.rs
+++ b/crates/catkin-router/src/ownership.rs
@@ -104,7 +104,6 @@
         .map(|entry| entry.spec.clone())
         .collect();
     let change = control.owner.set_owned(now, &owned);
-    let roster = control.roster.clone();
     drop(control);
     for server in change.gained {
         let holder = index.server(server).and_then(|entry| choose_owner(&entry.spec, former));
@@ -113,7 +112,7 @@
     for export in change.lost {
         table.waiting.remove(&export.server);
         parts.courier.drop_server(export.server);
-        hand_over(parts, index, &roster, &export);
+        hand_over(parts, &export);
     }
     parts.admission_due.notify_one();
 }
@@ -145,13 +144,8 @@
 }
 
 /// Sends what this router knows of a lost server to its new owner.
-fn hand_over<E: RouterEnvironment>(
-    parts: &RouterParts<E>,
-    index: &FleetIndex,
-    roster: &[RouterSpec],
-    export: &GrantExport,
-) {
-    let owner = index.server(export.server).and_then(|entry| choose_owner(&entry.spec, roster));
+fn hand_over<E: RouterEnvironment>(parts: &RouterParts<E>, export: &GrantExport) {
+    let owner = parts.control().owners.get(&export.server).copied();
     if let Some(owner) = owner.filter(|owner| *owner != parts.identity.vm) {
         parts.send_to(owner, &export_to_wire(export));
     }
--- a/crates/catkin-router/src/parts.rs
+++ b/crates/catkin-router/src/parts.rs
@@ -229,10 +229,19 @@
     }
 
     /// Whether this router still waits for, or holds, a grant.
-    pub(crate) fn holds_grant(&self, request: RequestId, server: ServerId) -> bool {
+    fn holds_grant(&self, request: RequestId, server: ServerId) -> bool {
         lock(&self.pending).get(&request).is_some_and(|ask| ask.server == server)
     }
 
+    /// Those of `requests` for which this router holds no grant of `server` any more.
+    pub(crate) fn list_closed(
+        &self,
+        server: ServerId,
+        requests: impl Iterator<Item = RequestId>,
+    ) -> Vec<RequestId> {
+        requests.filter(|request| !self.holds_grant(*request, server)).collect()
+    }
+
     /// Hands an answer to the call that waits for it; false if none does.
     pub(crate) fn take_answer(&self, received: ReceivedAnswer) -> bool {
         let pending = lock(&self.pending);
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -110,13 +110,9 @@
     from: VmId,
     audit: &wire::GrantAudit,
 ) {
-    let server = ServerId(audit.server);
-    let closed = audit
-        .requests
-        .iter()
-        .copied()
-        .filter(|request| !parts.holds_grant(RequestId(*request), server))
-        .collect();
+    let requests = audit.requests.iter().copied().map(RequestId);
+    let closed = parts.list_closed(ServerId(audit.server), requests);
+    let closed = closed.into_iter().map(|request| request.0).collect();
     let answer = wire::GrantAuditAnswer { server: audit.server, closed };
     parts.send_to(from, &wrap_kind(Kind::GrantAuditAnswer(answer)));
 }
--- a/crates/catkin-router/src/strikes.rs
+++ b/crates/catkin-router/src/strikes.rs
@@ -72,7 +72,7 @@
         return;
     }
     control.note_quarantine(now, digest, state.hold_millis);
-    let routers: Vec<_> = control.roster.iter().map(|router| router.vm).collect();
+    let others = control.list_others(parts.identity.vm);
     drop(control);
     log::warn!("owner: A request is quarantined. digest={digest} strikes={}", state.strikes);
     let answer = wire::StrikeAnswer {
@@ -81,7 +81,7 @@
         hold_millis: u32::try_from(state.hold_millis).unwrap_or(u32::MAX),
     };
     let message = wrap_kind(Kind::StrikeAnswer(answer));
-    for vm in routers.into_iter().filter(|vm| *vm != parts.identity.vm) {
+    for vm in others {
         parts.send_to(vm, &message);
     }
 }
