--- /dev/null
+++ b/crates/catkin-entry/src/channel.rs
@@ -0,0 +1,292 @@
+//! One kept HTTP connection to a backend server or to the store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use catkin_base::{RunVerdict, copy_type};
+use catkin_http::{BodyDecoder, BodyStep, ResponseHead, response_framing, take_response};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv, sockopt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Room made for each read, in bytes.
+const READ_BYTES: usize = 4 << 10;
+/// Time after which sent data that is not acknowledged breaks the connection.
+const USER_TIMEOUT_MILLIS: u32 = 3_000;
+/// Idle time after which the other end is probed, and time between probes, in seconds.
+const KEEP_ALIVE_SECONDS: u64 = 2;
+
+copy_type! {
+    /// What went wrong with an exchange.
+    pub enum ExchangeFault {
+        /// The connection could not be opened.
+        Unreachable,
+        /// The connection broke, or the answer ended before it was whole.
+        Broken,
+        /// The answer is not what the protocol allows.
+        Garbled,
+        /// The answer did not come in time.
+        TimedOut,
+    }
+}
+
+copy_type! {
+    /// A failed exchange, and whether the request may have run.
+    pub struct ExchangeError {
+        /// What went wrong.
+        pub fault: ExchangeFault,
+        /// Whether the request may have run.
+        pub ran: RunVerdict,
+    }
+}
+
+impl ExchangeError {
+    /// The request did not reach the other end.
+    pub const UNREACHABLE: Self =
+        Self { fault: ExchangeFault::Unreachable, ran: RunVerdict::NotRun };
+
+    /// A failure after the request was sent.
+    pub const fn after_send(fault: ExchangeFault) -> Self {
+        Self { fault, ran: RunVerdict::MayHaveRun }
+    }
+}
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+pub struct HttpChannel {
+    stream: TcpStream,
+    buffer: BytesMut,
+    decoder: Option<BodyDecoder>,
+    reusable: bool,
+    exchanges: u32,
+}
+
+/// What identifies the answer to a request among stray ones.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpectedAnswer<'a> {
+    /// Name of the header field that echoes the request's identifier.
+    pub id_field: &'static str,
+    /// The identifier.
+    pub id: &'a [u8],
+}
+
+impl HttpChannel {
+    /// Connects.
+    pub async fn connect(address: SocketAddr, deadline: Instant) -> io::Result<Self> {
+        let connecting = TcpStream::connect(address);
+        let stream = timeout_at(deadline, connecting).await.map_err(|_| timed_out())??;
+        set_options(&stream);
+        Ok(Self { stream, buffer: BytesMut::new(), decoder: None, reusable: true, exchanges: 0 })
+    }
+
+    /// Whether nothing arrived while the connection lay idle, neither bytes nor its end.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        matches!(recv(&self.stream, &mut byte, flags), Err(Errno::WOULDBLOCK))
+    }
+
+    /// Whether another request can follow.
+    pub fn is_reusable(&self) -> bool {
+        let whole = self.decoder.as_ref().is_none_or(BodyDecoder::is_ended);
+        self.reusable && whole && self.buffer.is_empty()
+    }
+
+    /// Requests sent so far.
+    pub fn exchanges(&self) -> u32 {
+        self.exchanges
+    }
+
+    /// Sends a request and reads the head of its answer, until `deadline`. Answers to earlier
+    /// requests that arrive late are skipped.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        expected: Option<ExpectedAnswer<'_>>,
+        to_head: bool,
+        deadline: Instant,
+    ) -> Result<ResponseHead, ExchangeError> {
+        self.exchanges += 1;
+        self.decoder = None;
+        let mut sending = Sending { request, written: 0, failed: false };
+        let working = self.run_exchange(&mut sending, expected, to_head);
+        match timeout_at(deadline, working).await {
+            Ok(Ok(head)) => {
+                self.reusable = sending.is_done() && head.keeps_open();
+                Ok(head)
+            }
+            Ok(Err(fault)) => Err(sending.fail(fault)),
+            Err(_) => Err(sending.fail(ExchangeFault::TimedOut)),
+        }
+    }
+
+    async fn run_exchange(
+        &mut self,
+        sending: &mut Sending<'_>,
+        expected: Option<ExpectedAnswer<'_>>,
+        to_head: bool,
+    ) -> Result<ResponseHead, ExchangeFault> {
+        loop {
+            while let Some(head) = self.take_head()? {
+                if (100..200).contains(&head.status) {
+                    continue;
+                }
+                let framing = response_framing(&head, to_head);
+                let framing = framing.map_err(|_| ExchangeFault::Garbled)?;
+                let mut decoder = BodyDecoder::new(framing);
+                if expected.is_none_or(|expected| is_expected(&head, expected)) {
+                    self.decoder = Some(decoder);
+                    return Ok(head);
+                }
+                log::info!("server: Skipped a late answer. status={}", head.status);
+                self.skip_body(&mut decoder).await?;
+            }
+            self.step(sending).await?;
+        }
+    }
+
+    fn take_head(&mut self) -> Result<Option<ResponseHead>, ExchangeFault> {
+        if self.buffer.is_empty() {
+            return Ok(None);
+        }
+        take_response(&mut self.buffer, MAX_HEAD_BYTES).map_err(|_| ExchangeFault::Garbled)
+    }
+
+    /// Sends or reads some bytes, whichever can be done first.
+    async fn step(&mut self, sending: &mut Sending<'_>) -> Result<(), ExchangeFault> {
+        let (mut reader, mut writer) = self.stream.split();
+        self.buffer.reserve(READ_BYTES);
+        tokio::select! {
+            biased;
+            sent = writer.write(sending.rest()), if !sending.is_done() && !sending.failed => {
+                // The answer may have come before the end of the request.
+                match sent {
+                    Ok(count) if count > 0 => sending.written += count,
+                    _ => sending.failed = true,
+                }
+                Ok(())
+            }
+            read = reader.read_buf(&mut self.buffer) => match read {
+                Ok(count) if count > 0 => Ok(()),
+                _ => Err(ExchangeFault::Broken),
+            },
+        }
+    }
+
+    async fn skip_body(&mut self, decoder: &mut BodyDecoder) -> Result<(), ExchangeFault> {
+        if decoder.ends_with_connection() {
+            return Err(ExchangeFault::Broken);
+        }
+        while next_piece(&mut self.stream, &mut self.buffer, decoder).await?.is_some() {}
+        Ok(())
+    }
+
+    /// The next bytes of the answer's body; `None` after its end.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, ExchangeFault> {
+        let Some(decoder) = &mut self.decoder else { return Ok(None) };
+        let piece = next_piece(&mut self.stream, &mut self.buffer, decoder).await;
+        if piece.is_err() || decoder.ends_with_connection() {
+            self.reusable = false;
+        }
+        piece
+    }
+
+    /// Reads the rest of the answer's body, at most `limit_bytes`.
+    pub async fn read_body(
+        &mut self,
+        limit_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, ExchangeFault> {
+        let mut body = BytesMut::new();
+        loop {
+            let piece = timeout_at(deadline, self.next_piece()).await;
+            let Some(bytes) = piece.map_err(|_| ExchangeFault::TimedOut)?? else {
+                return Ok(body.freeze());
+            };
+            if body.len() + bytes.len() > limit_bytes {
+                return Err(ExchangeFault::Garbled);
+            }
+            body.extend_from_slice(&bytes);
+        }
+    }
+}
+
+async fn next_piece(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    decoder: &mut BodyDecoder,
+) -> Result<Option<Bytes>, ExchangeFault> {
+    loop {
+        match decoder.decode(buffer).map_err(|_| ExchangeFault::Garbled)? {
+            BodyStep::Data(bytes) => return Ok(Some(bytes)),
+            BodyStep::End => return Ok(None),
+            BodyStep::NeedMore => {}
+        }
+        buffer.reserve(READ_BYTES);
+        match stream.read_buf(buffer).await {
+            Ok(0) if decoder.ends_with_connection() => return Ok(None),
+            Ok(count) if count > 0 => {}
+            _ => return Err(ExchangeFault::Broken),
+        }
+    }
+}
+
+/// A request on its way.
+struct Sending<'a> {
+    request: &'a [u8],
+    written: usize,
+    failed: bool,
+}
+
+impl Sending<'_> {
+    fn rest(&self) -> &[u8] {
+        &self.request[self.written..]
+    }
+
+    fn is_done(&self) -> bool {
+        self.written == self.request.len()
+    }
+
+    fn fail(&self, fault: ExchangeFault) -> ExchangeError {
+        // A request whose head has not left cannot have run.
+        let ran = if self.written == 0 { RunVerdict::NotRun } else { RunVerdict::MayHaveRun };
+        ExchangeError { fault, ran }
+    }
+}
+
+/// Whether an answer is that of the request; one without an identifier is taken for it.
+fn is_expected(head: &ResponseHead, expected: ExpectedAnswer<'_>) -> bool {
+    let found = head.fields.values(expected.id_field).next();
+    found.is_none_or(|found| found == expected.id)
+}
+
+/// Sets what notices a dead connection. Without these options it is noticed late, not never.
+pub(crate) fn set_options(stream: &TcpStream) {
+    let results = [
+        stream.set_nodelay(true),
+        sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MILLIS).map_err(io::Error::from),
+        sockopt::set_socket_keepalive(stream, true).map_err(io::Error::from),
+        set_probe_times(stream),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!("connection: An option was not set. error={error}");
+    }
+}
+
+fn set_probe_times(stream: &TcpStream) -> io::Result<()> {
+    let pause = Duration::from_secs(KEEP_ALIVE_SECONDS);
+    sockopt::set_tcp_keepidle(stream, pause)?;
+    sockopt::set_tcp_keepintvl(stream, pause)?;
+    sockopt::set_tcp_keepcnt(stream, 2)?;
+    Ok(())
+}
+
+fn timed_out() -> io::Error {
+    io::ErrorKind::TimedOut.into()
+}
--- /dev/null
+++ b/crates/catkin-entry/src/lib.rs
@@ -0,0 +1,56 @@
+//! Entry router: takes callers' requests over kept HTTP connections, chooses a backend server for
+//! each, and passes the answer on.
+//!
+//! Decisions stand in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
+//! [`KeptBook`], [`choose_place`], [`OutcomeBook`], [`BudgetBook`]. [`run_entry`] runs the process.
+//! What callers, servers and the store speak is named by an [`EntryWire`].
+
+mod attempt;
+mod budgets;
+mod call;
+mod caller;
+mod channel;
+mod follow;
+mod kept_book;
+mod load_table;
+mod logging;
+mod outcome_book;
+mod pause;
+mod peers;
+mod place;
+mod process;
+mod record;
+mod refuse;
+mod relay;
+mod route_table;
+mod serve;
+mod server_book;
+mod server_pool;
+mod settings;
+mod side_listener;
+mod state;
+mod store_client;
+mod wire;
+
+pub use budgets::BudgetBook;
+pub use call::{CheckError, EntryCall, SendDetails, encode_call};
+pub use channel::{ExchangeError, ExchangeFault, ExpectedAnswer, HttpChannel};
+pub use kept_book::{KeptBook, PrefixPart, hash_prefixes};
+pub use load_table::LoadTable;
+pub use logging::LineBudget;
+pub use outcome_book::{AttemptOutcome, OutcomeBook};
+pub use place::{Candidate, LoadBounds, NoPlace, PlaceChoice, PlaceQuery, choose_place};
+pub use process::{read_settings, run_entry};
+pub use record::{
+    CallerBounds, DeclarationRecord, EngineRecord, LoadHeader, PromptPart, RouteKind, RouteRecord,
+    ServerRecord, ServiceRecord, ServiceShare, TeamRecord,
+};
+pub use refuse::{Refusal, RefusalCause};
+pub use route_table::{RouteMatch, RouteTable, choose_service};
+pub use server_book::{KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, server_id};
+pub use server_pool::{ServerPool, read_idle_limit, share_connections};
+pub use settings::{EntrySettings, SettingsError, parse_settings};
+pub use store_client::{StoreClient, StoreFault, WriteMode};
+pub use wire::{
+    EntryWire, HeaderNames, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
+};
--- /dev/null
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -0,0 +1,137 @@
+//! Health of servers, judged from the outcomes of requests.
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, ServerId, copy_type};
+
+/// Time after which outcomes count half, in milliseconds.
+const HALF_LIFE_MILLIS: f64 = 2_000.0;
+/// Failures, after decay, below which a server is never set aside.
+const MIN_FAILURES: f64 = 2.5;
+/// Share of failures above which a server is set aside, if the others are sound.
+const FAILED_SHARE: f64 = 0.25;
+/// How many times the share of the whole service a server's share must be.
+const AGAINST_SERVICE: f64 = 2.0;
+/// First time that a server is set aside for, in milliseconds.
+const FIRST_HOLD_MILLIS: u64 = 500;
+/// Longest time that a server is set aside for, in milliseconds.
+const MAX_HOLD_MILLIS: u64 = 4_000;
+/// Time without failures after which the hold starts over, in milliseconds.
+const FORGIVE_MILLIS: u64 = 6_000;
+
+copy_type! {
+    /// How an attempt at a server ended.
+    pub enum AttemptOutcome {
+        /// With a whole answer.
+        Served,
+        /// With a failure of the server.
+        Failed,
+        /// The server could not be reached at all.
+        Unreachable,
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OutcomeRow {
+    served: f64,
+    failed: f64,
+    updated: ClockTime,
+    held_until: ClockTime,
+    hold_millis: u64,
+    last_failure: ClockTime,
+}
+
+impl OutcomeRow {
+    fn decay(&mut self, now: ClockTime) {
+        let millis = now.millis_since(self.updated) as f64;
+        let factor = 0.5f64.powf(millis / HALF_LIFE_MILLIS);
+        self.served *= factor;
+        self.failed *= factor;
+        self.updated = now;
+    }
+
+    fn hold(&mut self, now: ClockTime) {
+        if now < self.held_until {
+            return;
+        }
+        let fresh = now.millis_since(self.last_failure) > FORGIVE_MILLIS || self.hold_millis == 0;
+        self.hold_millis =
+            if fresh { FIRST_HOLD_MILLIS } else { (self.hold_millis * 2).min(MAX_HOLD_MILLIS) };
+        self.held_until = now.plus_millis(self.hold_millis);
+    }
+}
+
+/// Recent outcomes by server.
+#[derive(Debug, Clone, Default)]
+pub struct OutcomeBook {
+    rows: BTreeMap<ServerId, OutcomeRow>,
+}
+
+impl OutcomeBook {
+    /// Counts outcomes of attempts at `server`; true if it is set aside from now on.
+    ///
+    /// `peers` are all servers of its service, against which its share of failures is judged.
+    pub fn note(
+        &mut self,
+        now: ClockTime,
+        server: ServerId,
+        outcome: AttemptOutcome,
+        peers: &[ServerId],
+    ) -> bool {
+        let others = self.failed_share(now, server, peers);
+        let row = self.rows.entry(server).or_default();
+        row.decay(now);
+        match outcome {
+            AttemptOutcome::Served => {
+                row.served += 1.0;
+                return false;
+            }
+            AttemptOutcome::Failed => row.failed += 1.0,
+            AttemptOutcome::Unreachable => row.failed += MIN_FAILURES,
+        }
+        let was_held = now < row.held_until;
+        let share = row.failed / (row.failed + row.served);
+        let outlier = share > FAILED_SHARE && share > others * AGAINST_SERVICE;
+        if row.failed >= MIN_FAILURES && (outlier || outcome == AttemptOutcome::Unreachable) {
+            row.hold(now);
+        }
+        row.last_failure = now;
+        !was_held && now < row.held_until
+    }
+
+    /// Whether `server` is set aside.
+    pub fn is_held(&self, now: ClockTime, server: ServerId) -> bool {
+        self.rows.get(&server).is_some_and(|row| now < row.held_until)
+    }
+
+    /// Sets `server` aside because another router found it failing.
+    pub fn note_held_elsewhere(&mut self, now: ClockTime, server: ServerId) {
+        let row = self.rows.entry(server).or_default();
+        row.held_until = row.held_until.max(now.plus_millis(FIRST_HOLD_MILLIS));
+    }
+
+    /// Servers set aside, which other routers are told.
+    pub fn held(&self, now: ClockTime) -> impl Iterator<Item = ServerId> {
+        let held = self.rows.iter().filter(move |(_, row)| now < row.held_until);
+        held.map(|(server, _)| *server)
+    }
+
+    /// Forgets a server that restarted or left.
+    pub fn forget_server(&mut self, server: ServerId) {
+        self.rows.remove(&server);
+    }
+
+    fn failed_share(&self, now: ClockTime, server: ServerId, peers: &[ServerId]) -> f64 {
+        let mut served = 0.0;
+        let mut failed = 0.0;
+        for peer in peers.iter().filter(|peer| **peer != server) {
+            if let Some(row) = self.rows.get(peer) {
+                let mut row = *row;
+                row.decay(now);
+                served += row.served;
+                failed += row.failed;
+            }
+        }
+        if served + failed < 1.0 { 0.0 } else { failed / (served + failed) }
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/src/peers.rs
@@ -0,0 +1,367 @@
+//! What routers tell one another: versions, loads, kept parts, departures, strikes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, digest_hex};
+use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::messages::{
+    DeclarationAsk, DeclarationCopy, EntryReport, KeptPart, LeavingServer, OpenCount, OutcomeCount,
+    PeerMessage, StrikeReport,
+};
+use catkin_peer::{LinkSettings, MessageSource, PeerKey, PeerLink, UdpLink};
+use rand::RngCore;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::follow::take_declarations;
+use crate::state::EntryState;
+use crate::store_client::{StoreClient, StoreFault, WriteMode};
+use crate::wire::{EntryWire, RouterRecord, StoreKind};
+
+/// Pause between two looks for news to tell.
+const REPORT_PAUSE: Duration = Duration::from_millis(40);
+/// Longest time without a report.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Kept parts in one report, so that it fits a datagram.
+const MAX_KEPT: usize = 24;
+/// Strikes in one report.
+const MAX_STRIKES: usize = 8;
+/// Pause between two tries to reach a router that has not been heard.
+const GREET_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time without word after which a router is greeted again, in milliseconds.
+const SILENT_MILLIS: u64 = 1_500;
+/// Time without word after which a router is no longer greeted, in milliseconds.
+const GONE_MILLIS: u64 = 60_000;
+/// Pause between two asks for newer declarations.
+const ASK_PAUSE: Duration = Duration::from_millis(300);
+/// Longest wait for the store's answer while joining.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Pause after a failed try to join.
+const JOIN_PAUSE: Duration = Duration::from_millis(250);
+/// Name of the one object that holds the peer key.
+const KEY_NAME: &str = "current";
+/// Length of the peer key, in bytes.
+const KEY_BYTES: usize = 32;
+
+/// Another router.
+#[derive(Debug, Clone, Copy)]
+struct KnownRouter {
+    address: SocketAddr,
+    heard: ClockTime,
+}
+
+/// The link to the other routers and what is known of them.
+pub(crate) struct PeerDesk {
+    link: UdpLink,
+    routers: RefCell<BTreeMap<VmId, KnownRouter>>,
+    asked: Cell<Option<Instant>>,
+}
+
+/// Registers this router, finds the others and opens the link to them. Retries until it succeeds.
+pub(crate) async fn join_fleet<W: EntryWire>(state: &Rc<EntryState<W>>) -> PeerDesk {
+    let mut client = StoreClient::new(state.settings().store);
+    loop {
+        match try_join(state, &mut client).await {
+            Ok(desk) => return desk,
+            Err(reason) => {
+                log::warn!("peers: Not joined yet. reason={reason}");
+                client.reset();
+                sleep(JOIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_join<W: EntryWire>(
+    state: &EntryState<W>,
+    client: &mut StoreClient<W>,
+) -> Result<PeerDesk, String> {
+    let key = read_key(client).await.map_err(|fault| fault.to_string())?;
+    let key = PeerKey::from_hex(&key).map_err(|error| error.to_string())?;
+    let registered = register(state, client).await;
+    let incarnation = registered.map_err(|fault| fault.to_string())?;
+    let page = client.list(StoreKind::Routers, PATIENCE).await;
+    let page = page.map_err(|fault| fault.to_string())?;
+    let address = state.settings().peers;
+    let link = LinkSettings { vm: state.own, incarnation, address, key };
+    let link = UdpLink::bind(&link).await.map_err(|error| error.to_string())?;
+    let now = state.now();
+    let mut routers = BTreeMap::new();
+    for entry in page.entries {
+        let vm = VmId::from_name(&entry.name);
+        match W::decode_router(&entry.content) {
+            Ok(record) if vm != state.own => {
+                routers.insert(vm, KnownRouter { address: record.address, heard: now });
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!("peers: An entry is ignored. name={} {error}", entry.name),
+        }
+    }
+    log::info!("peers: Joined. incarnation={incarnation} others={}", routers.len());
+    Ok(PeerDesk { link, routers: RefCell::new(routers), asked: Cell::new(None) })
+}
+
+/// Reads the fleet's key; the first router creates it.
+async fn read_key<W: EntryWire>(client: &mut StoreClient<W>) -> Result<String, StoreFault> {
+    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, PATIENCE).await? {
+        return Ok(W::decode_peer_key(&entry.content)?);
+    }
+    let mut bytes = [0; KEY_BYTES];
+    rand::rng().fill_bytes(&mut bytes);
+    let content = W::encode_peer_key(&digest_hex(&bytes));
+    match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, PATIENCE).await {
+        Ok(()) | Err(StoreFault::Conflict) => {}
+        Err(fault) => return Err(fault),
+    }
+    match client.get(StoreKind::PeerKeys, KEY_NAME, PATIENCE).await? {
+        Some(entry) => Ok(W::decode_peer_key(&entry.content)?),
+        None => Err(StoreFault::Conflict),
+    }
+}
+
+/// Writes this router's entry; returns its incarnation, higher than that of any earlier start.
+async fn register<W: EntryWire>(
+    state: &EntryState<W>,
+    client: &mut StoreClient<W>,
+) -> Result<u64, StoreFault> {
+    let name = state.settings().vm.clone();
+    let known = client.get(StoreKind::Routers, &name, PATIENCE).await?;
+    let before = known.as_ref().and_then(|entry| W::decode_router(&entry.content).ok());
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
+    let incarnation = before.map_or(0, |record| record.incarnation + 1).max(unix_micros).max(1);
+    let record = RouterRecord { address: state.settings().peers, incarnation };
+    let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
+    let content = W::encode_router(&record);
+    client.put(StoreKind::Routers, &name, &content, mode, PATIENCE).await?;
+    Ok(incarnation)
+}
+
+/// Removes this router's entry. Others notice its silence if that fails.
+pub(crate) async fn leave_fleet<W: EntryWire>(state: &EntryState<W>) {
+    let settings = state.settings();
+    let mut client = StoreClient::<W>::new(settings.store);
+    if let Err(fault) = client.delete(StoreKind::Routers, &settings.vm, PATIENCE).await {
+        log::info!("peers: The own entry was not removed. error={fault}");
+    }
+}
+
+impl PeerDesk {
+    /// Tells the others that this router stops, and closes the link.
+    pub(crate) async fn close<W: EntryWire>(&self, state: &EntryState<W>) {
+        let report = EntryReport { leaving_router: true, ..EntryReport::default() };
+        self.send_all(&wrap(Kind::EntryReport(report)));
+        log::debug!("peers: Closing. routers={}", state.routers());
+        self.link.close().await;
+    }
+
+    /// Bytes sent to other routers.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.link.sent_bytes()
+    }
+
+    fn send_all(&self, message: &PeerMessage) {
+        for (vm, router) in self.routers.borrow().iter() {
+            self.link.send(*vm, router.address, message);
+        }
+    }
+
+    /// Takes what other routers send, until the link is closed.
+    pub(crate) async fn receive<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        while let Some((source, message)) = self.link.receive().await {
+            self.note_heard(state, &source);
+            match message.kind {
+                Some(Kind::EntryReport(report)) => self.take_report(state, &source, report),
+                Some(Kind::DeclarationAsk(ask)) => self.answer_ask(state, &source, &ask),
+                Some(Kind::DeclarationCopy(copy)) => take_copy(state, &copy),
+                _ => {}
+            }
+        }
+    }
+
+    fn note_heard<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let router = KnownRouter { address: source.address, heard: state.now() };
+        if self.routers.borrow_mut().insert(source.vm, router).is_none() {
+            log::info!("peers: A router appeared. vm={}", source.vm);
+        }
+    }
+
+    fn take_report<W: EntryWire>(
+        &self,
+        state: &Rc<EntryState<W>>,
+        source: &MessageSource,
+        report: EntryReport,
+    ) {
+        let now = state.now();
+        if report.leaving_router {
+            log::info!("peers: A router leaves. vm={}", source.vm);
+            self.routers.borrow_mut().remove(&source.vm);
+            return state.loads.borrow_mut().forget(source.vm);
+        }
+        let opens = report.opens.iter().map(|row| (ServerId(row.server), row.open)).collect();
+        state.loads.borrow_mut().note_report(now, source.vm, opens);
+        for part in &report.kept {
+            state.kept.borrow_mut().note(now, part.part, ServerId(part.server));
+        }
+        for row in &report.strikes {
+            let digest = RequestDigest(row.digest);
+            state.strikes.borrow_mut().note_strike(now, digest, ServerId(row.server));
+        }
+        for row in &report.outcomes {
+            state.outcomes.borrow_mut().note_held_elsewhere(now, ServerId(row.server));
+        }
+        for row in &report.leaving {
+            let server = ServerId(row.server);
+            if state.servers.borrow_mut().note_leaving(now, server, row.revision) {
+                log::info!("servers: Left, as told by {}. server={server}", source.vm);
+                state.forget_server(server);
+            }
+        }
+        let (declaration, directory) = state.told.get();
+        state.told.set((declaration.max(report.declaration), directory.max(report.directory)));
+        state.stale.notify_waiters();
+        self.ask_declarations(state, source, report.declaration);
+        if report.joining {
+            let message = wrap(Kind::EntryReport(build_report(state)));
+            self.link.send(source.vm, source.address, &message);
+        }
+        state.room.notify_one();
+    }
+
+    /// Asks a router that knows newer declarations for them: the store may not answer this one.
+    fn ask_declarations<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        version: u64,
+    ) {
+        let own = state.table().map_or(0, |table| table.version());
+        let paused = self.asked.get().is_some_and(|at| at.elapsed() < ASK_PAUSE);
+        if version <= own || paused {
+            return;
+        }
+        self.asked.set(Some(Instant::now()));
+        let message = wrap(Kind::DeclarationAsk(DeclarationAsk { version: own }));
+        self.link.send(source.vm, source.address, &message);
+    }
+
+    fn answer_ask<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        ask: &DeclarationAsk,
+    ) {
+        let version = state.table().map_or(0, |table| table.version());
+        let declared = state.declared.borrow();
+        let Some((revision, content)) = declared.as_ref().filter(|_| version > ask.version) else {
+            return;
+        };
+        let content = content.as_bytes().to_vec();
+        let copy = DeclarationCopy { version, revision: *revision, content };
+        self.link.send(source.vm, source.address, &wrap(Kind::DeclarationCopy(copy)));
+    }
+
+    /// Reports to the others as long as the process runs.
+    pub(crate) async fn report<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        let mut last: Option<Instant> = None;
+        loop {
+            let due = last.is_none_or(|last| last.elapsed() >= REPORT_INTERVAL);
+            if due || has_news(state) {
+                let mut report = build_report(state);
+                report.joining = last.is_none();
+                self.send_all(&wrap(Kind::EntryReport(report)));
+                last = Some(Instant::now());
+            }
+            sleep(REPORT_PAUSE).await;
+        }
+    }
+
+    /// Greets routers that are silent, as long as the process runs.
+    pub(crate) async fn greet<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        loop {
+            sleep(GREET_PAUSE).await;
+            let now = state.now();
+            let mut routers = self.routers.borrow_mut();
+            routers.retain(|_, router| now.millis_since(router.heard) < GONE_MILLIS);
+            let mut report = build_status(state);
+            report.joining = true;
+            let message = wrap(Kind::EntryReport(report));
+            let silent = |router: &&KnownRouter| now.millis_since(router.heard) > SILENT_MILLIS;
+            for (vm, router) in routers.iter().filter(|(_, router)| silent(router)) {
+                self.link.send(*vm, router.address, &message);
+            }
+        }
+    }
+}
+
+fn take_copy<W: EntryWire>(state: &EntryState<W>, copy: &DeclarationCopy) {
+    match std::str::from_utf8(&copy.content) {
+        Ok(content) => take_declarations(state, copy.revision, content, "peer"),
+        Err(error) => log::warn!("peers: Declarations are ignored. error={error}"),
+    }
+}
+
+fn has_news<W>(state: &EntryState<W>) -> bool {
+    let news = state.news.borrow();
+    news.changed || news.urgent || !news.kept.is_empty() || !news.strikes.is_empty()
+}
+
+/// What is always told: versions, loads, departures, servers set aside.
+fn build_status<W>(state: &EntryState<W>) -> EntryReport {
+    let loads = state.loads.borrow();
+    let opens =
+        loads.own().iter().map(|(server, open)| OpenCount { server: server.0, open: *open });
+    let servers = state.servers.borrow();
+    let leaving = servers.departures();
+    let leaving = leaving.map(|(server, revision)| LeavingServer { server: server.0, revision });
+    let outcomes = state.outcomes.borrow();
+    let held = outcomes.held(state.now());
+    let held = held.map(|server| OutcomeCount { server: server.0, ..OutcomeCount::default() });
+    EntryReport {
+        declaration: state.table().map_or(0, |table| table.version()),
+        directory: servers.directory(),
+        opens: opens.collect(),
+        leaving: leaving.collect(),
+        outcomes: held.collect(),
+        ..EntryReport::default()
+    }
+}
+
+/// A report with the news since the last one.
+fn build_report<W>(state: &EntryState<W>) -> EntryReport {
+    let mut report = build_status(state);
+    let mut news = state.news.borrow_mut();
+    news.changed = false;
+    news.urgent = false;
+    let again = std::mem::take(&mut news.kept_again);
+    let room = MAX_KEPT.saturating_sub(again.len().min(MAX_KEPT / 2));
+    let fresh: Vec<_> = news.kept.iter().take(room).copied().collect();
+    news.kept.drain(..fresh.len());
+    let kept = again.iter().take(MAX_KEPT / 2).chain(&fresh);
+    let part = |(part, server): &(u64, ServerId)| KeptPart { part: *part, server: server.0 };
+    report.kept = kept.map(part).collect();
+    news.kept_again = fresh;
+    let count = news.strikes.len().min(MAX_STRIKES);
+    let strikes = news.strikes.drain(..count);
+    let strike = |(digest, server): (RequestDigest, ServerId)| StrikeReport {
+        digest: digest.0,
+        server: server.0,
+        confirmed: false,
+    };
+    report.strikes = strikes.map(strike).collect();
+    report
+}
+
+fn wrap(kind: Kind) -> PeerMessage {
+    PeerMessage { kind: Some(kind) }
+}
+
+/// Waits for the link's tasks, but not forever.
+pub(crate) async fn close_desk<W: EntryWire>(desk: &PeerDesk, state: &EntryState<W>) {
+    if timeout(PATIENCE, desk.close(state)).await.is_err() {
+        log::warn!("peers: The link did not close in time.");
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/src/route_table.rs
@@ -0,0 +1,102 @@
+//! Finds the route and the team of a request.
+
+use std::collections::BTreeMap;
+
+use catkin_base::hash_parts;
+
+use crate::record::{DeclarationRecord, RouteRecord, TeamRecord};
+
+/// The declarations in force, indexed for requests.
+#[derive(Debug, Clone)]
+pub struct RouteTable {
+    declarations: DeclarationRecord,
+    /// Indices of routes by host, longest prefix first.
+    hosts: BTreeMap<String, Vec<usize>>,
+    /// Index of the team of each key.
+    keys: BTreeMap<String, usize>,
+}
+
+/// What the declarations say of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteMatch<'a> {
+    /// A route takes it, for this team if the route needs a key.
+    Found(&'a RouteRecord, Option<&'a TeamRecord>),
+    /// No route takes it.
+    NoRoute,
+    /// The route needs a key and this is not one.
+    NoKey,
+}
+
+impl RouteTable {
+    /// Indexes declarations.
+    pub fn new(declarations: DeclarationRecord) -> Self {
+        let mut hosts: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for (index, route) in declarations.routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for indices in hosts.values_mut() {
+            let routes = &declarations.routes;
+            indices.sort_by_key(|index| std::cmp::Reverse(routes[*index].prefix.len()));
+        }
+        let teams = declarations.teams.iter().flatten().enumerate();
+        let keys = teams.flat_map(|(index, team)| team.keys.iter().map(move |key| (key, index)));
+        let keys = keys.map(|(key, index)| (key.clone(), index)).collect();
+        Self { declarations, hosts, keys }
+    }
+
+    /// Version of the declarations.
+    pub fn version(&self) -> u64 {
+        self.declarations.version
+    }
+
+    /// The declarations.
+    pub fn declarations(&self) -> &DeclarationRecord {
+        &self.declarations
+    }
+
+    /// Finds what takes a request for `target` at `host` with `key`.
+    pub fn find(&self, host: &str, target: &str, key: Option<&str>) -> RouteMatch<'_> {
+        let host = host_name(host).to_ascii_lowercase();
+        let path = target.split(['?', '#']).next().unwrap_or_default();
+        let mut indices = self.hosts.get(&host).into_iter().flatten();
+        let routes = &self.declarations.routes;
+        let Some(index) = indices.find(|index| path.starts_with(&routes[**index].prefix)) else {
+            return RouteMatch::NoRoute;
+        };
+        let route = &routes[*index];
+        let team = key.and_then(|key| self.team_of(key));
+        if team.is_none() && !route.public && self.declarations.teams.is_some() {
+            return RouteMatch::NoKey;
+        }
+        RouteMatch::Found(route, team)
+    }
+
+    fn team_of(&self, key: &str) -> Option<&TeamRecord> {
+        let index = *self.keys.get(key)?;
+        self.declarations.teams.as_ref()?.get(index)
+    }
+}
+
+/// The service of `route` that takes the request with this seed, in proportion to the weights.
+pub fn choose_service(route: &RouteRecord, seed: u64) -> Option<&str> {
+    let total: u64 = route.services.iter().map(|share| u64::from(share.weight)).sum();
+    if total == 0 {
+        return route.services.first().map(|share| share.service.as_str());
+    }
+    let mut place = hash_parts(&[&seed.to_le_bytes()]) % total;
+    for share in &route.services {
+        let weight = u64::from(share.weight);
+        if place < weight {
+            return Some(&share.service);
+        }
+        place -= weight;
+    }
+    None
+}
+
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/src/server_book.rs
@@ -0,0 +1,213 @@
+//! The backend servers that may get work.
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, ServerId, hash_parts};
+
+use crate::record::ServerRecord;
+
+/// How long a server whose entry went missing around an outage of the store may still be used.
+/// Entries of live servers are back within two seconds of the store's return.
+pub const MISSING_GRACE_MILLIS: u64 = 2_000;
+/// How long departures are remembered for other routers.
+const LEAVING_MEMORY_MILLIS: u64 = 15_000;
+
+/// A server as last heard of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownServer {
+    /// Name of its entry.
+    pub name: String,
+    /// Identifier of this start of the server.
+    pub server: ServerId,
+    /// Its entry.
+    pub record: ServerRecord,
+    /// Revision of its entry.
+    pub revision: u64,
+    /// Set while its entry is missing and it may still be used.
+    missing_until: Option<ClockTime>,
+}
+
+/// A departure, to be told to other routers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Departure {
+    revision: u64,
+    at: ClockTime,
+}
+
+/// What an entry changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerChange {
+    /// Nothing that matters for requests.
+    Unchanged,
+    /// A server appeared, or started again.
+    Appeared(ServerId),
+    /// A server gets no more work.
+    Left(ServerId),
+}
+
+/// All servers, by the names of their entries.
+#[derive(Debug, Clone, Default)]
+pub struct ServerBook {
+    servers: BTreeMap<String, KnownServer>,
+    departures: BTreeMap<ServerId, Departure>,
+    directory: u64,
+}
+
+/// The identifier of one start of a server.
+pub fn server_id(name: &str, record: &ServerRecord) -> ServerId {
+    let born = record.started_unix_millis.to_le_bytes();
+    let address = record.address.to_string();
+    ServerId(hash_parts(&[name.as_bytes(), &born, address.as_bytes()]))
+}
+
+impl ServerBook {
+    /// Revision of the store up to which the list is known.
+    pub fn directory(&self) -> u64 {
+        self.directory
+    }
+
+    /// Notes the revision up to which the list is known.
+    pub fn note_directory(&mut self, revision: u64) {
+        self.directory = self.directory.max(revision);
+    }
+
+    /// Takes an entry. `record` is `None` if the entry names no server to use.
+    pub fn note_entry(
+        &mut self,
+        now: ClockTime,
+        name: &str,
+        revision: u64,
+        record: Option<ServerRecord>,
+    ) -> ServerChange {
+        let known = self.servers.get_mut(name);
+        if known.as_ref().is_some_and(|known| known.revision > revision) {
+            return ServerChange::Unchanged;
+        }
+        let Some(record) = record else { return self.drop_server(now, name, revision) };
+        let server = server_id(name, &record);
+        if let Some(known) = known.filter(|known| known.server == server) {
+            let left = record.leaving && !known.record.leaving;
+            known.record = record;
+            known.revision = revision;
+            known.missing_until = None;
+            if left {
+                self.departures.insert(server, Departure { revision, at: now });
+                return ServerChange::Left(server);
+            }
+            return ServerChange::Unchanged;
+        }
+        let leaving = record.leaving;
+        let name = name.to_owned();
+        let known =
+            KnownServer { name: name.clone(), server, record, revision, missing_until: None };
+        self.servers.insert(name, known);
+        if leaving { ServerChange::Left(server) } else { ServerChange::Appeared(server) }
+    }
+
+    /// Takes the news that an entry is gone. Around an outage of the store (`settled` false) the
+    /// server may be used for a while longer.
+    pub fn note_removed(
+        &mut self,
+        now: ClockTime,
+        name: &str,
+        revision: u64,
+        settled: bool,
+    ) -> ServerChange {
+        let Some(known) = self.servers.get_mut(name) else { return ServerChange::Unchanged };
+        if known.revision > revision {
+            return ServerChange::Unchanged;
+        }
+        if settled {
+            return self.drop_server(now, name, revision);
+        }
+        known.missing_until.get_or_insert(now.plus_millis(MISSING_GRACE_MILLIS));
+        ServerChange::Unchanged
+    }
+
+    /// Takes a whole list as of `revision`.
+    pub fn note_list(
+        &mut self,
+        now: ClockTime,
+        revision: u64,
+        entries: Vec<(String, u64, Option<ServerRecord>)>,
+        settled: bool,
+    ) -> Vec<ServerChange> {
+        let listed: std::collections::BTreeSet<&str> =
+            entries.iter().map(|(name, ..)| name.as_str()).collect();
+        let missing = self.servers.keys().filter(|name| !listed.contains(name.as_str()));
+        let missing: Vec<String> = missing.cloned().collect();
+        let mut changes = Vec::new();
+        for name in missing {
+            changes.push(self.note_removed(now, &name, revision, settled));
+        }
+        for (name, entry_revision, record) in entries {
+            changes.push(self.note_entry(now, &name, entry_revision, record));
+        }
+        self.note_directory(revision);
+        changes.retain(|change| *change != ServerChange::Unchanged);
+        changes
+    }
+
+    /// Drops servers whose entries stayed missing; returns them.
+    pub fn drop_missing(&mut self, now: ClockTime) -> Vec<ServerId> {
+        let overdue = |known: &KnownServer| known.missing_until.is_some_and(|until| until <= now);
+        let names: Vec<String> = self
+            .servers
+            .iter()
+            .filter(|(_, known)| overdue(known))
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut dropped = Vec::new();
+        for name in names {
+            if let ServerChange::Left(server) = self.drop_server(now, &name, u64::MAX) {
+                dropped.push(server);
+            }
+        }
+        self.departures
+            .retain(|_, departure| now.millis_since(departure.at) < LEAVING_MEMORY_MILLIS);
+        dropped
+    }
+
+    /// Takes another router's word that a server is leaving or gone as of `revision`; true if
+    /// that was news.
+    pub fn note_leaving(&mut self, now: ClockTime, server: ServerId, revision: u64) -> bool {
+        let Some(known) = self.servers.values_mut().find(|known| known.server == server) else {
+            return false;
+        };
+        if known.revision > revision || known.record.leaving {
+            return false;
+        }
+        known.record.leaving = true;
+        self.departures.insert(server, Departure { revision, at: now });
+        true
+    }
+
+    /// Recent departures and their revisions.
+    pub fn departures(&self) -> impl Iterator<Item = (ServerId, u64)> {
+        self.departures.iter().map(|(server, departure)| (*server, departure.revision))
+    }
+
+    /// Servers of `service` that may get work.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownServer> {
+        let servers = self.servers.values();
+        servers.filter(move |known| known.record.service == service && !known.record.leaving)
+    }
+
+    /// A server by its identifier.
+    pub fn get(&self, server: ServerId) -> Option<&KnownServer> {
+        self.servers.values().find(|known| known.server == server)
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    fn drop_server(&mut self, now: ClockTime, name: &str, revision: u64) -> ServerChange {
+        let Some(known) = self.servers.remove(name) else { return ServerChange::Unchanged };
+        // A revision of its own is kept when the server was dropped without one.
+        let revision = if revision == u64::MAX { known.revision } else { revision };
+        self.departures.insert(known.server, Departure { revision, at: now });
+        ServerChange::Left(known.server)
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/src/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of an entry router: JSON with comments.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use json_comments::StripComments;
+use miette::{Diagnostic, NamedSource, SourceOffset, SourceSpan};
+use serde::Deserialize;
+
+/// Settings that cannot be used.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum SettingsError {
+    /// The text is not what is expected.
+    #[error("settings cannot be read: {reason}")]
+    Malformed {
+        /// What the parser says.
+        reason: String,
+        /// The text.
+        #[source_code]
+        text: NamedSource<String>,
+        /// Where it stopped.
+        #[label("here")]
+        at: SourceSpan,
+    },
+    /// A value is out of its range.
+    #[error("setting \"{key}\" is {value}, not {wanted}")]
+    Range {
+        /// The key.
+        key: &'static str,
+        /// Its value.
+        value: String,
+        /// What it may be.
+        wanted: &'static str,
+    },
+}
+
+/// Settings of an entry router.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether this router takes callers.
+    pub ready: SocketAddr,
+    /// Where the other routers reach this one, UDP and TCP.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Seconds between a stop signal and the kill.
+    pub grace_seconds: f64,
+    /// Retries allowed for each request of a service, over the whole fleet.
+    pub retry_ratio: f64,
+    /// Retries allowed in each window beyond that, over the whole fleet.
+    pub retry_extra: u64,
+    /// Requests that one server may hold against the mean of its service.
+    pub load_factor: f64,
+    /// Memory that the process may take, in megabytes.
+    pub memory_megabytes: u64,
+    /// File descriptors that the process may open.
+    pub descriptors: u64,
+    /// Most log lines a second; more are dropped and counted.
+    #[serde(default = "default_log_lines")]
+    pub log_lines_per_second: u32,
+}
+
+fn default_log_lines() -> u32 {
+    400
+}
+
+impl EntrySettings {
+    /// The time between a stop signal and the kill.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_seconds)
+    }
+
+    /// Address of this VM.
+    pub fn ip(&self) -> IpAddr {
+        self.callers.ip()
+    }
+}
+
+/// Reads settings; `name` is shown in errors.
+pub fn parse_settings(text: &str, name: &str) -> Result<EntrySettings, SettingsError> {
+    let stripped = StripComments::new(text.as_bytes());
+    let settings: EntrySettings = serde_json::from_reader(stripped).map_err(|error| {
+        let offset = SourceOffset::from_location(text, error.line(), error.column());
+        SettingsError::Malformed {
+            reason: error.to_string(),
+            text: NamedSource::new(name, text.to_owned()),
+            at: SourceSpan::new(offset, 0),
+        }
+    })?;
+    check_range("grace_seconds", settings.grace_seconds, 0.0..=600.0, "0 to 600 seconds")?;
+    check_range("retry_ratio", settings.retry_ratio, 0.0..=1.0, "0 to 1")?;
+    check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
+    Ok(settings)
+}
+
+fn check_range(
+    key: &'static str,
+    value: f64,
+    range: std::ops::RangeInclusive<f64>,
+    wanted: &'static str,
+) -> Result<(), SettingsError> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError::Range { key, value: value.to_string(), wanted })
+}
--- /dev/null
+++ b/crates/catkin-entry/src/side_listener.rs
@@ -0,0 +1,95 @@
+//! Small listeners: the balancer's question and the metrics.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use catkin_http::take_request;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Longest head of a question, in bytes.
+const MAX_HEAD_BYTES: usize = 4 << 10;
+/// How long a connection may lie idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most connections at once.
+const MAX_CONNECTIONS: usize = 32;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer to a question.
+pub(crate) struct SideAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+}
+
+/// Binds a listener. The error names the address.
+pub(crate) async fn bind(address: SocketAddr, what: &str) -> io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| io::Error::new(error.kind(), format!("{what} on {address}: {error}")))
+}
+
+/// Answers questions by path until dropped.
+pub(crate) async fn serve_side<A>(listener: TcpListener, answer: A)
+where
+    A: Fn(&str) -> SideAnswer + Clone + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(joined) = connections.join_next() => note_joined(joined),
+            accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => match accepted {
+                Ok((stream, _)) => {
+                    let answer = answer.clone();
+                    connections.spawn_local(async move {
+                        if let Err(error) = serve_stream(stream, answer).await {
+                            log::debug!("side: A connection ended. error={error}");
+                        }
+                    });
+                }
+                Err(error) => {
+                    log::warn!("side: A connection was not accepted. error={error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+}
+
+/// Notes a connection's task that ended otherwise than by its own return.
+pub(crate) fn note_joined(joined: Result<(), tokio::task::JoinError>) {
+    if let Err(error) = joined.map_err(|error| error.to_string()) {
+        log::error!("process: A connection's task failed. error={error}");
+    }
+}
+
+async fn serve_stream<A: Fn(&str) -> SideAnswer>(
+    mut stream: TcpStream,
+    answer: A,
+) -> io::Result<()> {
+    let mut buffer = BytesMut::new();
+    loop {
+        let taken = take_request(&mut buffer, MAX_HEAD_BYTES);
+        let Some(head) = taken.map_err(|error| io::Error::other(error.to_string()))? else {
+            buffer.reserve(512);
+            if timeout(IDLE_TIMEOUT, stream.read_buf(&mut buffer)).await?? == 0 {
+                return Ok(());
+            }
+            continue;
+        };
+        let path = std::str::from_utf8(&head.target).unwrap_or_default();
+        let SideAnswer { status, body } = answer(path);
+        let closing = if head.keeps_open() { "" } else { "Connection: close\r\n" };
+        let text = format!(
+            "HTTP/1.1 {status} -\r\nContent-Length: {}\r\nContent-Type: text/plain\r\n{closing}\r\n{body}",
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).await?;
+        if !head.keeps_open() {
+            return stream.shutdown().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-http/src/lib.rs
@@ -0,0 +1,27 @@
+//! Framing of HTTP/1.1 messages, without I/O.
+//!
+//! [`take_request`] and [`take_response`] cut a head off a buffer, [`BodyDecoder`] the body behind
+//! it, [`EventCutter`] whole events of a stream. Every message whose end two parsers could see in
+//! different places is refused.
+//!
+//! ```
+//! use bytes::BytesMut;
+//! use catkin_http::{BodyFraming, request_framing, take_request};
+//!
+//! let mut buffer = BytesMut::from("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nok");
+//! let head = take_request(&mut buffer, 1024).unwrap().unwrap();
+//! assert_eq!(request_framing(&head).unwrap(), BodyFraming::Length(2));
+//! assert_eq!(&buffer[..], b"ok");
+//! ```
+
+mod body;
+mod event;
+mod field;
+mod framing;
+mod head;
+
+pub use body::{BodyDecoder, BodyError, BodyStep};
+pub use event::{EventCutter, EventTooLong};
+pub use field::{FieldList, HeaderField};
+pub use framing::{BodyFraming, FramingError, request_framing, response_framing};
+pub use head::{HeadError, RequestHead, ResponseHead, take_request, take_response};
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -79,6 +79,12 @@
         ServerOrderAnswer(super::ServerOrderAnswer),
         #[prost(message, tag = "21")]
         ServerState(super::ServerState),
+        #[prost(message, tag = "22")]
+        EntryReport(super::EntryReport),
+        #[prost(message, tag = "23")]
+        DeclarationAsk(super::DeclarationAsk),
+        #[prost(message, tag = "24")]
+        DeclarationCopy(super::DeclarationCopy),
     }
 }
 /// Membership. One update a member: the highest incarnation wins, then refutation, then state.
@@ -385,6 +391,79 @@
     #[prost(bool, tag = "5")]
     pub undone: bool,
 }
+/// What one entry router tells the others of the traffic that it carries.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EntryReport {
+    /// newest version of the declarations known
+    #[prost(uint64, tag = "1")]
+    pub declaration: u64,
+    /// revision up to which the server list is known
+    #[prost(uint64, tag = "2")]
+    pub directory: u64,
+    /// every server with open requests of the sender
+    #[prost(message, repeated, tag = "3")]
+    pub opens: ::prost::alloc::vec::Vec<OpenCount>,
+    /// parts of prompts sent since the last report
+    #[prost(message, repeated, tag = "4")]
+    pub kept: ::prost::alloc::vec::Vec<KeptPart>,
+    #[prost(message, repeated, tag = "5")]
+    pub leaving: ::prost::alloc::vec::Vec<LeavingServer>,
+    #[prost(message, repeated, tag = "6")]
+    pub strikes: ::prost::alloc::vec::Vec<StrikeReport>,
+    #[prost(message, repeated, tag = "7")]
+    pub outcomes: ::prost::alloc::vec::Vec<OutcomeCount>,
+    #[prost(bool, tag = "8")]
+    pub leaving_router: bool,
+    /// asks for a report at once
+    #[prost(bool, tag = "9")]
+    pub joining: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OpenCount {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub open: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KeptPart {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeavingServer {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OutcomeCount {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub served: u32,
+    #[prost(uint32, tag = "3")]
+    pub failed: u32,
+}
+/// The declarations as the store holds them, for a router that the store does not answer.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DeclarationAsk {
+    /// newest version that the asker has
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DeclarationCopy {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
--- a/crates/catkin-policy/src/retry.rs
+++ b/crates/catkin-policy/src/retry.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     percent: u32,
+    free_retries: u64,
     parts: [BudgetPart; WINDOW_PARTS],
 }
 
@@ -26,7 +27,13 @@
 impl RetryBudget {
     /// A budget of `percent` retries in a hundred requests.
     pub fn new(percent: u32) -> Self {
-        Self { percent, parts: [BudgetPart::default(); WINDOW_PARTS] }
+        let parts = [BudgetPart::default(); WINDOW_PARTS];
+        Self { percent, free_retries: FREE_RETRIES, parts }
+    }
+
+    /// Changes the number of retries allowed in a window whatever the number of requests.
+    pub fn set_free(&mut self, free_retries: u64) {
+        self.free_retries = free_retries;
     }
 
     /// Changes the share.
@@ -46,7 +53,7 @@
         let (requests, retries) = recent.fold((0, 0), |(requests, retries), part| {
             (requests + part.requests, retries + part.retries)
         });
-        let allowed = FREE_RETRIES + requests * u64::from(self.percent) / 100;
+        let allowed = self.free_retries + requests * u64::from(self.percent) / 100;
         if retries >= allowed {
             return false;
         }
