--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -174,7 +174,7 @@
         while let Some((source, message)) = self.link.receive().await {
             self.note_heard(state, &source);
             match message.kind {
-                Some(Kind::EntryReport(report)) => self.take_report(state, &source, report),
+                Some(Kind::EntryReport(report)) => self.take_report(state, &source, &report),
                 Some(Kind::DeclarationAsk(ask)) => self.answer_ask(state, &source, &ask),
                 Some(Kind::DeclarationCopy(copy)) => take_copy(state, &copy),
                 _ => {}
@@ -193,7 +193,7 @@
         &self,
         state: &Rc<EntryState<W>>,
         source: &MessageSource,
-        report: EntryReport,
+        report: &EntryReport,
     ) {
         let now = state.now();
         if report.leaving_router {
