--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -89,7 +89,8 @@
         let patience = read_deadline(&head.fields, names)?;
         let limit = arrived + patience.unwrap_or(route.timeout).min(route.timeout);
         let prefixes = read_prefixes::<W>(&head.fields);
-        let seed = shared_prefix(&prefixes).map_or_else(|| hash_parts(&[&id]), |part| part.key);
+        let seed =
+            shared_part(&prefixes).last().map_or_else(|| hash_parts(&[&id]), |part| part.key);
         let service = choose_service(route, seed).ok_or(CheckError::NoService)?.to_owned();
         let digest = digest_call(&head, &body, names);
         Ok(Self {
@@ -124,7 +125,13 @@
 
     /// The longest prefix of the prompt that other requests share.
     pub fn shared(&self) -> Option<PrefixPart> {
-        shared_prefix(&self.prefixes)
+        self.shared_prefixes().last().copied()
+    }
+
+    /// The parts of the prompt that other requests share: all but the last, which belongs to one
+    /// request or session.
+    pub fn shared_prefixes(&self) -> &[PrefixPart] {
+        shared_part(&self.prefixes)
     }
 
     /// The request's identifier as text.
@@ -266,12 +273,10 @@
     }
 }
 
-/// The last part belongs to one request or session; what stands before it is shared.
-fn shared_prefix(prefixes: &[PrefixPart]) -> Option<PrefixPart> {
+fn shared_part(prefixes: &[PrefixPart]) -> &[PrefixPart] {
     match prefixes {
-        [] => None,
-        [only] => Some(*only),
-        [.., shared, _] => Some(*shared),
+        [] | [_] => prefixes,
+        [shared @ .., _] => shared,
     }
 }
 
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -32,6 +32,8 @@
 const READ_BYTES: usize = 4 << 10;
 /// Bytes of later requests that are read ahead while one is answered.
 const READ_AHEAD_BYTES: usize = 64 << 10;
+/// How long a request waits for the first declarations.
+const START_WAIT: Duration = Duration::from_millis(400);
 /// How long a closed connection is drained, so that the caller still reads its answer.
 const LINGER: Duration = Duration::from_millis(1_000);
 /// Longest wait for a caller that takes nothing of its answer.
@@ -170,6 +172,7 @@
             }
             Err(None) => return None,
         };
+        wait_for_declarations(state, arrived).await;
         let call = match check_call(state, head, body, arrived) {
             Ok(call) => call,
             Err(refusal) => {
@@ -253,6 +256,17 @@
     state.table.borrow().as_ref().map_or(FIRST_BOUNDS, |table| table.declarations().bounds)
 }
 
+/// A router that has just started knows the declarations in a moment.
+async fn wait_for_declarations<W>(state: &EntryState<W>, arrived: Instant) {
+    let until = arrived + START_WAIT;
+    while state.table.borrow().is_none() {
+        let news = state.room.notified();
+        if timeout_at(until, news).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn check_call<W: EntryWire>(
     state: &EntryState<W>,
     head: RequestHead,
--- a/crates/catkin-entry/src/kept_book.rs
+++ b/crates/catkin-entry/src/kept_book.rs
@@ -11,24 +11,27 @@
 /// Most pairs of part and server remembered.
 const MAX_PAIRS: usize = 6_000;
 
-/// A part of a prompt with all parts before it, which is what a cache can reuse.
+/// A part of a prompt, and how far the prompt reaches with it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PrefixPart {
-    /// Hash of the part and all parts before it.
+    /// Hash of the model and the part.
     pub key: u64,
     /// Tokens of the part and all parts before it.
     pub tokens: u32,
 }
 
-/// Hashes the prefixes of a prompt, shortest first.
+/// The key of one part of prompts for `model`.
+pub fn part_key(model: &str, part: u64) -> u64 {
+    hash_parts(&[model.as_bytes(), &part.to_le_bytes()])
+}
+
+/// Hashes the parts of a prompt, in their order.
 pub fn hash_prefixes(model: &str, parts: &[PromptPart]) -> Vec<PrefixPart> {
-    let mut key = hash_parts(&[model.as_bytes()]);
     let mut tokens = 0u32;
     let mut prefixes = Vec::with_capacity(parts.len());
     for part in parts {
-        key = hash_parts(&[&key.to_le_bytes(), &part.id.to_le_bytes()]);
         tokens = tokens.saturating_add(part.tokens);
-        prefixes.push(PrefixPart { key, tokens });
+        prefixes.push(PrefixPart { key: part_key(model, part.id), tokens });
     }
     prefixes
 }
@@ -40,20 +43,25 @@
 }
 
 impl KeptBook {
-    /// Notes that `server` was sent the prefix `key`; true if it was not known to keep it.
+    /// Notes that `server` was sent the part `key`; true if it was not known to keep it.
     pub fn note(&mut self, now: ClockTime, key: u64, server: ServerId) -> bool {
         let known = self.pairs.insert((key, server), now);
         known.is_none_or(|last| now.millis_since(last) >= KEPT_MILLIS)
     }
 
-    /// Servers known to keep the prefix `key`.
-    pub fn keepers(&self, now: ClockTime, key: u64) -> impl Iterator<Item = ServerId> {
-        let range = self.pairs.range((key, ServerId(0))..=(key, ServerId(u64::MAX)));
-        let kept = range.filter(move |(_, last)| now.millis_since(**last) < KEPT_MILLIS);
-        kept.map(|((_, server), _)| *server)
+    /// Tokens at the start of a prompt that `server` is known to keep: a part counts only if all
+    /// parts before it are kept too.
+    pub fn kept_tokens(&self, now: ClockTime, prefixes: &[PrefixPart], server: ServerId) -> u32 {
+        let kept = prefixes.iter().take_while(|prefix| self.keeps(now, prefix.key, server));
+        kept.last().map_or(0, |prefix| prefix.tokens)
+    }
+
+    /// All pairs of part and server.
+    pub fn pairs(&self) -> impl Iterator<Item = (u64, ServerId)> {
+        self.pairs.keys().copied()
     }
 
-    /// Whether `server` is known to keep the prefix `key`.
+    /// Whether `server` is known to keep the part `key`.
     pub fn keeps(&self, now: ClockTime, key: u64, server: ServerId) -> bool {
         let last = self.pairs.get(&(key, server));
         last.is_some_and(|last| now.millis_since(*last) < KEPT_MILLIS)
--- /dev/null
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -0,0 +1,87 @@
+//! Learns which parts of prompts engines keep after all routers were lost at once.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::{DomainId, RegionId, ServerId, VmId};
+use catkin_policy::{RouterSpec, choose_keyholder};
+use tokio::time::{Instant, sleep};
+
+use crate::channel::HttpChannel;
+use crate::kept_book::part_key;
+use crate::peers::PeerDesk;
+use crate::state::EntryState;
+use crate::wire::{EntryWire, KeptRecord};
+
+/// How long other routers have to tell what they know.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for one server's list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest list, in bytes.
+const MAX_LIST_BYTES: usize = 1 << 20;
+
+/// Asks the engines that fall to this router, if nobody knows what they keep.
+pub(crate) async fn learn_kept<W: EntryWire>(state: &Rc<EntryState<W>>, desk: &PeerDesk) {
+    if !state.settings().first_start {
+        sleep(ASK_PAUSE).await;
+        if !state.knows_kept.get() {
+            ask_engines(state, desk.list_routers(state)).await;
+            desk.tell_kept(state);
+            sleep(ASK_PAUSE).await;
+        }
+    }
+    state.knows_kept.set(true);
+    state.room.notify_waiters();
+}
+
+async fn ask_engines<W: EntryWire>(state: &Rc<EntryState<W>>, routers: Vec<VmId>) {
+    let specs: Vec<RouterSpec> = routers.into_iter().map(plain_spec).collect();
+    for (server, address) in list_engines(state) {
+        if choose_keyholder(server.0, &specs) != Some(state.own) {
+            continue;
+        }
+        match ask_list::<W>(address).await {
+            Ok(records) => note_list(state, server, &records),
+            Err(reason) => log::info!("servers: No list. server={server} reason={reason}"),
+        }
+    }
+}
+
+fn plain_spec(vm: VmId) -> RouterSpec {
+    RouterSpec { vm, domain: DomainId(0), region: RegionId(0) }
+}
+
+fn list_engines<W: EntryWire>(state: &EntryState<W>) -> Vec<(ServerId, SocketAddr)> {
+    let Some(table) = state.table() else { return Vec::new() };
+    let services = &table.declarations().services;
+    let is_engine = |service: &str| services.get(service).is_some_and(|row| row.engine.is_some());
+    let servers = state.servers.borrow();
+    let engines = servers.iter().filter(|known| is_engine(&known.record.service));
+    engines.map(|known| (known.server, known.record.address)).collect()
+}
+
+async fn ask_list<W: EntryWire>(address: SocketAddr) -> Result<Vec<KeptRecord>, String> {
+    let deadline = Instant::now() + LIST_TIMEOUT;
+    let opened = HttpChannel::connect(address, deadline).await;
+    let mut channel = opened.map_err(|error| error.to_string())?;
+    let target = W::KEPT_LIST_TARGET;
+    let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let exchanged = channel.exchange(request.as_bytes(), None, false, deadline).await;
+    let head = exchanged.map_err(|error| format!("{:?}", error.fault))?;
+    if head.status != 200 {
+        return Err(format!("status {}", head.status));
+    }
+    let body = channel.read_body(MAX_LIST_BYTES, deadline).await;
+    let body = body.map_err(|fault| format!("{fault:?}"))?;
+    W::decode_kept_list(&body).map_err(|error| error.to_string())
+}
+
+fn note_list<W: EntryWire>(state: &EntryState<W>, server: ServerId, records: &[KeptRecord]) {
+    let now = state.now();
+    log::info!("servers: Listed what it keeps. server={server} parts={}", records.len());
+    let mut kept = state.kept.borrow_mut();
+    for record in records {
+        kept.note(now, part_key(&record.model, record.part), server);
+    }
+}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod channel;
 mod follow;
 mod kept_book;
+mod learn_kept;
 mod load_table;
 mod logging;
 mod outcome_book;
@@ -35,11 +36,13 @@
 pub use budgets::BudgetBook;
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
 pub use channel::{ExchangeError, ExchangeFault, ExpectedAnswer, HttpChannel};
-pub use kept_book::{KeptBook, PrefixPart, hash_prefixes};
-pub use load_table::LoadTable;
+pub use kept_book::{KeptBook, PrefixPart, hash_prefixes, part_key};
+pub use load_table::{LoadTable, OpenLoad};
 pub use logging::LineBudget;
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
-pub use place::{Candidate, LoadBounds, NoPlace, PlaceChoice, PlaceQuery, choose_place};
+pub use place::{
+    Candidate, CandidateUse, LoadBounds, NoPlace, PlaceChoice, PlaceQuery, choose_place,
+};
 pub use process::{read_settings, run_entry};
 pub use record::{
     CallerBounds, DeclarationRecord, EngineRecord, LoadHeader, PromptPart, RouteKind, RouteRecord,
@@ -52,5 +55,5 @@
 pub use settings::{EntrySettings, SettingsError, parse_settings};
 pub use store_client::{StoreClient, StoreFault, WriteMode};
 pub use wire::{
-    EntryWire, HeaderNames, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
+    EntryWire, HeaderNames, KeptRecord, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
 };
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -2,45 +2,65 @@
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, ServerId, VmId};
+use catkin_base::{ClockTime, ServerId, VmId, copy_type};
 
 /// How long another router's last report counts: a frozen router's requests still hold servers.
 const REPORT_LIFETIME_MILLIS: u64 = 3_000;
 /// How long a router counts as alive after its last report.
 const ALIVE_MILLIS: u64 = 1_500;
 
+copy_type! {
+    /// Open requests of one router on one server.
+    #[derive(Default)]
+    pub struct OpenLoad {
+        /// Requests.
+        pub open: u32,
+        /// Prompt tokens that the server has yet to read for them.
+        pub unread_tokens: u64,
+    }
+}
+
 /// Another router's open requests.
 #[derive(Debug, Clone, Default)]
 struct PeerLoads {
     heard: ClockTime,
-    opens: BTreeMap<ServerId, u32>,
+    opens: BTreeMap<ServerId, OpenLoad>,
 }
 
 /// Open requests of this router and, as last reported, of the others.
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
-    own: BTreeMap<ServerId, u32>,
+    own: BTreeMap<ServerId, OpenLoad>,
     peers: BTreeMap<VmId, PeerLoads>,
 }
 
 impl LoadTable {
-    /// Counts a request that this router sends to `server`.
-    pub fn open(&mut self, server: ServerId) {
-        *self.own.entry(server).or_default() += 1;
+    /// Counts a request that this router sends to `server`, which has so many tokens to read.
+    pub fn open(&mut self, server: ServerId, unread_tokens: u64) {
+        let load = self.own.entry(server).or_default();
+        load.open += 1;
+        load.unread_tokens += unread_tokens;
+    }
+
+    /// Notes that `server` has read the prompt of a request that this router had sent.
+    pub fn note_read(&mut self, server: ServerId, tokens: u64) {
+        if let Some(load) = self.own.get_mut(&server) {
+            load.unread_tokens = load.unread_tokens.saturating_sub(tokens);
+        }
     }
 
     /// Counts the end of a request that this router had sent.
     pub fn close(&mut self, server: ServerId) {
-        if let Some(open) = self.own.get_mut(&server) {
-            *open = open.saturating_sub(1);
-            if *open == 0 {
+        if let Some(load) = self.own.get_mut(&server) {
+            load.open = load.open.saturating_sub(1);
+            if load.open == 0 {
                 self.own.remove(&server);
             }
         }
     }
 
     /// Takes another router's report, which names every server with open requests.
-    pub fn note_report(&mut self, now: ClockTime, vm: VmId, opens: BTreeMap<ServerId, u32>) {
+    pub fn note_report(&mut self, now: ClockTime, vm: VmId, opens: BTreeMap<ServerId, OpenLoad>) {
         self.peers.insert(vm, PeerLoads { heard: now, opens });
     }
 
@@ -60,15 +80,18 @@
     }
 
     /// Open requests of this router alone.
-    pub fn own(&self) -> &BTreeMap<ServerId, u32> {
+    pub fn own(&self) -> &BTreeMap<ServerId, OpenLoad> {
         &self.own
     }
 
     /// Open requests on `server` of all routers.
-    pub fn total(&self, server: ServerId) -> u32 {
-        let own = self.own.get(&server).copied().unwrap_or(0);
-        let others = self.peers.values().map(|peer| peer.opens.get(&server).copied().unwrap_or(0));
-        own + others.sum::<u32>()
+    pub fn total(&self, server: ServerId) -> OpenLoad {
+        let others = self.peers.values().filter_map(|peer| peer.opens.get(&server));
+        let loads = self.own.get(&server).into_iter().chain(others);
+        loads.fold(OpenLoad::default(), |sum, load| OpenLoad {
+            open: sum.open + load.open,
+            unread_tokens: sum.unread_tokens + load.unread_tokens,
+        })
     }
 
     /// Routers that reported lately, this one included.
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::follow::take_declarations;
+use crate::load_table::OpenLoad;
 use crate::state::EntryState;
 use crate::store_client::{StoreClient, StoreFault, WriteMode};
 use crate::wire::{EntryWire, RouterRecord, StoreKind};
@@ -158,6 +159,19 @@
         self.link.close().await;
     }
 
+    /// Tells the others all that servers are known to keep.
+    pub(crate) fn tell_kept<W: EntryWire>(&self, state: &EntryState<W>) {
+        let mut report = build_status(state);
+        report.kept = list_kept(state);
+        self.send_all(&wrap(Kind::EntryReport(report)));
+    }
+
+    /// Routers that are known, this one included.
+    pub(crate) fn list_routers<W: EntryWire>(&self, state: &EntryState<W>) -> Vec<VmId> {
+        let routers = self.routers.borrow();
+        routers.keys().copied().chain([state.own]).collect()
+    }
+
     /// Bytes sent to other routers.
     pub(crate) fn sent_bytes(&self) -> u64 {
         self.link.sent_bytes()
@@ -201,7 +215,12 @@
             self.routers.borrow_mut().remove(&source.vm);
             return state.loads.borrow_mut().forget(source.vm);
         }
-        let opens = report.opens.iter().map(|row| (ServerId(row.server), row.open)).collect();
+        let opens = report.opens.iter();
+        let opens = opens.map(|row| {
+            let load = OpenLoad { open: row.open, unread_tokens: row.unread_tokens };
+            (ServerId(row.server), load)
+        });
+        let opens = opens.collect();
         state.loads.borrow_mut().note_report(now, source.vm, opens);
         for part in &report.kept {
             state.kept.borrow_mut().note(now, part.part, ServerId(part.server));
@@ -216,8 +235,8 @@
         for row in &report.leaving {
             let server = ServerId(row.server);
             if state.servers.borrow_mut().note_leaving(now, server, row.revision) {
-                log::info!("servers: Left, as told by {}. server={server}", source.vm);
-                state.forget_server(server);
+                log::info!("servers: Leaving, as told by {}. server={server}", source.vm);
+                state.pool.borrow_mut().forget_server(server);
             }
         }
         let (declaration, directory) = state.told.get();
@@ -225,8 +244,16 @@
         state.stale.notify_waiters();
         self.ask_declarations(state, source, report.declaration);
         if report.joining {
-            let message = wrap(Kind::EntryReport(build_report(state)));
-            self.link.send(source.vm, source.address, &message);
+            let mut answer = build_status(state);
+            if report.wants_kept && state.knows_kept.get() {
+                answer.knows_kept = true;
+                answer.kept = list_kept(state);
+            }
+            self.link.send(source.vm, source.address, &wrap(Kind::EntryReport(answer)));
+        }
+        if report.knows_kept && !report.kept.is_empty() && !state.knows_kept.replace(true) {
+            log::info!("servers: Told what is kept by {}. parts={}", source.vm, report.kept.len());
+            state.room.notify_waiters();
         }
         state.room.notify_one();
     }
@@ -272,6 +299,7 @@
             if due || has_news(state) {
                 let mut report = build_report(state);
                 report.joining = last.is_none();
+                report.wants_kept = last.is_none();
                 self.send_all(&wrap(Kind::EntryReport(report)));
                 last = Some(Instant::now());
             }
@@ -309,11 +337,19 @@
     news.changed || news.urgent || !news.kept.is_empty() || !news.strikes.is_empty()
 }
 
+fn list_kept<W>(state: &EntryState<W>) -> Vec<KeptPart> {
+    let kept = state.kept.borrow();
+    kept.pairs().map(|(part, server)| KeptPart { part, server: server.0 }).collect()
+}
+
 /// What is always told: versions, loads, departures, servers set aside.
 fn build_status<W>(state: &EntryState<W>) -> EntryReport {
     let loads = state.loads.borrow();
-    let opens =
-        loads.own().iter().map(|(server, open)| OpenCount { server: server.0, open: *open });
+    let opens = loads.own().iter().map(|(server, load)| OpenCount {
+        server: server.0,
+        open: load.open,
+        unread_tokens: load.unread_tokens,
+    });
     let servers = state.servers.borrow();
     let leaving = servers.departures();
     let leaving = leaving.map(|(server, revision)| LeavingServer { server: server.0, revision });
--- a/crates/catkin-entry/src/place.rs
+++ b/crates/catkin-entry/src/place.rs
@@ -1,31 +1,67 @@
 //! Chooses the server of a request.
 //!
-//! A request goes to a server that keeps the longest shared part of its prompt, unless that one
-//! holds too much beside the others; then to another one, which fetches the part from the keeper.
+//! Each server is given the time that the request would lose there: waiting behind prompts that
+//! are still to be read, and reading or fetching what the server lacks of the shared prompt. The
+//! server with the least loss is chosen, within a bound on its load against the others.
 
-use catkin_base::{ServerId, hash_parts};
+use catkin_base::{ServerId, copy_type, hash_parts};
 
-/// A server that could take a request.
+/// Prompt tokens that an engine reads in a millisecond; engines of the deployments read 60 to 70.
+const READ_TOKENS_PER_MILLI: f64 = 60.0;
+/// Milliseconds lost for each request already open on a server: steps grow a little longer.
+const OPEN_MILLIS: f64 = 0.5;
+/// Milliseconds charged for each request above the soft bound.
+const OVER_SOFT_MILLIS: f64 = 40.0;
+/// Milliseconds charged for a missing token that another server keeps. Fetching takes a third of
+/// the time of reading and delays nobody's tokens.
+const FETCH_MILLIS: f64 = 0.012;
+/// The same while only one server keeps the part: a second copy outlives the loss of the first.
+const SECOND_COPY_MILLIS: f64 = 0.005;
+/// Milliseconds charged for a missing token that must be read: ten times what reading takes, since
+/// it also delays all requests beside it.
+const READ_MILLIS: f64 = 0.16;
+/// Milliseconds charged to the only keeper of a part when a second copy is wanted.
+const ONLY_KEEPER_MILLIS: f64 = 120.0;
+/// Milliseconds charged for another failure domain.
+const FAR_MILLIS: f64 = 1.0;
+/// Servers this close to the best share new parts by rank, so that routers agree without talk.
+const AGREE_MILLIS: f64 = 40.0;
+
+copy_type! {
+    /// What a server may be used for.
+    pub enum CandidateUse {
+        /// Any request.
+        Open,
+        /// Requests only if no open server has room.
+        Held,
+        /// No request; others may still fetch from it.
+        Leaving,
+    }
+}
+
+/// A server that could take a request, or that others could fetch from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
     /// The server.
     pub server: ServerId,
     /// Requests open on it, over all routers.
     pub load: u32,
+    /// Prompt tokens that it has yet to read, over all routers.
+    pub unread_tokens: u64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it is in this router's failure domain.
     pub near: bool,
-    /// Tokens of the shared prompt that it is known to keep.
+    /// Tokens of the prompt's shared part that it is known to keep.
     pub kept_tokens: u32,
-    /// Whether it gets no ordinary work for now.
-    pub held: bool,
+    /// What it may be used for.
+    pub usable: CandidateUse,
 }
 
 /// Bounds on the load of one server against the mean of its service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBounds {
-    /// Requests over which reuse gives way to another server: this many times the mean.
+    /// Requests over which a server is charged: this many times the mean.
     pub soft_factor: f64,
     /// Requests that the soft bound allows beyond that.
     pub soft_extra: f64,
@@ -43,6 +79,8 @@
     pub affinity: u64,
     /// Tokens of the shared part of the prompt; zero if nothing is shared.
     pub shared_tokens: u32,
+    /// Whether the request should bring a part that only one server keeps to a second one.
+    pub second_copy: bool,
 }
 
 /// The choice, and what it rests on.
@@ -58,6 +96,8 @@
     pub mean: f64,
     /// Tokens of the shared part that the chosen server keeps.
     pub kept_tokens: u32,
+    /// Prompt tokens that the chosen server has yet to read, this request's left out.
+    pub unread_tokens: u64,
 }
 
 /// Why nothing was chosen.
@@ -75,56 +115,75 @@
     candidates: &[Candidate],
     bounds: &LoadBounds,
 ) -> Result<PlaceChoice, NoPlace> {
-    if candidates.is_empty() {
+    let staying = || candidates.iter().filter(|row| row.usable != CandidateUse::Leaving);
+    let count = staying().count();
+    if count == 0 {
         return Err(NoPlace::NoServer);
     }
-    let mean = mean_load(candidates);
+    let mean = f64::from(staying().map(|row| row.load).sum::<u32>()) / count as f64;
     let hard = mean * bounds.hard_factor + bounds.hard_extra;
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
-    let fits = |candidate: &&Candidate| {
-        let next = f64::from(candidate.load) + 1.0;
-        next <= hard && candidate.load < candidate.slots
-    };
-    let open: Vec<Candidate> = candidates.iter().filter(fits).copied().collect();
-    let sound: Vec<Candidate> = open.iter().filter(|row| !row.held).copied().collect();
-    let rows = if sound.is_empty() { open } else { sound };
-    let chosen = choose_row(query, &rows, soft).ok_or(NoPlace::Full)?;
+    let fits = |row: &&Candidate| f64::from(row.load) + 1.0 <= hard && row.load < row.slots;
+    let open = staying().filter(|row| row.usable == CandidateUse::Open).filter(fits);
+    let chosen = choose_row(query, open, candidates, soft)
+        .or_else(|| choose_row(query, staying().filter(fits), candidates, soft))
+        .ok_or(NoPlace::Full)?;
     Ok(PlaceChoice {
         server: chosen.server,
         fetch_from: choose_source(query, candidates, &chosen),
         load: chosen.load,
         mean,
         kept_tokens: chosen.kept_tokens,
+        unread_tokens: chosen.unread_tokens,
     })
 }
 
-fn choose_row(query: PlaceQuery, rows: &[Candidate], soft: f64) -> Option<Candidate> {
-    if query.shared_tokens == 0 {
-        return choose_idle(query.affinity, rows);
-    }
-    let under = |row: &&Candidate| f64::from(row.load) + 1.0 <= soft;
-    let keepers = rows.iter().filter(|row| row.kept_tokens >= query.shared_tokens);
-    let keeper = keepers.filter(under).min_by_key(|row| (row.load, !row.near, row.server));
-    if let Some(keeper) = keeper {
-        return Some(*keeper);
-    }
-    let nobody_keeps = rows.iter().all(|row| row.kept_tokens < query.shared_tokens);
-    if nobody_keeps {
-        let first = rows.iter().filter(under).max_by_key(|row| rank_of(query.affinity, row.server));
-        if let Some(first) = first {
-            return Some(*first);
-        }
-    }
-    choose_idle(query.affinity, rows)
+fn choose_row<'a>(
+    query: PlaceQuery,
+    rows: impl Iterator<Item = &'a Candidate>,
+    candidates: &[Candidate],
+    soft: f64,
+) -> Option<Candidate> {
+    let charged = rows.map(|row| (charge_millis(query, row, candidates, soft), *row));
+    let charged: Vec<(f64, Candidate)> = charged.collect();
+    let least = charged.iter().map(|(millis, _)| *millis).min_by(f64::total_cmp)?;
+    let kept = charged.iter().any(|(_, row)| row.kept_tokens > 0);
+    // A new part goes where every router sends it; anything else where it loses least.
+    let slack = if query.shared_tokens > 0 && !kept { AGREE_MILLIS } else { 0.0 };
+    let close = charged.iter().filter(|(millis, _)| *millis <= least + slack);
+    let best = close.max_by_key(|(_, row)| rank_of(query.affinity, row.server));
+    best.map(|(_, row)| *row)
 }
 
-/// The least loaded server, against its size; between equals one in the same domain.
-fn choose_idle(affinity: u64, rows: &[Candidate]) -> Option<Candidate> {
-    let order = |row: &&Candidate| {
-        let share = u64::from(row.load) * 1_000 / u64::from(row.slots.max(1));
-        (share, !row.near, rank_of(affinity, row.server))
+/// What a request would lose at a server, in milliseconds.
+fn charge_millis(query: PlaceQuery, row: &Candidate, candidates: &[Candidate], soft: f64) -> f64 {
+    let waiting = row.unread_tokens as f64 / READ_TOKENS_PER_MILLI;
+    let load = f64::from(row.load);
+    let over = (load + 1.0 - soft).max(0.0) * OVER_SOFT_MILLIS;
+    let far = if row.near { 0.0 } else { FAR_MILLIS };
+    // Plain services run few requests at once: a place taken is a wait.
+    let crowd = if query.shared_tokens == 0 {
+        load / f64::from(row.slots.max(1)) * OVER_SOFT_MILLIS
+    } else {
+        load * OPEN_MILLIS
     };
-    rows.iter().min_by_key(order).copied()
+    waiting + over + far + crowd + reading_millis(query, row, candidates)
+}
+
+fn reading_millis(query: PlaceQuery, row: &Candidate, candidates: &[Candidate]) -> f64 {
+    let lacks = |kept: u32| query.shared_tokens.saturating_sub(kept);
+    let missing = lacks(row.kept_tokens);
+    if missing == 0 {
+        let keeps = |other: &&Candidate| other.kept_tokens >= query.shared_tokens;
+        let only = query.shared_tokens > 0 && candidates.iter().filter(keeps).count() == 1;
+        return if only && query.second_copy { ONLY_KEEPER_MILLIS } else { 0.0 };
+    }
+    let sources = candidates.iter().filter(|other| other.kept_tokens > row.kept_tokens);
+    let sources = sources.filter(|other| other.usable != CandidateUse::Held);
+    let best = sources.clone().map(|other| other.kept_tokens).max().unwrap_or(row.kept_tokens);
+    let copies = sources.filter(|other| other.kept_tokens == best).count();
+    let fetch = if copies == 1 { SECOND_COPY_MILLIS } else { FETCH_MILLIS };
+    f64::from(missing - lacks(best)) * fetch + f64::from(lacks(best)) * READ_MILLIS
 }
 
 fn choose_source(
@@ -136,13 +195,8 @@
         return None;
     }
     let keepers = candidates.iter().filter(|row| row.kept_tokens > chosen.kept_tokens);
-    let best = keepers.filter(|row| !row.held && row.server != chosen.server);
-    best.max_by_key(|row| (row.kept_tokens, row.near, u32::MAX - row.load)).map(|row| row.server)
-}
-
-fn mean_load(candidates: &[Candidate]) -> f64 {
-    let sum: u32 = candidates.iter().map(|row| row.load).sum();
-    f64::from(sum) / candidates.len() as f64
+    let sound = keepers.filter(|row| row.usable != CandidateUse::Held);
+    sound.max_by_key(|row| (row.kept_tokens, row.near, u32::MAX - row.load)).map(|row| row.server)
 }
 
 fn rank_of(affinity: u64, server: ServerId) -> u64 {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -16,6 +16,7 @@
 
 use crate::caller::serve_connection;
 use crate::follow::follow_kind;
+use crate::learn_kept::learn_kept;
 use crate::logging::start_logging;
 use crate::pause::{LOOK_PAUSE, PauseWatch};
 use crate::peers::{PeerDesk, close_desk, join_fleet, leave_fleet};
@@ -180,7 +181,12 @@
     let desk = join_fleet(&state).await;
     state.joined.set(true);
     let working = async {
-        tokio::join!(desk.receive(&state), desk.report(&state), desk.greet(&state));
+        tokio::join!(
+            desk.receive(&state),
+            desk.report(&state),
+            desk.greet(&state),
+            learn_kept(&state, &desk),
+        );
     };
     tokio::select! {
         () = working => {}
@@ -285,6 +291,7 @@
     let began = Instant::now();
     let until = began + state.settings().grace().saturating_sub(EXIT_TIME);
     state.stopping.set(Some(began));
+    state.exit.set(Some(until));
     log::info!("process: Stopping. open_calls={}", state.open_calls.get());
     sleep(BALANCER_TIME.min(until.saturating_duration_since(began))).await;
     state.closing.cancel();
--- a/crates/catkin-entry/src/relay.rs
+++ b/crates/catkin-entry/src/relay.rs
@@ -107,6 +107,7 @@
             };
             if let Some(events) = events {
                 waits = false;
+                begun.place.note_read();
                 self.write_events(&begun.head, &events, writer).await?;
             }
         }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -13,15 +13,20 @@
 use crate::call::EntryCall;
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
 use crate::outcome_book::AttemptOutcome;
-use crate::place::{Candidate, NoPlace, PlaceChoice, PlaceQuery, choose_place};
+use crate::place::{Candidate, CandidateUse, NoPlace, PlaceChoice, PlaceQuery, choose_place};
 use crate::record::RouteKind;
 use crate::refuse::{Refusal, RefusalCause};
 use crate::relay::{AnswerRelay, RelayEnd};
+use crate::server_book::KnownServer;
 use crate::state::{EntryState, OpenPlace};
 use crate::wire::EntryWire;
 
 /// Part of the target latency for which a request waits for a place.
 const WAIT_PART: u32 = 2;
+/// How long after the start requests with shared prompts wait for word of what servers keep.
+const KEPT_WAIT: Duration = Duration::from_millis(900);
+/// One request in so many brings a part with a single copy to a second server.
+const SECOND_COPY_PERIOD: u64 = 4;
 /// Most sends of one request that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 /// How many target latencies a repeatable request waits for a server's first bytes while it may
@@ -94,6 +99,13 @@
     }
 }
 
+/// Whether the router stops and ends before the request must have its answer. Until the balancer
+/// has taken the router out, requests are taken all the same.
+fn outlasts_process<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
+    let exit = state.exit.get();
+    state.closing.is_cancelled() && exit.is_some_and(|exit| call.limit > exit)
+}
+
 enum ServedCall {
     Whole { status: u16, attempts: u32 },
     Cut(AttemptError),
@@ -105,6 +117,9 @@
     call: &EntryCall,
     writer: &mut CallerWriter,
 ) -> io::Result<ServedCall> {
+    if outlasts_process(state, call) {
+        return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Stopping)));
+    }
     let held = state.strikes.borrow().state(state.now(), call.digest).hold_millis > 0;
     if held {
         return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Quarantined)));
@@ -240,6 +255,9 @@
     call: &EntryCall,
     progress: &CallProgress,
 ) -> Result<PlacedCall<W>, RefusalCause> {
+    if call.shared().is_some() {
+        wait_for_kept(state, call.limit).await;
+    }
     let wait_until = (Instant::now() + call.route.target_latency / WAIT_PART).min(call.limit);
     loop {
         let room = state.room.notified();
@@ -255,6 +273,18 @@
     }
 }
 
+/// A router that has just started learns in a moment what servers keep; a prompt that is read
+/// again costs more than the wait.
+async fn wait_for_kept<W: EntryWire>(state: &EntryState<W>, limit: Instant) {
+    let until = (state.started + KEPT_WAIT).min(limit);
+    while !state.knows_kept.get() {
+        let news = state.room.notified();
+        if timeout_at(until, news).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn try_place<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
@@ -266,10 +296,14 @@
     let query = PlaceQuery {
         affinity: shared.map_or(call.digest.0, |shared| shared.key),
         shared_tokens: shared.map_or(0, |shared| shared.tokens),
+        second_copy: call.digest.0.is_multiple_of(SECOND_COPY_PERIOD),
     };
     let choice = choose_place(query, &candidates, &state.load_bounds())?;
     log_choice(state, call, &choice);
-    for prefix in &call.prefixes {
+    let fetched = choice.fetch_from.map_or(0, |_| query.shared_tokens);
+    let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
+    let unread_tokens = prompt.saturating_sub(choice.kept_tokens.max(fetched));
+    for prefix in call.shared_prefixes() {
         if state.kept.borrow_mut().note(now, prefix.key, choice.server) {
             state.news.borrow_mut().kept.push((prefix.key, choice.server));
         }
@@ -278,7 +312,7 @@
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(choice.server).ok_or(NoPlace::NoServer)?;
     Ok(PlacedCall {
-        place: OpenPlace::take(state, choice.server),
+        place: OpenPlace::take(state, choice.server, u64::from(unread_tokens)),
         name: known.name.clone(),
         address: known.record.address,
         fetch_from: choice.fetch_from.and_then(address),
@@ -297,32 +331,41 @@
     let kept = state.kept.borrow();
     let outcomes = state.outcomes.borrow();
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
-    let candidate = |known: &crate::server_book::KnownServer| {
+    let prefixes = call.shared_prefixes();
+    let candidate = |known: &KnownServer| {
         let server = known.server;
-        let held_prefix =
-            |prefix: &&crate::kept_book::PrefixPart| kept.keeps(now, prefix.key, server);
-        let longest = call.prefixes.iter().rev().find(held_prefix);
+        let load = loads.total(server);
         Candidate {
             server,
-            load: loads.total(server),
+            load: load.open,
+            unread_tokens: load.unread_tokens,
             slots: known.record.slots,
             near: known.record.domain == settings.domain,
-            kept_tokens: longest.map_or(0, |prefix| prefix.tokens),
-            held: outcomes.is_held(now, server),
+            kept_tokens: kept.kept_tokens(now, prefixes, server),
+            usable: match (known.record.leaving, outcomes.is_held(now, server)) {
+                (true, _) => CandidateUse::Leaving,
+                (false, true) => CandidateUse::Held,
+                (false, false) => CandidateUse::Open,
+            },
         }
     };
-    usable.map(candidate).collect()
+    let sources = servers.leaving(&call.service);
+    let sources = sources.filter(|known| !outcomes.is_held(now, known.server));
+    usable.chain(sources).map(candidate).collect()
 }
 
 fn log_choice<W>(state: &EntryState<W>, call: &EntryCall, choice: &PlaceChoice) {
     log::info!(
-        "call: Placed. request={} server={} load={} mean={:.1} kept={} fetch_from={} \
-         loads_age_millis={} declarations={}",
+        "call: Placed. request={} server={} load={} mean={:.1} part={:016x} shared={} kept={} \
+         unread={} fetch_from={} loads_age_millis={} declarations={}",
         call.id_text(),
         choice.server,
         choice.load,
         choice.mean,
+        call.shared().map_or(0, |shared| shared.key),
+        call.shared().map_or(0, |shared| shared.tokens),
         choice.kept_tokens,
+        choice.unread_tokens,
         choice.fetch_from.map_or_else(|| "-".to_owned(), |server| server.to_string()),
         state.loads.borrow().oldest_millis(state.now()),
         call.version
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -41,8 +41,10 @@
     Unchanged,
     /// A server appeared, or started again.
     Appeared(ServerId),
-    /// A server gets no more work.
-    Left(ServerId),
+    /// A server gets no more work; others may still fetch from it.
+    Leaving(ServerId),
+    /// A server is gone.
+    Gone(ServerId),
 }
 
 /// All servers, by the names of their entries.
@@ -92,7 +94,7 @@
             known.missing_until = None;
             if left {
                 self.departures.insert(server, Departure { revision, at: now });
-                return ServerChange::Left(server);
+                return ServerChange::Leaving(server);
             }
             return ServerChange::Unchanged;
         }
@@ -101,7 +103,7 @@
         let known =
             KnownServer { name: name.clone(), server, record, revision, missing_until: None };
         self.servers.insert(name, known);
-        if leaving { ServerChange::Left(server) } else { ServerChange::Appeared(server) }
+        if leaving { ServerChange::Leaving(server) } else { ServerChange::Appeared(server) }
     }
 
     /// Takes the news that an entry is gone. Around an outage of the store (`settled` false) the
@@ -159,7 +161,7 @@
             .collect();
         let mut dropped = Vec::new();
         for name in names {
-            if let ServerChange::Left(server) = self.drop_server(now, &name, u64::MAX) {
+            if let ServerChange::Gone(server) = self.drop_server(now, &name, u64::MAX) {
                 dropped.push(server);
             }
         }
@@ -193,6 +195,17 @@
         servers.filter(move |known| known.record.service == service && !known.record.leaving)
     }
 
+    /// Servers of `service` that get no more work and still run.
+    pub fn leaving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownServer> {
+        let servers = self.servers.values();
+        servers.filter(move |known| known.record.service == service && known.record.leaving)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = &KnownServer> {
+        self.servers.values()
+    }
+
     /// A server by its identifier.
     pub fn get(&self, server: ServerId) -> Option<&KnownServer> {
         self.servers.values().find(|known| known.server == server)
@@ -208,6 +221,6 @@
         // A revision of its own is kept when the server was dropped without one.
         let revision = if revision == u64::MAX { known.revision } else { revision };
         self.departures.insert(known.server, Departure { revision, at: now });
-        ServerChange::Left(known.server)
+        ServerChange::Gone(known.server)
     }
 }
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -60,6 +60,9 @@
     pub retry_extra: u64,
     /// Requests that one server may hold against the mean of its service.
     pub load_factor: f64,
+    /// Whether the whole fleet starts for the first time, so that no server keeps anything yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Memory that the process may take, in megabytes.
     pub memory_megabytes: u64,
     /// File descriptors that the process may open.
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -72,6 +72,10 @@
     pub(crate) told: Cell<(u64, u64)>,
     pub(crate) joined: Cell<bool>,
     pub(crate) stopping: Cell<Option<Instant>>,
+    /// Whether it is known what servers keep, as far as any router knew.
+    pub(crate) knows_kept: Cell<bool>,
+    /// When the process ends at the latest, once it stops.
+    pub(crate) exit: Cell<Option<Instant>>,
     pub(crate) open_calls: Cell<u32>,
     /// Connections of callers.
     pub(crate) connections: Cell<usize>,
@@ -108,6 +112,8 @@
             told: Cell::default(),
             joined: Cell::new(false),
             stopping: Cell::new(None),
+            knows_kept: Cell::new(false),
+            exit: Cell::new(None),
             open_calls: Cell::new(0),
             connections: Cell::new(0),
             closing: CancellationToken::new(),
@@ -159,8 +165,13 @@
         match change {
             ServerChange::Unchanged => return,
             ServerChange::Appeared(server) => log::info!("servers: Appeared. server={server}"),
-            ServerChange::Left(server) => {
-                log::info!("servers: Left. server={server}");
+            ServerChange::Leaving(server) => {
+                log::info!("servers: Leaving. server={server}");
+                self.pool.borrow_mut().forget_server(server);
+                self.news.borrow_mut().urgent = true;
+            }
+            ServerChange::Gone(server) => {
+                log::info!("servers: Gone. server={server}");
                 self.forget_server(server);
                 self.news.borrow_mut().urgent = true;
             }
@@ -179,18 +190,30 @@
 pub(crate) struct OpenPlace<W> {
     state: Rc<EntryState<W>>,
     pub(crate) server: ServerId,
+    /// Prompt tokens that the server has yet to read for it.
+    unread_tokens: u64,
 }
 
 impl<W> OpenPlace<W> {
-    pub(crate) fn take(state: &Rc<EntryState<W>>, server: ServerId) -> Self {
-        state.loads.borrow_mut().open(server);
+    pub(crate) fn take(state: &Rc<EntryState<W>>, server: ServerId, unread_tokens: u64) -> Self {
+        state.loads.borrow_mut().open(server, unread_tokens);
         state.news.borrow_mut().changed = true;
-        Self { state: Rc::clone(state), server }
+        Self { state: Rc::clone(state), server, unread_tokens }
+    }
+
+    /// Notes that the server has read the prompt.
+    pub(crate) fn note_read(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if tokens > 0 {
+            self.state.loads.borrow_mut().note_read(self.server, tokens);
+            self.state.news.borrow_mut().changed = true;
+        }
     }
 }
 
 impl<W> Drop for OpenPlace<W> {
     fn drop(&mut self) {
+        self.note_read();
         self.state.loads.borrow_mut().close(self.server);
         self.state.news.borrow_mut().changed = true;
         self.state.room.notify_one();
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -87,6 +87,16 @@
     }
 }
 
+value_type! {
+    /// A part of prompts that a server keeps.
+    pub struct KeptRecord {
+        /// Its model.
+        pub model: String,
+        /// Identifier of its content.
+        pub part: u64,
+    }
+}
+
 value_type! {
     /// A document that cannot be read.
     #[derive(thiserror::Error)]
@@ -105,6 +115,8 @@
     const HEADERS: HeaderNames;
     /// Header fields that only the router may send to servers; those of callers are dropped.
     const ROUTER_ONLY: &'static [&'static str];
+    /// Target of the question which parts of prompts a server keeps.
+    const KEPT_LIST_TARGET: &'static str;
     /// Path of the question whether the router takes callers.
     const READY_PATH: &'static str;
     /// Name of the one object that holds the declarations.
@@ -141,6 +153,8 @@
     fn encode_peer_key(key_hex: &str) -> String;
     /// Reads the parts of a prompt.
     fn decode_prompt_parts(value: &str) -> Result<Vec<PromptPart>, WireError>;
+    /// Reads the list of parts that a server keeps.
+    fn decode_kept_list(bytes: &[u8]) -> Result<Vec<KeptRecord>, WireError>;
     /// Reads a server's load.
     fn decode_load(value: &str) -> Result<LoadHeader, WireError>;
 }
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -417,6 +417,12 @@
     /// asks for a report at once
     #[prost(bool, tag = "9")]
     pub joining: bool,
+    /// asks for all kept parts that the receiver knows
+    #[prost(bool, tag = "10")]
+    pub wants_kept: bool,
+    /// has followed them since they were first kept
+    #[prost(bool, tag = "11")]
+    pub knows_kept: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenCount {
@@ -424,6 +430,9 @@
     pub server: u64,
     #[prost(uint32, tag = "2")]
     pub open: u32,
+    /// of prompts that the server has yet to read
+    #[prost(uint64, tag = "3")]
+    pub unread_tokens: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeptPart {
