--- a/crates/catkin-entry/src/follow.rs
+++ b/crates/catkin-entry/src/follow.rs
@@ -24,6 +24,8 @@
 const UNSETTLED_MILLIS: u64 = 2_500;
 /// How long news of a newer version may be ahead of the own wait before it is asked anew.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
+/// The same for a router whose waits may show changes late.
+const CHEAP_STALE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Follows one kind until dropped.
 pub(crate) async fn follow_kind<W: EntryWire>(state: Rc<EntryState<W>>, kind: StoreKind) {
@@ -63,7 +65,8 @@
             }
             Some(revision) => {
                 let state = Rc::clone(&self.state);
-                let watching = self.client.watch(self.kind, revision, WATCH_WAIT, PATIENCE);
+                let cheap = !state.reads_fresh.get();
+                let watching = self.client.watch(self.kind, revision, WATCH_WAIT, cheap);
                 let page = tokio::select! {
                     page = watching => page?,
                     () = state.awake.notified() => {
@@ -227,7 +230,8 @@
             continue;
         }
         let first = *since.get_or_insert_with(Instant::now);
-        if first.elapsed() >= STALE_PAUSE {
+        let pause = if state.reads_fresh.get() { STALE_PAUSE } else { CHEAP_STALE_PAUSE };
+        if first.elapsed() >= pause {
             return;
         }
         sleep(STALE_PAUSE).await;
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, digest_hex};
+use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, digest_hex, hash_parts};
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
     DeclarationAsk, DeclarationCopy, EntryReport, KeptPart, LeavingServer, OpenCount, OutcomeCount,
@@ -24,6 +24,12 @@
 
 /// Pause between two looks for news to tell.
 const REPORT_PAUSE: Duration = Duration::from_millis(40);
+/// Most reports that a router hears in a second.
+const MAX_REPORTS_PER_SECOND: u32 = 200;
+/// Fleet up to which every router follows the store closely.
+const MAX_CLOSE_READERS: usize = 12;
+/// Routers that follow the store closely in a larger fleet.
+const CLOSE_READERS: usize = 6;
 /// Longest time without a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Kept parts in one report, so that it fits a datagram.
@@ -36,6 +42,8 @@
 const SILENT_MILLIS: u64 = 1_500;
 /// Time without word after which a router is no longer greeted, in milliseconds.
 const GONE_MILLIS: u64 = 60_000;
+/// How long the store has to show newer declarations before another router is asked.
+const BEHIND_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for the store's answer while joining.
@@ -59,6 +67,8 @@
     link: UdpLink,
     routers: RefCell<BTreeMap<VmId, KnownRouter>>,
     asked: Cell<Option<Instant>>,
+    /// Since when other routers have known newer declarations.
+    behind: Cell<Option<Instant>>,
 }
 
 /// Registers this router, finds the others and opens the link to them. Retries until it succeeds.
@@ -102,7 +112,12 @@
         }
     }
     log::info!("peers: Joined. incarnation={incarnation} others={}", routers.len());
-    Ok(PeerDesk { link, routers: RefCell::new(routers), asked: Cell::new(None) })
+    Ok(PeerDesk {
+        link,
+        routers: RefCell::new(routers),
+        asked: Cell::new(None),
+        behind: Cell::new(None),
+    })
 }
 
 /// Reads the fleet's key; the first router creates it.
@@ -266,8 +281,13 @@
         version: u64,
     ) {
         let own = state.table().map_or(0, |table| table.version());
+        if version <= own {
+            return self.behind.set(None);
+        }
+        let behind = self.behind.get().unwrap_or_else(Instant::now);
+        self.behind.set(Some(behind));
         let paused = self.asked.get().is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if version <= own || paused {
+        if paused || behind.elapsed() < BEHIND_PAUSE {
             return;
         }
         self.asked.set(Some(Instant::now()));
@@ -295,7 +315,8 @@
     pub(crate) async fn report<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         let mut last: Option<Instant> = None;
         loop {
-            let due = last.is_none_or(|last| last.elapsed() >= REPORT_INTERVAL);
+            let pause = self.report_pause();
+            let due = last.is_none_or(|last| last.elapsed() >= REPORT_INTERVAL.max(pause));
             if due || has_news(state) {
                 let mut report = build_report(state);
                 report.joining = last.is_none();
@@ -303,7 +324,24 @@
                 self.send_all(&wrap(Kind::EntryReport(report)));
                 last = Some(Instant::now());
             }
-            sleep(REPORT_PAUSE).await;
+            sleep(pause).await;
+        }
+    }
+
+    /// Grows with the fleet, so that a router hears no more than a fixed number of reports.
+    fn report_pause(&self) -> Duration {
+        let others = self.routers.borrow().len() as u32;
+        REPORT_PAUSE.max(Duration::from_secs(1) * others / MAX_REPORTS_PER_SECOND)
+    }
+
+    /// In a large fleet a few routers follow the store closely; the others learn from them.
+    fn choose_readers<W: EntryWire>(&self, state: &EntryState<W>) {
+        let routers = self.list_routers(state);
+        let order = |vm: &VmId| choose_order(*vm);
+        let ahead = routers.iter().filter(|vm| order(vm) < order(&state.own)).count();
+        let fresh = routers.len() <= MAX_CLOSE_READERS || ahead < CLOSE_READERS;
+        if state.reads_fresh.replace(fresh) != fresh {
+            log::info!("store: Reads closely: {fresh}. routers={}", routers.len());
         }
     }
 
@@ -311,6 +349,7 @@
     pub(crate) async fn greet<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         loop {
             sleep(GREET_PAUSE).await;
+            self.choose_readers(state);
             let now = state.now();
             let mut routers = self.routers.borrow_mut();
             routers.retain(|_, router| now.millis_since(router.heard) < GONE_MILLIS);
@@ -391,6 +430,11 @@
     report
 }
 
+/// Place of a router in the order of readers.
+fn choose_order(vm: VmId) -> (u64, VmId) {
+    (hash_parts(&[b"reader", &vm.0.to_le_bytes()]), vm)
+}
+
 fn wrap(kind: Kind) -> PeerMessage {
     PeerMessage { kind: Some(kind) }
 }
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -13,6 +13,8 @@
 
 /// Longest answer of the store, in bytes: a page of about a megabyte.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// How long the end of a wait for changes may be overdue.
+const WATCH_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest wait for a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -99,16 +101,17 @@
         Ok(W::decode_list(&answer.body)?)
     }
 
-    /// Waits until something of a kind changes after `revision`, at most `wait`.
+    /// Waits until something of a kind changes after `revision`, at most `wait`. A cheap wait may
+    /// show changes seconds late.
     pub async fn watch(
         &mut self,
         kind: StoreKind,
         revision: u64,
         wait: Duration,
-        patience: Duration,
+        cheap: bool,
     ) -> Result<StorePage, StoreFault> {
-        let target = W::watch_target(kind, revision, wait.as_millis() as u64);
-        let answer = self.call("GET", &target, None, wait + patience).await?;
+        let target = W::watch_target(kind, revision, wait.as_millis() as u64, cheap);
+        let answer = self.call("GET", &target, None, wait + WATCH_PATIENCE).await?;
         check_status(answer.status)?;
         Ok(W::decode_changes(&answer.body)?)
     }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -124,8 +124,8 @@
 
     /// Target of a list of a kind, after a name if it continues one.
     fn list_target(kind: StoreKind, after: Option<&str>) -> String;
-    /// Target of a wait for changes after `revision`.
-    fn watch_target(kind: StoreKind, revision: u64, wait_millis: u64) -> String;
+    /// Target of a wait for changes after `revision`; a cheap one may show them seconds late.
+    fn watch_target(kind: StoreKind, revision: u64, wait_millis: u64, cheap: bool) -> String;
     /// Target of all objects of a kind, to create one.
     fn kind_target(kind: StoreKind) -> String;
     /// Target of one object.
--- /dev/null
+++ b/crates/catkin-entry/tests/channel.rs
@@ -0,0 +1,160 @@
+//! Exchanges with servers that answer late, early, twice, torn or not at all.
+
+use std::time::Duration;
+
+use catkin_base::RunVerdict;
+use catkin_entry::{ExchangeError, ExchangeFault, ExpectedAnswer, HttpChannel};
+use proptest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+
+const ID_FIELD: &str = "x-id";
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\nX-Id: own\r\n\r\n";
+const OWN: &str = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok";
+const OTHER: &str = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nalien";
+const BODY_LIMIT_BYTES: usize = 1024;
+
+/// What a server does after it has read a request.
+#[derive(Clone)]
+enum ServerStep {
+    Write(Vec<u8>),
+    Wait(Duration),
+}
+
+fn write(text: &str) -> ServerStep {
+    ServerStep::Write(text.as_bytes().to_vec())
+}
+
+async fn start_server(steps: Vec<ServerStep>) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await;
+        for step in steps {
+            match step {
+                ServerStep::Write(bytes) => stream.write_all(&bytes).await.unwrap(),
+                ServerStep::Wait(time) => sleep(time).await,
+            }
+        }
+    });
+    address
+}
+
+async fn read_request(stream: &mut TcpStream) {
+    let mut read = Vec::new();
+    while !read.windows(4).any(|window| window == b"\r\n\r\n") {
+        let mut bytes = [0; 256];
+        let count = stream.read(&mut bytes).await.unwrap();
+        read.extend_from_slice(&bytes[..count]);
+    }
+}
+
+struct Exchanged {
+    body: Result<Vec<u8>, ExchangeFault>,
+    reusable: bool,
+}
+
+async fn exchange(steps: Vec<ServerStep>) -> Result<Exchanged, ExchangeError> {
+    let address = start_server(steps).await;
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut channel = HttpChannel::connect(address, deadline).await.unwrap();
+    let expected = ExpectedAnswer { id_field: ID_FIELD, id: b"own" };
+    channel.exchange(REQUEST, Some(expected), false, deadline).await?;
+    let body = channel.read_body(BODY_LIMIT_BYTES, deadline).await;
+    Ok(Exchanged { body: body.map(|body| body.to_vec()), reusable: channel.is_reusable() })
+}
+
+#[tokio::test]
+async fn a_whole_answer_leaves_the_connection_reusable() {
+    let exchanged = exchange(vec![write(OWN)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Ok(b"ok".to_vec()));
+    assert!(exchanged.reusable);
+}
+
+#[tokio::test]
+async fn a_late_answer_to_an_earlier_request_is_skipped() {
+    let exchanged = exchange(vec![write(OTHER), write(OWN)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Ok(b"ok".to_vec()));
+}
+
+#[tokio::test]
+async fn bytes_behind_the_answer_end_the_connection() {
+    let both = format!("{OWN}{OTHER}");
+
+    let exchanged = exchange(vec![write(&both)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Ok(b"ok".to_vec()));
+    assert!(!exchanged.reusable);
+}
+
+#[tokio::test]
+async fn an_answer_cut_short_is_never_whole() {
+    let cut = &OWN[..OWN.len() - 1];
+
+    let exchanged = exchange(vec![write(cut)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Err(ExchangeFault::Broken));
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let unframed = "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nall of it";
+
+    let exchanged = exchange(vec![write(unframed)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Ok(b"all of it".to_vec()));
+    assert!(!exchanged.reusable);
+}
+
+#[tokio::test]
+async fn a_server_that_closes_without_an_answer_may_have_run_the_request() {
+    let error = exchange(Vec::new()).await.err();
+
+    let expected = ExchangeError { fault: ExchangeFault::Broken, ran: RunVerdict::MayHaveRun };
+    assert_eq!(error, Some(expected));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_server_is_given_up_at_the_deadline() {
+    let error = exchange(vec![ServerStep::Wait(Duration::from_secs(60))]).await.err();
+
+    assert_eq!(error.map(|error| error.fault), Some(ExchangeFault::TimedOut));
+}
+
+#[tokio::test]
+async fn an_interim_answer_is_passed_over() {
+    let interim = format!("HTTP/1.1 100 Continue\r\n\r\n{OWN}");
+
+    let exchanged = exchange(vec![write(&interim)]).await.unwrap();
+
+    assert_eq!(exchanged.body, Ok(b"ok".to_vec()));
+}
+
+#[tokio::test]
+async fn a_server_that_cannot_be_reached_has_not_run_the_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+
+    let connected = HttpChannel::connect(address, Instant::now() + Duration::from_secs(5)).await;
+
+    assert!(connected.is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever bytes a server sends: an answer, an error, never a panic or a stranger's body.
+    #[test]
+    fn any_bytes_of_a_server_end_the_exchange(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let ended = runtime.block_on(exchange(vec![ServerStep::Write(bytes)]));
+        if let Ok(exchanged) = ended {
+            prop_assert!(exchanged.body.is_err() || !exchanged.reusable);
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/tests/directory.rs
@@ -0,0 +1,242 @@
+//! What the router believes of servers and declarations.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use catkin_base::{ClockTime, ServerId};
+use catkin_entry::{
+    AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, MISSING_GRACE_MILLIS, OutcomeBook,
+    RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerRecord,
+    ServiceShare, TeamRecord, choose_service, server_id,
+};
+
+fn server(started_unix_millis: u64) -> ServerRecord {
+    ServerRecord {
+        service: "s".to_owned(),
+        address: ([127, 0, 0, 1], 80).into(),
+        domain: "a".to_owned(),
+        slots: 4,
+        leaving: false,
+        cold: Duration::ZERO,
+        started_unix_millis,
+    }
+}
+
+fn leaving_server() -> ServerRecord {
+    ServerRecord { leaving: true, ..server(1) }
+}
+
+fn book_of_one() -> ServerBook {
+    let mut book = ServerBook::default();
+    book.note_entry(at(0), "i-1", 5, Some(server(1)));
+    book
+}
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn route(prefix: &str) -> RouteRecord {
+    RouteRecord {
+        name: format!("route {prefix}"),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 0,
+        services: vec![ServiceShare { service: "s".to_owned(), weight: 1 }],
+        max_attempts: 2,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn table(routes: Vec<RouteRecord>) -> RouteTable {
+    RouteTable::new(DeclarationRecord {
+        version: 1,
+        routes,
+        services: BTreeMap::new(),
+        bounds: CallerBounds {
+            head_bytes: 1024,
+            body_bytes: 1024,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+        teams: Some(vec![TeamRecord {
+            name: "team".to_owned(),
+            keys: vec!["key".to_owned()],
+            priority: None,
+        }]),
+    })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let table = table(vec![route("/a/"), route("/a/b/"), route("/")]);
+
+    let found = ["/a/b/c", "/a/c?x=/a/b/", "/z"].map(|target| {
+        match table.find("A.example:80", target, Some("key")) {
+            RouteMatch::Found(route, _) => route.prefix.clone(),
+            other => format!("{other:?}"),
+        }
+    });
+
+    assert_eq!(found, ["/a/b/", "/a/", "/"]);
+}
+
+#[test]
+fn an_unknown_host_path_or_key_is_told_apart() {
+    let table = table(vec![RouteRecord { public: true, ..route("/open/") }, route("/a/")]);
+
+    assert_eq!(table.find("b.example", "/a/", Some("key")), RouteMatch::NoRoute);
+    assert_eq!(table.find("a.example", "/b/", Some("key")), RouteMatch::NoRoute);
+    assert_eq!(table.find("a.example", "/a/", Some("other")), RouteMatch::NoKey);
+    assert_eq!(table.find("a.example", "/a/", None), RouteMatch::NoKey);
+    assert!(matches!(table.find("a.example", "/open/", None), RouteMatch::Found(_, None)));
+}
+
+#[test]
+fn weights_split_a_route() {
+    let services = [("x", 90), ("y", 10), ("z", 0)];
+    let services =
+        services.map(|(service, weight)| ServiceShare { service: service.into(), weight });
+    let route = RouteRecord { services: services.to_vec(), ..route("/") };
+
+    let count =
+        |name| (0..1_000).filter(|seed| choose_service(&route, *seed) == Some(name)).count();
+
+    assert!((850..950).contains(&count("x")), "{}", count("x"));
+    assert_eq!(count("z"), 0);
+}
+
+#[test]
+fn a_leaving_server_gets_no_work_and_stays_known() {
+    let mut book = book_of_one();
+
+    let change = book.note_entry(at(1), "i-1", 6, Some(leaving_server()));
+
+    let id = server_id("i-1", &server(1));
+    assert_eq!(change, ServerChange::Leaving(id));
+    assert_eq!(book.usable("s").count(), 0);
+    assert_eq!(book.leaving("s").count(), 1);
+    assert_eq!(book.departures().collect::<Vec<_>>(), [(id, 6)]);
+}
+
+#[test]
+fn an_older_entry_does_not_bring_a_server_back() {
+    let mut book = book_of_one();
+    book.note_entry(at(1), "i-1", 6, Some(leaving_server()));
+
+    let change = book.note_entry(at(2), "i-1", 5, Some(server(1)));
+
+    assert_eq!(change, ServerChange::Unchanged);
+    assert_eq!(book.usable("s").count(), 0);
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_name_is_another_one() {
+    let mut book = book_of_one();
+
+    let change = book.note_entry(at(1), "i-1", 6, Some(server(2)));
+
+    assert_eq!(change, ServerChange::Appeared(server_id("i-1", &server(2))));
+    assert!(book.get(server_id("i-1", &server(1))).is_none());
+}
+
+#[test]
+fn a_broken_entry_takes_its_own_server_only() {
+    let mut book = book_of_one();
+    book.note_entry(at(0), "i-2", 5, Some(server(3)));
+
+    book.note_entry(at(1), "i-2", 6, None);
+
+    assert_eq!(book.usable("s").count(), 1);
+}
+
+#[test]
+fn entries_missing_after_an_outage_are_given_two_seconds() {
+    let mut book = book_of_one();
+    book.note_list(at(100), 9, Vec::new(), false);
+    let early = book.drop_missing(at(100 + MISSING_GRACE_MILLIS - 1));
+    let usable = book.usable("s").count();
+
+    let late = book.drop_missing(at(100 + MISSING_GRACE_MILLIS));
+
+    assert_eq!((early.len(), usable), (0, 1));
+    assert_eq!(late, [server_id("i-1", &server(1))]);
+}
+
+#[test]
+fn an_entry_that_comes_back_after_an_outage_stays() {
+    let mut book = book_of_one();
+    book.note_list(at(100), 9, Vec::new(), false);
+    book.note_entry(at(200), "i-1", 10, Some(server(1)));
+
+    assert_eq!(book.drop_missing(at(10_000)), []);
+    assert_eq!(book.usable("s").count(), 1);
+}
+
+#[test]
+fn entries_missing_on_a_calm_day_are_gone_at_once() {
+    let mut book = book_of_one();
+
+    let changes = book.note_list(at(100), 9, Vec::new(), true);
+
+    assert_eq!(changes, [ServerChange::Gone(server_id("i-1", &server(1)))]);
+}
+
+#[test]
+fn word_of_a_departure_counts_only_if_it_is_newer() {
+    let mut book = book_of_one();
+    let id = server_id("i-1", &server(1));
+
+    assert!(!book.note_leaving(at(1), id, 4));
+    assert!(book.note_leaving(at(1), id, 6));
+    assert_eq!(book.usable("s").count(), 0);
+}
+
+#[test]
+fn a_server_that_fails_far_more_than_the_others_is_set_aside() {
+    let servers = [ServerId(1), ServerId(2), ServerId(3)];
+    let mut book = OutcomeBook::default();
+    for step in 0..20 {
+        book.note(at(step * 10), ServerId(2), AttemptOutcome::Served, &servers);
+        book.note(at(step * 10), ServerId(1), AttemptOutcome::Failed, &servers);
+    }
+
+    assert!(book.is_held(at(200), ServerId(1)));
+    assert!(!book.is_held(at(200), ServerId(2)));
+    assert!(!book.is_held(at(200 + 5_000), ServerId(1)));
+}
+
+#[test]
+fn failures_that_all_servers_share_set_nobody_aside() {
+    let servers = [ServerId(1), ServerId(2), ServerId(3)];
+    let mut book = OutcomeBook::default();
+    for step in 0..60 {
+        let outcome = if step % 2 == 0 { AttemptOutcome::Failed } else { AttemptOutcome::Served };
+        for server in servers {
+            book.note(at(step * 10), server, outcome, &servers);
+        }
+    }
+
+    assert_eq!(book.held(at(600)).count(), 0);
+}
+
+#[test]
+fn retries_of_all_routers_together_stay_in_the_budget() {
+    let (ratio, extra, routers) = (0.2, 54, 7);
+    let mut spent = 0;
+    for _ in 0..routers {
+        let mut book = BudgetBook::new(ratio, extra);
+        for _ in 0..100 {
+            book.note_request(at(0), "s", routers);
+        }
+        spent += (0..1_000).filter(|_| book.try_retry(at(0), "s", routers)).count();
+    }
+
+    let allowed = 0.2 * 700.0 + 54.0;
+    assert!(spent as f64 <= allowed, "{spent} retries, {allowed} allowed");
+    assert!(spent as f64 >= 0.2 * 700.0, "{spent} retries");
+}
