--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -34,6 +34,8 @@
 const READ_AHEAD_BYTES: usize = 64 << 10;
 /// How long a request waits for the first declarations.
 const START_WAIT: Duration = Duration::from_millis(400);
+/// Time that a caller is taken to have left while no declarations tell more.
+const FIRST_RETRY_LEFT: Duration = Duration::from_secs(3);
 /// How long a closed connection is drained, so that the caller still reads its answer.
 const LINGER: Duration = Duration::from_millis(1_000);
 /// Longest wait for a caller that takes nothing of its answer.
@@ -176,7 +178,8 @@
         let call = match check_call(state, head, body, arrived) {
             Ok(call) => call,
             Err(refusal) => {
-                let written = write_refusal(writer, refusal, None).await;
+                let pause = refusal.retry_after(FIRST_RETRY_LEFT, &mut rand::rng());
+                let written = write_refusal(writer, refusal, pause).await;
                 return written.ok().map(|()| end_of(writer));
             }
         };
@@ -273,10 +276,11 @@
     body: Bytes,
     arrived: Instant,
 ) -> Result<EntryCall, Refusal> {
+    let id = head.fields.text(W::HEADERS.request_id).unwrap_or("-").to_owned();
     let Some(table) = state.table() else {
+        log::info!("call: Refused. request={id} cause=no-declarations");
         return Err(Refusal::not_run(RefusalCause::NoDeclarations));
     };
-    let id = head.fields.text(W::HEADERS.request_id).unwrap_or("-").to_owned();
     EntryCall::check::<W>(&table, head, body, arrived).map_err(|error| {
         let cause = match error {
             CheckError::BadField(_) => RefusalCause::BadRequest,
--- a/crates/catkin-entry/src/follow.rs
+++ b/crates/catkin-entry/src/follow.rs
@@ -10,13 +10,11 @@
 use crate::route_table::RouteTable;
 use crate::server_book::ServerChange;
 use crate::state::EntryState;
-use crate::store_client::{StoreClient, StoreFault};
+use crate::store_client::{GrowingPatience, StoreClient, StoreFault};
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
 /// Length of one wait for changes. Other routers' reports show sooner that a wait went silent.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
-/// How long an answer may be overdue.
-const PATIENCE: Duration = Duration::from_millis(1_500);
 /// First and longest pause after a failed call, in milliseconds.
 const FIRST_PAUSE_MILLIS: u64 = 60;
 const LONGEST_PAUSE_MILLIS: u64 = 600;
@@ -36,6 +34,7 @@
         revision: None,
         failed_at: None,
         backoff: BackoffPlan::new(FIRST_PAUSE_MILLIS, LONGEST_PAUSE_MILLIS),
+        patience: GrowingPatience::default(),
         state,
     };
     loop {
@@ -53,13 +52,14 @@
     revision: Option<u64>,
     failed_at: Option<ClockTime>,
     backoff: BackoffPlan,
+    patience: GrowingPatience,
 }
 
 impl<W: EntryWire> StoreFollower<W> {
     async fn step(&mut self) -> Result<(), StoreFault> {
         match self.revision {
             None => {
-                let page = self.client.list(self.kind, PATIENCE).await?;
+                let page = self.client.list(self.kind, self.patience.current()).await?;
                 self.note_answer();
                 self.apply_list(page);
             }
@@ -90,6 +90,7 @@
 
     fn note_answer(&mut self) {
         self.backoff.reset();
+        self.patience = GrowingPatience::default();
         if self.failed_at.is_some() && self.is_settled() {
             log::info!("store: Settled. kind={:?}", self.kind);
             self.failed_at = None;
@@ -105,6 +106,7 @@
         log::warn!("store: A call failed. kind={:?} error={fault}", self.kind);
         metrics::counter!("catkin_entry_store_failures_total").increment(1);
         self.client.reset();
+        self.patience.grow();
         let history_gone = *fault == StoreFault::HistoryGone;
         if !history_gone {
             self.failed_at = Some(self.state.now());
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -53,7 +53,7 @@
 pub use server_book::{KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, server_id};
 pub use server_pool::{ServerPool, read_idle_limit, share_connections};
 pub use settings::{EntrySettings, SettingsError, parse_settings};
-pub use store_client::{StoreClient, StoreFault, WriteMode};
+pub use store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
 pub use wire::{
     EntryWire, HeaderNames, KeptRecord, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
 };
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -19,7 +19,7 @@
 use crate::follow::take_declarations;
 use crate::load_table::OpenLoad;
 use crate::state::EntryState;
-use crate::store_client::{StoreClient, StoreFault, WriteMode};
+use crate::store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
 use crate::wire::{EntryWire, RouterRecord, StoreKind};
 
 /// Pause between two looks for news to tell.
@@ -46,10 +46,10 @@
 const BEHIND_PAUSE: Duration = Duration::from_millis(300);
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
-/// Longest wait for the store's answer while joining.
+/// Longest wait for the store's answer, and for the link, while leaving.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Pause after a failed try to join.
-const JOIN_PAUSE: Duration = Duration::from_millis(250);
+const JOIN_PAUSE: Duration = Duration::from_millis(100);
 /// Name of the one object that holds the peer key.
 const KEY_NAME: &str = "current";
 /// Length of the peer key, in bytes.
@@ -74,12 +74,14 @@
 /// Registers this router, finds the others and opens the link to them. Retries until it succeeds.
 pub(crate) async fn join_fleet<W: EntryWire>(state: &Rc<EntryState<W>>) -> PeerDesk {
     let mut client = StoreClient::new(state.settings().store);
+    let mut patience = GrowingPatience::default();
     loop {
-        match try_join(state, &mut client).await {
+        match try_join(state, &mut client, patience.current()).await {
             Ok(desk) => return desk,
             Err(reason) => {
                 log::warn!("peers: Not joined yet. reason={reason}");
                 client.reset();
+                patience.grow();
                 sleep(JOIN_PAUSE).await;
             }
         }
@@ -89,12 +91,13 @@
 async fn try_join<W: EntryWire>(
     state: &EntryState<W>,
     client: &mut StoreClient<W>,
+    patience: Duration,
 ) -> Result<PeerDesk, String> {
-    let key = read_key(client).await.map_err(|fault| fault.to_string())?;
+    let key = read_key(client, patience).await.map_err(|fault| fault.to_string())?;
     let key = PeerKey::from_hex(&key).map_err(|error| error.to_string())?;
-    let registered = register(state, client).await;
+    let registered = register(state, client, patience).await;
     let incarnation = registered.map_err(|fault| fault.to_string())?;
-    let page = client.list(StoreKind::Routers, PATIENCE).await;
+    let page = client.list(StoreKind::Routers, patience).await;
     let page = page.map_err(|fault| fault.to_string())?;
     let address = state.settings().peers;
     let link = LinkSettings { vm: state.own, incarnation, address, key };
@@ -121,18 +124,21 @@
 }
 
 /// Reads the fleet's key; the first router creates it.
-async fn read_key<W: EntryWire>(client: &mut StoreClient<W>) -> Result<String, StoreFault> {
-    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, PATIENCE).await? {
+async fn read_key<W: EntryWire>(
+    client: &mut StoreClient<W>,
+    patience: Duration,
+) -> Result<String, StoreFault> {
+    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
         return Ok(W::decode_peer_key(&entry.content)?);
     }
     let mut bytes = [0; KEY_BYTES];
     rand::rng().fill_bytes(&mut bytes);
     let content = W::encode_peer_key(&digest_hex(&bytes));
-    match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, PATIENCE).await {
+    match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, patience).await {
         Ok(()) | Err(StoreFault::Conflict) => {}
         Err(fault) => return Err(fault),
     }
-    match client.get(StoreKind::PeerKeys, KEY_NAME, PATIENCE).await? {
+    match client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
         Some(entry) => Ok(W::decode_peer_key(&entry.content)?),
         None => Err(StoreFault::Conflict),
     }
@@ -142,9 +148,10 @@
 async fn register<W: EntryWire>(
     state: &EntryState<W>,
     client: &mut StoreClient<W>,
+    patience: Duration,
 ) -> Result<u64, StoreFault> {
     let name = state.settings().vm.clone();
-    let known = client.get(StoreKind::Routers, &name, PATIENCE).await?;
+    let known = client.get(StoreKind::Routers, &name, patience).await?;
     let before = known.as_ref().and_then(|entry| W::decode_router(&entry.content).ok());
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
@@ -152,7 +159,7 @@
     let record = RouterRecord { address: state.settings().peers, incarnation };
     let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
     let content = W::encode_router(&record);
-    client.put(StoreKind::Routers, &name, &content, mode, PATIENCE).await?;
+    client.put(StoreKind::Routers, &name, &content, mode, patience).await?;
     Ok(incarnation)
 }
 
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -15,6 +15,10 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// How long the end of a wait for changes may be overdue.
 const WATCH_PATIENCE: Duration = Duration::from_millis(1_500);
+/// First and longest wait for an answer. The store answers in milliseconds, and in some hundreds
+/// when it is slow.
+const FIRST_PATIENCE: Duration = Duration::from_millis(350);
+const LONGEST_PATIENCE: Duration = Duration::from_millis(2_800);
 /// Longest wait for a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -28,6 +32,29 @@
     }
 }
 
+/// How long to wait for the store's answer: a little at first, so that a lost answer costs little
+/// when the store is back, and twice as long after each failure, so that a slow store is heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GrowingPatience(Duration);
+
+impl Default for GrowingPatience {
+    fn default() -> Self {
+        Self(FIRST_PATIENCE)
+    }
+}
+
+impl GrowingPatience {
+    /// The wait for the next answer.
+    pub fn current(self) -> Duration {
+        self.0
+    }
+
+    /// Waits longer from now on.
+    pub fn grow(&mut self) {
+        self.0 = (self.0 * 2).min(LONGEST_PATIENCE);
+    }
+}
+
 /// A failed call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreFault {
