--- a/crates/catkin-entry/src/learn_kept.rs
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -1,5 +1,6 @@
 //! Learns which parts of prompts engines keep after all routers were lost at once.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,8 @@
 
 /// How long other routers have to tell what they know.
 const ASK_PAUSE: Duration = Duration::from_millis(100);
+/// How long engines are asked after the start.
+const ASK_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for one server's list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest list, in bytes.
@@ -26,19 +29,45 @@
     if !state.settings().first_start {
         sleep(ASK_PAUSE).await;
         if !state.knows_kept.get() {
-            ask_engines(state, desk.list_routers(state)).await;
+            return ask_all(state, desk).await;
+        }
+    }
+    note_known(state);
+}
+
+/// Asks engines as their entries appear: after an outage of the store they come back one by one.
+async fn ask_all<W: EntryWire>(state: &Rc<EntryState<W>>, desk: &PeerDesk) {
+    let mut asked = BTreeSet::new();
+    let until = Instant::now() + ASK_TIME;
+    while Instant::now() < until {
+        let before = asked.len();
+        ask_engines(state, desk.list_routers(state), &mut asked).await;
+        if asked.len() > before {
             desk.tell_kept(state);
-            sleep(ASK_PAUSE).await;
         }
+        sleep(ASK_PAUSE).await;
+        if !asked.is_empty() {
+            note_known(state);
+        }
+    }
+    note_known(state);
+}
+
+fn note_known<W: EntryWire>(state: &EntryState<W>) {
+    if !state.knows_kept.replace(true) {
+        state.room.notify_waiters();
     }
-    state.knows_kept.set(true);
-    state.room.notify_waiters();
 }
 
-async fn ask_engines<W: EntryWire>(state: &Rc<EntryState<W>>, routers: Vec<VmId>) {
+async fn ask_engines<W: EntryWire>(
+    state: &Rc<EntryState<W>>,
+    routers: Vec<VmId>,
+    asked: &mut BTreeSet<ServerId>,
+) {
     let specs: Vec<RouterSpec> = routers.into_iter().map(plain_spec).collect();
     for (server, address) in list_engines(state) {
-        if choose_keyholder(server.0, &specs) != Some(state.own) {
+        let own = choose_keyholder(server.0, &specs) == Some(state.own);
+        if !own || !asked.insert(server) {
             continue;
         }
         match ask_list::<W>(address).await {
--- a/crates/catkin-entry/src/outcome_book.rs
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -37,6 +37,7 @@
     failed: f64,
     updated: ClockTime,
     held_until: ClockTime,
+    unreachable_until: ClockTime,
     hold_millis: u64,
     last_failure: ClockTime,
 }
@@ -92,9 +93,13 @@
         let was_held = now < row.held_until;
         let share = row.failed / (row.failed + row.served);
         let outlier = share > FAILED_SHARE && share > others * AGAINST_SERVICE;
-        if row.failed >= MIN_FAILURES && (outlier || outcome == AttemptOutcome::Unreachable) {
+        let unreachable = outcome == AttemptOutcome::Unreachable;
+        if row.failed >= MIN_FAILURES && (outlier || unreachable) {
             row.hold(now);
         }
+        if unreachable {
+            row.unreachable_until = row.held_until;
+        }
         row.last_failure = now;
         !was_held && now < row.held_until
     }
@@ -104,6 +109,11 @@
         self.rows.get(&server).is_some_and(|row| now < row.held_until)
     }
 
+    /// Whether `server` could not be reached lately, so that others can't fetch from it either.
+    pub fn is_unreachable(&self, now: ClockTime, server: ServerId) -> bool {
+        self.rows.get(&server).is_some_and(|row| now < row.unreachable_until)
+    }
+
     /// Sets `server` aside because another router found it failing.
     pub fn note_held_elsewhere(&mut self, now: ClockTime, server: ServerId) {
         let row = self.rows.entry(server).or_default();
--- a/crates/catkin-entry/src/place.rs
+++ b/crates/catkin-entry/src/place.rs
@@ -14,9 +14,9 @@
 const OVER_SOFT_MILLIS: f64 = 40.0;
 /// Milliseconds charged for a missing token that another server keeps. Fetching takes a third of
 /// the time of reading and delays nobody's tokens.
-const FETCH_MILLIS: f64 = 0.012;
+const FETCH_MILLIS: f64 = 0.03;
 /// The same while only one server keeps the part: a second copy outlives the loss of the first.
-const SECOND_COPY_MILLIS: f64 = 0.005;
+const SECOND_COPY_MILLIS: f64 = 0.015;
 /// Milliseconds charged for a missing token that must be read: ten times what reading takes, since
 /// it also delays all requests beside it.
 const READ_MILLIS: f64 = 0.16;
@@ -32,8 +32,10 @@
     pub enum CandidateUse {
         /// Any request.
         Open,
-        /// Requests only if no open server has room.
+        /// Requests only if no open server has room; others may fetch from it.
         Held,
+        /// Requests only if no other server has room; nothing can be fetched from it.
+        Unreachable,
         /// No request; others may still fetch from it.
         Leaving,
     }
@@ -179,7 +181,7 @@
         return if only && query.second_copy { ONLY_KEEPER_MILLIS } else { 0.0 };
     }
     let sources = candidates.iter().filter(|other| other.kept_tokens > row.kept_tokens);
-    let sources = sources.filter(|other| other.usable != CandidateUse::Held);
+    let sources = sources.filter(|other| other.usable != CandidateUse::Unreachable);
     let best = sources.clone().map(|other| other.kept_tokens).max().unwrap_or(row.kept_tokens);
     let copies = sources.filter(|other| other.kept_tokens == best).count();
     let fetch = if copies == 1 { SECOND_COPY_MILLIS } else { FETCH_MILLIS };
@@ -195,7 +197,7 @@
         return None;
     }
     let keepers = candidates.iter().filter(|row| row.kept_tokens > chosen.kept_tokens);
-    let sound = keepers.filter(|row| row.usable != CandidateUse::Held);
+    let sound = keepers.filter(|row| row.usable != CandidateUse::Unreachable);
     sound.max_by_key(|row| (row.kept_tokens, row.near, u32::MAX - row.load)).map(|row| row.server)
 }
 
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -26,7 +26,7 @@
 /// How long after the start requests with shared prompts wait for word of what servers keep.
 const KEPT_WAIT: Duration = Duration::from_millis(900);
 /// One request in so many brings a part with a single copy to a second server.
-const SECOND_COPY_PERIOD: u64 = 4;
+const SECOND_COPY_PERIOD: u64 = 10;
 /// Most sends of one request that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 /// How many target latencies a repeatable request waits for a server's first bytes while it may
@@ -342,15 +342,19 @@
             slots: known.record.slots,
             near: known.record.domain == settings.domain,
             kept_tokens: kept.kept_tokens(now, prefixes, server),
-            usable: match (known.record.leaving, outcomes.is_held(now, server)) {
-                (true, _) => CandidateUse::Leaving,
-                (false, true) => CandidateUse::Held,
-                (false, false) => CandidateUse::Open,
+            usable: if known.record.leaving {
+                CandidateUse::Leaving
+            } else if outcomes.is_unreachable(now, server) {
+                CandidateUse::Unreachable
+            } else if outcomes.is_held(now, server) {
+                CandidateUse::Held
+            } else {
+                CandidateUse::Open
             },
         }
     };
     let sources = servers.leaving(&call.service);
-    let sources = sources.filter(|known| !outcomes.is_held(now, known.server));
+    let sources = sources.filter(|known| !outcomes.is_unreachable(now, known.server));
     usable.chain(sources).map(candidate).collect()
 }
 
