--- a/crates/catkin-entry/src/follow.rs
+++ b/crates/catkin-entry/src/follow.rs
@@ -20,9 +20,15 @@
 const LONGEST_PAUSE_MILLIS: u64 = 600;
 /// How long after a failed call missing servers are given time to come back, in milliseconds.
 const UNSETTLED_MILLIS: u64 = 2_500;
+/// How long changes are left to gather before the next wait. Servers enter, leave and are removed
+/// one after the other within tens of milliseconds.
+const GATHERING_PAUSE: Duration = Duration::from_millis(60);
+/// The same at a router whose waits may show changes late anyway.
+const CHEAP_GATHERING_PAUSE: Duration = Duration::from_millis(600);
 /// How long news of a newer version may be ahead of the own wait before it is asked anew.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
-/// The same for a router whose waits may show changes late.
+/// The same for the servers at a router whose waits may show changes late: they change often, and
+/// departures are told by the other routers.
 const CHEAP_STALE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Follows one kind until dropped.
@@ -82,14 +88,25 @@
                     }
                 };
                 self.note_answer();
+                let changed = !page.entries.is_empty();
                 self.apply_changes(page);
+                if changed {
+                    sleep(self.gathering_pause()).await;
+                }
             }
         }
         Ok(())
     }
 
+    /// How long further changes are left to gather, so that one call shows them all.
+    fn gathering_pause(&self) -> Duration {
+        let cheap = !self.state.reads_fresh.get() && self.kind == StoreKind::Servers;
+        if cheap { CHEAP_GATHERING_PAUSE } else { GATHERING_PAUSE }
+    }
+
     fn note_answer(&mut self) {
         self.backoff.reset();
+        self.tell_failing(false);
         self.patience = GrowingPatience::default();
         if self.failed_at.is_some() && self.is_settled() {
             log::info!("store: Settled. kind={:?}", self.kind);
@@ -97,6 +114,12 @@
         }
     }
 
+    fn tell_failing(&self, fails: bool) {
+        if self.kind == StoreKind::Declarations {
+            self.state.store_fails.set(fails);
+        }
+    }
+
     fn is_settled(&self) -> bool {
         let now = self.state.now();
         self.failed_at.is_none_or(|at| now.millis_since(at) > UNSETTLED_MILLIS)
@@ -107,6 +130,7 @@
         metrics::counter!("catkin_entry_store_failures_total").increment(1);
         self.client.reset();
         self.patience.grow();
+        self.tell_failing(*fault != StoreFault::HistoryGone);
         let history_gone = *fault == StoreFault::HistoryGone;
         if !history_gone {
             self.failed_at = Some(self.state.now());
@@ -232,7 +256,8 @@
             continue;
         }
         let first = *since.get_or_insert_with(Instant::now);
-        let pause = if state.reads_fresh.get() { STALE_PAUSE } else { CHEAP_STALE_PAUSE };
+        let cheap = !state.reads_fresh.get() && kind == StoreKind::Servers;
+        let pause = if cheap { CHEAP_STALE_PAUSE } else { STALE_PAUSE };
         if first.elapsed() >= pause {
             return;
         }
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -29,7 +29,7 @@
 /// Fleet up to which every router follows the store closely.
 const MAX_CLOSE_READERS: usize = 12;
 /// Routers that follow the store closely in a larger fleet.
-const CLOSE_READERS: usize = 6;
+const CLOSE_READERS: usize = 4;
 /// Longest time without a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Kept parts in one report, so that it fits a datagram.
@@ -42,8 +42,10 @@
 const SILENT_MILLIS: u64 = 1_500;
 /// Time without word after which a router is no longer greeted, in milliseconds.
 const GONE_MILLIS: u64 = 60_000;
-/// How long the store has to show newer declarations before another router is asked.
-const BEHIND_PAUSE: Duration = Duration::from_millis(300);
+/// How long other routers may know newer declarations before one is asked, if the store fails.
+const BEHIND_PAUSE: Duration = Duration::from_millis(200);
+/// The same if the store answers: it serves many routers at once better than a router does.
+const STORE_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for the store's answer, and for the link, while leaving.
@@ -294,7 +296,8 @@
         let behind = self.behind.get().unwrap_or_else(Instant::now);
         self.behind.set(Some(behind));
         let paused = self.asked.get().is_some_and(|at| at.elapsed() < ASK_PAUSE);
-        if paused || behind.elapsed() < BEHIND_PAUSE {
+        let store_time = if state.store_fails.get() { BEHIND_PAUSE } else { STORE_TIME };
+        if paused || behind.elapsed() < store_time {
             return;
         }
         self.asked.set(Some(Instant::now()));
--- a/crates/catkin-entry/src/place.rs
+++ b/crates/catkin-entry/src/place.rs
@@ -21,7 +21,7 @@
 /// it also delays all requests beside it.
 const READ_MILLIS: f64 = 0.16;
 /// Milliseconds charged to the only keeper of a part when a second copy is wanted.
-const ONLY_KEEPER_MILLIS: f64 = 120.0;
+const ONLY_KEEPER_MILLIS: f64 = 60.0;
 /// Milliseconds charged for another failure domain.
 const FAR_MILLIS: f64 = 1.0;
 /// Servers this close to the best share new parts by rank, so that routers agree without talk.
@@ -178,7 +178,9 @@
     if missing == 0 {
         let keeps = |other: &&Candidate| other.kept_tokens >= query.shared_tokens;
         let only = query.shared_tokens > 0 && candidates.iter().filter(keeps).count() == 1;
-        return if only && query.second_copy { ONLY_KEEPER_MILLIS } else { 0.0 };
+        // More than another server is charged for the copy, or none would ever be made.
+        let copying = f64::from(query.shared_tokens) * SECOND_COPY_MILLIS;
+        return if only && query.second_copy { ONLY_KEEPER_MILLIS + copying } else { 0.0 };
     }
     let sources = candidates.iter().filter(|other| other.kept_tokens > row.kept_tokens);
     let sources = sources.filter(|other| other.usable != CandidateUse::Unreachable);
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -53,18 +53,22 @@
     /// The platform's store.
     pub store: SocketAddr,
     /// Seconds between a stop signal and the kill.
+    #[serde(default = "default_grace_seconds")]
     pub grace_seconds: f64,
     /// Retries allowed for each request of a service, over the whole fleet.
+    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
     /// Retries allowed in each window beyond that, over the whole fleet.
-    pub retry_extra: u64,
+    #[serde(default)]
+    pub retry_extra: f64,
     /// Requests that one server may hold against the mean of its service.
+    #[serde(default = "default_load_factor")]
     pub load_factor: f64,
     /// Whether the whole fleet starts for the first time, so that no server keeps anything yet.
     #[serde(default)]
     pub first_start: bool,
     /// Memory that the process may take, in megabytes.
-    pub memory_megabytes: u64,
+    pub memory_megabytes: f64,
     /// File descriptors that the process may open.
     pub descriptors: u64,
     /// Most log lines a second; more are dropped and counted.
@@ -72,6 +76,21 @@
     pub log_lines_per_second: u32,
 }
 
+/// As long as the platform gives where it says nothing else.
+fn default_grace_seconds() -> f64 {
+    8.0
+}
+
+/// As in `catkin-router`: one retry for each ten requests.
+fn default_retry_ratio() -> f64 {
+    0.1
+}
+
+/// As wide as the placement works with where no bound is in force.
+fn default_load_factor() -> f64 {
+    3.0
+}
+
 fn default_log_lines() -> u32 {
     400
 }
@@ -101,6 +120,7 @@
     })?;
     check_range("grace_seconds", settings.grace_seconds, 0.0..=600.0, "0 to 600 seconds")?;
     check_range("retry_ratio", settings.retry_ratio, 0.0..=1.0, "0 to 1")?;
+    check_range("retry_extra", settings.retry_extra, 0.0..=1e9, "0 or more")?;
     check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
     Ok(settings)
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) told: Cell<(u64, u64)>,
     pub(crate) joined: Cell<bool>,
     pub(crate) stopping: Cell<Option<Instant>>,
+    /// Whether the last call for declarations failed.
+    pub(crate) store_fails: Cell<bool>,
     /// Whether this router's waits at the store must show changes at once.
     pub(crate) reads_fresh: Cell<bool>,
     /// Whether it is known what servers keep, as far as any router knew.
@@ -114,6 +116,7 @@
             told: Cell::default(),
             joined: Cell::new(false),
             stopping: Cell::new(None),
+            store_fails: Cell::new(false),
             reads_fresh: Cell::new(true),
             knows_kept: Cell::new(false),
             exit: Cell::new(None),
--- a/crates/catkin-entry/tests/directory.rs
+++ b/crates/catkin-entry/tests/directory.rs
@@ -226,7 +226,7 @@
 
 #[test]
 fn retries_of_all_routers_together_stay_in_the_budget() {
-    let (ratio, extra, routers) = (0.2, 54, 7);
+    let (ratio, extra, routers) = (0.2, 54.0, 7);
     let mut spent = 0;
     for _ in 0..routers {
         let mut book = BudgetBook::new(ratio, extra);
