--- a/crates/catkin-entry/src/learn_kept.rs
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -1,5 +1,6 @@
 //! Learns which parts of prompts engines keep after all routers were lost at once.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +22,8 @@
 const ASK_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for one server's list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Parts of one engine that are noted.
+const MAX_PARTS: usize = 120;
 /// Longest list, in bytes.
 const MAX_LIST_BYTES: usize = 1 << 20;
 
@@ -41,9 +44,9 @@
     let until = Instant::now() + ASK_TIME;
     while Instant::now() < until {
         let before = asked.len();
-        ask_engines(state, desk.list_routers(state), &mut asked).await;
+        let learned = ask_engines(state, desk.list_routers(state), &mut asked).await;
         if asked.len() > before {
-            desk.tell_kept(state);
+            desk.tell_kept(state, &learned);
         }
         sleep(ASK_PAUSE).await;
         if !asked.is_empty() {
@@ -63,7 +66,8 @@
     state: &Rc<EntryState<W>>,
     routers: Vec<VmId>,
     asked: &mut BTreeSet<ServerId>,
-) {
+) -> Vec<(u64, ServerId)> {
+    let mut learned = Vec::new();
     let specs: Vec<RouterSpec> = routers.into_iter().map(plain_spec).collect();
     for (server, address) in list_engines(state) {
         let own = choose_keyholder(server.0, &specs) == Some(state.own);
@@ -71,10 +75,11 @@
             continue;
         }
         match ask_list::<W>(address).await {
-            Ok(records) => note_list(state, server, &records),
+            Ok(records) => learned.extend(note_list(state, server, records)),
             Err(reason) => log::info!("servers: No list. server={server} reason={reason}"),
         }
     }
+    learned
 }
 
 fn plain_spec(vm: VmId) -> RouterSpec {
@@ -106,11 +111,21 @@
     W::decode_kept_list(&body).map_err(|error| error.to_string())
 }
 
-fn note_list<W: EntryWire>(state: &EntryState<W>, server: ServerId, records: &[KeptRecord]) {
+/// Notes the longest parts of a list: short ones are soon read, and all routers hear of them.
+fn note_list<W: EntryWire>(
+    state: &EntryState<W>,
+    server: ServerId,
+    mut records: Vec<KeptRecord>,
+) -> Vec<(u64, ServerId)> {
     let now = state.now();
     log::info!("servers: Listed what it keeps. server={server} parts={}", records.len());
+    records.sort_by_key(|record| Reverse(record.tokens));
+    records.truncate(MAX_PARTS);
     let mut kept = state.kept.borrow_mut();
-    for record in records {
-        kept.note(now, part_key(&record.model, record.part), server);
+    let pairs: Vec<(u64, ServerId)> =
+        records.iter().map(|record| (part_key(&record.model, record.part), server)).collect();
+    for (key, server) in &pairs {
+        kept.note(now, *key, *server);
     }
+    pairs
 }
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -46,6 +46,8 @@
 const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 /// The same if the store answers: it serves many routers at once better than a router does.
 const STORE_TIME: Duration = Duration::from_millis(1_500);
+/// Routers that one which starts asks what servers keep.
+const KEPT_TELLERS: usize = 2;
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for the store's answer, and for the link, while leaving.
@@ -183,10 +185,14 @@
         self.link.close().await;
     }
 
-    /// Tells the others all that servers are known to keep.
-    pub(crate) fn tell_kept<W: EntryWire>(&self, state: &EntryState<W>) {
+    /// Tells the others what was learned of engines.
+    pub(crate) fn tell_kept<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        learned: &[(u64, ServerId)],
+    ) {
         let mut report = build_status(state);
-        report.kept = list_kept(state);
+        report.kept = learned.iter().copied().map(kept_part).collect();
         self.send_all(&wrap(Kind::EntryReport(report)));
     }
 
@@ -330,14 +336,30 @@
             if due || has_news(state) {
                 let mut report = build_report(state);
                 report.joining = last.is_none();
-                report.wants_kept = last.is_none();
                 self.send_all(&wrap(Kind::EntryReport(report)));
+                if last.is_none() {
+                    self.ask_kept(state);
+                }
                 last = Some(Instant::now());
             }
             sleep(pause).await;
         }
     }
 
+    /// Asks a few routers for all that they know servers to keep.
+    fn ask_kept<W: EntryWire>(&self, state: &EntryState<W>) {
+        let mut report = build_status(state);
+        report.joining = true;
+        report.wants_kept = true;
+        let message = wrap(Kind::EntryReport(report));
+        let routers = self.routers.borrow();
+        let mut order: Vec<_> = routers.iter().collect();
+        order.sort_by_key(|(vm, _)| hash_parts(&[&state.own.0.to_le_bytes(), &vm.0.to_le_bytes()]));
+        for (vm, router) in order.into_iter().take(KEPT_TELLERS) {
+            self.link.send(*vm, router.address, &message);
+        }
+    }
+
     /// Grows with the fleet, so that a router hears no more than a fixed number of reports.
     fn report_pause(&self) -> Duration {
         let others = self.routers.borrow().len() as u32;
@@ -388,7 +410,11 @@
 
 fn list_kept<W>(state: &EntryState<W>) -> Vec<KeptPart> {
     let kept = state.kept.borrow();
-    kept.pairs().map(|(part, server)| KeptPart { part, server: server.0 }).collect()
+    kept.pairs().map(kept_part).collect()
+}
+
+fn kept_part((part, server): (u64, ServerId)) -> KeptPart {
+    KeptPart { part, server: server.0 }
 }
 
 /// What is always told: versions, loads, departures, servers set aside.
@@ -426,8 +452,7 @@
     let fresh: Vec<_> = news.kept.iter().take(room).copied().collect();
     news.kept.drain(..fresh.len());
     let kept = again.iter().take(MAX_KEPT / 2).chain(&fresh);
-    let part = |(part, server): &(u64, ServerId)| KeptPart { part: *part, server: server.0 };
-    report.kept = kept.map(part).collect();
+    report.kept = kept.copied().map(kept_part).collect();
     news.kept_again = fresh;
     let count = news.strikes.len().min(MAX_STRIKES);
     let strikes = news.strikes.drain(..count);
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -10,7 +10,9 @@
 /// Entries of live servers are back within two seconds of the store's return.
 pub const MISSING_GRACE_MILLIS: u64 = 2_000;
 /// How long departures are remembered for other routers.
-const LEAVING_MEMORY_MILLIS: u64 = 15_000;
+const LEAVING_MEMORY_MILLIS: u64 = 6_000;
+/// Most departures told at once, the newest, so that a report fits a datagram.
+const MAX_DEPARTURES: usize = 20;
 
 /// A server as last heard of.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -186,7 +188,10 @@
 
     /// Recent departures and their revisions.
     pub fn departures(&self) -> impl Iterator<Item = (ServerId, u64)> {
-        self.departures.iter().map(|(server, departure)| (*server, departure.revision))
+        let mut newest: Vec<_> = self.departures.iter().collect();
+        newest.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.at));
+        let newest = newest.into_iter().take(MAX_DEPARTURES);
+        newest.map(|(server, departure)| (*server, departure.revision))
     }
 
     /// Servers of `service` that may get work.
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -94,6 +94,8 @@
         pub model: String,
         /// Identifier of its content.
         pub part: u64,
+        /// Tokens of it that are kept.
+        pub tokens: u64,
     }
 }
 
