--- a/crates/catkin-entry/src/kept_book.rs
+++ b/crates/catkin-entry/src/kept_book.rs
@@ -18,6 +18,8 @@
     pub key: u64,
     /// Tokens of the part and all parts before it.
     pub tokens: u32,
+    /// Tokens of the part alone.
+    pub own_tokens: u32,
 }
 
 /// The key of one part of prompts for `model`.
@@ -31,57 +33,121 @@
     let mut prefixes = Vec::with_capacity(parts.len());
     for part in parts {
         tokens = tokens.saturating_add(part.tokens);
-        prefixes.push(PrefixPart { key: part_key(model, part.id), tokens });
+        let key = part_key(model, part.id);
+        prefixes.push(PrefixPart { key, tokens, own_tokens: part.tokens });
     }
     prefixes
 }
 
+/// One part on one server.
+#[derive(Debug, Clone, Copy)]
+struct KeptRow {
+    last_used: ClockTime,
+    tokens: u32,
+}
+
+/// A part that a server was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptPair {
+    /// Key of the part.
+    pub key: u64,
+    /// The server.
+    pub server: ServerId,
+    /// Tokens of the part alone.
+    pub tokens: u32,
+}
+
 /// Parts of prompts and the servers that were sent them.
 #[derive(Debug, Clone, Default)]
 pub struct KeptBook {
-    pairs: BTreeMap<(u64, ServerId), ClockTime>,
+    pairs: BTreeMap<(u64, ServerId), KeptRow>,
+    /// Tokens of all parts on each server.
+    sums: BTreeMap<ServerId, u64>,
 }
 
 impl KeptBook {
-    /// Notes that `server` was sent the part `key`; true if it was not known to keep it.
-    pub fn note(&mut self, now: ClockTime, key: u64, server: ServerId) -> bool {
-        let known = self.pairs.insert((key, server), now);
-        known.is_none_or(|last| now.millis_since(last) >= KEPT_MILLIS)
+    /// Notes that a server was sent a part; true if it was not known to keep it.
+    pub fn note(&mut self, now: ClockTime, pair: KeptPair) -> bool {
+        let row = KeptRow { last_used: now, tokens: pair.tokens };
+        let known = self.pairs.insert((pair.key, pair.server), row);
+        let sum = self.sums.entry(pair.server).or_default();
+        *sum += u64::from(pair.tokens);
+        *sum -= known.map_or(0, |row| u64::from(row.tokens));
+        known.is_none_or(|row| now.millis_since(row.last_used) >= KEPT_MILLIS)
     }
 
-    /// Tokens at the start of a prompt that `server` is known to keep: a part counts only if all
-    /// parts before it are kept too.
+    /// Tokens at the start of a prompt that `server` is known to keep. A server that keeps a part
+    /// has read all parts before it, and these are used at least as often: they are kept as well,
+    /// whether or not this router heard of them.
     pub fn kept_tokens(&self, now: ClockTime, prefixes: &[PrefixPart], server: ServerId) -> u32 {
-        let kept = prefixes.iter().take_while(|prefix| self.keeps(now, prefix.key, server));
-        kept.last().map_or(0, |prefix| prefix.tokens)
+        let kept = prefixes.iter().rev().find(|prefix| self.keeps(now, prefix.key, server));
+        kept.map_or(0, |prefix| prefix.tokens)
     }
 
     /// All pairs of part and server.
-    pub fn pairs(&self) -> impl Iterator<Item = (u64, ServerId)> {
-        self.pairs.keys().copied()
+    pub fn pairs(&self) -> impl Iterator<Item = KeptPair> {
+        let pairs = self.pairs.iter();
+        pairs.map(|((key, server), row)| KeptPair {
+            key: *key,
+            server: *server,
+            tokens: row.tokens,
+        })
+    }
+
+    /// Tokens of all parts that `server` is known to keep.
+    pub fn tokens_on(&self, server: ServerId) -> u64 {
+        self.sums.get(&server).copied().unwrap_or(0)
     }
 
     /// Whether `server` is known to keep the part `key`.
     pub fn keeps(&self, now: ClockTime, key: u64, server: ServerId) -> bool {
-        let last = self.pairs.get(&(key, server));
-        last.is_some_and(|last| now.millis_since(*last) < KEPT_MILLIS)
+        let row = self.pairs.get(&(key, server));
+        row.is_some_and(|row| now.millis_since(row.last_used) < KEPT_MILLIS)
+    }
+
+    /// Drops what a server with room for `limit_tokens` has given up: the parts used least lately.
+    pub fn drop_beyond(&mut self, server: ServerId, limit_tokens: u64) {
+        let mut over = self.tokens_on(server).saturating_sub(limit_tokens);
+        if over == 0 {
+            return;
+        }
+        let own = self.pairs.iter().filter(|((_, kept), _)| *kept == server);
+        let mut own: Vec<_> =
+            own.map(|((key, _), row)| (row.last_used, *key, row.tokens)).collect();
+        own.sort_unstable();
+        for (_, key, tokens) in own {
+            if over == 0 {
+                break;
+            }
+            over = over.saturating_sub(u64::from(tokens));
+            self.pairs.remove(&(key, server));
+        }
+        self.add_up();
+    }
+
+    fn add_up(&mut self) {
+        self.sums.clear();
+        for ((_, server), row) in &self.pairs {
+            *self.sums.entry(*server).or_default() += u64::from(row.tokens);
+        }
     }
 
     /// Forgets all that `server` kept: it restarted or left.
     pub fn forget_server(&mut self, server: ServerId) {
         self.pairs.retain(|(_, kept), _| *kept != server);
+        self.sums.remove(&server);
     }
 
     /// Drops what is too old, and the oldest of what is too much.
     pub fn drop_old(&mut self, now: ClockTime) {
-        self.pairs.retain(|_, last| now.millis_since(*last) < KEPT_MILLIS);
-        if self.pairs.len() <= MAX_PAIRS {
-            return;
+        self.pairs.retain(|_, row| now.millis_since(row.last_used) < KEPT_MILLIS);
+        if self.pairs.len() > MAX_PAIRS {
+            let mut times: Vec<_> = self.pairs.values().map(|row| row.last_used).collect();
+            times.sort_unstable();
+            let oldest_kept = times[times.len() - MAX_PAIRS];
+            self.pairs.retain(|_, row| row.last_used >= oldest_kept);
         }
-        let mut times: Vec<ClockTime> = self.pairs.values().copied().collect();
-        times.sort_unstable();
-        let oldest_kept = times[times.len() - MAX_PAIRS];
-        self.pairs.retain(|_, last| *last >= oldest_kept);
+        self.add_up();
     }
 
     /// Number of pairs of part and server.
--- a/crates/catkin-entry/src/learn_kept.rs
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::channel::HttpChannel;
-use crate::kept_book::part_key;
+use crate::kept_book::{KeptPair, part_key};
 use crate::peers::PeerDesk;
 use crate::state::EntryState;
 use crate::wire::{EntryWire, KeptRecord};
@@ -22,8 +22,8 @@
 const ASK_TIME: Duration = Duration::from_secs(3);
 /// Longest wait for one server's list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(800);
-/// Parts of one engine that are noted.
-const MAX_PARTS: usize = 120;
+/// Parts of all engines that are noted, so that the book has room for what follows.
+const MAX_LISTED: usize = 4_800;
 /// Longest list, in bytes.
 const MAX_LIST_BYTES: usize = 1 << 20;
 
@@ -66,16 +66,18 @@
     state: &Rc<EntryState<W>>,
     routers: Vec<VmId>,
     asked: &mut BTreeSet<ServerId>,
-) -> Vec<(u64, ServerId)> {
+) -> Vec<KeptPair> {
     let mut learned = Vec::new();
     let specs: Vec<RouterSpec> = routers.into_iter().map(plain_spec).collect();
-    for (server, address) in list_engines(state) {
+    let engines = list_engines(state);
+    let most = MAX_LISTED / engines.len().max(1);
+    for (server, address) in engines {
         let own = choose_keyholder(server.0, &specs) == Some(state.own);
         if !own || !asked.insert(server) {
             continue;
         }
         match ask_list::<W>(address).await {
-            Ok(records) => learned.extend(note_list(state, server, records)),
+            Ok(records) => learned.extend(note_list(state, server, records, most)),
             Err(reason) => log::info!("servers: No list. server={server} reason={reason}"),
         }
     }
@@ -116,16 +118,22 @@
     state: &EntryState<W>,
     server: ServerId,
     mut records: Vec<KeptRecord>,
-) -> Vec<(u64, ServerId)> {
+    most: usize,
+) -> Vec<KeptPair> {
     let now = state.now();
     log::info!("servers: Listed what it keeps. server={server} parts={}", records.len());
     records.sort_by_key(|record| Reverse(record.tokens));
-    records.truncate(MAX_PARTS);
+    records.truncate(most);
     let mut kept = state.kept.borrow_mut();
-    let pairs: Vec<(u64, ServerId)> =
-        records.iter().map(|record| (part_key(&record.model, record.part), server)).collect();
-    for (key, server) in &pairs {
-        kept.note(now, *key, *server);
+    let pairs: Vec<KeptPair> = records.iter().map(|record| kept_pair(record, server)).collect();
+    for pair in &pairs {
+        kept.note(now, *pair);
     }
     pairs
 }
+
+/// A listed part takes no room until it is asked for: most belong to single requests and are never
+/// asked for again.
+fn kept_pair(record: &KeptRecord, server: ServerId) -> KeptPair {
+    KeptPair { key: part_key(&record.model, record.part), server, tokens: 0 }
+}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -36,7 +36,7 @@
 pub use budgets::BudgetBook;
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
 pub use channel::{ExchangeError, ExchangeFault, ExpectedAnswer, HttpChannel};
-pub use kept_book::{KeptBook, PrefixPart, hash_prefixes, part_key};
+pub use kept_book::{KeptBook, KeptPair, PrefixPart, hash_prefixes, part_key};
 pub use load_table::{LoadTable, OpenLoad};
 pub use logging::LineBudget;
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -17,17 +17,16 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::follow::take_declarations;
+use crate::kept_book::KeptPair;
 use crate::load_table::OpenLoad;
-use crate::state::EntryState;
+use crate::state::{EntryState, MAX_SMALL_FLEET};
 use crate::store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
 use crate::wire::{EntryWire, RouterRecord, StoreKind};
 
 /// Pause between two looks for news to tell.
 const REPORT_PAUSE: Duration = Duration::from_millis(40);
 /// Most reports that a router hears in a second.
-const MAX_REPORTS_PER_SECOND: u32 = 200;
-/// Fleet up to which every router follows the store closely.
-const MAX_CLOSE_READERS: usize = 12;
+const MAX_REPORTS_PER_SECOND: u32 = 450;
 /// Routers that follow the store closely in a larger fleet.
 const CLOSE_READERS: usize = 4;
 /// Longest time without a report.
@@ -186,11 +185,7 @@
     }
 
     /// Tells the others what was learned of engines.
-    pub(crate) fn tell_kept<W: EntryWire>(
-        &self,
-        state: &EntryState<W>,
-        learned: &[(u64, ServerId)],
-    ) {
+    pub(crate) fn tell_kept<W: EntryWire>(&self, state: &EntryState<W>, learned: &[KeptPair]) {
         let mut report = build_status(state);
         report.kept = learned.iter().copied().map(kept_part).collect();
         self.send_all(&wrap(Kind::EntryReport(report)));
@@ -253,7 +248,9 @@
         let opens = opens.collect();
         state.loads.borrow_mut().note_report(now, source.vm, opens);
         for part in &report.kept {
-            state.kept.borrow_mut().note(now, part.part, ServerId(part.server));
+            let server = ServerId(part.server);
+            let pair = KeptPair { key: part.part, server, tokens: part.tokens };
+            state.kept.borrow_mut().note(now, pair);
         }
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
@@ -371,7 +368,7 @@
         let routers = self.list_routers(state);
         let order = |vm: &VmId| choose_order(*vm);
         let ahead = routers.iter().filter(|vm| order(vm) < order(&state.own)).count();
-        let fresh = routers.len() <= MAX_CLOSE_READERS || ahead < CLOSE_READERS;
+        let fresh = routers.len() <= MAX_SMALL_FLEET as usize || ahead < CLOSE_READERS;
         if state.reads_fresh.replace(fresh) != fresh {
             log::info!("store: Reads closely: {fresh}. routers={}", routers.len());
         }
@@ -413,8 +410,8 @@
     kept.pairs().map(kept_part).collect()
 }
 
-fn kept_part((part, server): (u64, ServerId)) -> KeptPart {
-    KeptPart { part, server: server.0 }
+fn kept_part(pair: KeptPair) -> KeptPart {
+    KeptPart { part: pair.key, server: pair.server.0, tokens: pair.tokens }
 }
 
 /// What is always told: versions, loads, departures, servers set aside.
--- a/crates/catkin-entry/src/place.rs
+++ b/crates/catkin-entry/src/place.rs
@@ -20,6 +20,9 @@
 /// Milliseconds charged for a missing token that must be read: ten times what reading takes, since
 /// it also delays all requests beside it.
 const READ_MILLIS: f64 = 0.16;
+/// Milliseconds charged for a new token on a server whose room for shared parts is full: it drives
+/// out as much that would be read again later.
+const CROWDED_MILLIS: f64 = 0.02;
 /// Milliseconds charged to the only keeper of a part when a second copy is wanted.
 const ONLY_KEEPER_MILLIS: f64 = 60.0;
 /// Milliseconds charged for another failure domain.
@@ -56,6 +59,8 @@
     pub near: bool,
     /// Tokens of the prompt's shared part that it is known to keep.
     pub kept_tokens: u32,
+    /// Shared parts that it is known to keep, against its room for them.
+    pub memory_share: f64,
     /// What it may be used for.
     pub usable: CandidateUse,
 }
@@ -187,7 +192,8 @@
     let best = sources.clone().map(|other| other.kept_tokens).max().unwrap_or(row.kept_tokens);
     let copies = sources.filter(|other| other.kept_tokens == best).count();
     let fetch = if copies == 1 { SECOND_COPY_MILLIS } else { FETCH_MILLIS };
-    f64::from(missing - lacks(best)) * fetch + f64::from(lacks(best)) * READ_MILLIS
+    let crowded = f64::from(missing) * row.memory_share * CROWDED_MILLIS;
+    f64::from(missing - lacks(best)) * fetch + f64::from(lacks(best)) * READ_MILLIS + crowded
 }
 
 fn choose_source(
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::attempt::{AttemptError, AttemptFault, BegunAnswer, PlacedCall, send_attempt};
 use crate::call::EntryCall;
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
+use crate::kept_book::KeptPair;
 use crate::outcome_book::AttemptOutcome;
 use crate::place::{Candidate, CandidateUse, NoPlace, PlaceChoice, PlaceQuery, choose_place};
 use crate::record::RouteKind;
@@ -27,6 +28,9 @@
 const KEPT_WAIT: Duration = Duration::from_millis(900);
 /// One request in so many brings a part with a single copy to a second server.
 const SECOND_COPY_PERIOD: u64 = 10;
+/// Part of an engine's memory that shared parts fill; running requests and what belongs to single
+/// requests take the rest.
+const SHARED_ROOM: f64 = 0.6;
 /// Most sends of one request that no server ran.
 const MAX_UNRUN_SENDS: u32 = 4;
 /// How many target latencies a repeatable request waits for a server's first bytes while it may
@@ -304,10 +308,12 @@
     let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
     let unread_tokens = prompt.saturating_sub(choice.kept_tokens.max(fetched));
     for prefix in call.shared_prefixes() {
-        if state.kept.borrow_mut().note(now, prefix.key, choice.server) {
-            state.news.borrow_mut().kept.push((prefix.key, choice.server));
+        let pair = KeptPair { key: prefix.key, server: choice.server, tokens: prefix.own_tokens };
+        if state.kept.borrow_mut().note(now, pair) {
+            state.news.borrow_mut().kept.push(pair);
         }
     }
+    state.kept.borrow_mut().drop_beyond(choice.server, shared_room(state, call));
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(choice.server).ok_or(NoPlace::NoServer)?;
@@ -319,6 +325,15 @@
     })
 }
 
+/// Tokens of shared parts that one server of the call's service keeps for long.
+fn shared_room<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> u64 {
+    let table = state.table.borrow();
+    let services = table.as_ref().map(|table| &table.declarations().services);
+    let record = services.and_then(|services| services.get(&call.service));
+    let engine = record.and_then(|record| record.engine.as_ref());
+    engine.map_or(u64::MAX, |engine| (engine.memory_tokens as f64 * SHARED_ROOM) as u64)
+}
+
 fn list_candidates<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
@@ -332,6 +347,7 @@
     let outcomes = state.outcomes.borrow();
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let prefixes = call.shared_prefixes();
+    let room = shared_room(state, call).max(1) as f64;
     let candidate = |known: &KnownServer| {
         let server = known.server;
         let load = loads.total(server);
@@ -342,6 +358,7 @@
             slots: known.record.slots,
             near: known.record.domain == settings.domain,
             kept_tokens: kept.kept_tokens(now, prefixes, server),
+            memory_share: kept.tokens_on(server) as f64 / room,
             usable: if known.record.leaving {
                 CandidateUse::Leaving
             } else if outcomes.is_unreachable(now, server) {
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::budgets::BudgetBook;
-use crate::kept_book::KeptBook;
+use crate::kept_book::{KeptBook, KeptPair};
 use crate::load_table::LoadTable;
 use crate::outcome_book::OutcomeBook;
 use crate::place::LoadBounds;
@@ -30,6 +30,10 @@
 const HARD_EXTRA: f64 = 2.0;
 /// Part of the allowed load factor up to which reuse decides.
 const SOFT_SHARE: f64 = 0.8;
+/// Fleet up to which loads are told at the shortest pause.
+pub(crate) const MAX_SMALL_FLEET: u32 = 12;
+/// Part of both bounds that is used in a larger fleet, whose loads are told less often.
+const LARGE_FLEET_PART: f64 = 0.85;
 /// Requests that the soft bound allows beyond the factor.
 const SOFT_EXTRA: f64 = 2.0;
 
@@ -37,9 +41,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct PeerNews {
     /// Parts that servers were sent, each told twice.
-    pub(crate) kept: Vec<(u64, ServerId)>,
+    pub(crate) kept: Vec<KeptPair>,
     /// Parts told once.
-    pub(crate) kept_again: Vec<(u64, ServerId)>,
+    pub(crate) kept_again: Vec<KeptPair>,
     /// Servers that died under a request's content.
     pub(crate) strikes: Vec<(RequestDigest, ServerId)>,
     /// Whether open requests changed.
@@ -158,11 +162,13 @@
 
     pub(crate) fn load_bounds(&self) -> LoadBounds {
         let factor = self.settings.borrow().load_factor;
+        let large = self.routers() > MAX_SMALL_FLEET;
+        let part = if large { LARGE_FLEET_PART } else { 1.0 };
         LoadBounds {
-            soft_factor: factor * SOFT_SHARE,
-            soft_extra: SOFT_EXTRA,
-            hard_factor: factor * HARD_SHARE,
-            hard_extra: HARD_EXTRA,
+            soft_factor: factor * SOFT_SHARE * part,
+            soft_extra: SOFT_EXTRA * part,
+            hard_factor: factor * HARD_SHARE * part,
+            hard_extra: HARD_EXTRA * part,
         }
     }
 
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -440,6 +440,9 @@
     pub part: u64,
     #[prost(fixed64, tag = "2")]
     pub server: u64,
+    /// of the part alone
+    #[prost(uint32, tag = "3")]
+    pub tokens: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LeavingServer {
