--- /dev/null
+++ b/crates/catkin-entry/src/join.rs
@@ -0,0 +1,120 @@
+//! Joining and leaving the fleet: the key, the own entry, the other routers' entries.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::{VmId, digest_hex};
+use catkin_peer::{LinkSettings, PeerKey, UdpLink};
+use rand::RngCore;
+use tokio::time::sleep;
+
+use crate::peers::{KnownRouter, PeerDesk};
+use crate::state::EntryState;
+use crate::store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
+use crate::wire::{EntryWire, RouterRecord, StoreKind};
+
+/// Pause after a failed try to join.
+const JOIN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the store's answer while leaving.
+const LEAVE_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Name of the one object that holds the peer key.
+const KEY_NAME: &str = "current";
+/// Length of the peer key, in bytes.
+const KEY_BYTES: usize = 32;
+
+/// Registers this router, finds the others and opens the link to them. Retries until it succeeds.
+pub(crate) async fn join_fleet<W: EntryWire>(state: &Rc<EntryState<W>>) -> PeerDesk {
+    let mut client = StoreClient::new(state.settings().store);
+    let mut patience = GrowingPatience::default();
+    loop {
+        match try_join(state, &mut client, patience.current()).await {
+            Ok(desk) => return desk,
+            Err(reason) => {
+                log::warn!("peers: Not joined yet. reason={reason}");
+                client.reset();
+                patience.grow();
+                sleep(JOIN_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn try_join<W: EntryWire>(
+    state: &EntryState<W>,
+    client: &mut StoreClient<W>,
+    patience: Duration,
+) -> Result<PeerDesk, String> {
+    let key = read_key(client, patience).await.map_err(|fault| fault.to_string())?;
+    let key = PeerKey::from_hex(&key).map_err(|error| error.to_string())?;
+    let registered = register(state, client, patience).await;
+    let incarnation = registered.map_err(|fault| fault.to_string())?;
+    let page = client.list(StoreKind::Routers, patience).await;
+    let page = page.map_err(|fault| fault.to_string())?;
+    let address = state.settings().peers;
+    let link = LinkSettings { vm: state.own, incarnation, address, key };
+    let link = UdpLink::bind(&link).await.map_err(|error| error.to_string())?;
+    let now = state.now();
+    let mut routers = BTreeMap::new();
+    for entry in page.entries {
+        let vm = VmId::from_name(&entry.name);
+        match W::decode_router(&entry.content) {
+            Ok(record) if vm != state.own => {
+                routers.insert(vm, KnownRouter { address: record.address, heard: now });
+            }
+            Ok(_) => {}
+            Err(error) => log::warn!("peers: An entry is ignored. name={} {error}", entry.name),
+        }
+    }
+    log::info!("peers: Joined. incarnation={incarnation} others={}", routers.len());
+    Ok(PeerDesk::new(link, routers))
+}
+
+/// Reads the fleet's key; the first router creates it.
+async fn read_key<W: EntryWire>(
+    client: &mut StoreClient<W>,
+    patience: Duration,
+) -> Result<String, StoreFault> {
+    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
+        return Ok(W::decode_peer_key(&entry.content)?);
+    }
+    let mut bytes = [0; KEY_BYTES];
+    rand::rng().fill_bytes(&mut bytes);
+    let content = W::encode_peer_key(&digest_hex(&bytes));
+    match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, patience).await {
+        Ok(()) | Err(StoreFault::Conflict) => {}
+        Err(fault) => return Err(fault),
+    }
+    match client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
+        Some(entry) => Ok(W::decode_peer_key(&entry.content)?),
+        None => Err(StoreFault::Conflict),
+    }
+}
+
+/// Writes this router's entry; returns its incarnation, higher than that of any earlier start.
+async fn register<W: EntryWire>(
+    state: &EntryState<W>,
+    client: &mut StoreClient<W>,
+    patience: Duration,
+) -> Result<u64, StoreFault> {
+    let name = state.settings().vm.clone();
+    let known = client.get(StoreKind::Routers, &name, patience).await?;
+    let before = known.as_ref().and_then(|entry| W::decode_router(&entry.content).ok());
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
+    let incarnation = before.map_or(0, |record| record.incarnation + 1).max(unix_micros).max(1);
+    let record = RouterRecord { address: state.settings().peers, incarnation };
+    let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
+    let content = W::encode_router(&record);
+    client.put(StoreKind::Routers, &name, &content, mode, patience).await?;
+    Ok(incarnation)
+}
+
+/// Removes this router's entry. Others notice its silence if that fails.
+pub(crate) async fn leave_fleet<W: EntryWire>(state: &EntryState<W>) {
+    let settings = state.settings();
+    let mut client = StoreClient::<W>::new(settings.store);
+    if let Err(fault) = client.delete(StoreKind::Routers, &settings.vm, LEAVE_PATIENCE).await {
+        log::info!("peers: The own entry was not removed. error={fault}");
+    }
+}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod channel;
 mod follow;
+mod join;
 mod kept_book;
 mod learn_kept;
 mod load_table;
@@ -23,6 +24,7 @@
 mod record;
 mod refuse;
 mod relay;
+mod report;
 mod route_table;
 mod serve;
 mod server_book;
@@ -45,7 +47,7 @@
 };
 pub use process::{read_settings, run_entry};
 pub use record::{
-    CallerBounds, DeclarationRecord, EngineRecord, LoadHeader, PromptPart, RouteKind, RouteRecord,
+    CallerBounds, DeclarationRecord, EngineRecord, PromptPart, RouteKind, RouteRecord,
     ServerRecord, ServiceRecord, ServiceShare, TeamRecord,
 };
 pub use refuse::{Refusal, RefusalCause};
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -6,22 +6,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, digest_hex, hash_parts};
+use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, hash_parts};
 use catkin_peer::messages::peer_message::Kind;
-use catkin_peer::messages::{
-    DeclarationAsk, DeclarationCopy, EntryReport, KeptPart, LeavingServer, OpenCount, OutcomeCount,
-    PeerMessage, StrikeReport,
-};
-use catkin_peer::{LinkSettings, MessageSource, PeerKey, PeerLink, UdpLink};
-use rand::RngCore;
+use catkin_peer::messages::{DeclarationAsk, DeclarationCopy, EntryReport, PeerMessage};
+use catkin_peer::{MessageSource, PeerLink, UdpLink};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::follow::take_declarations;
 use crate::kept_book::KeptPair;
 use crate::load_table::OpenLoad;
+use crate::report::{build_report, build_status, has_news, kept_part, list_kept, wrap};
 use crate::state::{EntryState, MAX_SMALL_FLEET};
-use crate::store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
-use crate::wire::{EntryWire, RouterRecord, StoreKind};
+use crate::wire::EntryWire;
 
 /// Pause between two looks for news to tell.
 const REPORT_PAUSE: Duration = Duration::from_millis(40);
@@ -31,10 +27,6 @@
 const CLOSE_READERS: usize = 4;
 /// Longest time without a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
-/// Kept parts in one report, so that it fits a datagram.
-const MAX_KEPT: usize = 24;
-/// Strikes in one report.
-const MAX_STRIKES: usize = 8;
 /// Pause between two tries to reach a router that has not been heard.
 const GREET_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time without word after which a router is greeted again, in milliseconds.
@@ -49,20 +41,14 @@
 const KEPT_TELLERS: usize = 2;
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
-/// Longest wait for the store's answer, and for the link, while leaving.
-const PATIENCE: Duration = Duration::from_millis(1_500);
-/// Pause after a failed try to join.
-const JOIN_PAUSE: Duration = Duration::from_millis(100);
-/// Name of the one object that holds the peer key.
-const KEY_NAME: &str = "current";
-/// Length of the peer key, in bytes.
-const KEY_BYTES: usize = 32;
+/// Longest wait for the link's tasks while leaving.
+const CLOSE_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// Another router.
 #[derive(Debug, Clone, Copy)]
-struct KnownRouter {
-    address: SocketAddr,
-    heard: ClockTime,
+pub(crate) struct KnownRouter {
+    pub(crate) address: SocketAddr,
+    pub(crate) heard: ClockTime,
 }
 
 /// The link to the other routers and what is known of them.
@@ -74,108 +60,13 @@
     behind: Cell<Option<Instant>>,
 }
 
-/// Registers this router, finds the others and opens the link to them. Retries until it succeeds.
-pub(crate) async fn join_fleet<W: EntryWire>(state: &Rc<EntryState<W>>) -> PeerDesk {
-    let mut client = StoreClient::new(state.settings().store);
-    let mut patience = GrowingPatience::default();
-    loop {
-        match try_join(state, &mut client, patience.current()).await {
-            Ok(desk) => return desk,
-            Err(reason) => {
-                log::warn!("peers: Not joined yet. reason={reason}");
-                client.reset();
-                patience.grow();
-                sleep(JOIN_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn try_join<W: EntryWire>(
-    state: &EntryState<W>,
-    client: &mut StoreClient<W>,
-    patience: Duration,
-) -> Result<PeerDesk, String> {
-    let key = read_key(client, patience).await.map_err(|fault| fault.to_string())?;
-    let key = PeerKey::from_hex(&key).map_err(|error| error.to_string())?;
-    let registered = register(state, client, patience).await;
-    let incarnation = registered.map_err(|fault| fault.to_string())?;
-    let page = client.list(StoreKind::Routers, patience).await;
-    let page = page.map_err(|fault| fault.to_string())?;
-    let address = state.settings().peers;
-    let link = LinkSettings { vm: state.own, incarnation, address, key };
-    let link = UdpLink::bind(&link).await.map_err(|error| error.to_string())?;
-    let now = state.now();
-    let mut routers = BTreeMap::new();
-    for entry in page.entries {
-        let vm = VmId::from_name(&entry.name);
-        match W::decode_router(&entry.content) {
-            Ok(record) if vm != state.own => {
-                routers.insert(vm, KnownRouter { address: record.address, heard: now });
-            }
-            Ok(_) => {}
-            Err(error) => log::warn!("peers: An entry is ignored. name={} {error}", entry.name),
-        }
-    }
-    log::info!("peers: Joined. incarnation={incarnation} others={}", routers.len());
-    Ok(PeerDesk {
-        link,
-        routers: RefCell::new(routers),
-        asked: Cell::new(None),
-        behind: Cell::new(None),
-    })
-}
-
-/// Reads the fleet's key; the first router creates it.
-async fn read_key<W: EntryWire>(
-    client: &mut StoreClient<W>,
-    patience: Duration,
-) -> Result<String, StoreFault> {
-    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
-        return Ok(W::decode_peer_key(&entry.content)?);
-    }
-    let mut bytes = [0; KEY_BYTES];
-    rand::rng().fill_bytes(&mut bytes);
-    let content = W::encode_peer_key(&digest_hex(&bytes));
-    match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, patience).await {
-        Ok(()) | Err(StoreFault::Conflict) => {}
-        Err(fault) => return Err(fault),
-    }
-    match client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
-        Some(entry) => Ok(W::decode_peer_key(&entry.content)?),
-        None => Err(StoreFault::Conflict),
-    }
-}
-
-/// Writes this router's entry; returns its incarnation, higher than that of any earlier start.
-async fn register<W: EntryWire>(
-    state: &EntryState<W>,
-    client: &mut StoreClient<W>,
-    patience: Duration,
-) -> Result<u64, StoreFault> {
-    let name = state.settings().vm.clone();
-    let known = client.get(StoreKind::Routers, &name, patience).await?;
-    let before = known.as_ref().and_then(|entry| W::decode_router(&entry.content).ok());
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
-    let incarnation = before.map_or(0, |record| record.incarnation + 1).max(unix_micros).max(1);
-    let record = RouterRecord { address: state.settings().peers, incarnation };
-    let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
-    let content = W::encode_router(&record);
-    client.put(StoreKind::Routers, &name, &content, mode, patience).await?;
-    Ok(incarnation)
-}
-
-/// Removes this router's entry. Others notice its silence if that fails.
-pub(crate) async fn leave_fleet<W: EntryWire>(state: &EntryState<W>) {
-    let settings = state.settings();
-    let mut client = StoreClient::<W>::new(settings.store);
-    if let Err(fault) = client.delete(StoreKind::Routers, &settings.vm, PATIENCE).await {
-        log::info!("peers: The own entry was not removed. error={fault}");
+impl PeerDesk {
+    /// A link to routers that the store lists.
+    pub(crate) fn new(link: UdpLink, routers: BTreeMap<VmId, KnownRouter>) -> Self {
+        let routers = RefCell::new(routers);
+        Self { link, routers, asked: Cell::new(None), behind: Cell::new(None) }
     }
-}
 
-impl PeerDesk {
     /// Tells the others that this router stops, and closes the link.
     pub(crate) async fn close<W: EntryWire>(&self, state: &EntryState<W>) {
         let report = EntryReport { leaving_router: true, ..EntryReport::default() };
@@ -400,80 +291,14 @@
     }
 }
 
-fn has_news<W>(state: &EntryState<W>) -> bool {
-    let news = state.news.borrow();
-    news.changed || news.urgent || !news.kept.is_empty() || !news.strikes.is_empty()
-}
-
-fn list_kept<W>(state: &EntryState<W>) -> Vec<KeptPart> {
-    let kept = state.kept.borrow();
-    kept.pairs().map(kept_part).collect()
-}
-
-fn kept_part(pair: KeptPair) -> KeptPart {
-    KeptPart { part: pair.key, server: pair.server.0, tokens: pair.tokens }
-}
-
-/// What is always told: versions, loads, departures, servers set aside.
-fn build_status<W>(state: &EntryState<W>) -> EntryReport {
-    let loads = state.loads.borrow();
-    let opens = loads.own().iter().map(|(server, load)| OpenCount {
-        server: server.0,
-        open: load.open,
-        unread_tokens: load.unread_tokens,
-    });
-    let servers = state.servers.borrow();
-    let leaving = servers.departures();
-    let leaving = leaving.map(|(server, revision)| LeavingServer { server: server.0, revision });
-    let outcomes = state.outcomes.borrow();
-    let held = outcomes.held(state.now());
-    let held = held.map(|server| OutcomeCount { server: server.0, ..OutcomeCount::default() });
-    EntryReport {
-        declaration: state.table().map_or(0, |table| table.version()),
-        directory: servers.directory(),
-        opens: opens.collect(),
-        leaving: leaving.collect(),
-        outcomes: held.collect(),
-        ..EntryReport::default()
-    }
-}
-
-/// A report with the news since the last one.
-fn build_report<W>(state: &EntryState<W>) -> EntryReport {
-    let mut report = build_status(state);
-    let mut news = state.news.borrow_mut();
-    news.changed = false;
-    news.urgent = false;
-    let again = std::mem::take(&mut news.kept_again);
-    let room = MAX_KEPT.saturating_sub(again.len().min(MAX_KEPT / 2));
-    let fresh: Vec<_> = news.kept.iter().take(room).copied().collect();
-    news.kept.drain(..fresh.len());
-    let kept = again.iter().take(MAX_KEPT / 2).chain(&fresh);
-    report.kept = kept.copied().map(kept_part).collect();
-    news.kept_again = fresh;
-    let count = news.strikes.len().min(MAX_STRIKES);
-    let strikes = news.strikes.drain(..count);
-    let strike = |(digest, server): (RequestDigest, ServerId)| StrikeReport {
-        digest: digest.0,
-        server: server.0,
-        confirmed: false,
-    };
-    report.strikes = strikes.map(strike).collect();
-    report
-}
-
 /// Place of a router in the order of readers.
 fn choose_order(vm: VmId) -> (u64, VmId) {
     (hash_parts(&[b"reader", &vm.0.to_le_bytes()]), vm)
 }
 
-fn wrap(kind: Kind) -> PeerMessage {
-    PeerMessage { kind: Some(kind) }
-}
-
 /// Waits for the link's tasks, but not forever.
 pub(crate) async fn close_desk<W: EntryWire>(desk: &PeerDesk, state: &EntryState<W>) {
-    if timeout(PATIENCE, desk.close(state)).await.is_err() {
+    if timeout(CLOSE_PATIENCE, desk.close(state)).await.is_err() {
         log::warn!("peers: The link did not close in time.");
     }
 }
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -16,10 +16,11 @@
 
 use crate::caller::serve_connection;
 use crate::follow::follow_kind;
+use crate::join::{join_fleet, leave_fleet};
 use crate::learn_kept::learn_kept;
 use crate::logging::start_logging;
 use crate::pause::{LOOK_PAUSE, PauseWatch};
-use crate::peers::{PeerDesk, close_desk, join_fleet, leave_fleet};
+use crate::peers::{PeerDesk, close_desk};
 use crate::settings::{EntrySettings, parse_settings};
 use crate::side_listener::{SideAnswer, bind, note_joined, serve_side};
 use crate::state::EntryState;
@@ -40,6 +41,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Descriptors kept for everything but callers.
 const RESERVED_DESCRIPTORS: u64 = 600;
+/// Connections that are taken whatever the limits say.
+const MIN_CONNECTIONS: u64 = 16;
+/// Part of the memory that callers' connections may take.
+const CONNECTIONS_PART: f64 = 0.5;
+/// Memory that one connection takes at most while a request is answered: what is read ahead.
+const CONNECTION_BYTES: f64 = 65_536.0;
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0];
 
@@ -120,7 +127,7 @@
 
 async fn accept_callers<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let mut connections = JoinSet::new();
-    let most = state.settings().descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(16) as usize;
+    let most = most_connections(&state.settings());
     loop {
         tokio::select! {
             Some(joined) = connections.join_next() => {
@@ -141,6 +148,14 @@
     }
 }
 
+/// Callers' connections that descriptors and memory allow.
+fn most_connections(settings: &EntrySettings) -> usize {
+    let by_descriptors = settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    let bytes = settings.memory_megabytes * 1e6 * CONNECTIONS_PART;
+    let by_memory = (bytes / CONNECTION_BYTES) as u64;
+    by_descriptors.min(by_memory).max(MIN_CONNECTIONS) as usize
+}
+
 async fn answer_ready<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let answer = move |path: &str| {
         let asked = path.split('?').next() == Some(W::READY_PATH);
--- a/crates/catkin-entry/src/record.rs
+++ b/crates/catkin-entry/src/record.rs
@@ -59,8 +59,6 @@
 value_type! {
     /// What is particular to a service of model engines.
     pub struct EngineRecord {
-        /// Requests that one server runs at once.
-        pub slots: u32,
         /// Tokens that one server keeps in memory.
         pub memory_tokens: u64,
     }
@@ -69,8 +67,6 @@
 value_type! {
     /// A service.
     pub struct ServiceRecord {
-        /// Path of the status check.
-        pub health_path: String,
         /// Most connections that one server takes from all routers together.
         pub max_connections: u32,
         /// Set if its servers are model engines.
@@ -134,8 +130,6 @@
         pub slots: u32,
         /// Whether it is leaving.
         pub leaving: bool,
-        /// How much longer it is slow after its start.
-        pub cold: Duration,
         /// When its process started, in Unix milliseconds; tells two starts under one name apart.
         pub started_unix_millis: u64,
     }
@@ -151,15 +145,3 @@
         pub tokens: u32,
     }
 }
-
-copy_type! {
-    /// What a server says of its load in an answer.
-    pub struct LoadHeader {
-        /// Requests running.
-        pub running: u32,
-        /// Requests waiting.
-        pub waiting: u32,
-        /// Requests that it runs at once.
-        pub slots: u32,
-    }
-}
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -433,13 +433,17 @@
 }
 
 fn note_answer(call: &EntryCall, status: u16) {
-    let route = call.route.name.clone();
     let class = format!("{}xx", status / 100);
     metrics::counter!("catkin_entry_answers_total", "status" => class).increment(1);
     let seconds = call.arrived.elapsed().as_secs_f64();
-    let streamed = if call.route.kind == RouteKind::Streaming { "stream" } else { "plain" };
-    metrics::histogram!("catkin_entry_answer_seconds", "kind" => streamed).record(seconds);
-    log::trace!("call: Counted. route={route}");
+    let kind = match call.route.kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::Single => "single",
+        RouteKind::Streaming => "streaming",
+    };
+    let team = call.team.clone().unwrap_or_default();
+    metrics::histogram!("catkin_entry_answer_seconds", "kind" => kind, "team" => team)
+        .record(seconds);
 }
 
 /// Counts a request as open until dropped.
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -4,7 +4,7 @@
 
 use catkin_base::{copy_type, value_type};
 
-use crate::record::{DeclarationRecord, LoadHeader, PromptPart, ServerRecord};
+use crate::record::{DeclarationRecord, PromptPart, ServerRecord};
 
 /// Names of the header fields that the router reads or writes.
 #[derive(Debug, Clone, Copy)]
@@ -157,6 +157,4 @@
     fn decode_prompt_parts(value: &str) -> Result<Vec<PromptPart>, WireError>;
     /// Reads the list of parts that a server keeps.
     fn decode_kept_list(bytes: &[u8]) -> Result<Vec<KeptRecord>, WireError>;
-    /// Reads a server's load.
-    fn decode_load(value: &str) -> Result<LoadHeader, WireError>;
 }
--- a/crates/catkin-entry/tests/directory.rs
+++ b/crates/catkin-entry/tests/directory.rs
@@ -17,7 +17,6 @@
         domain: "a".to_owned(),
         slots: 4,
         leaving: false,
-        cold: Duration::ZERO,
         started_unix_millis,
     }
 }
--- a/crates/catkin-feeder/src/traffic.rs
+++ b/crates/catkin-feeder/src/traffic.rs
@@ -180,6 +180,9 @@
         Kind::ChunkAsk(_) => "chunk ask",
         Kind::PlacementNote(_) => "placement note",
         Kind::ServerState(_) => "server state",
+        Kind::EntryReport(_) => "entry report",
+        Kind::DeclarationAsk(_) => "declaration ask",
+        Kind::DeclarationCopy(_) => "declaration copy",
         Kind::ServerOrder(_) => "server order",
         _ => "other",
     }
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -80,6 +80,8 @@
         Kind::ServerOrder(order) => take_order(parts, from, order),
         Kind::ServerOrderAnswer(answer) => parts.order_replies.take(answer),
         Kind::ServerState(state) => take_state(parts, state),
+        // Entry routers speak these among themselves.
+        Kind::EntryReport(_) | Kind::DeclarationAsk(_) | Kind::DeclarationCopy(_) => {}
         // Membership messages were handled before.
         Kind::Ping(_) | Kind::PingAck(_) | Kind::PingRequest(_) => {}
     }
--- a/crates/catkin-router/src/traffic.rs
+++ b/crates/catkin-router/src/traffic.rs
@@ -72,5 +72,8 @@
         Kind::ServerOrder(_) => "server-order",
         Kind::ServerOrderAnswer(_) => "server-order-answer",
         Kind::ServerState(_) => "server-state",
+        Kind::EntryReport(_) => "entry-report",
+        Kind::DeclarationAsk(_) => "declaration-ask",
+        Kind::DeclarationCopy(_) => "declaration-copy",
     }
 }
