--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod pause;
 mod peers;
 mod place;
+mod placing;
 mod process;
 mod record;
 mod refuse;
