Close the listener before the router takes its leave of the others

Ruled out: the grace (3.8 s of 8 s had passed). The test callers_that_come_while_the_router_ends failed before (1 of 6,785 answers cut) and passes.

--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use catkin_base::ClockTime;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use miette::{IntoDiagnostic, WrapErr};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -128,13 +129,15 @@
 async fn accept_callers<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let mut connections = JoinSet::new();
     let most = most_connections(&state.settings());
+    let mut listener = Some(listener);
     loop {
         tokio::select! {
+            () = state.shut.cancelled(), if listener.is_some() => listener = None,
             Some(joined) = connections.join_next() => {
                 state.connections.set(connections.len());
                 note_joined(joined);
             }
-            accepted = listener.accept(), if connections.len() < most => match accepted {
+            accepted = accept_some(listener.as_ref()), if connections.len() < most => match accepted {
                 Ok((stream, _)) => {
                     connections.spawn_local(serve_connection(Rc::clone(&state), stream));
                     state.connections.set(connections.len());
@@ -148,6 +151,14 @@
     }
 }
 
+/// Accepts a connection; waits forever once the listener is closed.
+async fn accept_some(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Callers' connections that descriptors and memory allow.
 fn most_connections(settings: &EntrySettings) -> usize {
     let by_descriptors = settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
@@ -311,16 +322,25 @@
     sleep(BALANCER_TIME.min(until.saturating_duration_since(began))).await;
     state.closing.cancel();
     let done = async {
-        while state.connections.get() > 0 {
-            sleep(DRAIN_PAUSE).await;
-        }
+        wait_for_callers(state).await;
+        // A caller may come until the listener is closed, and must be answered, too.
+        state.shut.cancel();
+        sleep(DRAIN_PAUSE).await;
+        wait_for_callers(state).await;
     };
     let whole = timeout_at(until, done).await.is_ok();
+    state.shut.cancel();
     log::info!("process: Drained. whole={whole} open_calls={}", state.open_calls.get());
     state.leaving.cancel();
     finish_within(EXIT_TIME / 2, state.left.cancelled()).await;
 }
 
+async fn wait_for_callers<W>(state: &EntryState<W>) {
+    while state.connections.get() > 0 {
+        sleep(DRAIN_PAUSE).await;
+    }
+}
+
 async fn finish_within(limit: Duration, work: impl Future<Output = ()>) {
     if tokio::time::timeout(limit, work).await.is_err() {
         log::warn!("process: The fleet was not told of the end in time.");
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -89,6 +89,8 @@
     pub(crate) connections: Cell<usize>,
     /// Set when idle callers are to be closed.
     pub(crate) closing: CancellationToken,
+    /// Set when no caller is taken any longer.
+    pub(crate) shut: CancellationToken,
     /// Set when the other routers are to be told of the end.
     pub(crate) leaving: CancellationToken,
     /// Set once they were told.
@@ -127,6 +129,7 @@
             open_calls: Cell::new(0),
             connections: Cell::new(0),
             closing: CancellationToken::new(),
+            shut: CancellationToken::new(),
             leaving: CancellationToken::new(),
             left: CancellationToken::new(),
             awake: Notify::new(),
