Give a new connection time for its first request while idle ones are closed

Nothing of it had been read, so no promise was broken, but the caller had to ask again. Now such a connection has 500 ms.

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::call::{CheckError, EntryCall, write_field};
 use crate::channel::set_options;
@@ -36,6 +36,8 @@
 const START_WAIT: Duration = Duration::from_millis(400);
 /// Time that a caller is taken to have left while no declarations tell more.
 const FIRST_RETRY_LEFT: Duration = Duration::from_secs(3);
+/// How long a new connection has for its first request while idle ones are closed.
+const NEW_CALLER_TIME: Duration = Duration::from_millis(500);
 /// How long a closed connection is drained, so that the caller still reads its answer.
 const LINGER: Duration = Duration::from_millis(1_000);
 /// Longest wait for a caller that takes nothing of its answer.
@@ -83,13 +85,15 @@
 struct CallerConnection {
     reader: OwnedReadHalf,
     buffer: BytesMut,
+    /// Whether a request was answered on it.
+    served: bool,
 }
 
 /// Serves one connection to its end.
 pub(crate) async fn serve_connection<W: EntryWire>(state: Rc<EntryState<W>>, stream: TcpStream) {
     set_options(&stream);
     let (reader, writer) = stream.into_split();
-    let mut connection = CallerConnection { reader, buffer: BytesMut::new() };
+    let mut connection = CallerConnection { reader, buffer: BytesMut::new(), served: false };
     let mut writer = CallerWriter { writer, closing: false, chunks: true, begun: false };
     loop {
         let end = match connection.read_head(&state).await {
@@ -115,6 +119,7 @@
         let bounds = bounds_of(state);
         let mut first_byte = (!self.buffer.is_empty()).then(Instant::now);
         let idle_since = Instant::now();
+        let quiet_until = if self.served { idle_since } else { idle_since + NEW_CALLER_TIME };
         loop {
             match take_request(&mut self.buffer, bounds.head_bytes) {
                 Ok(Some(head)) => return HeadRead::Request(Box::new(head)),
@@ -133,7 +138,7 @@
             let read = tokio::select! {
                 biased;
                 read = self.read_until(until) => read,
-                () = state.closing.cancelled(), if first_byte.is_none() => {
+                () = wait_for_closing(state, quiet_until), if first_byte.is_none() => {
                     return HeadRead::Closing;
                 }
             };
@@ -183,7 +188,8 @@
                 return written.ok().map(|()| end_of(writer));
             }
         };
-        let Self { reader, buffer } = self;
+        self.served = true;
+        let Self { reader, buffer, .. } = self;
         tokio::select! {
             biased;
             () = wait_for_leave(reader, buffer) => {
@@ -251,6 +257,12 @@
     }
 }
 
+/// Waits until the router closes idle connections; not before `quiet_until`.
+async fn wait_for_closing<W>(state: &EntryState<W>, quiet_until: Instant) {
+    state.closing.cancelled().await;
+    sleep_until(quiet_until).await;
+}
+
 fn end_of(writer: &CallerWriter) -> CallEnd {
     if writer.closing { CallEnd::AnsweredLast } else { CallEnd::Answered }
 }
