Tell others only of servers that the router itself set aside

Cause, found by reading: a server set aside by another router's word was told on as set aside, so that routers kept it out for good by each other's word. The test routers_do_not_keep_a_server_out fails before and passes.

--- a/crates/catkin-entry/src/outcome_book.rs
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -14,6 +14,8 @@
 const AGAINST_SERVICE: f64 = 2.0;
 /// First time that a server is set aside for, in milliseconds.
 const FIRST_HOLD_MILLIS: u64 = 500;
+/// Time that another router's word counts, in milliseconds; it is repeated while it holds.
+const TOLD_HOLD_MILLIS: u64 = 500;
 /// Longest time that a server is set aside for, in milliseconds.
 const MAX_HOLD_MILLIS: u64 = 4_000;
 /// Time without failures after which the hold starts over, in milliseconds.
@@ -36,7 +38,10 @@
     served: f64,
     failed: f64,
     updated: ClockTime,
+    /// Set aside by this router's own judgement until then.
     held_until: ClockTime,
+    /// Set aside by another router's word until then.
+    told_until: ClockTime,
     unreachable_until: ClockTime,
     hold_millis: u64,
     last_failure: ClockTime,
@@ -106,7 +111,7 @@
 
     /// Whether `server` is set aside.
     pub fn is_held(&self, now: ClockTime, server: ServerId) -> bool {
-        self.rows.get(&server).is_some_and(|row| now < row.held_until)
+        self.rows.get(&server).is_some_and(|row| now < row.held_until.max(row.told_until))
     }
 
     /// Whether `server` could not be reached lately, so that others can't fetch from it either.
@@ -117,10 +122,11 @@
     /// Sets `server` aside because another router found it failing.
     pub fn note_held_elsewhere(&mut self, now: ClockTime, server: ServerId) {
         let row = self.rows.entry(server).or_default();
-        row.held_until = row.held_until.max(now.plus_millis(FIRST_HOLD_MILLIS));
+        row.told_until = now.plus_millis(TOLD_HOLD_MILLIS);
     }
 
-    /// Servers set aside, which other routers are told.
+    /// Servers that this router itself set aside, which others are told. What it was told by others
+    /// is left out, or routers would keep a server out by each other's word for good.
     pub fn held(&self, now: ClockTime) -> impl Iterator<Item = ServerId> {
         let held = self.rows.iter().filter(move |(_, row)| now < row.held_until);
         held.map(|(server, _)| *server)
--- a/crates/catkin-entry/tests/directory.rs
+++ b/crates/catkin-entry/tests/directory.rs
@@ -209,6 +209,24 @@
     assert!(!book.is_held(at(200 + 5_000), ServerId(1)));
 }
 
+#[test]
+fn routers_do_not_keep_a_server_out_by_each_others_word() {
+    let mut books = [OutcomeBook::default(), OutcomeBook::default()];
+    books[0].note(at(0), ServerId(1), AttemptOutcome::Unreachable, &[ServerId(1)]);
+    let told_first = books[0].is_held(at(1), ServerId(1));
+
+    for step in 1..200 {
+        let now = at(step * 40);
+        for (teller, hearer) in [(0, 1), (1, 0)] {
+            let held: Vec<ServerId> = books[teller].held(now).collect();
+            held.iter().for_each(|server| books[hearer].note_held_elsewhere(now, *server));
+        }
+    }
+
+    assert!(told_first);
+    assert!(books.iter().all(|book| !book.is_held(at(8_000), ServerId(1))));
+}
+
 #[test]
 fn failures_that_all_servers_share_set_nobody_aside() {
     let servers = [ServerId(1), ServerId(2), ServerId(3)];
