--- a/crates/catkin-entry/src/follow.rs
+++ b/crates/catkin-entry/src/follow.rs
@@ -130,14 +130,12 @@
         metrics::counter!("catkin_entry_store_failures_total").increment(1);
         self.client.reset();
         self.patience.grow();
-        self.tell_failing(*fault != StoreFault::HistoryGone);
-        let history_gone = *fault == StoreFault::HistoryGone;
-        if !history_gone {
-            self.failed_at = Some(self.state.now());
-        }
         // After a failed call the wait may have missed changes that the store forgot.
         self.revision = None;
-        if !history_gone {
+        let fails = *fault != StoreFault::HistoryGone;
+        self.tell_failing(fails);
+        if fails {
+            self.failed_at = Some(self.state.now());
             let pause = self.backoff.next_delay(&mut rand::rng());
             sleep(Duration::from_millis(pause)).await;
         }
--- a/crates/catkin-entry/src/placing.rs
+++ b/crates/catkin-entry/src/placing.rs
@@ -68,7 +68,8 @@
     tried: &BTreeSet<ServerId>,
 ) -> Result<PlacedCall<W>, NoPlace> {
     let now = state.now();
-    let candidates = list_candidates(state, call, tried);
+    let room = shared_room(state, call);
+    let candidates = list_candidates(state, call, tried, room);
     let shared = call.shared();
     let query = PlaceQuery {
         affinity: shared.map_or(call.digest.0, |shared| shared.key),
@@ -86,7 +87,7 @@
             state.news.borrow_mut().kept.push(pair);
         }
     }
-    state.kept.borrow_mut().drop_beyond(choice.server, shared_room(state, call));
+    state.kept.borrow_mut().drop_beyond(choice.server, room);
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(choice.server).ok_or(NoPlace::NoServer)?;
@@ -111,6 +112,7 @@
     state: &EntryState<W>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
+    room: u64,
 ) -> Vec<Candidate> {
     let now = state.now();
     let settings = state.settings();
@@ -120,7 +122,7 @@
     let outcomes = state.outcomes.borrow();
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let prefixes = call.shared_prefixes();
-    let room = shared_room(state, call).max(1) as f64;
+    let room = room.max(1) as f64;
     let candidate = |known: &KnownServer| {
         let server = known.server;
         let load = loads.total(server);
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry router: JSON with comments.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use json_comments::StripComments;
@@ -100,11 +100,6 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_seconds)
     }
-
-    /// Address of this VM.
-    pub fn ip(&self) -> IpAddr {
-        self.callers.ip()
-    }
 }
 
 /// Reads settings; `name` is shown in errors.
