Set a server aside when another one answers at its address

An entry was left over while another server had the address. Each request placed there was declined with 421 and cost the retry budget; once that was spent, 200 of 467 requests were refused.

Ruled out: a stale list in the routers (the entry was in the store); the budget being too small (20 of 20 requests went to the wrong server first).

Change: a misdirected attempt counts like a server that cannot be reached: set aside at once, told to the other routers, tried again after the hold.

--- a/crates/catkin-entry/src/outcome_book.rs
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -28,7 +28,7 @@
         Served,
         /// With a failure of the server.
         Failed,
-        /// The server could not be reached at all.
+        /// The server could not be reached at all, or another one has its address.
         Unreachable,
     }
 }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -255,8 +255,9 @@
     let fault = format!("{:?}", error.fault);
     metrics::counter!("catkin_entry_failed_attempts_total", "fault" => fault).increment(1);
     let outcome = match error.fault {
-        AttemptFault::Unreachable => AttemptOutcome::Unreachable,
-        AttemptFault::StaleChannel | AttemptFault::Misdirected => return,
+        // Its entry is left over until the store removes it.
+        AttemptFault::Unreachable | AttemptFault::Misdirected => AttemptOutcome::Unreachable,
+        AttemptFault::StaleChannel => return,
         _ => AttemptOutcome::Failed,
     };
     if error.fault == AttemptFault::Broken && error.ran != RunVerdict::NotRun {
