Add a fault soak: real routers between stand-ins, faults from outside, promises checked

catkin-soak draws faults from a seed (signals, links, store, servers, declarations), runs catkin-entry as processes on loopback, and judges what callers and servers saw.

--- /dev/null
+++ b/crates/catkin-soak/src/lib.rs
@@ -0,0 +1,28 @@
+//! Randomized soak of the entry router.
+//!
+//! [`run_soak`] starts real routers as processes on loopback between stand-ins of callers, servers
+//! and the store, plays the faults that [`plan_faults`] draws from a seed, and writes what callers
+//! and servers see into a [`SoakLedger`]. [`find_breaches`] then looks for broken promises. The
+//! formats of the stand-ins come from a [`StandinWire`].
+
+mod caller;
+mod check;
+mod fault;
+mod ledger;
+mod link;
+mod message;
+mod plan;
+mod router;
+mod run;
+mod server;
+mod store;
+mod wire;
+
+pub use check::{SoakBounds, SoakBreach, find_breaches};
+pub use ledger::{
+    CallEnd, CallKind, CallRecord, FaultSpell, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
+    SoakLedger, StartRecord, VersionRecord,
+};
+pub use plan::{FaultKind, LinkTrouble, PlannedFault, SoakSize, plan_faults};
+pub use run::{SoakError, SoakOptions, SoakReport, run_soak};
+pub use wire::{StandinWire, StoreCall};
--- /dev/null
+++ b/crates/catkin-soak/src/server.rs
@@ -0,0 +1,215 @@
+//! Stand-in servers: they run requests, decline them, crash, leave, and come back as others.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::marker::PhantomData;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use tokio::io::AsyncWriteExt;
+
+use crate::caller::{EVENTS, event_text};
+use crate::ledger::{CallKind, RunRecord};
+use crate::message::{HttpMessage, MessageReader, write_answer};
+use crate::run::SoakBoard;
+use crate::wire::StandinWire;
+
+/// Requests that a server runs at once.
+pub(crate) const SLOTS: u32 = 16;
+/// Longest work on a plain request, in milliseconds.
+const MAX_WORK_MILLIS: u64 = 40;
+/// Longest pause between two events of a stream, in milliseconds.
+const MAX_EVENT_MILLIS: u64 = 120;
+/// One answer in so many is a failure of the server's own.
+const FAILURE_PERIOD: u32 = 60;
+
+/// What a server is at the moment.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerIdentity {
+    pub(crate) name: String,
+    pub(crate) service: String,
+}
+
+/// The server at one address.
+pub(crate) struct StandinServer<W> {
+    pub(crate) place: usize,
+    board: Rc<SoakBoard>,
+    identity: RefCell<ServerIdentity>,
+    /// Cancelled at a crash; then all connections end.
+    life: RefCell<CancellationToken>,
+    alive: Cell<bool>,
+    running: Cell<u32>,
+    wire: PhantomData<W>,
+}
+
+impl<W: StandinWire> StandinServer<W> {
+    pub(crate) fn new(board: Rc<SoakBoard>, place: usize, identity: ServerIdentity) -> Self {
+        Self {
+            place,
+            board,
+            identity: RefCell::new(identity),
+            life: RefCell::default(),
+            alive: Cell::new(true),
+            running: Cell::new(0),
+            wire: PhantomData,
+        }
+    }
+
+    pub(crate) fn identity(&self) -> ServerIdentity {
+        self.identity.borrow().clone()
+    }
+
+    /// Ends all connections and takes no more.
+    pub(crate) fn crash(&self) {
+        self.alive.set(false);
+        self.life.borrow().cancel();
+    }
+
+    /// Starts again under an identity.
+    pub(crate) fn start(&self, identity: ServerIdentity) {
+        *self.identity.borrow_mut() = identity;
+        *self.life.borrow_mut() = CancellationToken::new();
+        self.alive.set(true);
+    }
+
+    /// Listens on `ip` and serves until dropped.
+    pub(crate) async fn serve(
+        self: &Rc<Self>,
+        ip: IpAddr,
+        tasks: &mut JoinSet<()>,
+    ) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let address = listener.local_addr()?;
+        let server = Rc::clone(self);
+        tasks.spawn_local(async move { server.accept_all(&listener).await });
+        Ok(address)
+    }
+
+    async fn accept_all(self: &Rc<Self>, listener: &TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                Some(_) = connections.join_next() => {}
+                accepted = listener.accept() => {
+                    // A failed accept is of no connection; the router tries again.
+                    if let (Ok((stream, _)), true) = (accepted, self.alive.get()) {
+                        let server = Rc::clone(self);
+                        connections.spawn_local(async move { server.serve_stream(stream).await });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Answers requests until the connection or the server's life ends.
+    async fn serve_stream(&self, stream: TcpStream) {
+        let life = self.life.borrow().clone();
+        let (read, mut write) = stream.into_split();
+        let mut reader = MessageReader::new(read);
+        let serving = async {
+            while let Ok(message) = reader.read().await {
+                if self.answer(&message, &mut write).await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = life.cancelled() => {}
+            () = serving => {}
+        }
+    }
+
+    async fn answer(&self, message: &HttpMessage, write: &mut OwnedWriteHalf) -> io::Result<()> {
+        let target = message.call().map_or("", |(_, target)| target);
+        if target == W::KEPT_LIST_TARGET {
+            return write_answer(write, 200, "", W::EMPTY_KEPT_LIST).await;
+        }
+        let names = &W::HEADERS;
+        let id = message.field(names.request_id).unwrap_or_default().to_owned();
+        let identity = self.identity();
+        let expected = message.field(names.expected_server);
+        let is_other = expected.is_some_and(|expected| expected != identity.name);
+        let full = self.running.get() >= SLOTS;
+        let ran = !is_other && !full;
+        self.note_run(&id, message, &identity, ran);
+        let fields = format!("{}: {id}\r\n", names.request_id);
+        if !ran {
+            let status = if is_other { 421 } else { 503 };
+            let fields = format!("{fields}{}: 1\r\n", names.not_run);
+            return write_answer(write, status, &fields, "").await;
+        }
+        let fields = format!("{fields}{}: {}\r\n", names.seal, identity.name);
+        let _running = RunningCall::new(&self.running);
+        self.run(&id, message, &identity, &fields, write).await
+    }
+
+    fn note_run(&self, id: &str, message: &HttpMessage, identity: &ServerIdentity, ran: bool) {
+        let team = message.field(W::HEADERS.team).unwrap_or_default();
+        let version = team.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.board.ledger.borrow_mut().runs.push(RunRecord {
+            id: id.to_owned(),
+            server: identity.name.clone(),
+            place: self.place,
+            service: identity.service.clone(),
+            version,
+            at: self.board.now(),
+            ran,
+        });
+    }
+
+    async fn run(
+        &self,
+        id: &str,
+        message: &HttpMessage,
+        identity: &ServerIdentity,
+        fields: &str,
+        write: &mut OwnedWriteHalf,
+    ) -> io::Result<()> {
+        let work = rand::rng().random_range(0..=MAX_WORK_MILLIS);
+        sleep(Duration::from_millis(work)).await;
+        if rand::rng().random_ratio(1, FAILURE_PERIOD) {
+            return write_answer(write, 500, fields, "failed").await;
+        }
+        let path = message.call().map_or("", |(_, target)| target);
+        let kind = CallKind::of_path(path);
+        let is_stream = matches!(kind, Some(CallKind::Stream | CallKind::Resumable));
+        if !is_stream {
+            return write_answer(write, 200, fields, &format!("{id} {}", identity.name)).await;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
+        write.write_all(head.as_bytes()).await?;
+        let last = message.field(W::HEADERS.last_event).and_then(|text| text.parse().ok());
+        for number in last.unwrap_or(0) + 1..=EVENTS {
+            let event = event_text(id, number);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            write.write_all(chunk.as_bytes()).await?;
+            let pause = rand::rng().random_range(0..=MAX_EVENT_MILLIS);
+            sleep(Duration::from_millis(pause)).await;
+        }
+        write.write_all(b"0\r\n\r\n").await
+    }
+}
+
+/// Counts a request as running until dropped.
+struct RunningCall<'a>(&'a Cell<u32>);
+
+impl<'a> RunningCall<'a> {
+    fn new(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for RunningCall<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
