Learn all engines' lists after all routers were lost at once

One that was told by another that had itself only begun took that for all there is and did not ask the engines that fall to it; two of 11 engines were asked by nobody. One whose two tellers were not up yet learned nothing at all: 48 of its 102 prompts were read again, 129,000 tokens.

Ruled out: lists cut short (at most 510 parts against a bound of 436 of the longest); expiry (45 s); lost datagrams (long messages go over TCP).

Change: a router tells whether it knows all (it followed the fleet, or every engine had its time to be asked). Told less, a router asks its own engines all the same, asks other routers again, and tells its lists once more for those that started later. The decisions are KeptLearning, without network; its tests play the starts.

--- a/crates/catkin-entry/src/learn_kept.rs
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -1,13 +1,12 @@
-//! Learns which parts of prompts engines keep after all routers were lost at once.
+//! Asks other routers and engines which parts of prompts engines keep.
 
 use std::cmp::Reverse;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{DomainId, RegionId, ServerId, VmId};
-use catkin_policy::{RouterSpec, choose_keyholder};
+use catkin_base::{ServerId, VmId};
 use tokio::time::{Instant, sleep};
 
 use crate::channel::HttpChannel;
@@ -27,56 +26,47 @@
 /// Longest list, in bytes.
 const MAX_LIST_BYTES: usize = 1 << 20;
 
-/// Asks the engines that fall to this router, if nobody knows what they keep.
+/// Asks other routers, and the engines that fall to this one, until nothing is missing.
 pub(crate) async fn learn_kept<W: EntryWire>(state: &Rc<EntryState<W>>, desk: &PeerDesk) {
-    if !state.settings().first_start {
-        sleep(ASK_PAUSE).await;
-        if !state.knows_kept.get() {
-            return ask_all(state, desk).await;
-        }
+    if state.settings().first_start {
+        return note_whole(state);
     }
-    note_known(state);
-}
-
-/// Asks engines as their entries appear: after an outage of the store they come back one by one.
-async fn ask_all<W: EntryWire>(state: &Rc<EntryState<W>>, desk: &PeerDesk) {
-    let mut asked = BTreeSet::new();
-    let until = Instant::now() + ASK_TIME;
-    while Instant::now() < until {
-        let before = asked.len();
-        let learned = ask_engines(state, desk.list_routers(state), &mut asked).await;
-        if asked.len() > before {
+    let started = Instant::now();
+    let mut listed = Vec::new();
+    while started.elapsed() < ASK_TIME && !state.learning.borrow().is_whole() {
+        let routers = desk.list_routers(state);
+        let since = started.elapsed();
+        let tellers = state.learning.borrow_mut().choose_tellers(state.own, &routers, since);
+        desk.ask_kept(state, &tellers);
+        sleep(ASK_PAUSE).await;
+        let learned = ask_engines(state, &routers).await;
+        if !learned.is_empty() {
             desk.tell_kept(state, &learned);
         }
-        sleep(ASK_PAUSE).await;
-        if !asked.is_empty() {
-            note_known(state);
+        listed.extend(learned);
+        if state.learning.borrow_mut().take_telling(since) {
+            desk.tell_kept(state, &listed);
         }
+        state.learning.borrow_mut().note_asked();
+        state.room.notify_waiters();
     }
-    note_known(state);
+    note_whole(state);
 }
 
-fn note_known<W: EntryWire>(state: &EntryState<W>) {
-    if !state.knows_kept.replace(true) {
-        state.room.notify_waiters();
-    }
+fn note_whole<W: EntryWire>(state: &EntryState<W>) {
+    state.learning.borrow_mut().note_whole();
+    state.room.notify_waiters();
 }
 
-async fn ask_engines<W: EntryWire>(
-    state: &Rc<EntryState<W>>,
-    routers: Vec<VmId>,
-    asked: &mut BTreeSet<ServerId>,
-) -> Vec<KeptPair> {
+/// Asks engines as their entries appear: after an outage of the store they come back one by one.
+async fn ask_engines<W: EntryWire>(state: &Rc<EntryState<W>>, routers: &[VmId]) -> Vec<KeptPair> {
+    let addresses = list_engines(state);
+    let most = MAX_LISTED / addresses.len().max(1);
+    let engines = addresses.keys().copied();
+    let engines = state.learning.borrow_mut().take_engines(state.own, routers, engines);
     let mut learned = Vec::new();
-    let specs: Vec<RouterSpec> = routers.into_iter().map(plain_spec).collect();
-    let engines = list_engines(state);
-    let most = MAX_LISTED / engines.len().max(1);
-    for (server, address) in engines {
-        let own = choose_keyholder(server.0, &specs) == Some(state.own);
-        if !own || !asked.insert(server) {
-            continue;
-        }
-        match ask_list::<W>(address).await {
+    for server in engines {
+        match ask_list::<W>(addresses[&server]).await {
             Ok(records) => learned.extend(note_list(state, server, records, most)),
             Err(reason) => log::info!("servers: No list. server={server} reason={reason}"),
         }
@@ -84,12 +74,8 @@
     learned
 }
 
-fn plain_spec(vm: VmId) -> RouterSpec {
-    RouterSpec { vm, domain: DomainId(0), region: RegionId(0) }
-}
-
-fn list_engines<W: EntryWire>(state: &EntryState<W>) -> Vec<(ServerId, SocketAddr)> {
-    let Some(table) = state.table() else { return Vec::new() };
+fn list_engines<W: EntryWire>(state: &EntryState<W>) -> BTreeMap<ServerId, SocketAddr> {
+    let Some(table) = state.table() else { return BTreeMap::new() };
     let services = &table.declarations().services;
     let is_engine = |service: &str| services.get(service).is_some_and(|row| row.engine.is_some());
     let servers = state.servers.borrow();
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -37,8 +37,6 @@
 const BEHIND_PAUSE: Duration = Duration::from_millis(200);
 /// The same if the store answers: it serves many routers at once better than a router does.
 const STORE_TIME: Duration = Duration::from_millis(1_500);
-/// Routers that one which starts asks what servers keep.
-const KEPT_TELLERS: usize = 2;
 /// Pause between two asks for newer declarations.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for the link's tasks while leaving.
@@ -163,14 +161,17 @@
         self.ask_declarations(state, source, report.declaration);
         if report.joining {
             let mut answer = build_status(state);
-            if report.wants_kept && state.knows_kept.get() {
-                answer.knows_kept = true;
+            if report.wants_kept && state.learning.borrow().is_usable() {
+                answer.tells_kept = true;
+                answer.knows_kept = state.learning.borrow().is_whole();
                 answer.kept = list_kept(state);
             }
             self.link.send(source.vm, source.address, &wrap(Kind::EntryReport(answer)));
         }
-        if report.knows_kept && !report.kept.is_empty() && !state.knows_kept.replace(true) {
-            log::info!("servers: Told what is kept by {}. parts={}", source.vm, report.kept.len());
+        if report.tells_kept && (report.knows_kept || !report.kept.is_empty()) {
+            let (parts, whole) = (report.kept.len(), report.knows_kept);
+            log::info!("servers: Told what is kept by {}. parts={parts} whole={whole}", source.vm);
+            state.learning.borrow_mut().note_told(whole);
             state.room.notify_waiters();
         }
         state.room.notify_one();
@@ -225,26 +226,26 @@
                 let mut report = build_report(state);
                 report.joining = last.is_none();
                 self.send_all(&wrap(Kind::EntryReport(report)));
-                if last.is_none() {
-                    self.ask_kept(state);
-                }
                 last = Some(Instant::now());
             }
             sleep(pause).await;
         }
     }
 
-    /// Asks a few routers for all that they know servers to keep.
-    fn ask_kept<W: EntryWire>(&self, state: &EntryState<W>) {
+    /// Asks routers for all that they know servers to keep.
+    pub(crate) fn ask_kept<W: EntryWire>(&self, state: &EntryState<W>, tellers: &[VmId]) {
+        if tellers.is_empty() {
+            return;
+        }
         let mut report = build_status(state);
         report.joining = true;
         report.wants_kept = true;
         let message = wrap(Kind::EntryReport(report));
         let routers = self.routers.borrow();
-        let mut order: Vec<_> = routers.iter().collect();
-        order.sort_by_key(|(vm, _)| hash_parts(&[&state.own.0.to_le_bytes(), &vm.0.to_le_bytes()]));
-        for (vm, router) in order.into_iter().take(KEPT_TELLERS) {
-            self.link.send(*vm, router.address, &message);
+        for vm in tellers {
+            if let Some(router) = routers.get(vm) {
+                self.link.send(*vm, router.address, &message);
+            }
         }
     }
 
--- a/crates/catkin-entry/src/placing.rs
+++ b/crates/catkin-entry/src/placing.rs
@@ -54,7 +54,7 @@
 /// again costs more than the wait.
 async fn wait_for_kept<W: EntryWire>(state: &EntryState<W>, limit: Instant) {
     let until = (state.started + KEPT_WAIT).min(limit);
-    while !state.knows_kept.get() {
+    while !state.learning.borrow().is_usable() {
         let news = state.room.notified();
         if timeout_at(until, news).await.is_err() {
             return;
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -12,6 +12,7 @@
 
 use crate::budgets::BudgetBook;
 use crate::kept_book::{KeptBook, KeptPair};
+use crate::kept_learning::KeptLearning;
 use crate::load_table::LoadTable;
 use crate::outcome_book::OutcomeBook;
 use crate::place::LoadBounds;
@@ -80,8 +81,8 @@
     pub(crate) store_fails: Cell<bool>,
     /// Whether this router's waits at the store must show changes at once.
     pub(crate) reads_fresh: Cell<bool>,
-    /// Whether it is known what servers keep, as far as any router knew.
-    pub(crate) knows_kept: Cell<bool>,
+    /// How far it is known what engines keep.
+    pub(crate) learning: RefCell<KeptLearning>,
     /// When the process ends at the latest, once it stops.
     pub(crate) exit: Cell<Option<Instant>>,
     pub(crate) open_calls: Cell<u32>,
@@ -124,7 +125,7 @@
             stopping: Cell::new(None),
             store_fails: Cell::new(false),
             reads_fresh: Cell::new(true),
-            knows_kept: Cell::new(false),
+            learning: RefCell::default(),
             exit: Cell::new(None),
             open_calls: Cell::new(0),
             connections: Cell::new(0),
--- /dev/null
+++ b/crates/catkin-entry/tests/kept_learning.rs
@@ -0,0 +1,146 @@
+//! What routers learn of engines after starts, played without network.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use catkin_base::{ServerId, VmId};
+use catkin_entry::KeptLearning;
+
+const STEP_MILLIS: u64 = 100;
+const ASK_MILLIS: u64 = 3_000;
+
+struct TestRouter {
+    vm: VmId,
+    starts_at: u64,
+    learning: KeptLearning,
+    known: BTreeSet<ServerId>,
+    /// Engines that it asked itself.
+    listed: Vec<ServerId>,
+}
+
+struct TestPlay {
+    routers: Vec<TestRouter>,
+    engines: Vec<ServerId>,
+    /// How often each engine was asked.
+    asked: BTreeMap<ServerId, u32>,
+    /// How often routers told all that they know.
+    tellings: usize,
+}
+
+impl TestPlay {
+    fn new(starts: &[u64], engines: u64) -> Self {
+        let router = |(index, starts_at): (usize, &u64)| TestRouter {
+            vm: VmId(index as u64 + 1),
+            starts_at: *starts_at,
+            learning: KeptLearning::default(),
+            known: BTreeSet::new(),
+            listed: Vec::new(),
+        };
+        Self {
+            routers: starts.iter().enumerate().map(router).collect(),
+            engines: (1..=engines).map(|index| ServerId(index * 77_777)).collect(),
+            asked: BTreeMap::new(),
+            tellings: 0,
+        }
+    }
+
+    fn run(&mut self, until: u64) {
+        for millis in (0..until).step_by(10) {
+            for index in 0..self.routers.len() {
+                let starts_at = self.routers[index].starts_at;
+                let due = millis >= starts_at && (millis - starts_at).is_multiple_of(STEP_MILLIS);
+                if due && millis - starts_at >= ASK_MILLIS {
+                    self.routers[index].learning.note_whole();
+                } else if due {
+                    self.step(index, millis);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize, millis: u64) {
+        let vms: Vec<VmId> = self.routers.iter().map(|router| router.vm).collect();
+        let own = vms[index];
+        let since = Duration::from_millis(millis - self.routers[index].starts_at);
+        let tellers = self.routers[index].learning.choose_tellers(own, &vms, since);
+        for teller in tellers {
+            let teller = vms.iter().position(|vm| *vm == teller).unwrap();
+            let up = self.routers[teller].starts_at <= millis;
+            if up && self.routers[teller].learning.is_usable() {
+                self.tellings += 1;
+                let known = self.routers[teller].known.clone();
+                let whole = self.routers[teller].learning.is_whole();
+                self.routers[index].known.extend(known);
+                self.routers[index].learning.note_told(whole);
+            }
+        }
+        let engines = self.engines.iter().copied();
+        let engines = self.routers[index].learning.take_engines(own, &vms, engines);
+        for engine in &engines {
+            *self.asked.entry(*engine).or_default() += 1;
+        }
+        self.routers[index].listed.extend(&engines);
+        let again = self.routers[index].learning.take_telling(since);
+        let told = if again { self.routers[index].listed.clone() } else { engines };
+        for router in self.routers.iter_mut().filter(|router| router.starts_at <= millis) {
+            router.known.extend(&told);
+        }
+        self.routers[index].learning.note_asked();
+    }
+}
+
+/// dgo-quotes, scale-2: of seven routers that came back within half a second, those that were told by
+/// another did not ask their own engines, and one whose tellers were not up yet learned nothing.
+#[test]
+fn all_routers_lost_at_once_ask_every_engine_once_and_all_learn_all() {
+    for spread in [0, 30, 70, 150, 240] {
+        let starts: Vec<u64> = (0..7).map(|index| index * spread).collect();
+        let mut play = TestPlay::new(&starts, 11);
+
+        play.run(4_500);
+
+        let counts: Vec<u32> = play.asked.values().copied().collect();
+        assert_eq!(counts, [1; 11], "spread {spread}");
+        for router in &play.routers {
+            assert_eq!(router.known.len(), 11, "router {} with spread {spread}", router.vm);
+        }
+    }
+}
+
+#[test]
+fn a_single_restart_is_told_by_another_router_and_asks_no_engine() {
+    let mut play = TestPlay::new(&[0, 0, 0, 0, 0, 0, 20_000], 11);
+    play.run(19_000);
+    let (asked, tellings) = (play.asked.clone(), play.tellings);
+    let owned_by_last = 11 - asked.len();
+
+    play.run(24_000);
+
+    assert_eq!(play.routers[6].known.len(), 11 - owned_by_last);
+    assert!(play.tellings > tellings && play.tellings <= tellings + 6 * 4 + 2);
+    assert_eq!(play.asked, asked);
+}
+
+#[test]
+fn a_new_fleet_asks_nobody() {
+    let mut learning = KeptLearning::default();
+    learning.note_whole();
+
+    let routers = [VmId(1), VmId(2)];
+    assert!(learning.choose_tellers(VmId(1), &routers, Duration::from_secs(1)).is_empty());
+    let engines = [ServerId(1), ServerId(2)].into_iter();
+    assert!(learning.take_engines(VmId(1), &routers, engines).is_empty());
+    assert!(learning.is_usable() && learning.is_whole());
+}
+
+#[test]
+fn lists_of_a_large_fleet_are_asked_of_a_few_routers() {
+    let starts: Vec<u64> = (0..87).map(|index| index / 2 * 10).collect();
+    let mut play = TestPlay::new(&starts, 90);
+
+    play.run(4_500);
+
+    assert!(play.tellings <= 87 * 6, "{}", play.tellings);
+    assert_eq!(play.asked.len(), 90);
+    assert!(play.routers.iter().all(|router| router.known.len() == 90));
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -420,9 +420,12 @@
     /// asks for all kept parts that the receiver knows
     #[prost(bool, tag = "10")]
     pub wants_kept: bool,
-    /// has followed them since they were first kept
+    /// has followed them since they were first kept, or asked for them all
     #[prost(bool, tag = "11")]
     pub knows_kept: bool,
+    /// kept is all that the sender knows
+    #[prost(bool, tag = "12")]
+    pub tells_kept: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenCount {
