Wait for most engines' lists before prompts are placed by them

Ruled out: the wait running out (900 ms; requests were placed after 500).

Change: prompts wait until the lists of four in five engines are known, or a router tells all of them, at most the 900 ms as before. Others are asked again after 200 and 400 ms while too little is known.

The test of starts one after the other now also checks what is known when prompts are first placed (0 to 9 of 11 before).

--- a/crates/catkin-entry/src/kept_learning.rs
+++ b/crates/catkin-entry/src/kept_learning.rs
@@ -12,14 +12,22 @@
 
 /// Routers asked at once: a list takes tens of kilobytes.
 const TELLERS_PER_ROUND: usize = 2;
-/// When routers are asked, since the own start: at once, again if none of them was up, and once more
-/// after processes that are restarted together have told each other.
-const ROUND_TIMES: [Duration; 3] =
-    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(700)];
+/// When routers are asked, since the own start: at once, again while too little is known, and once
+/// more after processes that are restarted together have told each other.
+const ROUND_TIMES: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(700),
+];
 
 /// When a router tells its engines' lists once more, since its start: to those that started later.
 const TELL_AGAIN_TIME: Duration = Duration::from_millis(700);
 
+/// Part of the engines whose lists must be known before requests are placed by them, in percent. An
+/// engine that keeps nothing, or does not answer, has no list.
+const KNOWN_PERCENT: usize = 80;
+
 /// What a router knows of what engines keep.
 #[derive(Debug, Clone, Default)]
 pub struct KeptLearning {
@@ -28,9 +36,12 @@
     rounds: usize,
     /// Routers that were asked.
     asked: BTreeSet<VmId>,
-    was_told: bool,
-    /// Engines that were asked.
+    /// Engines in the directory.
     engines: BTreeSet<ServerId>,
+    /// Engines that this router asked.
+    mine: BTreeSet<ServerId>,
+    /// Engines whose lists are known.
+    listed: BTreeSet<ServerId>,
     told_again: bool,
 }
 
@@ -43,21 +54,25 @@
 
     /// Notes that another router told all that it knows, and whether nothing was missing there.
     pub fn note_told(&mut self, whole: bool) {
-        self.was_told = true;
         self.whole |= whole;
-        self.usable = true;
+        self.usable |= whole;
     }
 
-    /// Notes that this router's engines were asked as far as they are known.
-    pub fn note_asked(&mut self) {
-        self.usable |= !self.engines.is_empty();
+    /// Notes that lists of these engines are known.
+    pub fn note_lists(&mut self, engines: impl Iterator<Item = ServerId>) {
+        if self.usable {
+            return;
+        }
+        self.listed.extend(engines);
+        let known = self.engines.intersection(&self.listed).count();
+        self.usable = known > 0 && known * 100 >= self.engines.len() * KNOWN_PERCENT;
     }
 
     /// Whether to tell the other routers all lists once more now, `since` the own start.
     pub fn take_telling(&mut self, since: Duration) -> bool {
         let due = since >= TELL_AGAIN_TIME && !self.told_again;
         self.told_again |= due;
-        due && !self.engines.is_empty()
+        due && !self.mine.is_empty()
     }
 
     /// Whether requests need not wait for more.
@@ -78,7 +93,7 @@
         }
         self.rounds += 1;
         let last = self.rounds == ROUND_TIMES.len();
-        if self.was_told && !last {
+        if self.usable && !last {
             return Vec::new();
         }
         let mut others: Vec<VmId> =
@@ -99,12 +114,13 @@
         if self.whole {
             return Vec::new();
         }
+        self.engines = engines.collect();
         let specs: Vec<RouterSpec> = routers.iter().copied().map(plain_spec).collect();
-        let mine = |server: &ServerId| choose_keyholder(server.0, &specs) == Some(own);
-        let mine: Vec<ServerId> =
-            engines.filter(mine).filter(|server| !self.engines.contains(server)).collect();
-        self.engines.extend(&mine);
-        mine
+        let falls_here = |server: &ServerId| choose_keyholder(server.0, &specs) == Some(own);
+        let new = self.engines.difference(&self.mine).copied();
+        let new: Vec<ServerId> = new.filter(falls_here).collect();
+        self.mine.extend(&new);
+        new
     }
 }
 
--- a/crates/catkin-entry/src/learn_kept.rs
+++ b/crates/catkin-entry/src/learn_kept.rs
@@ -47,7 +47,6 @@
         if state.learning.borrow_mut().take_telling(since) {
             desk.tell_kept(state, &listed);
         }
-        state.learning.borrow_mut().note_asked();
         state.room.notify_waiters();
     }
     note_whole(state);
@@ -65,12 +64,14 @@
     let engines = addresses.keys().copied();
     let engines = state.learning.borrow_mut().take_engines(state.own, routers, engines);
     let mut learned = Vec::new();
-    for server in engines {
+    for server in &engines {
+        let server = *server;
         match ask_list::<W>(addresses[&server]).await {
             Ok(records) => learned.extend(note_list(state, server, records, most)),
             Err(reason) => log::info!("servers: No list. server={server} reason={reason}"),
         }
     }
+    state.learning.borrow_mut().note_lists(engines.into_iter());
     learned
 }
 
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -141,6 +141,8 @@
             let pair = KeptPair { key: part.part, server, tokens: part.tokens };
             state.kept.borrow_mut().note(now, pair);
         }
+        let listed = report.kept.iter().map(|part| ServerId(part.server));
+        state.learning.borrow_mut().note_lists(listed);
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
             state.strikes.borrow_mut().note_strike(now, digest, ServerId(row.server));
--- a/crates/catkin-entry/tests/kept_learning.rs
+++ b/crates/catkin-entry/tests/kept_learning.rs
@@ -16,6 +16,8 @@
     known: BTreeSet<ServerId>,
     /// Engines that it asked itself.
     listed: Vec<ServerId>,
+    /// Since its start, when it began to place requests by what it knew, and of how many engines.
+    usable: Option<(u64, usize)>,
 }
 
 struct TestPlay {
@@ -35,6 +37,7 @@
             learning: KeptLearning::default(),
             known: BTreeSet::new(),
             listed: Vec::new(),
+            usable: None,
         };
         Self {
             routers: starts.iter().enumerate().map(router).collect(),
@@ -58,6 +61,15 @@
         }
     }
 
+    /// Notes what routers know when they begin to place requests by it.
+    fn note_usable(&mut self, millis: u64) {
+        for router in self.routers.iter_mut().filter(|router| router.usable.is_none()) {
+            if router.learning.is_usable() {
+                router.usable = Some((millis - router.starts_at, router.known.len()));
+            }
+        }
+    }
+
     fn step(&mut self, index: usize, millis: u64) {
         let vms: Vec<VmId> = self.routers.iter().map(|router| router.vm).collect();
         let own = vms[index];
@@ -70,6 +82,7 @@
                 self.tellings += 1;
                 let known = self.routers[teller].known.clone();
                 let whole = self.routers[teller].learning.is_whole();
+                self.routers[index].learning.note_lists(known.iter().copied());
                 self.routers[index].known.extend(known);
                 self.routers[index].learning.note_told(whole);
             }
@@ -84,8 +97,9 @@
         let told = if again { self.routers[index].listed.clone() } else { engines };
         for router in self.routers.iter_mut().filter(|router| router.starts_at <= millis) {
             router.known.extend(&told);
+            router.learning.note_lists(told.iter().copied());
         }
-        self.routers[index].learning.note_asked();
+        self.note_usable(millis);
     }
 }
 
@@ -103,6 +117,10 @@
         assert_eq!(counts, [1; 11], "spread {spread}");
         for router in &play.routers {
             assert_eq!(router.known.len(), 11, "router {} with spread {spread}", router.vm);
+            let (after, known) = router.usable.unwrap();
+            assert!(known >= 9, "router {} placed by {known} lists, spread {spread}", router.vm);
+            let last = starts.last().unwrap() - router.starts_at;
+            assert!(after <= last + 200, "router {} after {after} ms", router.vm);
         }
     }
 }
