Keep sums and indices for what a placement reads of every server

Change, without change of decisions: sums of loads over the other routers, an index of servers by identifier, the few keepers of a prompt gathered once, the share of failures of the others computed only for a failure. A proptest compares the sums with what they sum up.

--- a/crates/catkin-entry/src/kept_book.rs
+++ b/crates/catkin-entry/src/kept_book.rs
@@ -76,12 +76,23 @@
         known.is_none_or(|row| now.millis_since(row.last_used) >= KEPT_MILLIS)
     }
 
-    /// Tokens at the start of a prompt that `server` is known to keep. A server that keeps a part
-    /// has read all parts before it, and these are used at least as often: they are kept as well,
-    /// whether or not this router heard of them.
+    /// Tokens at the start of a prompt that each server is known to keep; servers that keep nothing
+    /// are left out. A server that keeps a part has read all parts before it, and these are used at
+    /// least as often: they are kept as well, whether or not this router heard of them.
+    pub fn keepers(&self, now: ClockTime, prefixes: &[PrefixPart]) -> BTreeMap<ServerId, u32> {
+        let mut keepers = BTreeMap::new();
+        for prefix in prefixes {
+            let rows =
+                self.pairs.range((prefix.key, ServerId(0))..=(prefix.key, ServerId(u64::MAX)));
+            let kept = rows.filter(|(_, row)| now.millis_since(row.last_used) < KEPT_MILLIS);
+            keepers.extend(kept.map(|((_, server), _)| (*server, prefix.tokens)));
+        }
+        keepers
+    }
+
+    /// Tokens at the start of a prompt that `server` is known to keep.
     pub fn kept_tokens(&self, now: ClockTime, prefixes: &[PrefixPart], server: ServerId) -> u32 {
-        let kept = prefixes.iter().rev().find(|prefix| self.keeps(now, prefix.key, server));
-        kept.map_or(0, |prefix| prefix.tokens)
+        self.keepers(now, prefixes).get(&server).copied().unwrap_or(0)
     }
 
     /// All pairs of part and server.
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -27,11 +27,25 @@
     opens: BTreeMap<ServerId, OpenLoad>,
 }
 
+impl OpenLoad {
+    fn add(&mut self, other: Self) {
+        self.open += other.open;
+        self.unread_tokens += other.unread_tokens;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.open = self.open.saturating_sub(other.open);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+    }
+}
+
 /// Open requests of this router and, as last reported, of the others.
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
     own: BTreeMap<ServerId, OpenLoad>,
     peers: BTreeMap<VmId, PeerLoads>,
+    /// Sums over the other routers: a placement looks at every server of a service.
+    others: BTreeMap<ServerId, OpenLoad>,
 }
 
 impl LoadTable {
@@ -61,22 +75,35 @@
 
     /// Takes another router's report, which names every server with open requests.
     pub fn note_report(&mut self, now: ClockTime, vm: VmId, opens: BTreeMap<ServerId, OpenLoad>) {
-        self.peers.insert(vm, PeerLoads { heard: now, opens });
+        add_loads(&mut self.others, &opens);
+        if let Some(before) = self.peers.insert(vm, PeerLoads { heard: now, opens }) {
+            subtract_loads(&mut self.others, &before.opens);
+        }
     }
 
     /// Forgets a router that left.
     pub fn forget(&mut self, vm: VmId) {
-        self.peers.remove(&vm);
+        if let Some(before) = self.peers.remove(&vm) {
+            subtract_loads(&mut self.others, &before.opens);
+        }
     }
 
     /// Drops reports that are too old to count.
     pub fn drop_old(&mut self, now: ClockTime) {
-        self.peers.retain(|_, peer| now.millis_since(peer.heard) < REPORT_LIFETIME_MILLIS);
+        let Self { peers, others, .. } = self;
+        peers.retain(|_, peer| {
+            let counts = now.millis_since(peer.heard) < REPORT_LIFETIME_MILLIS;
+            if !counts {
+                subtract_loads(others, &peer.opens);
+            }
+            counts
+        });
     }
 
     /// Forgets all reports, after a time in which none could be heard.
     pub fn forget_reports(&mut self) {
         self.peers.clear();
+        self.others.clear();
     }
 
     /// Open requests of this router alone.
@@ -86,12 +113,9 @@
 
     /// Open requests on `server` of all routers.
     pub fn total(&self, server: ServerId) -> OpenLoad {
-        let others = self.peers.values().filter_map(|peer| peer.opens.get(&server));
-        let loads = self.own.get(&server).into_iter().chain(others);
-        loads.fold(OpenLoad::default(), |sum, load| OpenLoad {
-            open: sum.open + load.open,
-            unread_tokens: sum.unread_tokens + load.unread_tokens,
-        })
+        let mut sum = self.own.get(&server).copied().unwrap_or_default();
+        sum.add(self.others.get(&server).copied().unwrap_or_default());
+        sum
     }
 
     /// Routers that reported lately, this one included.
@@ -105,3 +129,19 @@
         self.peers.values().map(|peer| now.millis_since(peer.heard)).max().unwrap_or(0)
     }
 }
+
+fn add_loads(sums: &mut BTreeMap<ServerId, OpenLoad>, loads: &BTreeMap<ServerId, OpenLoad>) {
+    for (server, load) in loads {
+        sums.entry(*server).or_default().add(*load);
+    }
+}
+
+fn subtract_loads(sums: &mut BTreeMap<ServerId, OpenLoad>, loads: &BTreeMap<ServerId, OpenLoad>) {
+    for (server, load) in loads {
+        let Some(sum) = sums.get_mut(server) else { continue };
+        sum.subtract(*load);
+        if *sum == OpenLoad::default() {
+            sums.remove(server);
+        }
+    }
+}
--- a/crates/catkin-entry/src/outcome_book.rs
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -82,19 +82,21 @@
         now: ClockTime,
         server: ServerId,
         outcome: AttemptOutcome,
-        peers: &[ServerId],
+        peers: impl Iterator<Item = ServerId>,
     ) -> bool {
-        let others = self.failed_share(now, server, peers);
         let row = self.rows.entry(server).or_default();
         row.decay(now);
-        match outcome {
+        let failures = match outcome {
             AttemptOutcome::Served => {
                 row.served += 1.0;
                 return false;
             }
-            AttemptOutcome::Failed => row.failed += 1.0,
-            AttemptOutcome::Unreachable => row.failed += MIN_FAILURES,
-        }
+            AttemptOutcome::Failed => 1.0,
+            AttemptOutcome::Unreachable => MIN_FAILURES,
+        };
+        let others = self.failed_share(now, server, peers);
+        let row = self.rows.entry(server).or_default();
+        row.failed += failures;
         let was_held = now < row.held_until;
         let share = row.failed / (row.failed + row.served);
         let outlier = share > FAILED_SHARE && share > others * AGAINST_SERVICE;
@@ -137,11 +139,16 @@
         self.rows.remove(&server);
     }
 
-    fn failed_share(&self, now: ClockTime, server: ServerId, peers: &[ServerId]) -> f64 {
+    fn failed_share(
+        &self,
+        now: ClockTime,
+        server: ServerId,
+        peers: impl Iterator<Item = ServerId>,
+    ) -> f64 {
         let mut served = 0.0;
         let mut failed = 0.0;
-        for peer in peers.iter().filter(|peer| **peer != server) {
-            if let Some(row) = self.rows.get(peer) {
+        for peer in peers.filter(|peer| *peer != server) {
+            if let Some(row) = self.rows.get(&peer) {
                 let mut row = *row;
                 row.decay(now);
                 served += row.served;
--- a/crates/catkin-entry/src/place.rs
+++ b/crates/catkin-entry/src/place.rs
@@ -132,12 +132,14 @@
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
     let fits = |row: &&Candidate| f64::from(row.load) + 1.0 <= hard && row.load < row.slots;
     let open = staying().filter(|row| row.usable == CandidateUse::Open).filter(fits);
-    let chosen = choose_row(query, open, candidates, soft)
-        .or_else(|| choose_row(query, staying().filter(fits), candidates, soft))
+    let keepers: Vec<Candidate> =
+        candidates.iter().filter(|row| row.kept_tokens > 0).copied().collect();
+    let chosen = choose_row(query, open, &keepers, soft)
+        .or_else(|| choose_row(query, staying().filter(fits), &keepers, soft))
         .ok_or(NoPlace::Full)?;
     Ok(PlaceChoice {
         server: chosen.server,
-        fetch_from: choose_source(query, candidates, &chosen),
+        fetch_from: choose_source(query, &keepers, &chosen),
         load: chosen.load,
         mean,
         kept_tokens: chosen.kept_tokens,
@@ -148,10 +150,10 @@
 fn choose_row<'a>(
     query: PlaceQuery,
     rows: impl Iterator<Item = &'a Candidate>,
-    candidates: &[Candidate],
+    keepers: &[Candidate],
     soft: f64,
 ) -> Option<Candidate> {
-    let charged = rows.map(|row| (charge_millis(query, row, candidates, soft), *row));
+    let charged = rows.map(|row| (charge_millis(query, row, keepers, soft), *row));
     let charged: Vec<(f64, Candidate)> = charged.collect();
     let least = charged.iter().map(|(millis, _)| *millis).min_by(f64::total_cmp)?;
     let kept = charged.iter().any(|(_, row)| row.kept_tokens > 0);
@@ -163,7 +165,7 @@
 }
 
 /// What a request would lose at a server, in milliseconds.
-fn charge_millis(query: PlaceQuery, row: &Candidate, candidates: &[Candidate], soft: f64) -> f64 {
+fn charge_millis(query: PlaceQuery, row: &Candidate, keepers: &[Candidate], soft: f64) -> f64 {
     let waiting = row.unread_tokens as f64 / READ_TOKENS_PER_MILLI;
     let load = f64::from(row.load);
     let over = (load + 1.0 - soft).max(0.0) * OVER_SOFT_MILLIS;
@@ -174,20 +176,22 @@
     } else {
         load * OPEN_MILLIS
     };
-    waiting + over + far + crowd + reading_millis(query, row, candidates)
+    waiting + over + far + crowd + reading_millis(query, row, keepers)
 }
 
-fn reading_millis(query: PlaceQuery, row: &Candidate, candidates: &[Candidate]) -> f64 {
+/// What reading or fetching the missing part of the prompt costs, in milliseconds. `keepers` are all
+/// servers that keep something of it.
+fn reading_millis(query: PlaceQuery, row: &Candidate, keepers: &[Candidate]) -> f64 {
     let lacks = |kept: u32| query.shared_tokens.saturating_sub(kept);
     let missing = lacks(row.kept_tokens);
     if missing == 0 {
         let keeps = |other: &&Candidate| other.kept_tokens >= query.shared_tokens;
-        let only = query.shared_tokens > 0 && candidates.iter().filter(keeps).count() == 1;
+        let only = query.shared_tokens > 0 && keepers.iter().filter(keeps).count() == 1;
         // More than another server is charged for the copy, or none would ever be made.
         let copying = f64::from(query.shared_tokens) * SECOND_COPY_MILLIS;
         return if only && query.second_copy { ONLY_KEEPER_MILLIS + copying } else { 0.0 };
     }
-    let sources = candidates.iter().filter(|other| other.kept_tokens > row.kept_tokens);
+    let sources = keepers.iter().filter(|other| other.kept_tokens > row.kept_tokens);
     let sources = sources.filter(|other| other.usable != CandidateUse::Unreachable);
     let best = sources.clone().map(|other| other.kept_tokens).max().unwrap_or(row.kept_tokens);
     let copies = sources.filter(|other| other.kept_tokens == best).count();
@@ -196,16 +200,12 @@
     f64::from(missing - lacks(best)) * fetch + f64::from(lacks(best)) * READ_MILLIS + crowded
 }
 
-fn choose_source(
-    query: PlaceQuery,
-    candidates: &[Candidate],
-    chosen: &Candidate,
-) -> Option<ServerId> {
+fn choose_source(query: PlaceQuery, keepers: &[Candidate], chosen: &Candidate) -> Option<ServerId> {
     if chosen.kept_tokens >= query.shared_tokens {
         return None;
     }
-    let keepers = candidates.iter().filter(|row| row.kept_tokens > chosen.kept_tokens);
-    let sound = keepers.filter(|row| row.usable != CandidateUse::Unreachable);
+    let fuller = keepers.iter().filter(|row| row.kept_tokens > chosen.kept_tokens);
+    let sound = fuller.filter(|row| row.usable != CandidateUse::Unreachable);
     sound.max_by_key(|row| (row.kept_tokens, row.near, u32::MAX - row.load)).map(|row| row.server)
 }
 
--- a/crates/catkin-entry/src/placing.rs
+++ b/crates/catkin-entry/src/placing.rs
@@ -121,7 +121,7 @@
     let kept = state.kept.borrow();
     let outcomes = state.outcomes.borrow();
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
-    let prefixes = call.shared_prefixes();
+    let keepers = kept.keepers(now, call.shared_prefixes());
     let room = room.max(1) as f64;
     let candidate = |known: &KnownServer| {
         let server = known.server;
@@ -132,7 +132,7 @@
             unread_tokens: load.unread_tokens,
             slots: known.record.slots,
             near: known.record.domain == settings.domain,
-            kept_tokens: kept.kept_tokens(now, prefixes, server),
+            kept_tokens: keepers.get(&server).copied().unwrap_or(0),
             memory_share: kept.tokens_on(server) as f64 / room,
             usable: if known.record.leaving {
                 CandidateUse::Leaving
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -274,9 +274,9 @@
     outcome: AttemptOutcome,
 ) {
     let servers = state.servers.borrow();
-    let peers: Vec<ServerId> = servers.usable(&call.service).map(|known| known.server).collect();
+    let peers = servers.usable(&call.service).map(|known| known.server);
     let now = state.now();
-    if state.outcomes.borrow_mut().note(now, server, outcome, &peers) {
+    if state.outcomes.borrow_mut().note(now, server, outcome, peers) {
         log::info!("servers: Set aside. server={server} outcome={outcome:?}");
         state.news.borrow_mut().urgent = true;
     }
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerBook {
     servers: BTreeMap<String, KnownServer>,
+    /// Names by identifier.
+    names: BTreeMap<ServerId, String>,
     departures: BTreeMap<ServerId, Departure>,
     directory: u64,
 }
@@ -104,7 +106,10 @@
         let name = name.to_owned();
         let known =
             KnownServer { name: name.clone(), server, record, revision, missing_until: None };
-        self.servers.insert(name, known);
+        self.names.insert(server, name.clone());
+        if let Some(before) = self.servers.insert(name, known) {
+            self.names.remove(&before.server);
+        }
         if leaving { ServerChange::Leaving(server) } else { ServerChange::Appeared(server) }
     }
 
@@ -175,9 +180,8 @@
     /// Takes another router's word that a server is leaving or gone as of `revision`; true if
     /// that was news.
     pub fn note_leaving(&mut self, now: ClockTime, server: ServerId, revision: u64) -> bool {
-        let Some(known) = self.servers.values_mut().find(|known| known.server == server) else {
-            return false;
-        };
+        let name = self.names.get(&server);
+        let Some(known) = name.and_then(|name| self.servers.get_mut(name)) else { return false };
         if known.revision > revision || known.record.leaving {
             return false;
         }
@@ -213,7 +217,7 @@
 
     /// A server by its identifier.
     pub fn get(&self, server: ServerId) -> Option<&KnownServer> {
-        self.servers.values().find(|known| known.server == server)
+        self.names.get(&server).and_then(|name| self.servers.get(name))
     }
 
     /// Whether no server is known.
@@ -223,6 +227,7 @@
 
     fn drop_server(&mut self, now: ClockTime, name: &str, revision: u64) -> ServerChange {
         let Some(known) = self.servers.remove(name) else { return ServerChange::Unchanged };
+        self.names.remove(&known.server);
         // A revision of its own is kept when the server was dropped without one.
         let revision = if revision == u64::MAX { known.revision } else { revision };
         self.departures.insert(known.server, Departure { revision, at: now });
--- a/crates/catkin-entry/tests/directory.rs
+++ b/crates/catkin-entry/tests/directory.rs
@@ -200,8 +200,8 @@
     let servers = [ServerId(1), ServerId(2), ServerId(3)];
     let mut book = OutcomeBook::default();
     for step in 0..20 {
-        book.note(at(step * 10), ServerId(2), AttemptOutcome::Served, &servers);
-        book.note(at(step * 10), ServerId(1), AttemptOutcome::Failed, &servers);
+        book.note(at(step * 10), ServerId(2), AttemptOutcome::Served, servers.iter().copied());
+        book.note(at(step * 10), ServerId(1), AttemptOutcome::Failed, servers.iter().copied());
     }
 
     assert!(book.is_held(at(200), ServerId(1)));
@@ -212,7 +212,7 @@
 #[test]
 fn routers_do_not_keep_a_server_out_by_each_others_word() {
     let mut books = [OutcomeBook::default(), OutcomeBook::default()];
-    books[0].note(at(0), ServerId(1), AttemptOutcome::Unreachable, &[ServerId(1)]);
+    books[0].note(at(0), ServerId(1), AttemptOutcome::Unreachable, [ServerId(1)].into_iter());
     let told_first = books[0].is_held(at(1), ServerId(1));
 
     for step in 1..200 {
@@ -234,7 +234,7 @@
     for step in 0..60 {
         let outcome = if step % 2 == 0 { AttemptOutcome::Failed } else { AttemptOutcome::Served };
         for server in servers {
-            book.note(at(step * 10), server, outcome, &servers);
+            book.note(at(step * 10), server, outcome, servers.iter().copied());
         }
     }
 
--- /dev/null
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -0,0 +1,102 @@
+//! Books that a placement reads for every server of a large fleet keep sums and indices; these must
+//! agree with what they sum up.
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, ServerId, VmId};
+use catkin_entry::{LoadTable, OpenLoad, ServerBook, ServerRecord, server_id};
+use proptest::prelude::*;
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+#[derive(Debug, Clone)]
+enum LoadStep {
+    Report(u64, Vec<(u64, u32, u64)>),
+    Forget(u64),
+    Open(u64, u64),
+    Close(u64),
+    Wait(u64),
+    ForgetAll,
+}
+
+fn load_step() -> impl Strategy<Value = LoadStep> {
+    let loads = prop::collection::vec((0..6u64, 1..9u32, 0..5_000u64), 0..5);
+    prop_oneof![
+        6 => (0..5u64, loads).prop_map(|(vm, loads)| LoadStep::Report(vm, loads)),
+        1 => (0..5u64).prop_map(LoadStep::Forget),
+        2 => (0..6u64, 0..5_000u64).prop_map(|(server, tokens)| LoadStep::Open(server, tokens)),
+        2 => (0..6u64).prop_map(LoadStep::Close),
+        2 => (0..2_000u64).prop_map(LoadStep::Wait),
+        1 => Just(LoadStep::ForgetAll),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn sums_of_loads_are_what_the_reports_say(steps in prop::collection::vec(load_step(), 1..60)) {
+        let mut table = LoadTable::default();
+        let mut reports: BTreeMap<u64, (u64, BTreeMap<ServerId, OpenLoad>)> = BTreeMap::new();
+        let mut now = 0;
+        for step in steps {
+            match step {
+                LoadStep::Report(vm, loads) => {
+                    let loads: BTreeMap<ServerId, OpenLoad> = loads
+                        .into_iter()
+                        .map(|(server, open, unread_tokens)| {
+                            (ServerId(server), OpenLoad { open, unread_tokens })
+                        })
+                        .collect();
+                    reports.insert(vm, (now, loads.clone()));
+                    table.note_report(at(now), VmId(vm), loads);
+                }
+                LoadStep::Forget(vm) => {
+                    reports.remove(&vm);
+                    table.forget(VmId(vm));
+                }
+                LoadStep::Open(server, tokens) => table.open(ServerId(server), tokens),
+                LoadStep::Close(server) => table.close(ServerId(server)),
+                LoadStep::Wait(millis) => {
+                    now += millis;
+                    reports.retain(|_, (heard, _)| now - *heard < 3_000);
+                    table.drop_old(at(now));
+                }
+                LoadStep::ForgetAll => {
+                    reports.clear();
+                    table.forget_reports();
+                }
+            }
+            for server in (0..6).map(ServerId) {
+                let own = table.own().get(&server).copied().unwrap_or_default();
+                let told = reports.values().filter_map(|(_, loads)| loads.get(&server));
+                let open: u32 = told.clone().map(|load| load.open).sum();
+                let unread: u64 = told.map(|load| load.unread_tokens).sum();
+                let total = table.total(server);
+                prop_assert_eq!(total.open, own.open + open);
+                prop_assert_eq!(total.unread_tokens, own.unread_tokens + unread);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_name_is_found_by_its_new_start_alone() {
+    let record = |born: u64| ServerRecord {
+        service: "s".to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 1,
+        leaving: false,
+        started_unix_millis: born,
+    };
+    let mut book = ServerBook::default();
+
+    book.note_entry(at(0), "i-1", 1, Some(record(1)));
+    book.note_entry(at(1), "i-1", 2, Some(record(2)));
+
+    assert!(book.get(server_id("i-1", &record(1))).is_none());
+    assert_eq!(book.get(server_id("i-1", &record(2))).unwrap().revision, 2);
+    book.note_removed(at(2), "i-1", 3, true);
+    assert!(book.get(server_id("i-1", &record(2))).is_none());
+}
