--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{VmId, digest_hex};
+use catkin_base::{DomainId, VmId, digest_hex};
 use catkin_peer::{LinkSettings, PeerKey, UdpLink};
 use rand::RngCore;
 use tokio::time::sleep;
@@ -60,7 +60,9 @@
         let vm = VmId::from_name(&entry.name);
         match W::decode_router(&entry.content) {
             Ok(record) if vm != state.own => {
-                routers.insert(vm, KnownRouter { address: record.address, heard: now });
+                let domain = record.domain.as_deref().map(DomainId::from_name);
+                let RouterRecord { address, strength, .. } = record;
+                routers.insert(vm, KnownRouter { address, heard: now, domain, strength });
             }
             Ok(_) => {}
             Err(error) => log::warn!("peers: An entry is ignored. name={} {error}", entry.name),
@@ -103,7 +105,13 @@
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
     let incarnation = before.map_or(0, |record| record.incarnation + 1).max(unix_micros).max(1);
-    let record = RouterRecord { address: state.settings().peers, incarnation };
+    let settings = state.settings();
+    let record = RouterRecord {
+        address: settings.peers,
+        incarnation,
+        domain: Some(settings.domain.clone()),
+        strength: settings.strength(),
+    };
     let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
     let content = W::encode_router(&record);
     client.put(StoreKind::Routers, &name, &content, mode, patience).await?;
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod record;
 mod refuse;
 mod relay;
+mod relay_plan;
 mod report;
 mod route_table;
 mod serve;
@@ -42,7 +43,7 @@
 pub use channel::{ExchangeError, ExchangeFault, ExpectedAnswer, HttpChannel};
 pub use kept_book::{KeptBook, KeptPair, PrefixPart, hash_prefixes, part_key};
 pub use kept_learning::KeptLearning;
-pub use load_table::{LoadTable, OpenLoad};
+pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads};
 pub use logging::LineBudget;
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
 pub use place::{
@@ -54,6 +55,7 @@
     ServerRecord, ServiceRecord, ServiceShare, TeamRecord,
 };
 pub use refuse::{Refusal, RefusalCause};
+pub use relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, TellPlan};
 pub use route_table::{RouteMatch, RouteTable, choose_service};
 pub use server_book::{KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, server_id};
 pub use server_pool::{ServerPool, read_idle_limit, share_connections};
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, ServerId, VmId, copy_type};
+use catkin_base::{ClockTime, DomainId, ServerId, VmId, copy_type};
 
 /// How long another router's last report counts: a frozen router's requests still hold servers.
 const REPORT_LIFETIME_MILLIS: u64 = 3_000;
@@ -20,11 +20,43 @@
     }
 }
 
-/// Another router's open requests.
-#[derive(Debug, Clone, Default)]
+copy_type! {
+    /// Whose open requests a report tells.
+    pub enum LoadSource {
+        /// One router's.
+        Router(VmId),
+        /// Those of all routers in another failure domain, as its relay tells this domain's.
+        Domain(DomainId),
+        /// Those of all other failure domains, as this domain's relay tells its routers.
+        Elsewhere,
+    }
+}
+
+/// Open requests as reported. A report that is too long for a datagram comes in pieces, each with
+/// other servers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportedLoads {
+    /// Routers whose requests are counted.
+    pub routers: u32,
+    /// Index of the piece.
+    pub piece: u32,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// Every server of the piece with open requests.
+    pub opens: BTreeMap<ServerId, OpenLoad>,
+}
+
+impl ReportedLoads {
+    /// The whole report of one router.
+    pub fn of_router(opens: BTreeMap<ServerId, OpenLoad>) -> Self {
+        Self { routers: 1, piece: 0, pieces: 1, opens }
+    }
+}
+
+#[derive(Debug, Clone)]
 struct PeerLoads {
     heard: ClockTime,
-    opens: BTreeMap<ServerId, OpenLoad>,
+    loads: ReportedLoads,
 }
 
 impl OpenLoad {
@@ -43,9 +75,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
     own: BTreeMap<ServerId, OpenLoad>,
-    peers: BTreeMap<VmId, PeerLoads>,
+    /// By source and piece.
+    peers: BTreeMap<(LoadSource, u32), PeerLoads>,
     /// Sums over the other routers: a placement looks at every server of a service.
     others: BTreeMap<ServerId, OpenLoad>,
+    /// Other failure domains whose relays tell this router, if it is a relay.
+    domains: usize,
 }
 
 impl LoadTable {
@@ -73,33 +108,113 @@
         }
     }
 
-    /// Takes another router's report, which names every server with open requests.
-    pub fn note_report(&mut self, now: ClockTime, vm: VmId, opens: BTreeMap<ServerId, OpenLoad>) {
-        add_loads(&mut self.others, &opens);
-        if let Some(before) = self.peers.insert(vm, PeerLoads { heard: now, opens }) {
-            subtract_loads(&mut self.others, &before.opens);
+    /// Takes a report, which names every server with open requests of its piece.
+    pub fn note_report(&mut self, now: ClockTime, source: LoadSource, loads: ReportedLoads) {
+        match source {
+            LoadSource::Router(_) | LoadSource::Domain(_) => {}
+            LoadSource::Elsewhere => {
+                if self.hears_domains(now) {
+                    return;
+                }
+                self.remove_where(|known, _| matches!(known, LoadSource::Domain(_)));
+            }
+        }
+        let pieces = loads.pieces;
+        self.remove_where(|known, peer| known == source && peer.loads.pieces != pieces);
+        add_loads(&mut self.others, &loads.opens);
+        let key = (source, loads.piece);
+        if let Some(before) = self.peers.insert(key, PeerLoads { heard: now, loads }) {
+            subtract_loads(&mut self.others, &before.loads.opens);
+        }
+        if matches!(source, LoadSource::Domain(_)) && self.count_domains() >= self.domains {
+            self.remove_where(|known, _| known == LoadSource::Elsewhere);
         }
     }
 
+    /// Sets how many other failure domains there are.
+    pub fn expect_domains(&mut self, domains: usize) {
+        self.domains = domains;
+    }
+
+    /// Whether this router, as a relay, knows as much of the other domains as the relay before it
+    /// told, so that telling it loses nothing.
+    pub fn tells_elsewhere(&self) -> bool {
+        !self.peers.keys().any(|(source, _)| *source == LoadSource::Elsewhere)
+    }
+
+    fn count_domains(&self) -> usize {
+        let domains = self
+            .peers
+            .keys()
+            .filter(|(source, piece)| matches!(source, LoadSource::Domain(_)) && *piece == 0);
+        domains.count()
+    }
+
     /// Forgets a router that left.
     pub fn forget(&mut self, vm: VmId) {
-        if let Some(before) = self.peers.remove(&vm) {
-            subtract_loads(&mut self.others, &before.opens);
-        }
+        self.remove_where(|known, _| known == LoadSource::Router(vm));
     }
 
     /// Drops reports that are too old to count.
     pub fn drop_old(&mut self, now: ClockTime) {
+        self.remove_where(|_, peer| now.millis_since(peer.heard) >= REPORT_LIFETIME_MILLIS);
+    }
+
+    fn remove_where(&mut self, drops: impl Fn(LoadSource, &PeerLoads) -> bool) {
         let Self { peers, others, .. } = self;
-        peers.retain(|_, peer| {
-            let counts = now.millis_since(peer.heard) < REPORT_LIFETIME_MILLIS;
-            if !counts {
-                subtract_loads(others, &peer.opens);
+        peers.retain(|(source, _), peer| {
+            let stays = !drops(*source, peer);
+            if !stays {
+                subtract_loads(others, &peer.loads.opens);
             }
-            counts
+            stays
         });
     }
 
+    fn hears_domains(&self, now: ClockTime) -> bool {
+        let lately = |peer: &PeerLoads| now.millis_since(peer.heard) < ALIVE_MILLIS;
+        let mut domains =
+            self.peers.iter().filter(|((source, _), _)| matches!(source, LoadSource::Domain(_)));
+        domains.any(|(_, peer)| lately(peer))
+    }
+
+    /// Open requests of this router and of all that report to it themselves, and how many these
+    /// routers are.
+    pub fn sum_domain(&self, now: ClockTime) -> (u32, BTreeMap<ServerId, OpenLoad>) {
+        let mut sums = self.own.clone();
+        let routers =
+            self.sum_into(&mut sums, now, |source| matches!(source, LoadSource::Router(_)));
+        (1 + routers, sums)
+    }
+
+    /// Open requests of the other failure domains, as their relays told, and the number of routers.
+    pub fn sum_elsewhere(&self, now: ClockTime) -> (u32, BTreeMap<ServerId, OpenLoad>) {
+        let mut sums = BTreeMap::new();
+        let routers =
+            self.sum_into(&mut sums, now, |source| matches!(source, LoadSource::Domain(_)));
+        (routers, sums)
+    }
+
+    fn sum_into(
+        &self,
+        sums: &mut BTreeMap<ServerId, OpenLoad>,
+        now: ClockTime,
+        counts: impl Fn(LoadSource) -> bool,
+    ) -> u32 {
+        let mut routers = 0;
+        for ((source, piece), peer) in &self.peers {
+            if !counts(*source) {
+                continue;
+            }
+            add_loads(sums, &peer.loads.opens);
+            let alive = now.millis_since(peer.heard) < ALIVE_MILLIS;
+            if alive && *piece == 0 {
+                routers += peer.loads.routers;
+            }
+        }
+        routers
+    }
+
     /// Forgets all reports, after a time in which none could be heard.
     pub fn forget_reports(&mut self) {
         self.peers.clear();
@@ -118,10 +233,9 @@
         sum
     }
 
-    /// Routers that reported lately, this one included.
+    /// Routers that reported lately, or were reported, this one included.
     pub fn routers(&self, now: ClockTime) -> u32 {
-        let alive = |peer: &&PeerLoads| now.millis_since(peer.heard) < ALIVE_MILLIS;
-        1 + self.peers.values().filter(alive).count() as u32
+        1 + self.sum_into(&mut BTreeMap::new(), now, |_| true)
     }
 
     /// Age of the oldest report that counts, in milliseconds.
--- a/crates/catkin-entry/src/outcome_book.rs
+++ b/crates/catkin-entry/src/outcome_book.rs
@@ -15,7 +15,7 @@
 /// First time that a server is set aside for, in milliseconds.
 const FIRST_HOLD_MILLIS: u64 = 500;
 /// Time that another router's word counts, in milliseconds; it is repeated while it holds.
-const TOLD_HOLD_MILLIS: u64 = 500;
+pub(crate) const TOLD_HOLD_MILLIS: u64 = 500;
 /// Longest time that a server is set aside for, in milliseconds.
 const MAX_HOLD_MILLIS: u64 = 4_000;
 /// Time without failures after which the hold starts over, in milliseconds.
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -6,17 +6,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, RequestDigest, ServerId, VmId, hash_parts};
+use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
 use catkin_peer::messages::peer_message::Kind;
-use catkin_peer::messages::{DeclarationAsk, DeclarationCopy, EntryReport, PeerMessage};
+use catkin_peer::messages::{
+    DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage,
+};
 use catkin_peer::{MessageSource, PeerLink, UdpLink};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::follow::take_declarations;
 use crate::kept_book::KeptPair;
-use crate::load_table::OpenLoad;
-use crate::report::{build_report, build_status, has_news, kept_part, list_kept, wrap};
-use crate::state::{EntryState, MAX_SMALL_FLEET};
+use crate::load_table::{LoadSource, OpenLoad, ReportedLoads};
+use crate::outcome_book::TOLD_HOLD_MILLIS;
+use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, TellPlan, order_of};
+use crate::report::{
+    build_domain_reports, build_elsewhere_reports, build_own, build_report, build_status, has_news,
+    kept_part, list_kept, wrap,
+};
+use crate::state::{EntryState, RelayNews};
 use crate::wire::EntryWire;
 
 /// Pause between two looks for news to tell.
@@ -31,6 +38,8 @@
 const GREET_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time without word after which a router is greeted again, in milliseconds.
 const SILENT_MILLIS: u64 = 1_500;
+/// The same for a router that sends this one no reports, since others relay them.
+const FAR_SILENT_MILLIS: u64 = 15_000;
 /// Time without word after which a router is no longer greeted, in milliseconds.
 const GONE_MILLIS: u64 = 60_000;
 /// How long other routers may know newer declarations before one is asked, if the store fails.
@@ -47,12 +56,19 @@
 pub(crate) struct KnownRouter {
     pub(crate) address: SocketAddr,
     pub(crate) heard: ClockTime,
+    /// Its failure domain; `None` until it is heard.
+    pub(crate) domain: Option<DomainId>,
+    /// How much it can do for others.
+    pub(crate) strength: u32,
 }
 
 /// The link to the other routers and what is known of them.
 pub(crate) struct PeerDesk {
     link: UdpLink,
     routers: RefCell<BTreeMap<VmId, KnownRouter>>,
+    relays: RefCell<RelayBook>,
+    /// Whether this router relays for its domain.
+    relaying: Cell<bool>,
     asked: Cell<Option<Instant>>,
     /// Since when other routers have known newer declarations.
     behind: Cell<Option<Instant>>,
@@ -62,7 +78,14 @@
     /// A link to routers that the store lists.
     pub(crate) fn new(link: UdpLink, routers: BTreeMap<VmId, KnownRouter>) -> Self {
         let routers = RefCell::new(routers);
-        Self { link, routers, asked: Cell::new(None), behind: Cell::new(None) }
+        Self {
+            link,
+            routers,
+            relays: RefCell::default(),
+            relaying: Cell::new(false),
+            asked: Cell::new(None),
+            behind: Cell::new(None),
+        }
     }
 
     /// Tells the others that this router stops, and closes the link.
@@ -100,9 +123,11 @@
     /// Takes what other routers send, until the link is closed.
     pub(crate) async fn receive<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         while let Some((source, message)) = self.link.receive().await {
-            self.note_heard(state, &source);
             match message.kind {
-                Some(Kind::EntryReport(report)) => self.take_report(state, &source, &report),
+                Some(Kind::EntryReport(report)) => {
+                    self.note_heard(state, &source, &report);
+                    self.take_report(state, &source, &report);
+                }
                 Some(Kind::DeclarationAsk(ask)) => self.answer_ask(state, &source, &ask),
                 Some(Kind::DeclarationCopy(copy)) => take_copy(state, &copy),
                 _ => {}
@@ -110,8 +135,23 @@
         }
     }
 
-    fn note_heard<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
-        let router = KnownRouter { address: source.address, heard: state.now() };
+    fn note_heard<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        report: &EntryReport,
+    ) {
+        let domain = DomainId(report.domain);
+        let now = state.now();
+        let router = KnownRouter {
+            address: source.address,
+            heard: now,
+            domain: Some(domain),
+            strength: report.strength,
+        };
+        if report.scope() == EntryScope::Domain {
+            self.relays.borrow_mut().note_relay(now, domain, source.vm);
+        }
         if self.routers.borrow_mut().insert(source.vm, router).is_none() {
             log::info!("peers: A router appeared. vm={}", source.vm);
         }
@@ -129,26 +169,32 @@
             self.routers.borrow_mut().remove(&source.vm);
             return state.loads.borrow_mut().forget(source.vm);
         }
-        let opens = report.opens.iter();
-        let opens = opens.map(|row| {
-            let load = OpenLoad { open: row.open, unread_tokens: row.unread_tokens };
-            (ServerId(row.server), load)
-        });
-        let opens = opens.collect();
-        state.loads.borrow_mut().note_report(now, source.vm, opens);
+        self.take_loads(state, source, report);
+        let passed_on = self.choose_news(state, report);
         for part in &report.kept {
             let server = ServerId(part.server);
             let pair = KeptPair { key: part.part, server, tokens: part.tokens };
-            state.kept.borrow_mut().note(now, pair);
+            let is_news = state.kept.borrow_mut().note(now, pair);
+            if let Some(news) = passed_on.filter(|_| is_news && !report.tells_kept) {
+                news.borrow_mut().kept.push(pair);
+            }
         }
         let listed = report.kept.iter().map(|part| ServerId(part.server));
         state.learning.borrow_mut().note_lists(listed);
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
-            state.strikes.borrow_mut().note_strike(now, digest, ServerId(row.server));
+            let server = ServerId(row.server);
+            state.strikes.borrow_mut().note_strike(now, digest, server);
+            if let Some(news) = passed_on {
+                news.borrow_mut().strikes.push((digest, server));
+            }
         }
         for row in &report.outcomes {
-            state.outcomes.borrow_mut().note_held_elsewhere(now, ServerId(row.server));
+            let server = ServerId(row.server);
+            state.outcomes.borrow_mut().note_held_elsewhere(now, server);
+            if let Some(news) = passed_on {
+                news.borrow_mut().held.insert(server, now.plus_millis(TOLD_HOLD_MILLIS));
+            }
         }
         for row in &report.leaving {
             let server = ServerId(row.server);
@@ -162,7 +208,8 @@
         state.stale.notify_waiters();
         self.ask_declarations(state, source, report.declaration);
         if report.joining {
-            let mut answer = build_status(state);
+            let far = self.is_far(state, Some(DomainId(report.domain)));
+            let mut answer = if far { build_status(state) } else { build_own(state) };
             if report.wants_kept && state.learning.borrow().is_usable() {
                 answer.tells_kept = true;
                 answer.knows_kept = state.learning.borrow().is_whole();
@@ -179,6 +226,48 @@
         state.room.notify_one();
     }
 
+    /// Takes open requests, unless they are for a relay and this router is none.
+    fn take_loads<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        report: &EntryReport,
+    ) {
+        let loads_of = match report.scope() {
+            EntryScope::Own => LoadSource::Router(source.vm),
+            EntryScope::Domain if !self.relaying.get() => return,
+            EntryScope::Domain => LoadSource::Domain(DomainId(report.domain)),
+            EntryScope::Elsewhere => LoadSource::Elsewhere,
+        };
+        if report.pieces == 0 {
+            return;
+        }
+        let opens = report.opens.iter();
+        let opens = opens.map(|row| {
+            let load = OpenLoad { open: row.open, unread_tokens: row.unread_tokens };
+            (ServerId(row.server), load)
+        });
+        let EntryReport { routers, piece, pieces, .. } = *report;
+        let loads = ReportedLoads { routers, piece, pieces, opens: opens.collect() };
+        state.loads.borrow_mut().note_report(state.now(), loads_of, loads);
+    }
+
+    /// Where the news of a report are passed on, if this router relays.
+    fn choose_news<'a, W: EntryWire>(
+        &self,
+        state: &'a EntryState<W>,
+        report: &EntryReport,
+    ) -> Option<&'a RefCell<RelayNews>> {
+        if !self.relaying.get() {
+            return None;
+        }
+        match report.scope() {
+            EntryScope::Own => Some(&state.outward),
+            EntryScope::Domain => Some(&state.inward),
+            EntryScope::Elsewhere => None,
+        }
+    }
+
     /// Asks a router that knows newer declarations for them: the store may not answer this one.
     fn ask_declarations<W: EntryWire>(
         &self,
@@ -220,20 +309,85 @@
 
     /// Reports to the others as long as the process runs.
     pub(crate) async fn report<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        let mut greeting = build_status(state);
+        greeting.joining = true;
+        self.send_all(&wrap(Kind::EntryReport(greeting)));
         let mut last: Option<Instant> = None;
         loop {
-            let pause = self.report_pause();
+            let plan = self.plan_tellings(state);
+            let pause = report_pause(&plan);
             let due = last.is_none_or(|last| last.elapsed() >= REPORT_INTERVAL.max(pause));
             if due || has_news(state) {
-                let mut report = build_report(state);
-                report.joining = last.is_none();
-                self.send_all(&wrap(Kind::EntryReport(report)));
+                self.send_to(&plan.close, build_report(state));
                 last = Some(Instant::now());
             }
+            self.relay(state, &plan);
             sleep(pause).await;
         }
     }
 
+    fn plan_tellings<W: EntryWire>(&self, state: &EntryState<W>) -> TellPlan {
+        let (own, others) = self.list_members(state);
+        let plan = self.relays.borrow_mut().plan(state.now(), own, &others);
+        if self.relaying.replace(plan.relays) != plan.relays {
+            log::info!("peers: Relays: {}. domain={}", plan.relays, state.domain);
+        }
+        plan
+    }
+
+    /// This router and the others, as they matter for duties.
+    fn list_members<W: EntryWire>(&self, state: &EntryState<W>) -> (FleetMember, Vec<FleetMember>) {
+        let now = state.now();
+        let routers = self.routers.borrow();
+        let member = |(vm, router): (&VmId, &KnownRouter)| FleetMember {
+            vm: *vm,
+            domain: router.domain,
+            alive: now.millis_since(router.heard) < SILENT_MILLIS,
+            strength: router.strength,
+        };
+        let own = FleetMember {
+            vm: state.own,
+            domain: Some(state.domain),
+            alive: true,
+            strength: state.settings().strength(),
+        };
+        (own, routers.iter().map(member).collect())
+    }
+
+    /// Passes sums and news on between domains, if this router relays.
+    fn relay<W: EntryWire>(&self, state: &EntryState<W>, plan: &TellPlan) {
+        if !plan.relays {
+            *state.outward.borrow_mut() = RelayNews::default();
+            *state.inward.borrow_mut() = RelayNews::default();
+            return;
+        }
+        state.loads.borrow_mut().expect_domains(plan.domains);
+        for report in build_domain_reports(state) {
+            self.send_to(&plan.far, report);
+        }
+        if !state.loads.borrow().tells_elsewhere() {
+            return;
+        }
+        for report in build_elsewhere_reports(state) {
+            self.send_to(&plan.close, report);
+        }
+    }
+
+    /// Whether a router of this domain hears of this one by relays.
+    fn is_far<W: EntryWire>(&self, state: &EntryState<W>, domain: Option<DomainId>) -> bool {
+        self.routers.borrow().len() >= MAX_SMALL_FLEET && is_other(domain, state.domain)
+    }
+
+    fn send_to(&self, vms: &[VmId], report: EntryReport) {
+        let message = wrap(Kind::EntryReport(report));
+        let routers = self.routers.borrow();
+        for vm in vms {
+            if let Some(router) = routers.get(vm) {
+                self.link.send(*vm, router.address, &message);
+            }
+        }
+    }
+
     /// Asks routers for all that they know servers to keep.
     pub(crate) fn ask_kept<W: EntryWire>(&self, state: &EntryState<W>, tellers: &[VmId]) {
         if tellers.is_empty() {
@@ -251,20 +405,13 @@
         }
     }
 
-    /// Grows with the fleet, so that a router hears no more than a fixed number of reports.
-    fn report_pause(&self) -> Duration {
-        let others = self.routers.borrow().len() as u32;
-        REPORT_PAUSE.max(Duration::from_secs(1) * others / MAX_REPORTS_PER_SECOND)
-    }
-
     /// In a large fleet a few routers follow the store closely; the others learn from them.
     fn choose_readers<W: EntryWire>(&self, state: &EntryState<W>) {
-        let routers = self.list_routers(state);
-        let order = |vm: &VmId| choose_order(*vm);
-        let ahead = routers.iter().filter(|vm| order(vm) < order(&state.own)).count();
-        let fresh = routers.len() <= MAX_SMALL_FLEET as usize || ahead < CLOSE_READERS;
+        let (own, others) = self.list_members(state);
+        let ahead = others.iter().filter(|other| order_of(other) < order_of(&own)).count();
+        let fresh = others.len() < MAX_SMALL_FLEET || ahead < CLOSE_READERS;
         if state.reads_fresh.replace(fresh) != fresh {
-            log::info!("store: Reads closely: {fresh}. routers={}", routers.len());
+            log::info!("store: Reads closely: {fresh}. routers={}", others.len() + 1);
         }
     }
 
@@ -279,7 +426,12 @@
             let mut report = build_status(state);
             report.joining = true;
             let message = wrap(Kind::EntryReport(report));
-            let silent = |router: &&KnownRouter| now.millis_since(router.heard) > SILENT_MILLIS;
+            let large = routers.len() >= MAX_SMALL_FLEET;
+            let silent = |router: &&KnownRouter| {
+                let far = large && is_other(router.domain, state.domain);
+                let limit = if far { FAR_SILENT_MILLIS } else { SILENT_MILLIS };
+                now.millis_since(router.heard) > limit
+            };
             for (vm, router) in routers.iter().filter(|(_, router)| silent(router)) {
                 self.link.send(*vm, router.address, &message);
             }
@@ -294,9 +446,15 @@
     }
 }
 
-/// Place of a router in the order of readers.
-fn choose_order(vm: VmId) -> (u64, VmId) {
-    (hash_parts(&[b"reader", &vm.0.to_le_bytes()]), vm)
+fn is_other(domain: Option<DomainId>, own: DomainId) -> bool {
+    domain.is_some_and(|domain| domain != own)
+}
+
+/// Grows with the routers that report to each other, so that one hears no more than a fixed number of
+/// reports.
+fn report_pause(plan: &TellPlan) -> Duration {
+    let heard = (plan.close.len() + plan.far.len() + 1) as u32;
+    REPORT_PAUSE.max(Duration::from_secs(1) * heard / MAX_REPORTS_PER_SECOND)
 }
 
 /// Waits for the link's tasks, but not forever.
--- /dev/null
+++ b/crates/catkin-entry/src/relay_plan.rs
@@ -0,0 +1,119 @@
+//! Whom a router tells what it knows.
+//!
+//! In a small fleet everybody tells everybody. In a large one, a router tells the routers of its own
+//! failure domain. One router of each domain, its relay, tells the relays of the other domains the
+//! sums of its own, and its own domain the sums of the others, so that what a router hears grows with
+//! its domain and what crosses domains does not grow with the fleet.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, DomainId, VmId, copy_type, hash_parts};
+
+/// Most routers that tell each other everything.
+pub const MAX_SMALL_FLEET: usize = 12;
+/// Time after which a relay that is not heard counts as lost, in milliseconds: several reports.
+const RELAY_SILENT_MILLIS: u64 = 1_500;
+/// Routers of another domain that are told at once while its relay is unknown.
+const TRIED_RELAYS: usize = 3;
+
+copy_type! {
+    /// A router, as others know it.
+    pub struct FleetMember {
+        /// The router.
+        pub vm: VmId,
+        /// Its failure domain; `None` until it is heard.
+        pub domain: Option<DomainId>,
+        /// Whether it was heard lately.
+        pub alive: bool,
+        /// How much it can do for others.
+        pub strength: u32,
+    }
+}
+
+/// Whom a router tells what.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TellPlan {
+    /// Routers that get this router's own report.
+    pub close: Vec<VmId>,
+    /// Whether this router is its domain's relay.
+    pub relays: bool,
+    /// Routers of other domains that get the sums of this one: their relays, if these are known.
+    pub far: Vec<VmId>,
+    /// Number of other domains.
+    pub domains: usize,
+}
+
+/// Relays of other domains, as far as they told of themselves.
+#[derive(Debug, Clone, Default)]
+pub struct RelayBook {
+    heard: BTreeMap<DomainId, (VmId, ClockTime)>,
+    tries: usize,
+}
+
+impl RelayBook {
+    /// Notes that a router relays for its domain.
+    pub fn note_relay(&mut self, now: ClockTime, domain: DomainId, vm: VmId) {
+        self.heard.insert(domain, (vm, now));
+    }
+
+    /// Decides whom the router `own` tells what.
+    pub fn plan(&mut self, now: ClockTime, own: FleetMember, others: &[FleetMember]) -> TellPlan {
+        if others.len() < MAX_SMALL_FLEET {
+            let close = others.iter().map(|member| member.vm).collect();
+            return TellPlan { close, ..TellPlan::default() };
+        }
+        let is_close =
+            |member: &&FleetMember| member.domain.is_none() || member.domain == own.domain;
+        let close = || others.iter().filter(is_close);
+        let alive = close().filter(|member| member.alive && member.domain.is_some());
+        let relays = alive.into_iter().all(|member| order_of(&own) < order_of(member));
+        let domains = group_domains(&own, others);
+        let count = domains.len();
+        let far = if relays { self.choose_far(now, domains) } else { Vec::new() };
+        TellPlan { close: close().map(|member| member.vm).collect(), relays, far, domains: count }
+    }
+
+    fn choose_far(
+        &mut self,
+        now: ClockTime,
+        domains: BTreeMap<DomainId, Vec<FleetMember>>,
+    ) -> Vec<VmId> {
+        self.tries = self.tries.wrapping_add(1);
+        let mut far = Vec::new();
+        for (domain, mut members) in domains {
+            let heard = self.heard.get(&domain);
+            let relay = heard.filter(|(_, at)| now.millis_since(*at) < RELAY_SILENT_MILLIS);
+            if let Some((vm, _)) = relay {
+                far.push(*vm);
+                continue;
+            }
+            // The first few in the order in which they take the duty, then the next few.
+            members.sort_by_key(order_of);
+            let start = self.tries * TRIED_RELAYS % members.len();
+            let tried = members.iter().cycle().skip(start).take(TRIED_RELAYS.min(members.len()));
+            far.extend(tried.map(|member| member.vm));
+        }
+        far
+    }
+}
+
+/// Routers of the other domains.
+fn group_domains(
+    own: &FleetMember,
+    others: &[FleetMember],
+) -> BTreeMap<DomainId, Vec<FleetMember>> {
+    let mut domains: BTreeMap<DomainId, Vec<FleetMember>> = BTreeMap::new();
+    for member in others {
+        if let Some(domain) = member.domain.filter(|domain| Some(*domain) != own.domain) {
+            domains.entry(domain).or_default().push(*member);
+        }
+    }
+    domains
+}
+
+/// Place of a router in the order in which routers take duties: strong ones first.
+pub fn order_of(member: &FleetMember) -> (Reverse<u32>, u64, VmId) {
+    let vm = member.vm;
+    (Reverse(member.strength), hash_parts(&[b"duty", &vm.0.to_le_bytes()]), vm)
+}
--- a/crates/catkin-entry/src/report.rs
+++ b/crates/catkin-entry/src/report.rs
@@ -1,18 +1,26 @@
 //! What a router tells the others: built from the shared state.
 
-use catkin_base::{RequestDigest, ServerId};
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, RequestDigest, ServerId};
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
-    EntryReport, KeptPart, LeavingServer, OpenCount, OutcomeCount, PeerMessage, StrikeReport,
+    EntryReport, EntryScope, KeptPart, LeavingServer, OpenCount, OutcomeCount, PeerMessage,
+    StrikeReport,
 };
 
 use crate::kept_book::KeptPair;
-use crate::state::EntryState;
+use crate::load_table::OpenLoad;
+use crate::state::{EntryState, RelayNews};
 
 /// Kept parts in one report, so that it fits a datagram.
 const MAX_KEPT: usize = 24;
 /// Strikes in one report.
 const MAX_STRIKES: usize = 8;
+/// Servers with open requests in one report that a relay sends, so that it fits a datagram.
+const MAX_OPENS: usize = 40;
+/// Reports that a relay sends at once in one direction; the rest of the news waits.
+const MAX_PIECES: u32 = 64;
 
 pub(crate) fn has_news<W>(state: &EntryState<W>) -> bool {
     let news = state.news.borrow();
@@ -28,33 +36,37 @@
     KeptPart { part: pair.key, server: pair.server.0, tokens: pair.tokens }
 }
 
-/// What is always told: versions, loads, departures, servers set aside.
+/// What is always told: versions, departures, servers set aside.
 pub(crate) fn build_status<W>(state: &EntryState<W>) -> EntryReport {
-    let loads = state.loads.borrow();
-    let opens = loads.own().iter().map(|(server, load)| OpenCount {
-        server: server.0,
-        open: load.open,
-        unread_tokens: load.unread_tokens,
-    });
     let servers = state.servers.borrow();
     let leaving = servers.departures();
     let leaving = leaving.map(|(server, revision)| LeavingServer { server: server.0, revision });
     let outcomes = state.outcomes.borrow();
     let held = outcomes.held(state.now());
-    let held = held.map(|server| OutcomeCount { server: server.0, ..OutcomeCount::default() });
+    let held = held.map(held_count);
     EntryReport {
         declaration: state.table().map_or(0, |table| table.version()),
         directory: servers.directory(),
-        opens: opens.collect(),
+        domain: state.domain.0,
+        strength: state.settings().strength(),
         leaving: leaving.collect(),
         outcomes: held.collect(),
         ..EntryReport::default()
     }
 }
 
+/// What is always told, and this router's open requests.
+pub(crate) fn build_own<W>(state: &EntryState<W>) -> EntryReport {
+    let mut report = build_status(state);
+    report.opens = state.loads.borrow().own().iter().map(open_count).collect();
+    report.routers = 1;
+    report.pieces = 1;
+    report
+}
+
 /// A report with the news since the last one.
 pub(crate) fn build_report<W>(state: &EntryState<W>) -> EntryReport {
-    let mut report = build_status(state);
+    let mut report = build_own(state);
     let mut news = state.news.borrow_mut();
     news.changed = false;
     news.urgent = false;
@@ -66,13 +78,11 @@
     report.kept = kept.copied().map(kept_part).collect();
     news.kept_again = fresh;
     let count = news.strikes.len().min(MAX_STRIKES);
-    let strikes = news.strikes.drain(..count);
-    let strike = |(digest, server): (RequestDigest, ServerId)| StrikeReport {
-        digest: digest.0,
-        server: server.0,
-        confirmed: false,
-    };
-    report.strikes = strikes.map(strike).collect();
+    let strikes: Vec<_> = news.strikes.drain(..count).collect();
+    report.strikes = strikes.iter().copied().map(strike_report).collect();
+    let mut outward = state.outward.borrow_mut();
+    outward.kept.extend(&news.kept_again);
+    outward.strikes.extend(strikes);
     report
 }
 
@@ -80,3 +90,60 @@
 pub(crate) fn wrap(kind: Kind) -> PeerMessage {
     PeerMessage { kind: Some(kind) }
 }
+
+/// What a relay tells the relays of other domains: the sums and the news of its own.
+pub(crate) fn build_domain_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
+    let (routers, opens) = state.loads.borrow().sum_domain(state.now());
+    let mut status = build_status(state);
+    status.scope = EntryScope::Domain.into();
+    status.routers = routers;
+    split_report(&status, &opens, &mut state.outward.borrow_mut(), state.now())
+}
+
+/// What a relay tells its own domain: the sums and the news of the others.
+pub(crate) fn build_elsewhere_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
+    let (routers, opens) = state.loads.borrow().sum_elsewhere(state.now());
+    let mut status = build_status(state);
+    status.scope = EntryScope::Elsewhere.into();
+    status.routers = routers;
+    split_report(&status, &opens, &mut state.inward.borrow_mut(), state.now())
+}
+
+/// Splits what does not fit one datagram. Each server has its place in one of the pieces.
+fn split_report(
+    status: &EntryReport,
+    opens: &BTreeMap<ServerId, OpenLoad>,
+    news: &mut RelayNews,
+    now: ClockTime,
+) -> Vec<EntryReport> {
+    news.held.retain(|_, until| now < *until);
+    let pieces = opens.len().div_ceil(MAX_OPENS).max(news.kept.len().div_ceil(MAX_KEPT));
+    let pieces = (pieces.max(1) as u32).min(MAX_PIECES);
+    let mut reports: Vec<EntryReport> =
+        (0..pieces).map(|piece| EntryReport { piece, pieces, ..status.clone() }).collect();
+    for row in opens {
+        let piece = row.0.0 % u64::from(pieces);
+        reports[piece as usize].opens.push(open_count(row));
+    }
+    for report in &mut reports {
+        let count = news.kept.len().min(MAX_KEPT);
+        report.kept = news.kept.drain(..count).map(kept_part).collect();
+    }
+    let first = &mut reports[0];
+    first.outcomes.extend(news.held.keys().map(|server| held_count(*server)));
+    let count = news.strikes.len().min(MAX_STRIKES);
+    first.strikes = news.strikes.drain(..count).map(strike_report).collect();
+    reports
+}
+
+fn open_count((server, load): (&ServerId, &OpenLoad)) -> OpenCount {
+    OpenCount { server: server.0, open: load.open, unread_tokens: load.unread_tokens }
+}
+
+fn held_count(server: ServerId) -> OutcomeCount {
+    OutcomeCount { server: server.0, ..OutcomeCount::default() }
+}
+
+fn strike_report((digest, server): (RequestDigest, ServerId)) -> StrikeReport {
+    StrikeReport { digest: digest.0, server: server.0, confirmed: false }
+}
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -71,6 +71,12 @@
     pub memory_megabytes: f64,
     /// File descriptors that the process may open.
     pub descriptors: u64,
+    /// Bandwidth of the VM's link, in megabits a second.
+    #[serde(default = "default_link_megabits")]
+    pub link_megabits: f64,
+    /// Share of a processor core that the VM has.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
     /// Most log lines a second; more are dropped and counted.
     #[serde(default = "default_log_lines")]
     pub log_lines_per_second: u32,
@@ -95,11 +101,25 @@
     400
 }
 
+/// The link of a plain VM.
+fn default_link_megabits() -> f64 {
+    1_000.0
+}
+
+fn default_cpu_share() -> f64 {
+    1.0
+}
+
 impl EntrySettings {
     /// The time between a stop signal and the kill.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_seconds)
     }
+
+    /// How much this router can do for the others, against other routers.
+    pub fn strength(&self) -> u32 {
+        (self.link_megabits * self.cpu_share) as u32
+    }
 }
 
 /// Reads settings; `name` is shown in errors.
@@ -116,6 +136,8 @@
     check_range("grace_seconds", settings.grace_seconds, 0.0..=600.0, "0 to 600 seconds")?;
     check_range("retry_ratio", settings.retry_ratio, 0.0..=1.0, "0 to 1")?;
     check_range("retry_extra", settings.retry_extra, 0.0..=1e9, "0 or more")?;
+    check_range("link_megabits", settings.link_megabits, 0.001..=1e6, "above 0 to 1000000")?;
+    check_range("cpu_share", settings.cpu_share, 0.001..=1_000.0, "above 0 to 1000 cores")?;
     check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
     Ok(settings)
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -1,10 +1,11 @@
 //! What the tasks of one entry router share. All of them run on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::marker::PhantomData;
 use std::rc::Rc;
 
-use catkin_base::{ClockTime, RequestDigest, ServerId, VmId};
+use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
 use catkin_policy::StrikeBook;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -16,6 +17,7 @@
 use crate::load_table::LoadTable;
 use crate::outcome_book::OutcomeBook;
 use crate::place::LoadBounds;
+use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
 use crate::server_book::{ServerBook, ServerChange};
 use crate::server_pool::ServerPool;
@@ -31,8 +33,6 @@
 const HARD_EXTRA: f64 = 2.0;
 /// Part of the allowed load factor up to which reuse decides.
 const SOFT_SHARE: f64 = 0.8;
-/// Fleet up to which loads are told at the shortest pause.
-pub(crate) const MAX_SMALL_FLEET: u32 = 12;
 /// Part of both bounds that is used in a larger fleet, whose loads are told less often.
 const LARGE_FLEET_PART: f64 = 0.85;
 /// Requests that the soft bound allows beyond the factor.
@@ -53,11 +53,22 @@
     pub(crate) urgent: bool,
 }
 
+/// What a relay passes on in one direction.
+#[derive(Debug, Default)]
+pub(crate) struct RelayNews {
+    pub(crate) kept: Vec<KeptPair>,
+    pub(crate) strikes: Vec<(RequestDigest, ServerId)>,
+    /// Servers that routers set aside, and until when their word counts.
+    pub(crate) held: BTreeMap<ServerId, ClockTime>,
+}
+
 /// Shared state.
 pub(crate) struct EntryState<W> {
     pub(crate) settings: RefCell<Rc<EntrySettings>>,
     pub(crate) started: Instant,
     pub(crate) own: VmId,
+    /// This router's failure domain.
+    pub(crate) domain: DomainId,
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     /// The declarations as the store holds them, for other routers, and their revision.
     pub(crate) declared: RefCell<Option<(u64, Rc<str>)>>,
@@ -69,6 +80,10 @@
     pub(crate) strikes: RefCell<StrikeBook>,
     pub(crate) pool: RefCell<ServerPool>,
     pub(crate) news: RefCell<PeerNews>,
+    /// What other domains are to hear of this one, if this router relays.
+    pub(crate) outward: RefCell<RelayNews>,
+    /// What this domain is to hear of the others, if this router relays.
+    pub(crate) inward: RefCell<RelayNews>,
     /// Signals that a place at a server may be free.
     pub(crate) room: Notify,
     /// Signals that another router knows newer versions.
@@ -106,6 +121,7 @@
         let budgets = BudgetBook::new(settings.retry_ratio, settings.retry_extra);
         Self {
             own: VmId::from_name(&settings.vm),
+            domain: DomainId::from_name(&settings.domain),
             settings: RefCell::new(Rc::new(settings)),
             started: Instant::now(),
             table: RefCell::default(),
@@ -118,6 +134,8 @@
             strikes: RefCell::new(StrikeBook::new(STRIKE_LIMIT, STRIKE_HOLD_MILLIS)),
             pool: RefCell::default(),
             news: RefCell::default(),
+            outward: RefCell::default(),
+            inward: RefCell::default(),
             room: Notify::new(),
             stale: Notify::new(),
             told: Cell::default(),
@@ -166,7 +184,7 @@
 
     pub(crate) fn load_bounds(&self) -> LoadBounds {
         let factor = self.settings.borrow().load_factor;
-        let large = self.routers() > MAX_SMALL_FLEET;
+        let large = self.routers() as usize > MAX_SMALL_FLEET;
         let part = if large { LARGE_FLEET_PART } else { 1.0 };
         LoadBounds {
             soft_factor: factor * SOFT_SHARE * part,
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -84,6 +84,10 @@
         pub address: SocketAddr,
         /// Incarnation of its process.
         pub incarnation: u64,
+        /// Its failure domain; `None` in entries of earlier versions.
+        pub domain: Option<String>,
+        /// How much it can do for others, against other routers.
+        pub strength: u32,
     }
 }
 
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 use catkin_base::{ClockTime, ServerId, VmId};
-use catkin_entry::{LoadTable, OpenLoad, ServerBook, ServerRecord, server_id};
+use catkin_entry::{
+    LoadSource, LoadTable, OpenLoad, ReportedLoads, ServerBook, ServerRecord, server_id,
+};
 use proptest::prelude::*;
 
 fn at(millis: u64) -> ClockTime {
@@ -49,7 +51,8 @@
                         })
                         .collect();
                     reports.insert(vm, (now, loads.clone()));
-                    table.note_report(at(now), VmId(vm), loads);
+                    let source = LoadSource::Router(VmId(vm));
+                    table.note_report(at(now), source, ReportedLoads::of_router(loads));
                 }
                 LoadStep::Forget(vm) => {
                     reports.remove(&vm);
--- a/crates/catkin-entry/tests/placement.rs
+++ b/crates/catkin-entry/tests/placement.rs
@@ -4,8 +4,8 @@
 
 use catkin_base::{ClockTime, ServerId, VmId};
 use catkin_entry::{
-    Candidate, CandidateUse, KeptBook, KeptPair, LoadBounds, LoadTable, NoPlace, PlaceQuery,
-    PrefixPart, PromptPart, choose_place, hash_prefixes,
+    Candidate, CandidateUse, KeptBook, KeptPair, LoadBounds, LoadSource, LoadTable, NoPlace,
+    PlaceQuery, PrefixPart, PromptPart, ReportedLoads, choose_place, hash_prefixes,
 };
 use proptest::prelude::*;
 
@@ -274,7 +274,7 @@
     let mut table = LoadTable::default();
     let opens =
         BTreeMap::from([(ServerId(1), catkin_entry::OpenLoad { open: 4, unread_tokens: 100 })]);
-    table.note_report(start, VmId(9), opens);
+    table.note_report(start, LoadSource::Router(VmId(9)), ReportedLoads::of_router(opens));
     table.open(ServerId(1), 50);
 
     table.drop_old(start.plus_millis(2_900));
--- /dev/null
+++ b/crates/catkin-entry/tests/relays.rs
@@ -0,0 +1,266 @@
+//! Large fleets: routers tell their own domain, relays tell the rest. Played without network.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use catkin_base::{ClockTime, DomainId, ServerId, VmId};
+use catkin_entry::{
+    FleetMember, LoadSource, LoadTable, OpenLoad, RelayBook, ReportedLoads, TellPlan,
+};
+
+const DOMAINS: u64 = 4;
+const PAUSE_MILLIS: u64 = 60;
+const ALIVE_MILLIS: u64 = 1_500;
+
+/// One VM in three is small.
+fn strength_of(vm: VmId) -> u32 {
+    if vm.0.is_multiple_of(3) { 1 } else { 100 }
+}
+
+struct TestRouter {
+    vm: VmId,
+    domain: DomainId,
+    up: bool,
+    book: RelayBook,
+    loads: LoadTable,
+    heard: BTreeMap<VmId, u64>,
+    relays: bool,
+}
+
+struct TestFleet {
+    routers: Vec<TestRouter>,
+    now: u64,
+    /// Reports that reached each router in the last round.
+    received: BTreeMap<VmId, u32>,
+}
+
+impl TestFleet {
+    fn new(count: u64) -> Self {
+        let router = |index: u64| TestRouter {
+            vm: VmId(index + 1),
+            domain: DomainId(index % DOMAINS),
+            up: true,
+            book: RelayBook::default(),
+            loads: LoadTable::default(),
+            heard: (0..count).map(|other| (VmId(other + 1), 0)).collect(),
+            relays: false,
+        };
+        Self { routers: (0..count).map(router).collect(), now: 0, received: BTreeMap::new() }
+    }
+
+    fn clock(&self) -> ClockTime {
+        ClockTime::from_millis(self.now)
+    }
+
+    fn plan(&mut self, index: usize) -> TellPlan {
+        let now = self.now;
+        let domains: Vec<DomainId> = self.routers.iter().map(|router| router.domain).collect();
+        let clock = self.clock();
+        let router = &mut self.routers[index];
+        let member = |(vm, heard): (&VmId, &u64)| FleetMember {
+            vm: *vm,
+            domain: Some(domains[vm.0 as usize - 1]),
+            alive: now - heard < ALIVE_MILLIS,
+            strength: strength_of(*vm),
+        };
+        let others: Vec<FleetMember> =
+            router.heard.iter().map(member).filter(|member| member.vm != router.vm).collect();
+        let own = FleetMember {
+            vm: router.vm,
+            domain: Some(router.domain),
+            alive: true,
+            strength: strength_of(router.vm),
+        };
+        let plan = router.book.plan(clock, own, &others);
+        router.relays = plan.relays;
+        plan
+    }
+
+    fn send(&mut self, from: usize, to: VmId, source: LoadSource, loads: ReportedLoads) {
+        let clock = self.clock();
+        let (vm, domain) = (self.routers[from].vm, self.routers[from].domain);
+        let now = self.now;
+        let receiver = &mut self.routers[to.0 as usize - 1];
+        if !receiver.up {
+            return;
+        }
+        *self.received.entry(to).or_default() += 1;
+        receiver.heard.insert(vm, now);
+        if matches!(source, LoadSource::Domain(_)) {
+            receiver.book.note_relay(clock, domain, vm);
+            if !receiver.relays {
+                return;
+            }
+        }
+        receiver.loads.note_report(clock, source, loads);
+    }
+
+    /// One report of every router that is up.
+    fn round(&mut self) {
+        self.now += PAUSE_MILLIS;
+        self.received.clear();
+        let clock = self.clock();
+        for index in 0..self.routers.len() {
+            self.routers[index].loads.drop_old(clock);
+            if !self.routers[index].up {
+                continue;
+            }
+            let plan = self.plan(index);
+            let (vm, domain) = (self.routers[index].vm, self.routers[index].domain);
+            let own = ReportedLoads::of_router(self.routers[index].loads.own().clone());
+            for to in &plan.close {
+                self.send(index, *to, LoadSource::Router(vm), own.clone());
+            }
+            if plan.relays {
+                self.routers[index].loads.expect_domains(plan.domains);
+                let (routers, opens) = self.routers[index].loads.sum_domain(clock);
+                let sums = ReportedLoads { routers, piece: 0, pieces: 1, opens };
+                for to in &plan.far {
+                    self.send(index, *to, LoadSource::Domain(domain), sums.clone());
+                }
+                if !self.routers[index].loads.tells_elsewhere() {
+                    continue;
+                }
+                let (routers, opens) = self.routers[index].loads.sum_elsewhere(clock);
+                let sums = ReportedLoads { routers, piece: 0, pieces: 1, opens };
+                for to in &plan.close {
+                    self.send(index, *to, LoadSource::Elsewhere, sums.clone());
+                }
+            }
+        }
+    }
+
+    fn rounds(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(PAUSE_MILLIS) {
+            self.round();
+        }
+    }
+
+    fn relays(&self) -> Vec<(DomainId, VmId)> {
+        let up = self.routers.iter().filter(|router| router.up && router.relays);
+        up.map(|router| (router.domain, router.vm)).collect()
+    }
+
+    fn totals(&self, server: ServerId) -> BTreeSet<u32> {
+        let up = self.routers.iter().filter(|router| router.up);
+        up.map(|router| router.loads.total(server).open).collect()
+    }
+}
+
+#[test]
+fn all_routers_know_the_same_sums_through_one_relay_a_domain() {
+    let mut fleet = TestFleet::new(87);
+    for router in &mut fleet.routers {
+        router.loads.open(ServerId(7), 10);
+    }
+
+    fleet.rounds(600);
+
+    assert_eq!(fleet.relays().len(), DOMAINS as usize);
+    assert_eq!(fleet.totals(ServerId(7)), BTreeSet::from([87]));
+    let clock = fleet.clock();
+    assert!(fleet.routers.iter().all(|router| router.loads.routers(clock) == 87));
+}
+
+#[test]
+fn what_a_router_hears_grows_with_its_domain_alone() {
+    let mut fleet = TestFleet::new(300);
+
+    fleet.rounds(600);
+
+    let most = fleet.received.values().max().unwrap();
+    assert!(*most <= 300 / DOMAINS as u32 + 2 * DOMAINS as u32, "{most} reports");
+}
+
+#[test]
+fn a_lost_relay_is_replaced_and_its_domains_loads_stay_counted() {
+    let mut fleet = TestFleet::new(87);
+    for router in &mut fleet.routers {
+        router.loads.open(ServerId(7), 10);
+    }
+    fleet.rounds(600);
+    let (domain, lost) = fleet.relays()[0];
+
+    fleet.routers[lost.0 as usize - 1].up = false;
+    for _ in 0..60 {
+        fleet.round();
+        let totals = fleet.totals(ServerId(7));
+        assert!(totals.iter().all(|open| (86..=87).contains(open)), "{totals:?}");
+    }
+
+    assert_eq!(fleet.relays().len(), DOMAINS as usize);
+    assert!(fleet.relays().iter().any(|(other, vm)| *other == domain && *vm != lost));
+    assert_eq!(fleet.totals(ServerId(7)), BTreeSet::from([86]));
+}
+
+#[test]
+fn all_relays_lost_at_once_are_replaced_within_the_life_of_a_report() {
+    let mut fleet = TestFleet::new(87);
+    fleet.rounds(600);
+    for (_, lost) in fleet.relays() {
+        fleet.routers[lost.0 as usize - 1].up = false;
+    }
+    fleet.rounds(2_400);
+    for router in &mut fleet.routers {
+        router.loads.open(ServerId(7), 10);
+    }
+
+    fleet.rounds(600);
+
+    assert_eq!(fleet.relays().len(), DOMAINS as usize);
+    assert_eq!(fleet.totals(ServerId(7)), BTreeSet::from([83]));
+}
+
+#[test]
+fn small_vms_do_not_relay_while_a_strong_one_lives() {
+    let mut fleet = TestFleet::new(87);
+
+    fleet.rounds(600);
+
+    assert!(fleet.relays().iter().all(|(_, vm)| strength_of(*vm) == 100), "{:?}", fleet.relays());
+}
+
+#[test]
+fn a_small_fleet_tells_everybody_everything() {
+    let mut fleet = TestFleet::new(12);
+
+    let plan = fleet.plan(0);
+
+    assert_eq!(plan.close.len(), 11);
+    assert!(!plan.relays && plan.far.is_empty());
+}
+
+#[test]
+fn pieces_of_an_earlier_division_do_not_count_twice() {
+    let clock = ClockTime::from_millis(5);
+    let mut table = LoadTable::default();
+    let piece = |piece: u32, pieces: u32, server: u64| ReportedLoads {
+        routers: 3,
+        piece,
+        pieces,
+        opens: BTreeMap::from([(ServerId(server), OpenLoad { open: 2, unread_tokens: 0 })]),
+    };
+    table.note_report(clock, LoadSource::Elsewhere, piece(0, 2, 10));
+    table.note_report(clock, LoadSource::Elsewhere, piece(1, 2, 11));
+    assert_eq!((table.total(ServerId(10)).open, table.total(ServerId(11)).open), (2, 2));
+    assert_eq!(table.routers(clock), 4);
+
+    table.note_report(clock, LoadSource::Elsewhere, piece(0, 1, 11));
+
+    assert_eq!((table.total(ServerId(10)).open, table.total(ServerId(11)).open), (0, 2));
+}
+
+#[test]
+fn a_router_that_relayed_counts_domains_once() {
+    let mut table = LoadTable::default();
+    let loads = ReportedLoads::of_router(BTreeMap::from([(
+        ServerId(1),
+        OpenLoad { open: 2, unread_tokens: 0 },
+    )]));
+    let source = LoadSource::Domain(DomainId(1));
+    table.note_report(ClockTime::from_millis(0), source, loads.clone());
+
+    table.note_report(ClockTime::from_millis(100), LoadSource::Elsewhere, loads.clone());
+    assert_eq!(table.total(ServerId(1)).open, 2);
+    table.note_report(ClockTime::from_millis(1_600), LoadSource::Elsewhere, loads);
+    assert_eq!(table.total(ServerId(1)).open, 2);
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -391,7 +391,6 @@
     #[prost(bool, tag = "5")]
     pub undone: bool,
 }
-/// What one entry router tells the others of the traffic that it carries.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EntryReport {
     /// newest version of the declarations known
@@ -426,6 +425,23 @@
     /// kept is all that the sender knows
     #[prost(bool, tag = "12")]
     pub tells_kept: bool,
+    /// the sender's failure domain
+    #[prost(fixed64, tag = "13")]
+    pub domain: u64,
+    #[prost(enumeration = "EntryScope", tag = "14")]
+    pub scope: i32,
+    /// routers whose requests opens counts
+    #[prost(uint32, tag = "15")]
+    pub routers: u32,
+    /// opens has the servers of this piece
+    #[prost(uint32, tag = "16")]
+    pub piece: u32,
+    /// of so many; 0 if opens says nothing
+    #[prost(uint32, tag = "17")]
+    pub pieces: u32,
+    /// how much the sender can do for others, against other senders
+    #[prost(uint32, tag = "18")]
+    pub strength: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenCount {
@@ -692,3 +708,36 @@
         }
     }
 }
+/// What one entry router tells the others of the traffic that it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum EntryScope {
+    /// the sender's own requests
+    Own = 0,
+    /// of all routers in the sender's failure domain, for another domain's relay
+    Domain = 1,
+    /// of all other failure domains, for the relay's own
+    Elsewhere = 2,
+}
+impl EntryScope {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Own => "ENTRY_SCOPE_OWN",
+            Self::Domain => "ENTRY_SCOPE_DOMAIN",
+            Self::Elsewhere => "ENTRY_SCOPE_ELSEWHERE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ENTRY_SCOPE_OWN" => Some(Self::Own),
+            "ENTRY_SCOPE_DOMAIN" => Some(Self::Domain),
+            "ENTRY_SCOPE_ELSEWHERE" => Some(Self::Elsewhere),
+            _ => None,
+        }
+    }
+}
