Watch signals before anything else at the start

SIGHUP came after the line "Started" and before the duty that watched it first ran; its default action ends the process. The text of the settings file was read a second time there, with errors taken as an empty file.

Ruled out: a stop or kill by the soak (none on that router then), a panic (nothing on standard error).

Change: all signals are watched before listeners are opened; the settings' text is the one that was parsed. Before: a router that gets SIGHUP right after "Started" is gone in the first of 10 tries. After: 10 of 10 become ready.

--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -11,7 +11,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use miette::{IntoDiagnostic, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -53,22 +53,52 @@
 
 /// Runs an entry router with the settings at `path` until it is told to stop.
 pub fn run_entry<W: EntryWire>(path: &Path) -> miette::Result<()> {
-    let settings = read_settings(path)?;
+    let (settings, text) = load_settings(path)?;
     start_logging(&settings.vm, settings.log_lines_per_second).into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.into_diagnostic()?;
     let tasks = LocalSet::new();
-    runtime.block_on(tasks.run_until(serve::<W>(settings, path.to_owned()))).into_diagnostic()
+    let file = SettingsFile { path: path.to_owned(), text };
+    runtime.block_on(tasks.run_until(serve::<W>(settings, file))).into_diagnostic()
 }
 
 /// Reads and checks settings.
 pub fn read_settings(path: &Path) -> miette::Result<EntrySettings> {
+    Ok(load_settings(path)?.0)
+}
+
+fn load_settings(path: &Path) -> miette::Result<(EntrySettings, String)> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).into_diagnostic().wrap_err(name.clone())?;
-    Ok(parse_settings(&text, &name)?)
+    Ok((parse_settings(&text, &name)?, text))
+}
+
+/// The settings file, and its text as last read.
+struct SettingsFile {
+    path: PathBuf,
+    text: String,
+}
+
+/// Signals that the process is told things by. Watched before anything else, since they end a process
+/// that does not watch them.
+struct ProcessSignals {
+    hangup: Signal,
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl ProcessSignals {
+    fn watch() -> io::Result<Self> {
+        Ok(Self {
+            hangup: signal(SignalKind::hangup())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+        })
+    }
 }
 
-async fn serve<W: EntryWire>(settings: EntrySettings, path: PathBuf) -> io::Result<()> {
+async fn serve<W: EntryWire>(settings: EntrySettings, file: SettingsFile) -> io::Result<()> {
+    let ProcessSignals { hangup, interrupt, terminate } = ProcessSignals::watch()?;
     let handle = start_metrics();
     let callers = bind(settings.callers, "callers' listener").await?;
     let ready = bind(settings.ready, "ready listener").await?;
@@ -90,9 +120,9 @@
     duties.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Servers));
     duties.spawn_local(run_peers(Rc::clone(&state)));
     duties.spawn_local(look_after(Rc::clone(&state)));
-    duties.spawn_local(follow_settings(Rc::clone(&state), path));
+    duties.spawn_local(follow_settings(Rc::clone(&state), file, hangup));
     let stopped = tokio::select! {
-        stopped = wait_for_stop() => stopped,
+        () = wait_for_stop(interrupt, terminate) => Ok(()),
         Some(ended) = duties.join_next() => {
             log::error!("process: A duty ended. result={ended:?}");
             Err(io::Error::other("a duty of the router ended"))
@@ -265,24 +295,20 @@
     state.pool.borrow_mut().drop_old(Instant::now());
 }
 
-async fn follow_settings<W: EntryWire>(state: Rc<EntryState<W>>, path: PathBuf) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(error) => {
-            log::error!("process: SIGHUP is not watched. error={error}");
-            return std::future::pending().await;
-        }
-    };
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+async fn follow_settings<W: EntryWire>(
+    state: Rc<EntryState<W>>,
+    mut file: SettingsFile,
+    mut hangup: Signal,
+) {
     loop {
         tokio::select! {
-            _ = hangups.recv() => log::info!("process: SIGHUP."),
+            _ = hangup.recv() => log::info!("process: SIGHUP."),
             () = sleep(SETTINGS_PAUSE) => {}
         }
-        match std::fs::read_to_string(&path) {
-            Ok(found) if found != text => {
-                reload(&state, &found, &path);
-                text = found;
+        match std::fs::read_to_string(&file.path) {
+            Ok(found) if found != file.text => {
+                reload(&state, &found, &file.path);
+                file.text = found;
             }
             Ok(_) => {}
             Err(error) => log::warn!("process: Settings can't be read. error={error}"),
@@ -302,14 +328,11 @@
     }
 }
 
-async fn wait_for_stop() -> io::Result<()> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
+async fn wait_for_stop(mut interrupt: Signal, mut terminate: Signal) {
     tokio::select! {
         _ = interrupt.recv() => {}
         _ = terminate.recv() => {}
     }
-    Ok(())
 }
 
 /// Serves on until callers are done or the grace is over.
--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -100,7 +100,7 @@
 
     fn reload(&self, router: usize) {
         self.rewrite(router);
-        self.routers[router].signal(Signal::HUP);
+        self.routers[router].hang_up();
     }
 
     fn rewrite(&self, router: usize) {
--- a/crates/catkin-soak/src/router.rs
+++ b/crates/catkin-soak/src/router.rs
@@ -21,6 +21,8 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(400);
 /// Time that a started process gets before requests must go well: it lists servers and joins.
 const START_MILLIS: u64 = 2_000;
+/// Age from which a process is sent SIGHUP: no program can watch a signal before it runs.
+const SIGNAL_AGE_MILLIS: u64 = 500;
 /// Seconds between the signal to stop and the kill.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 /// How much later than its grace a process may be seen to end: the machine is busy.
@@ -48,6 +50,7 @@
     addresses: RouterAddresses,
     /// The process that runs and has not been waited for.
     process: Cell<Option<Pid>>,
+    started: Cell<u64>,
     /// Whether the process was told to end.
     told: Cell<bool>,
     /// Stays at rest once its process has ended.
@@ -71,6 +74,7 @@
             folder: folder.to_owned(),
             addresses,
             process: Cell::new(None),
+            started: Cell::new(0),
             told: Cell::new(false),
             retired: Cell::new(false),
             rewrites: Cell::new(0),
@@ -130,6 +134,7 @@
     async fn run_once(&self) -> io::Result<()> {
         let mut child = self.spawn()?;
         let started = self.board.now();
+        self.started.set(started);
         self.board.ledger.borrow_mut().starts.push(StartRecord { router: self.index, at: started });
         self.note_spell(started, started + START_MILLIS, false);
         self.told.set(false);
@@ -173,6 +178,13 @@
         Some(process)
     }
 
+    /// Tells the process that its settings changed, unless it has only just started.
+    pub(crate) fn hang_up(&self) {
+        if self.board.now() >= self.started.get() + SIGNAL_AGE_MILLIS {
+            self.signal(Signal::HUP);
+        }
+    }
+
     /// Kills the process; its next start follows.
     pub(crate) fn kill(&self) {
         self.told.set(true);
