Make fewer calls to the store: at a start, and by one close reader in each domain

Change: a router creates its entry without looking first, takes the entry it meets from the refusal, and reads the key cheaply, since it never changes. Close readers are the first alive of each domain, with the relays; a lost one is replaced within 1.5 s (test: all readers lost at once). Other routers gather changes for 1.2 s; departures come from peers. The incarnation is now the revision of the own entry: after a stop the entry is gone, and a clock that had jumped back would have given a lower incarnation than before, which others ignore.

--- a/crates/catkin-entry/src/follow.rs
+++ b/crates/catkin-entry/src/follow.rs
@@ -24,7 +24,7 @@
 /// one after the other within tens of milliseconds.
 const GATHERING_PAUSE: Duration = Duration::from_millis(60);
 /// The same at a router whose waits may show changes late anyway.
-const CHEAP_GATHERING_PAUSE: Duration = Duration::from_millis(600);
+const CHEAP_GATHERING_PAUSE: Duration = Duration::from_millis(1_200);
 /// How long news of a newer version may be ahead of the own wait before it is asked anew.
 const STALE_PAUSE: Duration = Duration::from_millis(250);
 /// The same for the servers at a router whose waits may show changes late: they change often, and
--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -12,7 +12,7 @@
 use crate::peers::{KnownRouter, PeerDesk};
 use crate::state::EntryState;
 use crate::store_client::{GrowingPatience, StoreClient, StoreFault, WriteMode};
-use crate::wire::{EntryWire, RouterRecord, StoreKind};
+use crate::wire::{EntryWire, RouterRecord, StoreKind, StorePage};
 
 /// Pause after a failed try to join.
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
@@ -47,10 +47,10 @@
 ) -> Result<PeerDesk, String> {
     let key = read_key(client, patience).await.map_err(|fault| fault.to_string())?;
     let key = PeerKey::from_hex(&key).map_err(|error| error.to_string())?;
-    let registered = register(state, client, patience).await;
-    let incarnation = registered.map_err(|fault| fault.to_string())?;
+    register(state, client, patience).await.map_err(|fault| fault.to_string())?;
     let page = client.list(StoreKind::Routers, patience).await;
     let page = page.map_err(|fault| fault.to_string())?;
+    let incarnation = own_incarnation(&page, &state.settings().vm)?;
     let address = state.settings().peers;
     let link = LinkSettings { vm: state.own, incarnation, address, key };
     let link = UdpLink::bind(&link).await.map_err(|error| error.to_string())?;
@@ -72,50 +72,62 @@
     Ok(PeerDesk::new(link, routers))
 }
 
+/// Revision of the own entry: it rises with every start, whatever the clock says.
+fn own_incarnation(page: &StorePage, name: &str) -> Result<u64, String> {
+    let own = page.entries.iter().find(|entry| entry.name == name);
+    own.map(|entry| entry.revision).ok_or_else(|| format!("no entry \"{name}\" in the store"))
+}
+
 /// Reads the fleet's key; the first router creates it.
 async fn read_key<W: EntryWire>(
     client: &mut StoreClient<W>,
     patience: Duration,
 ) -> Result<String, StoreFault> {
-    if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
-        return Ok(W::decode_peer_key(&entry.content)?);
+    // The key never changes, so that an old read of it is as good as a new one.
+    for cheap in [true, false] {
+        if let Some(entry) = client.get(StoreKind::PeerKeys, KEY_NAME, cheap, patience).await? {
+            return Ok(W::decode_peer_key(&entry.content)?);
+        }
     }
     let mut bytes = [0; KEY_BYTES];
     rand::rng().fill_bytes(&mut bytes);
     let content = W::encode_peer_key(&digest_hex(&bytes));
     match client.put(StoreKind::PeerKeys, KEY_NAME, &content, WriteMode::Create, patience).await {
-        Ok(()) | Err(StoreFault::Conflict) => {}
+        Ok(()) | Err(StoreFault::Conflict(_)) => {}
         Err(fault) => return Err(fault),
     }
-    match client.get(StoreKind::PeerKeys, KEY_NAME, patience).await? {
+    match client.get(StoreKind::PeerKeys, KEY_NAME, false, patience).await? {
         Some(entry) => Ok(W::decode_peer_key(&entry.content)?),
-        None => Err(StoreFault::Conflict),
+        None => Err(StoreFault::Conflict(None)),
     }
 }
 
-/// Writes this router's entry; returns its incarnation, higher than that of any earlier start.
+/// Writes this router's entry.
 async fn register<W: EntryWire>(
     state: &EntryState<W>,
     client: &mut StoreClient<W>,
     patience: Duration,
-) -> Result<u64, StoreFault> {
-    let name = state.settings().vm.clone();
-    let known = client.get(StoreKind::Routers, &name, patience).await?;
-    let before = known.as_ref().and_then(|entry| W::decode_router(&entry.content).ok());
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let unix_micros = unix.unwrap_or(Duration::ZERO).as_micros() as u64;
-    let incarnation = before.map_or(0, |record| record.incarnation + 1).max(unix_micros).max(1);
+) -> Result<(), StoreFault> {
     let settings = state.settings();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let record = RouterRecord {
         address: settings.peers,
-        incarnation,
+        started_unix_micros: unix.unwrap_or(Duration::ZERO).as_micros() as u64,
         domain: Some(settings.domain.clone()),
         strength: settings.strength(),
     };
-    let mode = known.map_or(WriteMode::Create, |entry| WriteMode::Replace(entry.revision));
+    let (kind, name) = (StoreKind::Routers, &settings.vm);
     let content = W::encode_router(&record);
-    client.put(StoreKind::Routers, &name, &content, mode, patience).await?;
-    Ok(incarnation)
+    // Most starts find no entry: it is removed when a router stops.
+    let known = match client.put(kind, name, &content, WriteMode::Create, patience).await {
+        Err(StoreFault::Conflict(Some(known))) => known,
+        Err(StoreFault::Conflict(None)) => {
+            let known = client.get(kind, name, false, patience).await?;
+            known.ok_or(StoreFault::Conflict(None))?
+        }
+        other => return other,
+    };
+    client.put(kind, name, &content, WriteMode::Replace(known.revision), patience).await
 }
 
 /// Removes this router's entry. Others notice its silence if that fails.
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::kept_book::KeptPair;
 use crate::load_table::{LoadSource, OpenLoad, ReportedLoads};
 use crate::outcome_book::TOLD_HOLD_MILLIS;
-use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, TellPlan, order_of};
+use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, TellPlan};
 use crate::report::{
     build_domain_reports, build_elsewhere_reports, build_own, build_report, build_status, has_news,
     kept_part, list_kept, wrap,
@@ -30,8 +30,6 @@
 const REPORT_PAUSE: Duration = Duration::from_millis(40);
 /// Most reports that a router hears in a second.
 const MAX_REPORTS_PER_SECOND: u32 = 450;
-/// Routers that follow the store closely in a larger fleet.
-const CLOSE_READERS: usize = 4;
 /// Longest time without a report.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Pause between two tries to reach a router that has not been heard.
@@ -332,6 +330,13 @@
         if self.relaying.replace(plan.relays) != plan.relays {
             log::info!("peers: Relays: {}. domain={}", plan.relays, state.domain);
         }
+        if state.reads_fresh.replace(plan.reads_closely) != plan.reads_closely {
+            log::info!(
+                "store: Reads closely: {}. routers={}",
+                plan.reads_closely,
+                others.len() + 1
+            );
+        }
         plan
     }
 
@@ -405,21 +410,10 @@
         }
     }
 
-    /// In a large fleet a few routers follow the store closely; the others learn from them.
-    fn choose_readers<W: EntryWire>(&self, state: &EntryState<W>) {
-        let (own, others) = self.list_members(state);
-        let ahead = others.iter().filter(|other| order_of(other) < order_of(&own)).count();
-        let fresh = others.len() < MAX_SMALL_FLEET || ahead < CLOSE_READERS;
-        if state.reads_fresh.replace(fresh) != fresh {
-            log::info!("store: Reads closely: {fresh}. routers={}", others.len() + 1);
-        }
-    }
-
     /// Greets routers that are silent, as long as the process runs.
     pub(crate) async fn greet<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         loop {
             sleep(GREET_PAUSE).await;
-            self.choose_readers(state);
             let now = state.now();
             let mut routers = self.routers.borrow_mut();
             routers.retain(|_, router| now.millis_since(router.heard) < GONE_MILLIS);
--- a/crates/catkin-entry/src/relay_plan.rs
+++ b/crates/catkin-entry/src/relay_plan.rs
@@ -14,6 +14,8 @@
 pub const MAX_SMALL_FLEET: usize = 12;
 /// Time after which a relay that is not heard counts as lost, in milliseconds: several reports.
 const RELAY_SILENT_MILLIS: u64 = 1_500;
+/// Routers of a large fleet that follow the store closely, spread over the domains.
+const CLOSE_READERS: usize = 4;
 /// Routers of another domain that are told at once while its relay is unknown.
 const TRIED_RELAYS: usize = 3;
 
@@ -42,6 +44,8 @@
     pub far: Vec<VmId>,
     /// Number of other domains.
     pub domains: usize,
+    /// Whether this router follows the store closely; the others learn from such routers.
+    pub reads_closely: bool,
 }
 
 /// Relays of other domains, as far as they told of themselves.
@@ -61,17 +65,20 @@
     pub fn plan(&mut self, now: ClockTime, own: FleetMember, others: &[FleetMember]) -> TellPlan {
         if others.len() < MAX_SMALL_FLEET {
             let close = others.iter().map(|member| member.vm).collect();
-            return TellPlan { close, ..TellPlan::default() };
+            return TellPlan { close, reads_closely: true, ..TellPlan::default() };
         }
         let is_close =
             |member: &&FleetMember| member.domain.is_none() || member.domain == own.domain;
         let close = || others.iter().filter(is_close);
         let alive = close().filter(|member| member.alive && member.domain.is_some());
-        let relays = alive.into_iter().all(|member| order_of(&own) < order_of(member));
-        let domains = group_domains(&own, others);
-        let count = domains.len();
-        let far = if relays { self.choose_far(now, domains) } else { Vec::new() };
-        TellPlan { close: close().map(|member| member.vm).collect(), relays, far, domains: count }
+        let ahead = alive.filter(|member| order_of(member) < order_of(&own)).count();
+        let relays = ahead == 0;
+        let groups = group_domains(&own, others);
+        let domains = groups.len();
+        let far = if relays { self.choose_far(now, groups) } else { Vec::new() };
+        let close = close().map(|member| member.vm).collect();
+        let reads_closely = ahead < CLOSE_READERS.div_ceil(domains + 1);
+        TellPlan { close, relays, far, domains, reads_closely }
     }
 
     fn choose_far(
@@ -113,7 +120,7 @@
 }
 
 /// Place of a router in the order in which routers take duties: strong ones first.
-pub fn order_of(member: &FleetMember) -> (Reverse<u32>, u64, VmId) {
+fn order_of(member: &FleetMember) -> (Reverse<u32>, u64, VmId) {
     let vm = member.vm;
     (Reverse(member.strength), hash_parts(&[b"duty", &vm.0.to_le_bytes()]), vm)
 }
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -67,9 +67,9 @@
     /// The history that a wait needs is gone.
     #[error("the store's history is gone")]
     HistoryGone,
-    /// The object exists already, or has another revision.
+    /// The object exists already, or has another revision: what it is, if the answer says so.
     #[error("the object is not as the write requires")]
-    Conflict,
+    Conflict(Option<StoredEntry>),
     /// The answer can't be read.
     #[error(transparent)]
     Unreadable(#[from] WireError),
@@ -143,14 +143,15 @@
         Ok(W::decode_changes(&answer.body)?)
     }
 
-    /// Reads one object.
+    /// Reads one object. A cheap read may show it as it was seconds ago.
     pub async fn get(
         &mut self,
         kind: StoreKind,
         name: &str,
+        cheap: bool,
         patience: Duration,
     ) -> Result<Option<StoredEntry>, StoreFault> {
-        let target = W::object_target(kind, name);
+        let target = W::read_target(kind, name, cheap);
         let answer = self.call("GET", &target, None, patience).await?;
         if answer.status == 404 {
             return Ok(None);
@@ -174,7 +175,10 @@
         };
         let body = W::encode_object(name, revision, content);
         let answer = self.call(method, &target, Some(&body), patience).await?;
-        check_status(answer.status)
+        check_status(answer.status).map_err(|fault| match fault {
+            StoreFault::Conflict(_) => StoreFault::Conflict(W::decode_object(&answer.body).ok()),
+            other => other,
+        })
     }
 
     /// Deletes one object.
@@ -238,7 +242,7 @@
 fn check_status(status: u16) -> Result<(), StoreFault> {
     match status {
         200..=299 => Ok(()),
-        409 => Err(StoreFault::Conflict),
+        409 => Err(StoreFault::Conflict(None)),
         410 => Err(StoreFault::HistoryGone),
         _ => Err(StoreFault::Refused(status)),
     }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -82,8 +82,8 @@
     pub struct RouterRecord {
         /// Address of its peer listener.
         pub address: SocketAddr,
-        /// Incarnation of its process.
-        pub incarnation: u64,
+        /// When its process started; makes the entry of each start differ from the one before.
+        pub started_unix_micros: u64,
         /// Its failure domain; `None` in entries of earlier versions.
         pub domain: Option<String>,
         /// How much it can do for others, against other routers.
@@ -134,7 +134,9 @@
     fn watch_target(kind: StoreKind, revision: u64, wait_millis: u64, cheap: bool) -> String;
     /// Target of all objects of a kind, to create one.
     fn kind_target(kind: StoreKind) -> String;
-    /// Target of one object.
+    /// Target of a read of one object; a cheap one may show it as it was seconds ago.
+    fn read_target(kind: StoreKind, name: &str, cheap: bool) -> String;
+    /// Target of one object, to change it.
     fn object_target(kind: StoreKind, name: &str) -> String;
     /// An object to be written; on a condition if `revision` is given.
     fn encode_object(name: &str, revision: Option<u64>, content: &str) -> String;
--- a/crates/catkin-entry/tests/relays.rs
+++ b/crates/catkin-entry/tests/relays.rs
@@ -219,6 +219,30 @@
     assert!(fleet.relays().iter().all(|(_, vm)| strength_of(*vm) == 100), "{:?}", fleet.relays());
 }
 
+#[test]
+fn each_domain_has_a_router_that_follows_the_store_closely_also_after_it_is_lost() {
+    let mut fleet = TestFleet::new(87);
+    fleet.rounds(600);
+    let readers = |fleet: &mut TestFleet| {
+        let up: Vec<usize> = (0..87).filter(|index| fleet.routers[*index].up).collect();
+        let reading = up.into_iter().filter(|index| fleet.plan(*index).reads_closely);
+        reading.collect::<Vec<usize>>()
+    };
+    let before = readers(&mut fleet);
+    for reader in &before {
+        fleet.routers[*reader].up = false;
+    }
+
+    fleet.rounds(2_400);
+
+    let domains = |readers: &[usize]| -> BTreeSet<u64> {
+        readers.iter().map(|index| *index as u64 % DOMAINS).collect()
+    };
+    let after = readers(&mut fleet);
+    assert_eq!((before.len(), domains(&before).len()), (4, 4));
+    assert_eq!((after.len(), domains(&after).len()), (4, 4));
+}
+
 #[test]
 fn a_small_fleet_tells_everybody_everything() {
     let mut fleet = TestFleet::new(12);
