Pass on only what routers report, not the lists that they tell everybody

Found by reading: after all routers were lost at once, a router tells the lists of its engines to all routers itself; a relay took them for news of its domain and sent them on to the other domains, up to 1,536 parts a report. Reports without loads (greetings, lists) are no longer passed on.

--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -250,13 +250,14 @@
         state.loads.borrow_mut().note_report(state.now(), loads_of, loads);
     }
 
-    /// Where the news of a report are passed on, if this router relays.
+    /// Where the news of a report are passed on, if this router relays. A report without loads is a
+    /// greeting, or a list that its sender tells all routers itself.
     fn choose_news<'a, W: EntryWire>(
         &self,
         state: &'a EntryState<W>,
         report: &EntryReport,
     ) -> Option<&'a RefCell<RelayNews>> {
-        if !self.relaying.get() {
+        if !self.relaying.get() || report.pieces == 0 {
             return None;
         }
         match report.scope() {
@@ -401,13 +402,7 @@
         let mut report = build_status(state);
         report.joining = true;
         report.wants_kept = true;
-        let message = wrap(Kind::EntryReport(report));
-        let routers = self.routers.borrow();
-        for vm in tellers {
-            if let Some(router) = routers.get(vm) {
-                self.link.send(*vm, router.address, &message);
-            }
-        }
+        self.send_to(tellers, report);
     }
 
     /// Greets routers that are silent, as long as the process runs.
