--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
-use crate::ledger::{CallKind, FaultSpell, FaultSubject, LeavingRecord, VersionRecord};
+use crate::ledger::{CallKind, FaultPeriod, FaultSubject, LeavingRecord, VersionRecord};
 use crate::link::{LinkFlow, LinkProxy};
 use crate::plan::{FaultKind, LinkTrouble, PlannedFault};
 use crate::router::RouterKeeper;
@@ -90,12 +90,12 @@
     async fn pause(&self, router: usize, length: Duration) {
         let subject = FaultSubject::Router(router);
         let Some(process) = self.routers[router].signal(Signal::STOP) else { return };
-        let spell = self.begin(subject, false);
+        let period = self.begin(subject, false);
         sleep(length).await;
         if self.routers[router].process() == Some(process) {
             self.routers[router].signal(Signal::CONT);
         }
-        self.board.end_spell(spell);
+        self.board.end_period(period);
     }
 
     fn reload(&self, router: usize) {
@@ -124,7 +124,7 @@
         trouble: LinkTrouble,
         length: Duration,
     ) {
-        let spell = self.begin(subject, false);
+        let period = self.begin(subject, false);
         match trouble {
             LinkTrouble::Reset => link.change(|mood| mood.resets += 1),
             LinkTrouble::Silence => link.change(|mood| mood.silences += 1),
@@ -146,22 +146,22 @@
             mood.forward = LinkFlow::Pass;
             mood.back = LinkFlow::Pass;
         });
-        self.board.end_spell(spell);
+        self.board.end_period(period);
     }
 
     async fn store_mood(&self, mood: StoreMood, length: Duration) {
-        let spell = self.begin(FaultSubject::Store, false);
+        let period = self.begin(FaultSubject::Store, false);
         self.store.set_mood(mood);
         sleep(length).await;
         self.store.set_mood(StoreMood::Sound);
-        self.board.end_spell(spell);
+        self.board.end_period(period);
     }
 
     async fn crash_server(&self, place: usize, length: Duration) {
         if self.busy[place].replace(true) {
             return;
         }
-        let spell = self.begin(FaultSubject::Server(place), false);
+        let period = self.begin(FaultSubject::Server(place), false);
         let server = &self.servers[place];
         let identity = server.identity();
         server.crash();
@@ -169,7 +169,7 @@
         self.store.remove(StoreKind::Servers, &identity.name);
         sleep(length).await;
         self.start_server(place, identity.service);
-        self.board.end_spell(spell);
+        self.board.end_period(period);
         self.busy[place].set(false);
     }
 
@@ -194,14 +194,14 @@
         let leaving = LeavingRecord { server: identity.name.clone(), at: self.board.now() };
         self.board.ledger.borrow_mut().leavings.push(leaving);
         sleep(LEAVING_TIME).await;
-        let spell = self.begin(FaultSubject::Server(place), false);
+        let period = self.begin(FaultSubject::Server(place), false);
         server.crash();
         self.store.remove(StoreKind::Servers, &identity.name);
         sleep(REUSE_TIME).await;
         let services = [CallKind::Single.service(), CallKind::Stream.service()];
         let service = services[rand::rng().random_range(0..services.len())];
         self.start_server(place, service.to_owned());
-        self.board.end_spell(spell);
+        self.board.end_period(period);
         self.busy[place].set(false);
     }
 
@@ -224,7 +224,7 @@
 
     fn begin(&self, subject: FaultSubject, planned: bool) -> usize {
         let from = self.board.now();
-        self.board.begin_spell(FaultSpell { subject, from, until: u64::MAX, planned })
+        self.board.begin_period(FaultPeriod { subject, from, until: u64::MAX, planned })
     }
 }
 
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -134,7 +134,7 @@
 
 copy_type! {
     /// A fault in force.
-    pub struct FaultSpell {
+    pub struct FaultPeriod {
         /// What it is on.
         pub subject: FaultSubject,
         /// When it began.
@@ -196,7 +196,7 @@
     /// Arrivals at servers.
     pub runs: Vec<RunRecord>,
     /// Faults.
-    pub spells: Vec<FaultSpell>,
+    pub periods: Vec<FaultPeriod>,
     /// Starts of processes.
     pub starts: Vec<StartRecord>,
     /// Ends of processes that are faults themselves.
@@ -212,9 +212,9 @@
 impl SoakLedger {
     /// Whether a fault that is not planned work was on one of these within a time.
     pub fn is_harmed(&self, subjects: &[FaultSubject], from: u64, until: u64) -> bool {
-        let touches = |spell: &FaultSpell| spell.from <= until && spell.until >= from;
-        let on = |spell: &FaultSpell| subjects.contains(&spell.subject) && !spell.planned;
-        self.spells.iter().any(|spell| on(spell) && touches(spell))
+        let touches = |period: &FaultPeriod| period.from <= until && period.until >= from;
+        let on = |period: &FaultPeriod| subjects.contains(&period.subject) && !period.planned;
+        self.periods.iter().any(|period| on(period) && touches(period))
     }
 
     /// How often the router's process had started by then.
--- a/crates/catkin-soak/src/lib.rs
+++ b/crates/catkin-soak/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use check::{SoakBounds, SoakBreach, find_breaches};
 pub use ledger::{
-    CallEnd, CallKind, CallRecord, FaultSpell, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
+    CallEnd, CallKind, CallRecord, FaultPeriod, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
     SoakLedger, StartRecord, VersionRecord,
 };
 pub use plan::{FaultKind, LinkTrouble, PlannedFault, SoakSize, plan_faults};
--- a/crates/catkin-soak/src/router.rs
+++ b/crates/catkin-soak/src/router.rs
@@ -14,7 +14,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
-use crate::ledger::{FaultSpell, FaultSubject, ProcessEnd, StartRecord};
+use crate::ledger::{FaultPeriod, FaultSubject, ProcessEnd, StartRecord};
 use crate::run::SoakBoard;
 
 /// Pause between the end of a process and its next start.
@@ -136,7 +136,7 @@
         let started = self.board.now();
         self.started.set(started);
         self.board.ledger.borrow_mut().starts.push(StartRecord { router: self.index, at: started });
-        self.note_spell(started, started + START_MILLIS, false);
+        self.note_period(started, started + START_MILLIS, false);
         self.told.set(false);
         self.process.set(child.id().and_then(|id| Pid::from_raw(id as i32)));
         child.wait().await?;
@@ -190,7 +190,7 @@
         self.told.set(true);
         if self.signal(Signal::KILL).is_some() {
             let now = self.board.now();
-            self.note_spell(now, now + START_MILLIS, false);
+            self.note_period(now, now + START_MILLIS, false);
         }
     }
 
@@ -199,14 +199,14 @@
         self.told.set(true);
         let began = self.board.now();
         let Some(process) = self.signal(Signal::TERM) else { return };
-        let spell = self.note_spell(began, began + GRACE.as_millis() as u64, true);
+        let period = self.note_period(began, began + GRACE.as_millis() as u64, true);
         let ended = async {
             while self.process.get() == Some(process) {
                 sleep(Duration::from_millis(20)).await;
             }
         };
         if tokio::time::timeout(GRACE + GRACE_SLACK, ended).await.is_ok() {
-            self.board.end_spell(spell);
+            self.board.end_period(period);
             return;
         }
         self.kill();
@@ -224,8 +224,8 @@
         self.stop().await;
     }
 
-    fn note_spell(&self, from: u64, until: u64, planned: bool) -> usize {
+    fn note_period(&self, from: u64, until: u64, planned: bool) -> usize {
         let subject = FaultSubject::Router(self.index);
-        self.board.begin_spell(FaultSpell { subject, from, until, planned })
+        self.board.begin_period(FaultPeriod { subject, from, until, planned })
     }
 }
--- a/crates/catkin-soak/src/run.rs
+++ b/crates/catkin-soak/src/run.rs
@@ -20,7 +20,7 @@
 use crate::caller::{HOST, KEY, run_caller};
 use crate::check::{SoakBounds, SoakBreach, find_breaches};
 use crate::fault::{SoakFleet, join_all};
-use crate::ledger::{CallKind, FaultSpell, FaultSubject, SoakLedger, VersionRecord};
+use crate::ledger::{CallKind, FaultPeriod, FaultSubject, SoakLedger, VersionRecord};
 use crate::link::LinkProxy;
 use crate::message::MessageReader;
 use crate::plan::{SoakSize, plan_faults};
@@ -102,16 +102,16 @@
     }
 
     /// Notes a fault; returns its index.
-    pub(crate) fn begin_spell(&self, spell: FaultSpell) -> usize {
+    pub(crate) fn begin_period(&self, period: FaultPeriod) -> usize {
         let mut ledger = self.ledger.borrow_mut();
-        ledger.spells.push(spell);
-        ledger.spells.len() - 1
+        ledger.periods.push(period);
+        ledger.periods.len() - 1
     }
 
     /// Notes that a fault is over.
-    pub(crate) fn end_spell(&self, index: usize) {
+    pub(crate) fn end_period(&self, index: usize) {
         let now = self.now();
-        self.ledger.borrow_mut().spells[index].until = now;
+        self.ledger.borrow_mut().periods[index].until = now;
     }
 
     /// Notes that the soak itself failed.
@@ -206,7 +206,7 @@
             let until = board.now();
             let from = until.saturating_sub(late.as_millis() as u64);
             let subject = FaultSubject::Machine;
-            board.begin_spell(FaultSpell { subject, from, until, planned: false });
+            board.begin_period(FaultPeriod { subject, from, until, planned: false });
         }
     }
 }
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -1,7 +1,7 @@
 //! Each promise, broken in a ledger made up for it, is found; a sound ledger passes.
 
 use catkin_soak::{
-    CallEnd, CallKind, CallRecord, FaultSpell, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
+    CallEnd, CallKind, CallRecord, FaultPeriod, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
     SoakBounds, SoakBreach, SoakLedger, StartRecord, VersionRecord, find_breaches,
 };
 
@@ -33,8 +33,8 @@
     }
 }
 
-fn spell(subject: FaultSubject, from: u64, until: u64, planned: bool) -> FaultSpell {
-    FaultSpell { subject, from, until, planned }
+fn period(subject: FaultSubject, from: u64, until: u64, planned: bool) -> FaultPeriod {
+    FaultPeriod { subject, from, until, planned }
 }
 
 /// A router that started once, and one request served long after the last fault.
@@ -127,7 +127,7 @@
         breaches_with(|ledger| {
             ledger.calls.push(call("a", 10_000, end));
             ledger.runs.push(run("a", "s1", 10_010, 1));
-            ledger.spells.push(spell(FaultSubject::Router(0), 9_990, 12_000, planned));
+            ledger.periods.push(period(FaultSubject::Router(0), 9_990, 12_000, planned));
         })
     };
 
@@ -162,7 +162,7 @@
             ledger.runs.retain(|run| run.id == "a");
             ledger.calls.push(call("last", 100_000, answered(200, Some("s2"))));
             ledger.runs.push(run("last", "s2", 100_010, 1));
-            ledger.spells.push(spell(subject, 8_000, 8_500, false));
+            ledger.periods.push(period(subject, 8_000, 8_500, false));
         })
     };
 
