--- a/crates/catkin-soak/src/lib.rs
+++ b/crates/catkin-soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! and servers see into a [`SoakLedger`]. [`find_breaches`] then looks for broken promises. The
 //! formats of the stand-ins come from a [`StandinWire`].
 
+mod accept;
 mod caller;
 mod check;
 mod fault;
--- a/crates/catkin-soak/src/link.rs
+++ b/crates/catkin-soak/src/link.rs
@@ -7,12 +7,14 @@
 
 use catkin_base::copy_type;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::accept::listen;
+
 copy_type! {
     /// What happens to bytes in one direction.
     #[derive(Default)]
@@ -52,11 +54,11 @@
 impl LinkProxy {
     /// Listens on `ip` and passes connections on to `target`.
     pub(crate) async fn start(ip: IpAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0)).await?;
-        let address = listener.local_addr()?;
         let mood = Rc::new(watch::Sender::new(LinkMood::default()));
+        let moods = Rc::clone(&mood);
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(accept_all(listener, target, Rc::clone(&mood)));
+        let serve = move |stream| Some(join_streams(stream, target, moods.subscribe()));
+        let address = listen(ip, &mut tasks, serve).await?;
         Ok(Self { address, mood, tasks })
     }
 
@@ -71,21 +73,6 @@
     }
 }
 
-async fn accept_all(listener: TcpListener, target: SocketAddr, mood: Rc<watch::Sender<LinkMood>>) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            Some(_) = connections.join_next() => {}
-            accepted = listener.accept() => {
-                // A failed accept is of no connection; the caller tries again.
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn_local(join_streams(stream, target, mood.subscribe()));
-                }
-            }
-        }
-    }
-}
-
 async fn join_streams(near: TcpStream, target: SocketAddr, mut mood: watch::Receiver<LinkMood>) {
     let opened = *mood.borrow_and_update();
     let Ok(far) = TcpStream::connect(target).await else {
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -8,14 +8,15 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use tokio::io::AsyncWriteExt;
 
+use crate::accept::listen;
 use crate::caller::{EVENTS, event_text};
 use crate::ledger::{CallKind, RunRecord};
 use crate::message::{HttpMessage, MessageReader, write_answer};
@@ -86,27 +87,13 @@
         ip: IpAddr,
         tasks: &mut JoinSet<()>,
     ) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind((ip, 0)).await?;
-        let address = listener.local_addr()?;
         let server = Rc::clone(self);
-        tasks.spawn_local(async move { server.accept_all(&listener).await });
-        Ok(address)
-    }
-
-    async fn accept_all(self: &Rc<Self>, listener: &TcpListener) {
-        let mut connections = JoinSet::new();
-        loop {
-            tokio::select! {
-                Some(_) = connections.join_next() => {}
-                accepted = listener.accept() => {
-                    // A failed accept is of no connection; the router tries again.
-                    if let (Ok((stream, _)), true) = (accepted, self.alive.get()) {
-                        let server = Rc::clone(self);
-                        connections.spawn_local(async move { server.serve_stream(stream).await });
-                    }
-                }
-            }
-        }
+        let serve = move |stream| {
+            let server = Rc::clone(&server);
+            let alive = server.alive.get();
+            alive.then_some(async move { server.serve_stream(stream).await })
+        };
+        listen(ip, tasks, serve).await
     }
 
     /// Answers requests until the connection or the server's life ends.
--- a/crates/catkin-soak/src/store.rs
+++ b/crates/catkin-soak/src/store.rs
@@ -10,11 +10,12 @@
 use catkin_base::copy_type;
 use catkin_entry::{StoreKind, StoredEntry};
 use std::cell::RefCell;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::accept::listen;
 use crate::message::{HttpMessage, MessageReader, write_answer};
 use crate::wire::{StandinWire, StoreCall};
 
@@ -84,11 +85,12 @@
         ip: IpAddr,
         tasks: &mut JoinSet<()>,
     ) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind((ip, 0)).await?;
-        let address = listener.local_addr()?;
         let store = Rc::clone(self);
-        tasks.spawn_local(async move { store.accept_all(&listener).await });
-        Ok(address)
+        let serve = move |stream| {
+            let store = Rc::clone(&store);
+            Some(async move { store.serve_stream(stream).await })
+        };
+        listen(ip, tasks, serve).await
     }
 
     pub(crate) fn set_mood(&self, mood: StoreMood) {
@@ -117,22 +119,6 @@
         self.changed.notify_waiters();
     }
 
-    async fn accept_all(self: &Rc<Self>, listener: &TcpListener) {
-        let mut connections = JoinSet::new();
-        loop {
-            tokio::select! {
-                Some(_) = connections.join_next() => {}
-                accepted = listener.accept() => {
-                    // A failed accept is of no connection; the router tries again.
-                    if let Ok((stream, _)) = accepted {
-                        let store = Rc::clone(self);
-                        connections.spawn_local(async move { store.serve_stream(stream).await });
-                    }
-                }
-            }
-        }
-    }
-
     /// Answers calls until the connection ends, which is no fault of either side.
     async fn serve_stream(&self, stream: TcpStream) {
         let (read, mut write) = stream.into_split();
