--- a/crates/catkin-soak/src/lib.rs
+++ b/crates/catkin-soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod accept;
 mod caller;
 mod check;
+mod failed_seeds;
 mod fault;
 mod ledger;
 mod link;
@@ -20,6 +21,7 @@
 mod wire;
 
 pub use check::{SoakBounds, SoakBreach, find_breaches};
+pub use failed_seeds::{FAILED_SEEDS, FailedSeed};
 pub use ledger::{
     CallEnd, CallKind, CallRecord, FaultPeriod, FaultSubject, LeavingRecord, ProcessEnd, RunRecord,
     SoakLedger, StartRecord, VersionRecord,
