Count routers without adding up loads; one time for "alive"; one builder of relayed reports

Read again, no change of behaviour. Each request asks several times how many routers there are; since the relays this added up all loads of all reports into a map that was thrown away. Counting and adding up are now two functions. The time after which a silent router no longer counts as alive stood three times under three names. The two reports of a relay were built by two copies. KeptBook::kept_tokens was called by tests alone; these ask for the keepers.

--- a/crates/catkin-entry/src/kept_book.rs
+++ b/crates/catkin-entry/src/kept_book.rs
@@ -90,11 +90,6 @@
         keepers
     }
 
-    /// Tokens at the start of a prompt that `server` is known to keep.
-    pub fn kept_tokens(&self, now: ClockTime, prefixes: &[PrefixPart], server: ServerId) -> u32 {
-        self.keepers(now, prefixes).get(&server).copied().unwrap_or(0)
-    }
-
     /// All pairs of part and server.
     pub fn pairs(&self) -> impl Iterator<Item = KeptPair> {
         let pairs = self.pairs.iter();
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -6,8 +6,8 @@
 
 /// How long another router's last report counts: a frozen router's requests still hold servers.
 const REPORT_LIFETIME_MILLIS: u64 = 3_000;
-/// How long a router counts as alive after its last report.
-const ALIVE_MILLIS: u64 = 1_500;
+/// How long a router counts as alive after it was last heard: several reports.
+pub(crate) const ALIVE_MILLIS: u64 = 1_500;
 
 copy_type! {
     /// Open requests of one router on one server.
@@ -110,14 +110,11 @@
 
     /// Takes a report, which names every server with open requests of its piece.
     pub fn note_report(&mut self, now: ClockTime, source: LoadSource, loads: ReportedLoads) {
-        match source {
-            LoadSource::Router(_) | LoadSource::Domain(_) => {}
-            LoadSource::Elsewhere => {
-                if self.hears_domains(now) {
-                    return;
-                }
-                self.remove_where(|known, _| matches!(known, LoadSource::Domain(_)));
+        if source == LoadSource::Elsewhere {
+            if self.hears_domains(now) {
+                return;
             }
+            self.remove_where(|known, _| matches!(known, LoadSource::Domain(_)));
         }
         let pieces = loads.pieces;
         self.remove_where(|known, peer| known == source && peer.loads.pieces != pieces);
@@ -181,38 +178,32 @@
     /// Open requests of this router and of all that report to it themselves, and how many these
     /// routers are.
     pub fn sum_domain(&self, now: ClockTime) -> (u32, BTreeMap<ServerId, OpenLoad>) {
-        let mut sums = self.own.clone();
-        let routers =
-            self.sum_into(&mut sums, now, |source| matches!(source, LoadSource::Router(_)));
-        (1 + routers, sums)
+        let is_router = |source| matches!(source, LoadSource::Router(_));
+        (1 + self.count_routers(now, is_router), self.sum_loads(self.own.clone(), is_router))
     }
 
     /// Open requests of the other failure domains, as their relays told, and the number of routers.
     pub fn sum_elsewhere(&self, now: ClockTime) -> (u32, BTreeMap<ServerId, OpenLoad>) {
-        let mut sums = BTreeMap::new();
-        let routers =
-            self.sum_into(&mut sums, now, |source| matches!(source, LoadSource::Domain(_)));
-        (routers, sums)
+        let is_domain = |source| matches!(source, LoadSource::Domain(_));
+        (self.count_routers(now, is_domain), self.sum_loads(BTreeMap::new(), is_domain))
     }
 
-    fn sum_into(
+    fn sum_loads(
         &self,
-        sums: &mut BTreeMap<ServerId, OpenLoad>,
-        now: ClockTime,
+        mut sums: BTreeMap<ServerId, OpenLoad>,
         counts: impl Fn(LoadSource) -> bool,
-    ) -> u32 {
-        let mut routers = 0;
-        for ((source, piece), peer) in &self.peers {
-            if !counts(*source) {
-                continue;
-            }
-            add_loads(sums, &peer.loads.opens);
-            let alive = now.millis_since(peer.heard) < ALIVE_MILLIS;
-            if alive && *piece == 0 {
-                routers += peer.loads.routers;
-            }
+    ) -> BTreeMap<ServerId, OpenLoad> {
+        for (_, peer) in self.peers.iter().filter(|((source, _), _)| counts(*source)) {
+            add_loads(&mut sums, &peer.loads.opens);
         }
-        routers
+        sums
+    }
+
+    /// Routers told of lately by such sources. The first piece of a report counts for all.
+    fn count_routers(&self, now: ClockTime, counts: impl Fn(LoadSource) -> bool) -> u32 {
+        let first = self.peers.iter().filter(|((source, piece), _)| *piece == 0 && counts(*source));
+        let alive = first.filter(|(_, peer)| now.millis_since(peer.heard) < ALIVE_MILLIS);
+        alive.map(|(_, peer)| peer.loads.routers).sum()
     }
 
     /// Forgets all reports, after a time in which none could be heard.
@@ -235,7 +226,7 @@
 
     /// Routers that reported lately, or were reported, this one included.
     pub fn routers(&self, now: ClockTime) -> u32 {
-        1 + self.sum_into(&mut BTreeMap::new(), now, |_| true)
+        1 + self.count_routers(now, |_| true)
     }
 
     /// Age of the oldest report that counts, in milliseconds.
--- a/crates/catkin-entry/src/peers.rs
+++ b/crates/catkin-entry/src/peers.rs
@@ -16,7 +16,7 @@
 
 use crate::follow::take_declarations;
 use crate::kept_book::KeptPair;
-use crate::load_table::{LoadSource, OpenLoad, ReportedLoads};
+use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads};
 use crate::outcome_book::TOLD_HOLD_MILLIS;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, TellPlan};
 use crate::report::{
@@ -34,9 +34,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Pause between two tries to reach a router that has not been heard.
 const GREET_PAUSE: Duration = Duration::from_millis(1_000);
-/// Time without word after which a router is greeted again, in milliseconds.
-const SILENT_MILLIS: u64 = 1_500;
-/// The same for a router that sends this one no reports, since others relay them.
+/// Time without word after which a router is greeted again that sends this one no reports, since
+/// others relay them, in milliseconds. Any other router is greeted once it no longer counts as alive.
 const FAR_SILENT_MILLIS: u64 = 15_000;
 /// Time without word after which a router is no longer greeted, in milliseconds.
 const GONE_MILLIS: u64 = 60_000;
@@ -348,7 +347,7 @@
         let member = |(vm, router): (&VmId, &KnownRouter)| FleetMember {
             vm: *vm,
             domain: router.domain,
-            alive: now.millis_since(router.heard) < SILENT_MILLIS,
+            alive: now.millis_since(router.heard) < ALIVE_MILLIS,
             strength: router.strength,
         };
         let own = FleetMember {
@@ -418,7 +417,7 @@
             let large = routers.len() >= MAX_SMALL_FLEET;
             let silent = |router: &&KnownRouter| {
                 let far = large && is_other(router.domain, state.domain);
-                let limit = if far { FAR_SILENT_MILLIS } else { SILENT_MILLIS };
+                let limit = if far { FAR_SILENT_MILLIS } else { ALIVE_MILLIS };
                 now.millis_since(router.heard) > limit
             };
             for (vm, router) in routers.iter().filter(|(_, router)| silent(router)) {
--- a/crates/catkin-entry/src/relay_plan.rs
+++ b/crates/catkin-entry/src/relay_plan.rs
@@ -10,10 +10,10 @@
 
 use catkin_base::{ClockTime, DomainId, VmId, copy_type, hash_parts};
 
+use crate::load_table::ALIVE_MILLIS;
+
 /// Most routers that tell each other everything.
 pub const MAX_SMALL_FLEET: usize = 12;
-/// Time after which a relay that is not heard counts as lost, in milliseconds: several reports.
-const RELAY_SILENT_MILLIS: u64 = 1_500;
 /// Routers of a large fleet that follow the store closely, spread over the domains.
 const CLOSE_READERS: usize = 4;
 /// Routers of another domain that are told at once while its relay is unknown.
@@ -90,7 +90,7 @@
         let mut far = Vec::new();
         for (domain, mut members) in domains {
             let heard = self.heard.get(&domain);
-            let relay = heard.filter(|(_, at)| now.millis_since(*at) < RELAY_SILENT_MILLIS);
+            let relay = heard.filter(|(_, at)| now.millis_since(*at) < ALIVE_MILLIS);
             if let Some((vm, _)) = relay {
                 far.push(*vm);
                 continue;
--- a/crates/catkin-entry/src/report.rs
+++ b/crates/catkin-entry/src/report.rs
@@ -1,5 +1,6 @@
 //! What a router tells the others: built from the shared state.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 
 use catkin_base::{ClockTime, RequestDigest, ServerId};
@@ -93,20 +94,24 @@
 
 /// What a relay tells the relays of other domains: the sums and the news of its own.
 pub(crate) fn build_domain_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
-    let (routers, opens) = state.loads.borrow().sum_domain(state.now());
-    let mut status = build_status(state);
-    status.scope = EntryScope::Domain.into();
-    status.routers = routers;
-    split_report(&status, &opens, &mut state.outward.borrow_mut(), state.now())
+    let sums = state.loads.borrow().sum_domain(state.now());
+    build_relayed(state, EntryScope::Domain, sums, &state.outward)
 }
 
 /// What a relay tells its own domain: the sums and the news of the others.
 pub(crate) fn build_elsewhere_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
-    let (routers, opens) = state.loads.borrow().sum_elsewhere(state.now());
-    let mut status = build_status(state);
-    status.scope = EntryScope::Elsewhere.into();
-    status.routers = routers;
-    split_report(&status, &opens, &mut state.inward.borrow_mut(), state.now())
+    let sums = state.loads.borrow().sum_elsewhere(state.now());
+    build_relayed(state, EntryScope::Elsewhere, sums, &state.inward)
+}
+
+fn build_relayed<W>(
+    state: &EntryState<W>,
+    scope: EntryScope,
+    (routers, opens): (u32, BTreeMap<ServerId, OpenLoad>),
+    news: &RefCell<RelayNews>,
+) -> Vec<EntryReport> {
+    let status = EntryReport { scope: scope.into(), routers, ..build_status(state) };
+    split_report(&status, &opens, &mut news.borrow_mut(), state.now())
 }
 
 /// Splits what does not fit one datagram. Each server has its place in one of the pieces.
--- a/crates/catkin-entry/tests/placement.rs
+++ b/crates/catkin-entry/tests/placement.rs
@@ -49,6 +49,11 @@
     PlaceQuery { affinity, shared_tokens: 0, second_copy: false }
 }
 
+/// Tokens of a prompt that the first server is known to keep.
+fn kept_tokens(book: &KeptBook, now: ClockTime, prefixes: &[PrefixPart]) -> u32 {
+    book.keepers(now, prefixes).get(&ServerId(1)).copied().unwrap_or(0)
+}
+
 #[test]
 fn returning_prompts_go_to_the_server_that_keeps_them() {
     let mut servers = pool(9);
@@ -246,14 +251,14 @@
     let prefixes = hash_prefixes("m", &parts);
     let mut book = KeptBook::default();
     book.note(ClockTime::ZERO, pair(prefixes[0].key, 500));
-    let first_only = book.kept_tokens(now, &prefixes, ServerId(1));
+    let first_only = kept_tokens(&book, now, &prefixes);
 
     book.note(now, pair(prefixes[1].key, 10_000));
     book.drop_beyond(ServerId(1), 10_000);
 
     assert_eq!(first_only, 500);
     assert!(!book.keeps(now, prefixes[0].key, ServerId(1)));
-    assert_eq!(book.kept_tokens(now, &prefixes, ServerId(1)), 10_500);
+    assert_eq!(kept_tokens(&book, now, &prefixes), 10_500);
 }
 
 #[test]
@@ -265,7 +270,7 @@
     book.forget_server(ServerId(1));
 
     let prefix = PrefixPart { key: 7, tokens: 10, own_tokens: 10 };
-    assert_eq!(book.kept_tokens(now, &[prefix], ServerId(1)), 0);
+    assert_eq!(kept_tokens(&book, now, &[prefix]), 0);
 }
 
 #[test]
