Routers compare the latest change of a server, not the revision of their lists

Cause: reports carried the revision of the store that the sender's list reflects. Ruled out: missed events of watches; the lists returned no change.

Change: the server book keeps the revision of the latest change of an entry, reports carry that one, and a list is outdated if it lacks that change. A removal counts with its own revision.

--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -52,7 +52,7 @@
     let ejected = ejected.map(ejected_count);
     EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
-        directory: servers.revision(),
+        directory: servers.latest_change(),
         domain: state.local_domain.0,
         strength: state.settings().strength(),
         leaving: leaving.collect(),
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -60,6 +60,8 @@
     departures: BTreeMap<ServerId, Departure>,
     /// Revision of the store that the list reflects.
     revision: u64,
+    /// Revision of the latest change of a server's entry.
+    latest_change: u64,
 }
 
 /// Derives the identifier of one incarnation of a server from its name, start time and address.
@@ -70,9 +72,15 @@
 }
 
 impl ServerBook {
-    /// Revision of the store that the list of servers reflects.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Revision of the latest change of a server's entry that is reflected. Unlike the revision of
+    /// the list it does not rise with writes of other kinds, so it is what routers compare.
+    pub fn latest_change(&self) -> u64 {
+        self.latest_change
+    }
+
+    /// Whether the list lacks a change of a server's entry that another router knows.
+    pub fn is_outdated(&self, change: u64) -> bool {
+        change > self.revision.max(self.latest_change)
     }
 
     /// Advances the revision that the list reflects; an older one is ignored.
@@ -89,6 +97,7 @@
         revision: u64,
         record: Option<ServerRecord>,
     ) -> ServerChange {
+        self.latest_change = self.latest_change.max(revision);
         let known = self.servers.get_mut(name);
         if known.as_ref().is_some_and(|known| known.revision > revision) {
             return ServerChange::Unchanged;
@@ -125,6 +134,18 @@
         name: &str,
         revision: u64,
         confirmed: bool,
+    ) -> ServerChange {
+        self.latest_change = self.latest_change.max(revision);
+        self.drop_entry(now, name, revision, confirmed)
+    }
+
+    /// Drops an entry that is missing as of `revision`, which may be later than its removal.
+    fn drop_entry(
+        &mut self,
+        now: ClockTime,
+        name: &str,
+        revision: u64,
+        confirmed: bool,
     ) -> ServerChange {
         let Some(known) = self.servers.get_mut(name) else { return ServerChange::Unchanged };
         if known.revision > revision {
@@ -152,7 +173,7 @@
         let missing: Vec<String> = missing.cloned().collect();
         let mut changes = Vec::new();
         for name in missing {
-            changes.push(self.apply_removal(now, &name, revision, confirmed));
+            changes.push(self.drop_entry(now, &name, revision, confirmed));
         }
         for (name, entry_revision, record) in entries {
             changes.push(self.apply_entry(now, &name, entry_revision, record));
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -189,12 +189,9 @@
         let mut servers = self.state.servers.borrow_mut();
         for entry in &page.entries {
             let change = if entry.removed {
-                servers.apply_removal(
-                    now,
-                    &entry.name,
-                    entry.revision.max(page.revision),
-                    recovered,
-                )
+                // An event without a revision is placed at that of the page.
+                let revision = if entry.revision > 0 { entry.revision } else { page.revision };
+                servers.apply_removal(now, &entry.name, revision, recovered)
             } else {
                 servers.apply_entry(now, &entry.name, entry.revision, read_server::<W>(entry))
             };
@@ -289,7 +286,7 @@
 fn is_outdated<W: EntryWire>(state: &EntryState<W>, kind: StoreKind) -> bool {
     let (declaration, directory) = state.peer_versions.get();
     match kind {
-        StoreKind::Servers => directory > state.servers.borrow().revision(),
+        StoreKind::Servers => state.servers.borrow().is_outdated(directory),
         _ => state.route_table.borrow().as_ref().is_none_or(|table| declaration > table.version()),
     }
 }
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -185,6 +185,33 @@
     assert_eq!(changes, [ServerChange::Removed(derive_server_id("i-1", &server(1)))]);
 }
 
+/// Guards against lists that all routers repeat because one of them listed the same servers later.
+/// The revision of a list counts writes of every kind, so it rises whenever a router registers.
+#[test]
+fn a_later_list_of_the_same_servers_does_not_outdate_an_earlier_one() {
+    let entries = || vec![("i-1".to_owned(), 5, Some(server(1)))];
+    let [mut earlier, mut later] = [ServerBook::default(), ServerBook::default()];
+    earlier.apply_list(at(0), 10, entries(), true);
+    later.apply_list(at(1), 20, entries(), true);
+
+    assert!(!earlier.is_outdated(later.latest_change()));
+    later.apply_entry(at(2), "i-2", 21, Some(server(2)));
+    assert!(earlier.is_outdated(later.latest_change()));
+    earlier.apply_list(at(3), 22, entries(), true);
+    assert!(!earlier.is_outdated(later.latest_change()));
+}
+
+#[test]
+fn a_removal_outdates_lists_from_before_it() {
+    let [mut other, mut book] = [one_server_book(), one_server_book()];
+    other.advance_revision(24);
+
+    book.apply_removal(at(1), "i-1", 25, true);
+
+    assert!(other.is_outdated(book.latest_change()));
+    assert!(!book.is_outdated(other.latest_change()));
+}
+
 #[test]
 fn a_reported_departure_counts_only_with_a_newer_revision() {
     let mut book = one_server_book();
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -397,7 +397,7 @@
     /// newest known version of the declarations
     #[prost(uint64, tag = "1")]
     pub declaration: u64,
-    /// revision of the server list that the sender has
+    /// revision of the latest change of a server that the sender knows
     #[prost(uint64, tag = "2")]
     pub directory: u64,
     /// each server with open requests in the scope
