Pass a long list of servers on from router to router when a large fleet starts

Cause: 302 routers that start together each list 3,000 servers, about a megabyte, from one store whose link carries 125 MB a second. A page then takes longer than the first timeout of 350 ms, is thrown away with all pages before it, and the list starts again. Seen in a trial with 1,500 servers at 195 VMs: every router listed twice, 8 of 32 lists timed out, the last list was in force 2.7 s after the kill. Ruled out: the store's call rates (no answer 429), the assignment of engines to routers (some milliseconds).

Change: the first page still comes from the store. If there are more, two routers of each failure domain list on, and pass the list on along a tree of four branches in the order in which routers become relays; a router that is asked before it knows the list answers once it does. A router that gets no copy within 1.2 s lists from the store. A page may take longer than the timeout as long as bytes arrive, and pages that arrived before a failure are kept for 3 s. More than 40 changes of servers at once are logged by one line. Fleets whose servers fit one page list as before.

--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -218,10 +218,29 @@
         &mut self,
         limit_bytes: usize,
         deadline: Instant,
+    ) -> Result<Bytes, ExchangeFailure> {
+        self.read_body_until(limit_bytes, || deadline).await
+    }
+
+    /// Reads the rest of the answer's body; fails if it exceeds `limit_bytes` or if nothing arrives
+    /// for `stall_timeout`.
+    pub async fn read_flowing_body(
+        &mut self,
+        limit_bytes: usize,
+        stall_timeout: Duration,
+    ) -> Result<Bytes, ExchangeFailure> {
+        self.read_body_until(limit_bytes, || Instant::now() + stall_timeout).await
+    }
+
+    /// Reads the rest of the answer's body. `next_deadline` returns the deadline of each read.
+    async fn read_body_until(
+        &mut self,
+        limit_bytes: usize,
+        next_deadline: impl Fn() -> Instant,
     ) -> Result<Bytes, ExchangeFailure> {
         let mut body = BytesMut::new();
         loop {
-            let read = timeout_at(deadline, self.next_bytes()).await;
+            let read = timeout_at(next_deadline(), self.next_bytes()).await;
             let Some(bytes) = read.map_err(|_| ExchangeFailure::TimedOut)?? else {
                 return Ok(body.freeze());
             };
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -9,7 +9,8 @@
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer, `refusal` answers requests that were not served.
 //! 3. Store: `join` registers the router, `store_follower` applies changes of declarations and
-//!    servers to `route_table` and `server_book`, through `store_client`.
+//!    servers to `route_table` and `server_book`, through `store_client`. `list_plan` decides which
+//!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start.
@@ -32,6 +33,7 @@
 mod connection;
 mod connection_pool;
 mod join;
+mod list_plan;
 mod load_table;
 mod logging;
 mod outcome_book;
@@ -45,6 +47,7 @@
 mod route_table;
 mod serve;
 mod server_book;
+mod server_copy;
 mod server_selection;
 mod settings;
 mod state;
@@ -58,6 +61,7 @@
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
 pub use connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
+pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads};
 pub use logging::LineBudget;
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
@@ -72,6 +76,7 @@
 pub use server_book::{
     KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
 };
+pub use server_copy::{ServerList, decode_server_list, encode_server_list};
 pub use server_selection::{
     CandidateState, LoadBounds, SelectionError, SelectionQuery, ServerCandidate, ServerSelection,
     select_server,
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -2,7 +2,7 @@
 //! strikes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,12 +10,14 @@
 use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
-    DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage,
+    DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage, ServerListAsk,
+    ServerListCopy,
 };
 use catkin_peer::{MessageSource, PeerLink, UdpLink};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cache_index::CachedPart;
+use crate::list_plan::{ListSource, choose_asked_router, choose_list_source};
 use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads};
 use crate::outcome_book::PEER_EJECTION_MILLIS;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
@@ -23,7 +25,8 @@
     build_domain_reports, build_load_report, build_other_domain_reports, build_report,
     build_status, encode_part, has_updates, list_cached_parts, wrap_message,
 };
-use crate::state::{EntryState, RelayUpdates};
+use crate::server_copy::{decode_server_list, encode_server_list};
+use crate::state::{EntryState, ListCopy, RelayUpdates};
 use crate::store_follower::install_declarations;
 use crate::wire::EntryWire;
 
@@ -48,6 +51,11 @@
 const ANSWERING_STORE_DELAY: Duration = Duration::from_millis(1_500);
 /// Minimum interval of requests for newer declarations.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval of requests for the list of servers.
+const LIST_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
+/// Minimum interval of sending the list of servers to the same router, which may request it again
+/// while it is on its way.
+const LIST_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -67,6 +75,12 @@
 pub(crate) struct PeerService {
     link: UdpLink,
     routers: RefCell<BTreeMap<VmId, KnownRouter>>,
+    /// Routers that sent a message since this process started.
+    heard: RefCell<BTreeSet<VmId>>,
+    /// Routers that requested the list of servers before it was known.
+    list_requests: RefCell<BTreeSet<VmId>>,
+    /// When the list of servers was last sent to a router.
+    lists_sent: RefCell<BTreeMap<VmId, Instant>>,
     relays: RefCell<RelayBook>,
     /// Whether this router is the relay of its domain.
     is_relay: Cell<bool>,
@@ -83,6 +97,9 @@
         Self {
             link,
             routers,
+            heard: RefCell::default(),
+            list_requests: RefCell::default(),
+            lists_sent: RefCell::default(),
             relays: RefCell::default(),
             is_relay: Cell::new(false),
             requested_at: Cell::new(None),
@@ -138,6 +155,8 @@
                     self.answer_declaration_ask(state, &source, &ask)
                 }
                 Some(Kind::DeclarationCopy(copy)) => apply_declaration_copy(state, &copy),
+                Some(Kind::ServerListAsk(_)) => self.handle_list_request(state, &source),
+                Some(Kind::ServerListCopy(copy)) => record_list_copy(state, &source, &copy),
                 _ => {}
             }
         }
@@ -160,6 +179,7 @@
         if report.scope() == EntryScope::Domain {
             self.relays.borrow_mut().record_relay(now, domain, source.vm);
         }
+        self.heard.borrow_mut().insert(source.vm);
         if self.routers.borrow_mut().insert(source.vm, router).is_none() {
             log::info!("peers: first message of a router; added to the fleet. vm={}", source.vm);
         }
@@ -332,6 +352,71 @@
         self.link.send(source.vm, source.address, &wrap_message(Kind::DeclarationCopy(copy)));
     }
 
+    /// Requests the list of servers from other routers, if the list is long and this router is not
+    /// one of those that list it from the store.
+    pub(crate) async fn request_server_list<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        let (local, others) = self.list_members(state);
+        let ListSource::Routers(sources) = choose_list_source(local, &others) else {
+            *state.list_copy.borrow_mut() = ListCopy::FromStore;
+            return state.list_copy_change.notify_waiters();
+        };
+        let mut attempt = 0;
+        while !state.servers.borrow().is_listed() {
+            let changed = state.list_copy_change.notified();
+            if !matches!(*state.list_copy.borrow(), ListCopy::Wanted) {
+                changed.await;
+                continue;
+            }
+            let asked =
+                choose_asked_router(&sources, attempt, |vm| self.heard.borrow().contains(&vm));
+            if let Some(vm) = asked {
+                self.send_kind(vm, Kind::ServerListAsk(ServerListAsk {}));
+            }
+            attempt += 1;
+            sleep(LIST_REQUEST_INTERVAL).await;
+        }
+    }
+
+    /// Sends the list of servers, once it is known, to the routers that requested it before.
+    pub(crate) async fn answer_list_requests<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        while !state.servers.borrow().is_listed() {
+            state.list_copy_change.notified().await;
+        }
+        let waiting = std::mem::take(&mut *self.list_requests.borrow_mut());
+        for vm in waiting {
+            self.send_server_list(state, vm);
+        }
+    }
+
+    /// Answers a request for the list of servers, or records it until the list is known.
+    fn handle_list_request<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        if state.servers.borrow().is_listed() {
+            self.send_server_list(state, source.vm);
+        } else {
+            self.list_requests.borrow_mut().insert(source.vm);
+        }
+    }
+
+    fn send_server_list<W: EntryWire>(&self, state: &EntryState<W>, vm: VmId) {
+        let sent = self.lists_sent.borrow().get(&vm).copied();
+        if sent.is_some_and(|sent| sent.elapsed() < LIST_RESEND_INTERVAL) {
+            return;
+        }
+        self.lists_sent.borrow_mut().insert(vm, Instant::now());
+        let copy = encode_server_list(&state.servers.borrow());
+        log::info!(
+            "peers: list of servers sent to a router that starts. vm={vm} servers={}",
+            copy.rows.len()
+        );
+        self.send_kind(vm, Kind::ServerListCopy(copy));
+    }
+
+    fn send_kind(&self, vm: VmId, kind: Kind) {
+        if let Some(router) = self.routers.borrow().get(&vm) {
+            self.link.send(vm, router.address, &wrap_message(kind));
+        }
+    }
+
     /// Sends a join announcement, then reports to the other routers as long as the process runs.
     pub(crate) async fn send_reports<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         let mut announcement = build_status(state);
@@ -476,6 +561,28 @@
     }
 }
 
+/// Hands a list of servers to the follower of the store, if that waits for one.
+fn record_list_copy<W: EntryWire>(
+    state: &EntryState<W>,
+    source: &MessageSource,
+    copy: &ServerListCopy,
+) {
+    if !matches!(*state.list_copy.borrow(), ListCopy::Wanted) {
+        return;
+    }
+    match decode_server_list(copy) {
+        Some(list) => {
+            *state.list_copy.borrow_mut() = ListCopy::Received(list);
+            state.list_copy_change.notify_waiters();
+        }
+        None => log::warn!(
+            "peers: list of servers of another router ignored; a row has an invalid address or \
+             refers to a missing name. vm={}",
+            source.vm
+        ),
+    }
+}
+
 fn is_remote(domain: Option<DomainId>, local: DomainId) -> bool {
     domain.is_some_and(|domain| domain != local)
 }
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -251,6 +251,8 @@
             service.send_reports(&state),
             service.announce_to_silent(&state),
             load_cache_index(&state, &service),
+            service.request_server_list(&state),
+            service.answer_list_requests(&state),
         );
     };
     tokio::select! {
--- a/crates/catkin-entry/src/relay_plan.rs
+++ b/crates/catkin-entry/src/relay_plan.rs
@@ -132,7 +132,7 @@
 
 /// Rank of a router in the order in which routers become relays or consistent readers: those with
 /// the highest capacity first.
-fn relay_order(member: &FleetMember) -> (Reverse<u32>, u64, VmId) {
+pub(crate) fn relay_order(member: &FleetMember) -> (Reverse<u32>, u64, VmId) {
     let vm = member.vm;
     (Reverse(member.strength), hash_parts(&[b"duty", &vm.0.to_le_bytes()]), vm)
 }
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -29,6 +29,13 @@
     missing_until: Option<ClockTime>,
 }
 
+impl KnownServer {
+    /// Whether its entry is missing from the store.
+    pub fn is_missing(&self) -> bool {
+        self.missing_until.is_some()
+    }
+}
+
 /// A departure, for the reports to other routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Departure {
@@ -72,12 +79,22 @@
 }
 
 impl ServerBook {
+    /// Revision of the store that the list of servers reflects.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Revision of the latest change of a server's entry that is reflected. Unlike the revision of
     /// the list it does not rise with writes of other kinds, so it is what routers compare.
     pub fn latest_change(&self) -> u64 {
         self.latest_change
     }
 
+    /// Whether the servers were listed.
+    pub fn is_listed(&self) -> bool {
+        self.revision > 0
+    }
+
     /// Whether the list lacks a change of a server's entry that another router knows.
     pub fn is_outdated(&self, change: u64) -> bool {
         change > self.revision.max(self.latest_change)
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
 use crate::server_book::{ServerBook, ServerChange};
+use crate::server_copy::ServerList;
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
 
@@ -65,6 +66,20 @@
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
 }
 
+/// Progress of getting the first list of servers from another router.
+#[derive(Debug, Default)]
+pub(crate) enum ListCopy {
+    /// It is not known yet whether another router must be asked.
+    #[default]
+    Unplanned,
+    /// The list comes from the store.
+    FromStore,
+    /// The list is long, so another router is asked.
+    Wanted,
+    /// Another router sent its list.
+    Received(ServerList),
+}
+
 /// State shared by all tasks of the router.
 pub(crate) struct EntryState<W> {
     pub(crate) settings: RefCell<Rc<EntrySettings>>,
@@ -95,6 +110,9 @@
     /// Newest version of the declarations, and newest revision of the server list, that any router
     /// reported.
     pub(crate) peer_versions: Cell<(u64, u64)>,
+    pub(crate) list_copy: RefCell<ListCopy>,
+    /// Signals that `list_copy` changed or that servers were listed.
+    pub(crate) list_copy_change: Notify,
     pub(crate) joined: Cell<bool>,
     pub(crate) stopping: Cell<Option<Instant>>,
     /// Whether the last call for declarations failed.
@@ -144,6 +162,8 @@
             selection_input_change: Notify::new(),
             peer_versions_change: Notify::new(),
             peer_versions: Cell::default(),
+            list_copy: RefCell::default(),
+            list_copy_change: Notify::new(),
             joined: Cell::new(false),
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
@@ -199,19 +219,20 @@
         }
     }
 
-    /// Applies a change of the server list. The state of a server that left or restarted is
-    /// removed.
-    pub(crate) fn apply_change(&self, change: ServerChange) {
+    /// Applies a change of the server list, and logs it if `log_it` is set. The state of a server
+    /// that left or restarted is removed.
+    pub(crate) fn apply_change(&self, change: ServerChange, log_it: bool) {
+        if log_it {
+            log_change(change);
+        }
         match change {
             ServerChange::Unchanged => return,
-            ServerChange::Appeared(server) => log::info!("servers: new server. server={server}"),
+            ServerChange::Appeared(_) => {}
             ServerChange::Leaving(server) => {
-                log::info!("servers: server is leaving; no new requests. server={server}");
                 self.pool.borrow_mut().drop_idle_to(server);
                 self.updates.borrow_mut().send_now = true;
             }
             ServerChange::Removed(server) => {
-                log::info!("servers: server was removed, and its state with it. server={server}");
                 self.remove_server(server);
                 self.updates.borrow_mut().send_now = true;
             }
@@ -226,6 +247,19 @@
     }
 }
 
+fn log_change(change: ServerChange) {
+    match change {
+        ServerChange::Unchanged => {}
+        ServerChange::Appeared(server) => log::info!("servers: new server. server={server}"),
+        ServerChange::Leaving(server) => {
+            log::info!("servers: server is leaving; no new requests. server={server}");
+        }
+        ServerChange::Removed(server) => {
+            log::info!("servers: server was removed, and its state with it. server={server}");
+        }
+    }
+}
+
 /// The slot of an open request at a server. Counted in the load until dropped.
 pub(crate) struct OpenSlot<W> {
     state: Rc<EntryState<W>>,
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -107,18 +107,37 @@
         kind: StoreKind,
         timeout: Duration,
     ) -> Result<StorePage, StoreCallError> {
-        let mut list = self.list_page(kind, None, timeout).await?;
+        let mut list = self.list_first(kind, timeout).await?;
         while list.has_more {
-            let after = list.entries.last().map(|entry| entry.name.clone());
-            let page = self.list_page(kind, after.as_deref(), timeout).await?;
-            // The revision of the first page stays, so that a wait from it returns changes between
-            // pages.
-            list.has_more = page.has_more && !page.entries.is_empty();
-            list.entries.extend(page.entries);
+            self.list_next(kind, &mut list, timeout).await?;
         }
         Ok(list)
     }
 
+    /// Lists the first page of objects of a kind.
+    pub async fn list_first(
+        &mut self,
+        kind: StoreKind,
+        timeout: Duration,
+    ) -> Result<StorePage, StoreCallError> {
+        self.list_page(kind, None, timeout).await
+    }
+
+    /// Appends the next page to `list`. The revision of the first page stays, so that a watch from
+    /// it returns changes between pages.
+    pub async fn list_next(
+        &mut self,
+        kind: StoreKind,
+        list: &mut StorePage,
+        timeout: Duration,
+    ) -> Result<(), StoreCallError> {
+        let after = list.entries.last().map(|entry| entry.name.as_str());
+        let page = self.list_page(kind, after, timeout).await?;
+        list.has_more = page.has_more && !page.entries.is_empty();
+        list.entries.extend(page.entries);
+        Ok(())
+    }
+
     async fn list_page(
         &mut self,
         kind: StoreKind,
@@ -214,7 +233,8 @@
         // The connection is reused only after a complete answer, since a lost answer never arrives.
         let exchanged = connection.exchange(&request, None, false, deadline).await;
         let head = exchanged.map_err(|error| StoreCallError::Unanswered(error.failure))?;
-        let read = connection.read_body(MAX_ANSWER_BYTES, deadline).await;
+        // A long answer may take longer than the timeout, as long as bytes arrive.
+        let read = connection.read_flowing_body(MAX_ANSWER_BYTES, timeout).await;
         let body = read.map_err(StoreCallError::Unanswered)?;
         if connection.is_reusable() {
             self.connection = Some(connection);
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -5,11 +5,12 @@
 
 use catkin_base::ClockTime;
 use catkin_policy::BackoffPlan;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::route_table::RouteTable;
 use crate::server_book::ServerChange;
-use crate::state::EntryState;
+use crate::server_copy::ServerList;
+use crate::state::{EntryState, ListCopy};
 use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient};
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
@@ -34,6 +35,13 @@
 /// report those that leave.
 const STALE_READ_OUTDATED_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of changes of servers at once that are logged one by one.
+const MAX_LOGGED_CHANGES: usize = 40;
+/// Time for which the pages of an incomplete list are kept.
+const KEPT_PAGES_TIME: Duration = Duration::from_secs(3);
+/// Maximum wait for the list of another router.
+const COPY_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Follows the objects of one kind until dropped.
 pub(crate) async fn follow_kind<W: EntryWire>(state: Rc<EntryState<W>>, kind: StoreKind) {
     let address = state.settings().store;
@@ -41,6 +49,7 @@
         client: StoreClient::new(address),
         kind,
         revision: None,
+        pages: None,
         failed_at: None,
         backoff: BackoffPlan::new(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS),
         timeout: GrowingTimeout::default(),
@@ -53,12 +62,21 @@
     }
 }
 
+/// The first pages of a list.
+struct ListedPages {
+    /// When the first page arrived.
+    since: Instant,
+    list: StorePage,
+}
+
 struct StoreFollower<W> {
     state: Rc<EntryState<W>>,
     client: StoreClient<W>,
     kind: StoreKind,
     /// Revision up to which changes are known; `None` if the next call must list all objects.
     revision: Option<u64>,
+    /// Pages of a list that could not be completed.
+    pages: Option<ListedPages>,
     failed_at: Option<ClockTime>,
     backoff: BackoffPlan,
     timeout: GrowingTimeout,
@@ -68,11 +86,7 @@
     /// Lists all objects, or watches for the next changes, and applies the result.
     async fn read_next(&mut self) -> Result<(), StoreCallError> {
         match self.revision {
-            None => {
-                let page = self.client.list(self.kind, self.timeout.current()).await?;
-                self.record_answer();
-                self.apply_list(page);
-            }
+            None => self.list_all().await?,
             Some(revision) => {
                 let state = Rc::clone(&self.state);
                 let allow_stale = !state.consistent_reads.get();
@@ -105,6 +119,78 @@
         Ok(())
     }
 
+    /// Lists all objects and applies the list. Pages that arrived before a failure are kept for a
+    /// while, so that the next attempt continues after them.
+    async fn list_all(&mut self) -> Result<(), StoreCallError> {
+        let kept = self.pages.take();
+        let kept = kept.filter(|pages| pages.since.elapsed() < KEPT_PAGES_TIME);
+        let mut pages = match kept {
+            Some(pages) => pages,
+            None => {
+                let list = self.client.list_first(self.kind, self.timeout.current()).await?;
+                ListedPages { since: Instant::now(), list }
+            }
+        };
+        if pages.list.has_more
+            && self.is_first_server_list()
+            && let Some(list) = self.receive_copy().await
+        {
+            self.apply_copy(list);
+            return Ok(());
+        }
+        while pages.list.has_more {
+            let timeout = self.timeout.current();
+            if let Err(error) = self.client.list_next(self.kind, &mut pages.list, timeout).await {
+                self.pages = Some(pages);
+                return Err(error);
+            }
+            self.timeout = GrowingTimeout::default();
+        }
+        self.record_answer();
+        self.apply_list(pages.list);
+        Ok(())
+    }
+
+    fn is_first_server_list(&self) -> bool {
+        self.kind == StoreKind::Servers && !self.state.servers.borrow().is_listed()
+    }
+
+    /// Waits for the list of another router; `None` if this router must list from the store.
+    async fn receive_copy(&self) -> Option<ServerList> {
+        let state = &self.state;
+        if matches!(*state.list_copy.borrow(), ListCopy::Unplanned) {
+            state.list_copy.replace(ListCopy::Wanted);
+            state.list_copy_change.notify_waiters();
+        }
+        let until = Instant::now() + COPY_TIMEOUT;
+        while matches!(*state.list_copy.borrow(), ListCopy::Wanted) {
+            let changed = state.list_copy_change.notified();
+            if timeout_at(until, changed).await.is_err() {
+                log::info!(
+                    "store: no router sent its list of servers; listing all from the store."
+                );
+                break;
+            }
+        }
+        match state.list_copy.replace(ListCopy::FromStore) {
+            ListCopy::Received(list) => Some(list),
+            _ => None,
+        }
+    }
+
+    /// Applies the list of another router. The next watch starts from its revision, so that it
+    /// returns what changed since.
+    fn apply_copy(&mut self, list: ServerList) {
+        log::info!(
+            "store: servers listed by another router. revision={} servers={}",
+            list.revision,
+            list.entries.len()
+        );
+        self.record_answer();
+        self.revision = Some(list.revision);
+        self.apply_servers(list);
+    }
+
     /// Returns the delay before the next watch, in which further changes accumulate.
     fn batch_delay(&self) -> Duration {
         let reads_stale = !self.state.consistent_reads.get() && self.kind == StoreKind::Servers;
@@ -156,28 +242,33 @@
         self.revision = Some(page.revision);
         match self.kind {
             StoreKind::Servers => {
-                let now = self.state.now();
                 let entries = page.entries.into_iter();
                 let entries = entries.map(|entry| {
                     let record = read_server::<W>(&entry);
                     (entry.name, entry.revision, record)
                 });
-                let entries = entries.collect();
-                let recovered = self.is_recovered();
-                let mut servers = self.state.servers.borrow_mut();
-                let changes = servers.apply_list(now, page.revision, entries, recovered);
-                drop(servers);
-                log::info!(
-                    "store: servers listed. revision={} changes={} settled={recovered}",
-                    page.revision,
-                    changes.len()
-                );
-                self.apply_server_changes(&changes);
+                let list = ServerList { revision: page.revision, entries: entries.collect() };
+                self.apply_servers(list);
             }
             _ => self.apply_declarations(page.entries),
         }
     }
 
+    fn apply_servers(&self, list: ServerList) {
+        let ServerList { revision, entries } = list;
+        let now = self.state.now();
+        let recovered = self.is_recovered();
+        let mut servers = self.state.servers.borrow_mut();
+        let changes = servers.apply_list(now, revision, entries, recovered);
+        drop(servers);
+        log::info!(
+            "store: servers listed. revision={revision} changes={} settled={recovered}",
+            changes.len()
+        );
+        self.apply_server_changes(&changes);
+        self.state.list_copy_change.notify_waiters();
+    }
+
     fn apply_changes(&mut self, page: StorePage) {
         self.revision = Some(page.revision);
         if self.kind != StoreKind::Servers {
@@ -203,8 +294,10 @@
     }
 
     fn apply_server_changes(&self, changes: &[ServerChange]) {
+        // The lines of a long list would use up the budget of the log.
+        let log_each = changes.len() <= MAX_LOGGED_CHANGES;
         for change in changes {
-            self.state.apply_change(*change);
+            self.state.apply_change(*change, log_each);
         }
     }
 
--- a/crates/catkin-entry/tests/connection.rs
+++ b/crates/catkin-entry/tests/connection.rs
@@ -76,6 +76,28 @@
     assert!(exchanged.reusable);
 }
 
+/// Reads an answer whose body arrives in three parts with pauses of `pause`.
+async fn read_in_parts(pause: Duration) -> Result<usize, ExchangeFailure> {
+    let head = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 6\r\n\r\n";
+    let part = || [ServerStep::Wait(pause), write("ab")];
+    let steps = [vec![write(head)], part().into(), part().into(), part().into()].concat();
+    let address = start_server(steps).await;
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut connection = HttpConnection::connect(address, deadline).await.unwrap();
+    connection.exchange(REQUEST, None, false, deadline).await.unwrap();
+    let body = connection.read_flowing_body(BODY_LIMIT_BYTES, Duration::from_millis(350)).await;
+    body.map(|body| body.len())
+}
+
+/// Guards against long lists that are discarded and requested again while they arrive, because the
+/// link of the store is busy.
+#[tokio::test]
+async fn a_long_answer_may_take_longer_than_the_timeout_as_long_as_bytes_arrive() {
+    tokio::time::pause();
+    assert_eq!(read_in_parts(Duration::from_millis(200)).await, Ok(6));
+    assert_eq!(read_in_parts(Duration::from_millis(500)).await, Err(ExchangeFailure::TimedOut));
+}
+
 #[tokio::test]
 async fn a_late_answer_to_an_earlier_request_is_skipped() {
     let exchanged = exchange(vec![write(OTHER_ANSWER), write(MATCHING_ANSWER)]).await.unwrap();
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -85,6 +85,10 @@
         DeclarationAsk(super::DeclarationAsk),
         #[prost(message, tag = "24")]
         DeclarationCopy(super::DeclarationCopy),
+        #[prost(message, tag = "25")]
+        ServerListAsk(super::ServerListAsk),
+        #[prost(message, tag = "26")]
+        ServerListCopy(super::ServerListCopy),
     }
 }
 /// Membership. Of several updates about a member, the highest incarnation takes precedence, then the
@@ -496,6 +500,50 @@
     #[prost(bytes = "vec", tag = "3")]
     pub content: ::prost::alloc::vec::Vec<u8>,
 }
+/// The list of servers, for a router that has just started.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerListAsk {
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ServerListCopy {
+    /// of the store that the list reflects
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// names that the rows refer to by index
+    #[prost(string, repeated, tag = "2")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// names that the rows refer to by index
+    #[prost(string, repeated, tag = "3")]
+    pub domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(message, repeated, tag = "4")]
+    pub rows: ::prost::alloc::vec::Vec<ListedServer>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListedServer {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    /// of its entry
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(uint32, tag = "3")]
+    pub service: u32,
+    #[prost(uint32, tag = "4")]
+    pub domain: u32,
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// of the server's process
+    #[prost(uint64, tag = "7")]
+    pub started_unix_millis: u64,
+    #[prost(fixed32, tag = "8")]
+    pub ipv4: u32,
+    #[prost(uint32, tag = "9")]
+    pub port: u32,
+    /// instead of ipv4
+    #[prost(bytes = "vec", tag = "10")]
+    pub ipv6: ::prost::alloc::vec::Vec<u8>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -82,7 +82,11 @@
         Kind::ServerOrderAnswer(answer) => state.order_replies.deliver_reply(answer),
         Kind::ServerState(server_state) => handle_server_state(state, server_state),
         // Messages between the routers of crate `catkin-entry`; this router does not use them.
-        Kind::EntryReport(_) | Kind::DeclarationAsk(_) | Kind::DeclarationCopy(_) => {}
+        Kind::EntryReport(_)
+        | Kind::DeclarationAsk(_)
+        | Kind::DeclarationCopy(_)
+        | Kind::ServerListAsk(_)
+        | Kind::ServerListCopy(_) => {}
         // Membership messages are handled by `handle_message`.
         Kind::Ping(_) | Kind::PingAck(_) | Kind::PingRequest(_) => {}
     }
--- a/crates/catkin-router/src/traffic.rs
+++ b/crates/catkin-router/src/traffic.rs
@@ -77,5 +77,7 @@
         Kind::EntryReport(_) => "entry-report",
         Kind::DeclarationAsk(_) => "declaration-ask",
         Kind::DeclarationCopy(_) => "declaration-copy",
+        Kind::ServerListAsk(_) => "server-list-ask",
+        Kind::ServerListCopy(_) => "server-list-copy",
     }
 }
