Notice slow servers by the pace of their answers, and learn the engines' speed

The engines' prefill speed and the costs that follow from it were constants near those of the first sites.

Change: SpeedBook learns for each service how the time to the first event grows with the tokens to prefill, and for each server by which factor the pace of its answers is slower than that of its service: the median time between events, or the time of a whole answer. A slow server is charged by its factor, so that it gets work in proportion; without answers it counts as normal again after seconds. Factors go to the other routers in the reports that exist. Requests of services without engines wait in the queue of a full server if they start there within half their target; before, they waited at the router for a free slot, by loads older than such a request takes, and were then refused. The line of an assignment says what the router expected of the server and how much time the request had left.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use catkin_http::{EventSplitter, ResponseHead};
@@ -20,6 +21,9 @@
 /// Maximum size of an event in a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Number of events of a stream that one measurement of their pace spans.
+const PACED_EVENTS: usize = 8;
+
 /// How forwarding one server's answer ended.
 pub(crate) enum ForwardEnd {
     /// The caller has the complete answer.
@@ -33,9 +37,14 @@
 
 /// Forwards the answer to one request, from one or several servers in turn.
 pub(crate) struct AnswerForwarder {
+    service: String,
     streaming: bool,
     to_head_request: bool,
     splitter: EventSplitter,
+    /// When the last events of the stream arrived.
+    last_events: Option<Instant>,
+    /// Times between events since the last measurement of their pace.
+    event_gaps: Vec<Duration>,
     /// Head of the first answer, once it was written to the caller.
     head: Option<ResponseHead>,
 }
@@ -43,9 +52,12 @@
 impl AnswerForwarder {
     pub(crate) fn new(call: &EntryCall) -> Self {
         Self {
+            service: call.service.clone(),
             streaming: call.route.kind == RouteKind::Streaming,
             to_head_request: call.is_head(),
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
+            last_events: None,
+            event_gaps: Vec::new(),
             head: None,
         }
     }
@@ -65,7 +77,7 @@
     pub(crate) async fn forward<W: EntryWire>(
         &mut self,
         state: &Rc<EntryState<W>>,
-        answer: StartedAnswer<W>,
+        mut answer: StartedAnswer<W>,
         writer: &mut CallerWriter,
         answer_deadline: Instant,
     ) -> io::Result<ForwardEnd> {
@@ -73,7 +85,12 @@
         if self.is_started() && !success {
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
         }
+        if !self.streaming && success {
+            answer.slot.record_start(&self.service);
+            answer.slot.record_pace(&self.service, answer.slot.elapsed());
+        }
         if self.streaming && success {
+            self.last_events = None;
             self.forward_stream(answer, writer, answer_deadline).await
         } else {
             self.forward_buffered(state, answer, writer).await
@@ -109,12 +126,28 @@
             };
             if let Some(events) = events {
                 awaits_first = false;
+                answer.slot.record_start(&self.service);
+                self.measure_pace(&answer, &events);
                 answer.slot.mark_prefilled();
                 self.write_events(&answer.head, &events, writer).await?;
             }
         }
     }
 
+    /// Measures the times between the events of a stream, and records their pace once there are
+    /// enough of them.
+    fn measure_pace<W: EntryWire>(&mut self, answer: &StartedAnswer<W>, events: &[u8]) {
+        let count = events.windows(2).filter(|bytes| bytes == b"\n\n").count();
+        let now = Instant::now();
+        if let Some(before) = self.last_events.replace(now) {
+            let gap = (now - before) / count.max(1) as u32;
+            self.event_gaps.extend(std::iter::repeat_n(gap, count));
+        }
+        if self.event_gaps.len() >= PACED_EVENTS {
+            answer.slot.record_pace(&self.service, take_median(&mut self.event_gaps));
+        }
+    }
+
     /// Writes the rest of a body and its end, and releases the connection.
     async fn end_stream<W: EntryWire>(
         &mut self,
@@ -241,3 +274,12 @@
     text.extend_from_slice(bytes);
     text.extend_from_slice(b"\r\n");
 }
+
+/// Removes the gaps and returns their median. The prefill of another prompt delays single events of
+/// a stream, so their mean would make an ordinary server look slow.
+fn take_median(gaps: &mut Vec<Duration>) -> Duration {
+    gaps.sort_unstable();
+    let median = gaps[gaps.len() / 2];
+    gaps.clear();
+    median
+}
--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -78,16 +78,28 @@
     let capacity = shared_capacity(state, call);
     let candidates = list_candidates(state, call, tried, capacity);
     let shared = call.shared_prefix();
+    let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
+    let own_tokens = u64::from(prompt - shared.map_or(0, |shared| shared.tokens.min(prompt)));
+    let queue_millis = if is_engine(state, call) {
+        0.0
+    } else {
+        (call.route.target_latency / CAPACITY_WAIT_DIVISOR).as_secs_f64() * 1_000.0
+    };
     let query = SelectionQuery {
         affinity: shared.map_or(call.digest.0, |shared| shared.key),
         shared_tokens: shared.map_or(0, |shared| shared.tokens),
         second_copy: call.digest.0.is_multiple_of(SECOND_COPY_PERIOD),
+        token_millis: 1.0 / state.speeds.borrow().tokens_per_milli(&call.service),
+        answer_millis: state.speeds.borrow().expected_millis(&call.service, own_tokens),
+        queue_millis,
     };
     let selection = select_server(query, &candidates, &state.load_bounds())?;
-    log_selection(state, call, &selection);
     let fetched = selection.fetch_from.map_or(0, |_| query.shared_tokens);
-    let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
-    let unread_tokens = prompt.saturating_sub(selection.cached_tokens.max(fetched));
+    let unread_tokens = u64::from(prompt.saturating_sub(selection.cached_tokens.max(fetched)));
+    let tokens_ahead = selection.unread_tokens + unread_tokens;
+    log_selection(state, call, &selection, tokens_ahead);
+    // How long fetching takes is not known, so such answers are not compared.
+    let measured_tokens = selection.fetch_from.is_none().then_some(tokens_ahead);
     for prefix in call.shared_prefixes() {
         let part =
             CachedPart { key: prefix.key, server: selection.server, tokens: prefix.part_tokens };
@@ -100,13 +112,21 @@
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(selection.server).ok_or(SelectionError::NoServer)?;
     Ok(AssignedCall {
-        slot: OpenSlot::acquire(state, selection.server, u64::from(unread_tokens)),
+        slot: OpenSlot::acquire(state, selection.server, unread_tokens, measured_tokens),
         name: known.name.clone(),
         address: known.record.address,
         fetch_from: selection.fetch_from.and_then(address),
     })
 }
 
+/// Whether the servers of the call's service are model engines.
+fn is_engine<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
+    let table = state.route_table.borrow();
+    let services = table.as_ref().map(|table| &table.declarations().services);
+    let record = services.and_then(|services| services.get(&call.service));
+    record.is_some_and(|record| record.engine.is_some())
+}
+
 /// Tokens of shared parts that one server of the call's service can cache without evicting them.
 fn shared_capacity<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> u64 {
     let table = state.route_table.borrow();
@@ -132,6 +152,7 @@
     let loads = state.loads.borrow();
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
+    let speeds = state.speeds.borrow();
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
@@ -145,6 +166,7 @@
             slots: known.record.slots,
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
+            slow_factor: speeds.slow_factor(now, server),
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
@@ -163,11 +185,20 @@
 }
 
 /// Logs a selection with the figures that it is based on.
-fn log_selection<W>(state: &EntryState<W>, call: &EntryCall, selection: &ServerSelection) {
+fn log_selection<W>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    selection: &ServerSelection,
+    tokens_ahead: u64,
+) {
+    let now = state.now();
+    let speeds = state.speeds.borrow();
+    let slow_factor = speeds.slow_factor(now, selection.server);
+    let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
         "call: assigned to a server; sending. request={} server={} load={} mean={:.1} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
-         declarations={}",
+         slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={}",
         call.id_text(),
         selection.server,
         selection.load,
@@ -177,7 +208,10 @@
         selection.cached_tokens,
         selection.unread_tokens,
         selection.fetch_from.map_or_else(|| "-".to_owned(), |server| server.to_string()),
-        state.loads.borrow().oldest_report_millis(state.now()),
+        state.loads.borrow().oldest_report_millis(now),
+        slow_factor,
+        expected * slow_factor,
+        call.deadline.saturating_duration_since(Instant::now()).as_millis(),
         call.version
     );
 }
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,7 +17,7 @@
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`select_server`], [`OutcomeBook`],
-//! [`BudgetBook`]. [`run_entry`] runs the process. An [`EntryWire`] defines the formats of callers,
+//! [`SpeedBook`], [`BudgetBook`]. [`run_entry`] runs the process. An [`EntryWire`] defines the formats of callers,
 //! servers and the store.
 
 mod admin_listener;
@@ -50,6 +50,7 @@
 mod server_copy;
 mod server_selection;
 mod settings;
+mod speed_book;
 mod state;
 mod store_client;
 mod store_follower;
@@ -82,6 +83,7 @@
     select_server,
 };
 pub use settings::{EntrySettings, SettingsError, parse_settings};
+pub use speed_book::{SpeedBook, StartedSample};
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -26,6 +26,7 @@
     build_status, encode_part, has_updates, list_cached_parts, wrap_message,
 };
 use crate::server_copy::{decode_server_list, encode_server_list};
+use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, ListCopy, RelayUpdates};
 use crate::store_follower::install_declarations;
 use crate::wire::EntryWire;
@@ -227,6 +228,15 @@
                 updates.borrow_mut().ejected.insert(server, now.plus_millis(PEER_EJECTION_MILLIS));
             }
         }
+        for row in &report.slow {
+            let server = ServerId(row.server);
+            let factor = f64::from(row.factor_percent) / 100.0;
+            state.speeds.borrow_mut().record_peer_factor(now, server, factor);
+            if let Some(updates) = relayed {
+                let until = now.plus_millis(PEER_FACTOR_MILLIS);
+                updates.borrow_mut().slow.insert(server, (factor, until));
+            }
+        }
         for row in &report.leaving {
             let server = ServerId(row.server);
             if state.servers.borrow_mut().mark_leaving(now, server, row.revision) {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -307,6 +307,7 @@
 fn remove_expired<W: EntryWire>(state: &EntryState<W>, now: ClockTime) {
     state.loads.borrow_mut().remove_expired(now);
     state.cache_index.borrow_mut().remove_expired(now);
+    state.speeds.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
 
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -7,7 +7,7 @@
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
     EntryReport, EntryScope, KeptPart, LeavingServer, OpenCount, OutcomeCount, PeerMessage,
-    StrikeReport,
+    SlowServer, StrikeReport,
 };
 
 use crate::cache_index::CachedPart;
@@ -18,6 +18,8 @@
 const MAX_PARTS: usize = 24;
 /// Maximum number of strikes in one report.
 const MAX_STRIKES: usize = 8;
+/// Maximum number of slow servers in one report.
+const MAX_SLOW: usize = 20;
 /// Maximum number of servers with open requests in one fragment of a relay's report, so that it
 /// fits a datagram.
 const MAX_OPENS: usize = 40;
@@ -50,6 +52,9 @@
     let outcomes = state.outcomes.borrow();
     let ejected = outcomes.local_ejections(state.now());
     let ejected = ejected.map(ejected_count);
+    let speeds = state.speeds.borrow();
+    let slow = speeds.local_slow(state.now()).take(MAX_SLOW);
+    let slow = slow.map(|(server, factor)| encode_slow(server, factor));
     EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
         directory: servers.latest_change(),
@@ -57,6 +62,7 @@
         strength: state.settings().strength(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
+        slow: slow.collect(),
         ..EntryReport::default()
     }
 }
@@ -131,6 +137,7 @@
     now: ClockTime,
 ) -> Vec<EntryReport> {
     updates.ejected.retain(|_, until| now < *until);
+    updates.slow.retain(|_, (_, until)| now < *until);
     let pieces =
         opens.len().div_ceil(MAX_OPENS).max(updates.cached_parts.len().div_ceil(MAX_PARTS));
     let pieces = (pieces.max(1) as u32).min(MAX_FRAGMENTS);
@@ -146,6 +153,8 @@
     }
     let first = &mut reports[0];
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
+    let slow = updates.slow.iter().take(MAX_SLOW);
+    first.slow.extend(slow.map(|(server, (factor, _))| encode_slow(*server, *factor)));
     let count = updates.strikes.len().min(MAX_STRIKES);
     first.strikes = updates.strikes.drain(..count).map(strike_report).collect();
     reports
@@ -160,6 +169,10 @@
     OutcomeCount { server: server.0, ..OutcomeCount::default() }
 }
 
+fn encode_slow(server: ServerId, factor: f64) -> SlowServer {
+    SlowServer { server: server.0, factor_percent: (factor * 100.0) as u32 }
+}
+
 fn strike_report((digest, server): (RequestDigest, ServerId)) -> StrikeReport {
     StrikeReport { digest: digest.0, server: server.0, confirmed: false }
 }
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -7,27 +7,25 @@
 
 use catkin_base::{ServerId, copy_type, hash_parts};
 
-/// Prompt tokens that an engine prefills in a millisecond; engines of the deployments do 60 to 70.
-const PREFILL_TOKENS_PER_MILLI: f64 = 60.0;
 /// Cost of each request already open on a server, in milliseconds, for requests with a shared
 /// prefix: each one makes the engine's decoding steps a little longer.
 const OPEN_REQUEST_MILLIS: f64 = 0.5;
 /// Cost of each request above the soft bound, in milliseconds. For requests without a shared
 /// prefix, also the cost of a server with all slots in use; it is proportional to the slots in use.
 const OVER_SOFT_MILLIS: f64 = 40.0;
-/// Cost of a missing token that another server caches, in milliseconds. It is lower than that of
-/// prefilling, since fetching takes a third of the time of prefilling and does not delay other
-/// requests' tokens.
-const FETCH_MILLIS_PER_TOKEN: f64 = 0.03;
-/// Cost of a missing token while only one server caches the part, in milliseconds. It is lower
+/// Cost of a missing token that another server caches, in multiples of the time of prefilling it.
+/// It is lower than that of prefilling, since fetching is faster and does not delay other requests'
+/// tokens.
+const FETCH_COST: f64 = 1.8;
+/// Cost of a missing token while only one server caches the part, in the same unit. It is lower
 /// because a second copy survives the loss of the first.
-const SECOND_COPY_MILLIS_PER_TOKEN: f64 = 0.015;
-/// Cost of a missing token that must be prefilled, in milliseconds: ten times the time that
-/// prefilling takes, since it also delays all other requests on the server.
-const PREFILL_MILLIS_PER_TOKEN: f64 = 0.16;
-/// Cost of a new token on a server whose cache capacity for shared parts is full, in milliseconds:
+const SECOND_COPY_COST: f64 = 0.9;
+/// Cost of a missing token that must be prefilled, in the same unit: far above 1, since it also
+/// delays all other requests on the server.
+const PREFILL_COST: f64 = 9.6;
+/// Cost of a new token on a server whose cache capacity for shared parts is full, in the same unit:
 /// it evicts another token that would have to be prefilled again later.
-const EVICTION_MILLIS_PER_TOKEN: f64 = 0.02;
+const EVICTION_COST: f64 = 1.2;
 /// Cost of the only server that caches a part when a second copy is wanted, in milliseconds.
 const ONLY_COPY_MILLIS: f64 = 60.0;
 /// Cost of a server in another failure domain, in milliseconds.
@@ -68,6 +66,8 @@
     /// Tokens of all shared parts that the server is known to cache, divided by its capacity for
     /// them.
     pub cache_fill: f64,
+    /// Factor by which the server takes longer than its service; 1 unless it is slow.
+    pub slow_factor: f64,
     /// What the server may be used for.
     pub state: CandidateState,
 }
@@ -86,7 +86,7 @@
 }
 
 /// The properties of a request that determine its server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SelectionQuery {
     /// Hash that decides between servers of equal cost, the same on every router: that of the
     /// longest shared prefix, or of the request itself.
@@ -95,6 +95,13 @@
     pub shared_tokens: u32,
     /// Whether the request should copy a part that only one server caches to a second one.
     pub second_copy: bool,
+    /// Time that an engine of the service takes to prefill a token, in milliseconds.
+    pub token_millis: f64,
+    /// Time until an idle server of the service starts the answer, in milliseconds.
+    pub answer_millis: f64,
+    /// Time for which the request may wait in the queue of a server whose slots are in use, in
+    /// milliseconds; zero if it must not wait there.
+    pub queue_millis: f64,
 }
 
 /// The selected server, and the figures that the selection is based on.
@@ -119,7 +126,7 @@
 pub enum SelectionError {
     /// No server of the service is known.
     NoServer,
-    /// No server has both a free slot and a load that stays within the hard bound.
+    /// No server has both a free place and a load that stays within the hard bound.
     Full,
 }
 
@@ -139,7 +146,8 @@
     let hard = mean * bounds.hard_factor + bounds.hard_extra;
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
     let fits = |candidate: &&ServerCandidate| {
-        f64::from(candidate.load) + 1.0 <= hard && candidate.load < candidate.slots
+        f64::from(candidate.load) + 1.0 <= hard
+            && f64::from(candidate.load) < count_places(query, candidate)
     };
     let available =
         not_leaving().filter(|candidate| candidate.state == CandidateState::Available).filter(fits);
@@ -158,6 +166,15 @@
     })
 }
 
+/// Number of requests that may be open on a server: its slots, and the requests that it works off
+/// while one may wait in its queue. The loads that a router knows are older than a short request
+/// takes, so requests of such a service that wait for a free slot are refused in vain.
+fn count_places(query: SelectionQuery, candidate: &ServerCandidate) -> f64 {
+    let slots = f64::from(candidate.slots);
+    let answer_millis = query.answer_millis.max(1.0) * candidate.slow_factor;
+    slots + (slots * query.queue_millis / answer_millis).floor()
+}
+
 /// Selects the candidate with the lowest cost.
 fn select_candidate<'a>(
     query: SelectionQuery,
@@ -185,7 +202,7 @@
     caching_servers: &[ServerCandidate],
     soft: f64,
 ) -> f64 {
-    let queueing = candidate.unread_tokens as f64 / PREFILL_TOKENS_PER_MILLI;
+    let queueing = candidate.unread_tokens as f64 * query.token_millis;
     let load = f64::from(candidate.load);
     let over = (load + 1.0 - soft).max(0.0) * OVER_SOFT_MILLIS;
     let distance = if candidate.same_domain { 0.0 } else { REMOTE_DOMAIN_MILLIS };
@@ -196,7 +213,9 @@
     } else {
         load * OPEN_REQUEST_MILLIS
     };
-    queueing + over + distance + occupancy + estimate_prompt_cost(query, candidate, caching_servers)
+    let slowness = (candidate.slow_factor - 1.0) * (queueing + occupancy + query.answer_millis);
+    let prompt = estimate_prompt_cost(query, candidate, caching_servers);
+    queueing + over + distance + occupancy + slowness + prompt
 }
 
 /// Estimates the cost of prefilling or fetching the missing part of the shared prefix, in
@@ -212,7 +231,7 @@
         let has_all = |other: &&ServerCandidate| other.cached_tokens >= query.shared_tokens;
         let only = query.shared_tokens > 0 && caching_servers.iter().filter(has_all).count() == 1;
         // This must exceed the cost of copying to another server, or no copy would be made.
-        let copying = f64::from(query.shared_tokens) * SECOND_COPY_MILLIS_PER_TOKEN;
+        let copying = f64::from(query.shared_tokens) * SECOND_COPY_COST * query.token_millis;
         return if only && query.second_copy { ONLY_COPY_MILLIS + copying } else { 0.0 };
     }
     let sources =
@@ -221,11 +240,10 @@
     let best =
         sources.clone().map(|other| other.cached_tokens).max().unwrap_or(candidate.cached_tokens);
     let copies = sources.filter(|other| other.cached_tokens == best).count();
-    let fetch = if copies == 1 { SECOND_COPY_MILLIS_PER_TOKEN } else { FETCH_MILLIS_PER_TOKEN };
-    let eviction = f64::from(missing) * candidate.cache_fill * EVICTION_MILLIS_PER_TOKEN;
-    f64::from(missing - lacks(best)) * fetch
-        + f64::from(lacks(best)) * PREFILL_MILLIS_PER_TOKEN
-        + eviction
+    let fetch = if copies == 1 { SECOND_COPY_COST } else { FETCH_COST };
+    let eviction = f64::from(missing) * candidate.cache_fill * EVICTION_COST;
+    let prefill = f64::from(lacks(best)) * PREFILL_COST * candidate.slow_factor;
+    (f64::from(missing - lacks(best)) * fetch + prefill + eviction) * query.token_millis
 }
 
 /// Chooses the reachable server that caches the most of what the selected one lacks.
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::marker::PhantomData;
 use std::rc::Rc;
+use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
 use catkin_policy::StrikeCounter;
@@ -23,6 +24,7 @@
 use crate::server_copy::ServerList;
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
+use crate::speed_book::{SpeedBook, StartedSample};
 
 /// Number of servers that must crash while running requests with the same content before the
 /// content is refused.
@@ -64,6 +66,8 @@
     pub(crate) strikes: Vec<(RequestDigest, ServerId)>,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
+    /// Factors of slow servers, and until when they count.
+    pub(crate) slow: BTreeMap<ServerId, (f64, ClockTime)>,
 }
 
 /// Progress of getting the first list of servers from another router.
@@ -94,6 +98,7 @@
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) cache_index: RefCell<CacheIndex>,
     pub(crate) outcomes: RefCell<OutcomeBook>,
+    pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) strikes: RefCell<StrikeCounter>,
     pub(crate) pool: RefCell<ConnectionPool>,
@@ -153,6 +158,7 @@
             loads: RefCell::default(),
             cache_index: RefCell::default(),
             outcomes: RefCell::default(),
+            speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
             strikes: RefCell::new(StrikeCounter::new(STRIKE_LIMIT, QUARANTINE_MILLIS)),
             pool: RefCell::default(),
@@ -243,6 +249,7 @@
     pub(crate) fn remove_server(&self, server: ServerId) {
         self.cache_index.borrow_mut().remove_server(server);
         self.outcomes.borrow_mut().remove_server(server);
+        self.speeds.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
     }
 }
@@ -266,13 +273,45 @@
     pub(crate) server: ServerId,
     /// Prompt tokens of the request that the server has yet to prefill.
     unread_tokens: u64,
+    /// Prompt tokens, of this and other requests, that the server had to prefill at first; `None`
+    /// once the start of the answer was measured, or if it can't be compared with others.
+    tokens_ahead: Option<u64>,
+    assigned: Instant,
 }
 
 impl<W> OpenSlot<W> {
-    pub(crate) fn acquire(state: &Rc<EntryState<W>>, server: ServerId, unread_tokens: u64) -> Self {
+    /// Counts a request as open at `server`, which has `unread_tokens` to prefill for it, and
+    /// `tokens_ahead` with those of the requests before it.
+    pub(crate) fn acquire(
+        state: &Rc<EntryState<W>>,
+        server: ServerId,
+        unread_tokens: u64,
+        tokens_ahead: Option<u64>,
+    ) -> Self {
         state.loads.borrow_mut().open(server, unread_tokens);
         state.updates.borrow_mut().loads_changed = true;
-        Self { state: Rc::clone(state), server, unread_tokens }
+        let assigned = Instant::now();
+        Self { state: Rc::clone(state), server, unread_tokens, tokens_ahead, assigned }
+    }
+
+    /// Records that the server started a successful answer, as a sample of its speed.
+    pub(crate) fn record_start(&mut self, service: &str) {
+        let Some(tokens) = self.tokens_ahead.take() else { return };
+        let sample = StartedSample { tokens, millis: self.assigned.elapsed().as_millis() as u64 };
+        let now = self.state.now();
+        self.state.speeds.borrow_mut().record_start(now, service, sample);
+    }
+
+    /// Records the pace of the answer: the time between two events, or that of a whole answer.
+    pub(crate) fn record_pace(&self, service: &str, pace: Duration) {
+        let now = self.state.now();
+        let millis = pace.as_secs_f64() * 1_000.0;
+        self.state.speeds.borrow_mut().record_pace(now, service, self.server, millis);
+    }
+
+    /// Time since the request was assigned to the server.
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.assigned.elapsed()
     }
 
     /// Marks the prompt as prefilled by the server.
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -32,6 +32,7 @@
         same_domain: true,
         cached_tokens: 0,
         cache_fill: 0.0,
+        slow_factor: 1.0,
         state: CandidateState::Available,
     }
 }
@@ -45,11 +46,18 @@
 }
 
 fn long_prompt() -> SelectionQuery {
-    SelectionQuery { affinity: 77, shared_tokens: 10_000, second_copy: false }
+    SelectionQuery { affinity: 77, shared_tokens: 10_000, ..plain_request(77) }
 }
 
 fn plain_request(affinity: u64) -> SelectionQuery {
-    SelectionQuery { affinity, shared_tokens: 0, second_copy: false }
+    SelectionQuery {
+        affinity,
+        shared_tokens: 0,
+        second_copy: false,
+        token_millis: 1.0 / 60.0,
+        answer_millis: 20.0,
+        queue_millis: 0.0,
+    }
 }
 
 /// Tokens of a prompt that the first server is known to cache.
@@ -218,6 +226,30 @@
     assert_eq!(select_server(plain_request(1), &full, &bounds()), Err(SelectionError::Full));
 }
 
+/// A service with few slots and short requests loses servers. Guards against refusals of requests
+/// that a server would start within their target latency.
+#[test]
+fn short_requests_queue_at_full_servers_as_long_as_they_start_in_time() {
+    let mut servers = pool(2);
+    for server in &mut servers {
+        server.slots = 6;
+        server.load = 6;
+    }
+    let query = SelectionQuery { answer_millis: 30.0, queue_millis: 75.0, ..plain_request(1) };
+
+    let full = select_server(query, &servers, &bounds());
+    let must_not_wait =
+        select_server(SelectionQuery { queue_millis: 0.0, ..query }, &servers, &bounds());
+    for server in &mut servers {
+        server.load = 6 + 15;
+    }
+    let too_late = select_server(query, &servers, &bounds());
+
+    assert!(full.is_ok());
+    assert_eq!(must_not_wait, Err(SelectionError::Full));
+    assert_eq!(too_late, Err(SelectionError::Full));
+}
+
 #[test]
 fn requests_without_shared_prompt_prefer_their_domain_at_equal_load() {
     let mut servers = pool(4);
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -447,6 +447,16 @@
     /// capacity of the sender for relaying, relative to other senders
     #[prost(uint32, tag = "18")]
     pub strength: u32,
+    #[prost(message, repeated, tag = "19")]
+    pub slow: ::prost::alloc::vec::Vec<SlowServer>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SlowServer {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// by which it takes longer than its service
+    #[prost(uint32, tag = "2")]
+    pub factor_percent: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OpenCount {
