Call a store that turns a router away less often while the router can serve

These routers know declarations and servers and hear of changes from others, so the calls bring them nothing and load a store that is short of capacity.

Change: StorePace doubles the delay up to 2 s at a router that knows the objects of the kind, and up to 0.6 s as before at one that does not.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -54,6 +54,7 @@
 mod state;
 mod store_client;
 mod store_follower;
+mod store_pace;
 mod wire;
 
 pub use budget_book::BudgetBook;
@@ -85,6 +86,7 @@
 pub use settings::{EntrySettings, SettingsError, parse_settings};
 pub use speed_book::{SpeedBook, StartedSample};
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
+pub use store_pace::StorePace;
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
 };
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use catkin_base::ClockTime;
-use catkin_policy::BackoffPlan;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::route_table::RouteTable;
@@ -12,15 +11,12 @@
 use crate::server_copy::ServerList;
 use crate::state::{EntryState, ListCopy};
 use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient};
+use crate::store_pace::StorePace;
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
 /// Maximum duration of one watch, a long poll for changes. If the store stops answering during a
 /// watch, reports of other routers show newer versions before the watch ends.
 const WATCH_DURATION: Duration = Duration::from_secs(8);
-/// Ceiling of the random delay after the first failed call; it doubles with each further failure.
-const MIN_BACKOFF_MILLIS: u64 = 60;
-/// Maximum ceiling of that delay.
-const MAX_BACKOFF_MILLIS: u64 = 600;
 /// Time after a failed call during which servers missing from the store are not removed at once, so
 /// that they can come back.
 const RECOVERY_MILLIS: u64 = 2_500;
@@ -51,7 +47,7 @@
         revision: None,
         pages: None,
         failed_at: None,
-        backoff: BackoffPlan::new(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS),
+        pace: StorePace::default(),
         timeout: GrowingTimeout::default(),
         state,
     };
@@ -78,7 +74,7 @@
     /// Pages of a list that could not be completed.
     pages: Option<ListedPages>,
     failed_at: Option<ClockTime>,
-    backoff: BackoffPlan,
+    pace: StorePace,
     timeout: GrowingTimeout,
 }
 
@@ -198,7 +194,7 @@
     }
 
     fn record_answer(&mut self) {
-        self.backoff.reset();
+        self.pace.reset();
         self.set_store_failing(false);
         self.timeout = GrowingTimeout::default();
         if self.failed_at.is_some() && self.is_recovered() {
@@ -207,6 +203,14 @@
         }
     }
 
+    /// Whether the objects of this kind are known from earlier calls.
+    fn is_informed(&self) -> bool {
+        match self.kind {
+            StoreKind::Servers => self.state.servers.borrow().is_listed(),
+            _ => self.state.route_table.borrow().is_some(),
+        }
+    }
+
     fn set_store_failing(&self, failing: bool) {
         if self.kind == StoreKind::Declarations {
             self.state.store_failing.set(failing);
@@ -233,7 +237,7 @@
         self.set_store_failing(failing);
         if failing {
             self.failed_at = Some(self.state.now());
-            let delay = self.backoff.next_delay(&mut rand::rng());
+            let delay = self.pace.next_delay(self.is_informed(), &mut rand::rng());
             sleep(Duration::from_millis(delay)).await;
         }
     }
