Spread the slow servers of a relay's report over its fragments

Cause: a relay put up to 20 slow servers into the first fragment of its report and its own ones into every fragment. With open requests, departures and strikes that can exceed a datagram, and larger messages go over a connection to each router of the domain.

Change: a slow server goes into the fragment that its identifier determines, as open requests do; a router's own report names 12 at most.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -16,9 +16,9 @@
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
-//! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`select_server`], [`OutcomeBook`],
-//! [`SpeedBook`], [`BudgetBook`]. [`run_entry`] runs the process. An [`EntryWire`] defines the formats of callers,
-//! servers and the store.
+//! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
+//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`]. [`run_entry`] runs the process. An
+//! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
 mod answer_forwarder;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -23,7 +23,7 @@
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 use crate::report_builder::{
     build_domain_reports, build_load_report, build_other_domain_reports, build_report,
-    build_status, encode_part, has_updates, list_cached_parts, wrap_message,
+    build_status, decode_factor, encode_part, has_updates, list_cached_parts, wrap_message,
 };
 use crate::server_copy::{decode_server_list, encode_server_list};
 use crate::speed_book::PEER_FACTOR_MILLIS;
@@ -230,7 +230,7 @@
         }
         for row in &report.slow {
             let server = ServerId(row.server);
-            let factor = f64::from(row.factor_percent) / 100.0;
+            let factor = decode_factor(*row);
             state.speeds.borrow_mut().record_peer_factor(now, server, factor);
             if let Some(updates) = relayed {
                 let until = now.plus_millis(PEER_FACTOR_MILLIS);
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -12,14 +12,15 @@
 
 use crate::cache_index::CachedPart;
 use crate::load_table::OpenLoad;
+use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
 
 /// Maximum number of cached parts in one report, so that it fits a datagram.
 const MAX_PARTS: usize = 24;
 /// Maximum number of strikes in one report.
 const MAX_STRIKES: usize = 8;
-/// Maximum number of slow servers in one report.
-const MAX_SLOW: usize = 20;
+/// Maximum number of slow servers in a router's own report.
+const MAX_SLOW: usize = 12;
 /// Maximum number of servers with open requests in one fragment of a relay's report, so that it
 /// fits a datagram.
 const MAX_OPENS: usize = 40;
@@ -52,9 +53,6 @@
     let outcomes = state.outcomes.borrow();
     let ejected = outcomes.local_ejections(state.now());
     let ejected = ejected.map(ejected_count);
-    let speeds = state.speeds.borrow();
-    let slow = speeds.local_slow(state.now()).take(MAX_SLOW);
-    let slow = slow.map(|(server, factor)| encode_slow(server, factor));
     EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
         directory: servers.latest_change(),
@@ -62,15 +60,18 @@
         strength: state.settings().strength(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
-        slow: slow.collect(),
         ..EntryReport::default()
     }
 }
 
-/// Builds a report with the status and the open requests of this router, without updates.
+/// Builds a report with the status, the open requests of this router and the servers that it found
+/// slow, without updates.
 pub(crate) fn build_load_report<W>(state: &EntryState<W>) -> EntryReport {
     let mut report = build_status(state);
     report.opens = state.loads.borrow().local_loads().iter().map(open_count).collect();
+    let speeds = state.speeds.borrow();
+    let slow = speeds.local_slow(state.now()).take(MAX_SLOW);
+    report.slow = slow.map(|(server, factor)| encode_slow(server, factor)).collect();
     report.routers = 1;
     report.pieces = 1;
     report
@@ -96,6 +97,10 @@
     let mut relayed = state.to_other_domains.borrow_mut();
     relayed.cached_parts.extend(&updates.parts_to_repeat);
     relayed.strikes.extend(strikes);
+    let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
+    for row in &report.slow {
+        relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
+    }
     report
 }
 
@@ -147,14 +152,16 @@
         let piece = row.0.0 % u64::from(pieces);
         reports[piece as usize].opens.push(open_count(row));
     }
+    for (server, (factor, _)) in &updates.slow {
+        let piece = server.0 % u64::from(pieces);
+        reports[piece as usize].slow.push(encode_slow(*server, *factor));
+    }
     for report in &mut reports {
         let count = updates.cached_parts.len().min(MAX_PARTS);
         report.kept = updates.cached_parts.drain(..count).map(encode_part).collect();
     }
     let first = &mut reports[0];
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
-    let slow = updates.slow.iter().take(MAX_SLOW);
-    first.slow.extend(slow.map(|(server, (factor, _))| encode_slow(*server, *factor)));
     let count = updates.strikes.len().min(MAX_STRIKES);
     first.strikes = updates.strikes.drain(..count).map(strike_report).collect();
     reports
@@ -173,6 +180,11 @@
     SlowServer { server: server.0, factor_percent: (factor * 100.0) as u32 }
 }
 
+/// Returns the factor by which a server is slower than its service.
+pub(crate) fn decode_factor(row: SlowServer) -> f64 {
+    f64::from(row.factor_percent) / 100.0
+}
+
 fn strike_report((digest, server): (RequestDigest, ServerId)) -> StrikeReport {
     StrikeReport { digest: digest.0, server: server.0, confirmed: false }
 }
