--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -144,7 +144,7 @@
             self.event_gaps.extend(std::iter::repeat_n(gap, count));
         }
         if self.event_gaps.len() >= PACED_EVENTS {
-            answer.slot.record_pace(&self.service, take_median(&mut self.event_gaps));
+            answer.slot.record_pace(&self.service, drain_median(&mut self.event_gaps));
         }
     }
 
@@ -277,7 +277,7 @@
 
 /// Removes the gaps and returns their median. The prefill of another prompt delays single events of
 /// a stream, so their mean would make an ordinary server look slow.
-fn take_median(gaps: &mut Vec<Duration>) -> Duration {
+fn drain_median(gaps: &mut Vec<Duration>) -> Duration {
     gaps.sort_unstable();
     let median = gaps[gaps.len() / 2];
     gaps.clear();
