Log strikes, dropped peer messages and the age of the store's last answer

What could not be told apart before: whether a crash under a request was recorded as a strike and by whom, whether a watch or a list failed and how long the store had been silent before, and whether the peer link drops the messages of a router as those of an earlier process. No change of behaviour.

Metrics: catkin_entry_strikes_total, catkin_entry_peer_drops_total{reason}, catkin_entry_store_answer_age_seconds{kind}.

--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -13,7 +13,7 @@
     DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage, ServerListAsk,
     ServerListCopy,
 };
-use catkin_peer::{MessageSource, PeerLink, UdpLink};
+use catkin_peer::{DropReason, MessageSource, PeerLink, UdpLink};
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cache_index::CachedPart;
@@ -89,6 +89,8 @@
     requested_at: Cell<Option<Instant>>,
     /// Since when other routers have had newer declarations than this one.
     outdated_since: Cell<Option<Instant>>,
+    /// Number of received messages that were dropped because of an incarnation, as last logged.
+    logged_drops: Cell<u64>,
 }
 
 impl PeerService {
@@ -105,6 +107,7 @@
             is_relay: Cell::new(false),
             requested_at: Cell::new(None),
             outdated_since: Cell::new(None),
+            logged_drops: Cell::new(0),
         }
     }
 
@@ -216,7 +219,7 @@
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
             let server = ServerId(row.server);
-            state.strikes.borrow_mut().record_strike(now, digest, server);
+            state.record_strike(digest, server, source.vm);
             if let Some(updates) = relayed {
                 updates.borrow_mut().strikes.push((digest, server));
             }
@@ -539,10 +542,30 @@
         self.send_to(sources, report);
     }
 
+    /// Counts received messages that the link dropped, and logs those dropped because of an
+    /// incarnation. Some are dropped around each restart of a router; if it goes on, two routers
+    /// disagree on which process of a VM is the latest.
+    fn report_drops(&self) {
+        let drops = self.link.dropped();
+        for reason in DropReason::ALL {
+            metrics::counter!("catkin_entry_peer_drops_total", "reason" => reason.as_word())
+                .absolute(drops.count(reason));
+        }
+        let old_sender = drops.count(DropReason::OldSender);
+        let old_receiver = drops.count(DropReason::OldReceiver);
+        if old_sender + old_receiver > self.logged_drops.replace(old_sender + old_receiver) {
+            log::info!(
+                "peers: messages from or to earlier processes of a VM dropped. \
+                 old_sender_total={old_sender} old_receiver_total={old_receiver}"
+            );
+        }
+    }
+
     /// Sends join announcements to silent routers as long as the process runs.
     pub(crate) async fn announce_to_silent<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         loop {
             sleep(ANNOUNCE_INTERVAL).await;
+            self.report_drops();
             let now = state.now();
             let mut routers = self.routers.borrow_mut();
             routers.retain(|_, router| now.millis_since(router.last_heard) < REMOVAL_MILLIS);
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -240,6 +240,11 @@
     metrics::gauge!("catkin_entry_server_connections").set(state.pool.borrow().len() as f64);
     metrics::gauge!("catkin_entry_kept_parts").set(state.cache_index.borrow().len() as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
+    for (kind, answered) in state.store_answered.borrow().iter() {
+        let kind = format!("{kind:?}");
+        metrics::gauge!("catkin_entry_store_answer_age_seconds", "kind" => kind)
+            .set(answered.elapsed().as_secs_f64());
+    }
 }
 
 async fn run_peers<W: EntryWire>(state: Rc<EntryState<W>>) {
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -309,7 +309,7 @@
         _ => AttemptOutcome::Failed,
     };
     if error.failure == AttemptFailure::Broken && error.ran != RunVerdict::NotRun {
-        state.strikes.borrow_mut().record_strike(state.now(), call.digest, server);
+        state.record_strike(call.digest, server, state.local_vm);
         state.updates.borrow_mut().strikes.push((call.digest, server));
     }
     record_outcome(state, call, server, outcome);
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
-use catkin_policy::StrikeCounter;
+use catkin_policy::{StrikeCounter, StrikeState};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -25,6 +25,7 @@
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
+use crate::wire::StoreKind;
 
 /// Number of servers that must crash while running requests with the same content before the
 /// content is refused.
@@ -122,6 +123,8 @@
     pub(crate) stopping: Cell<Option<Instant>>,
     /// Whether the last call for declarations failed.
     pub(crate) store_failing: Cell<bool>,
+    /// When the store last answered a call, by the kind of objects that it was for.
+    pub(crate) store_answered: RefCell<BTreeMap<StoreKind, Instant>>,
     /// Whether this router must read the store consistently, that is without stale reads.
     pub(crate) consistent_reads: Cell<bool>,
     /// Progress of loading the cache index.
@@ -173,6 +176,7 @@
             joined: Cell::new(false),
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
+            store_answered: RefCell::default(),
             consistent_reads: Cell::new(true),
             cache_sync: RefCell::default(),
             exit_deadline: Cell::new(None),
@@ -246,6 +250,28 @@
         self.selection_input_change.notify_waiters();
     }
 
+    /// Records a strike and logs it if it is new; returns whether it is. `source` is the router that
+    /// saw the server break off.
+    pub(crate) fn record_strike(
+        &self,
+        digest: RequestDigest,
+        server: ServerId,
+        source: VmId,
+    ) -> bool {
+        let now = self.now();
+        let mut strikes = self.strikes.borrow_mut();
+        let is_new = strikes.record_strike(now, digest, server);
+        if is_new {
+            let StrikeState { strikes, hold_millis } = strikes.state(now, digest);
+            metrics::counter!("catkin_entry_strikes_total").increment(1);
+            log::info!(
+                "strikes: server broke off while it ran a request. digest={digest} \
+                 server={server} strikes={strikes} refused_for_millis={hold_millis} source={source}"
+            );
+        }
+        is_new
+    }
+
     pub(crate) fn remove_server(&self, server: ServerId) {
         self.cache_index.borrow_mut().remove_server(server);
         self.outcomes.borrow_mut().remove_server(server);
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -194,6 +194,7 @@
     }
 
     fn record_answer(&mut self) {
+        self.state.store_answered.borrow_mut().insert(self.kind, Instant::now());
         self.pace.reset();
         self.set_store_failing(false);
         self.timeout = GrowingTimeout::default();
@@ -223,9 +224,13 @@
     }
 
     async fn handle_error(&mut self, error: &StoreCallError) {
+        let call = if self.revision.is_some() { "watch" } else { "list" };
+        let answered = self.state.store_answered.borrow().get(&self.kind).copied();
         log::warn!(
-            "store: call failed; all objects are listed again. kind={:?} error={error}",
-            self.kind
+            "store: call failed; all objects are listed again. kind={:?} call={call} \
+             answered_before_millis={} error={error}",
+            self.kind,
+            answered.map_or_else(|| "-".to_owned(), |at| at.elapsed().as_millis().to_string())
         );
         metrics::counter!("catkin_entry_store_failures_total").increment(1);
         self.client.reset();
--- a/crates/catkin-policy/src/strike.rs
+++ b/crates/catkin-policy/src/strike.rs
@@ -44,16 +44,24 @@
         self.hold_millis = hold_millis;
     }
 
-    /// Records that `server` crashed while it ran `digest`. Each server counts once.
-    pub fn record_strike(&mut self, now: ClockTime, digest: RequestDigest, server: ServerId) {
+    /// Records that `server` crashed while it ran `digest`. Each server counts once; returns false
+    /// if it was recorded before.
+    pub fn record_strike(
+        &mut self,
+        now: ClockTime,
+        digest: RequestDigest,
+        server: ServerId,
+    ) -> bool {
         self.drop_expired(now);
         let row = self.rows.entry(digest).or_default();
-        if row.servers.insert(server) {
+        let is_new = row.servers.insert(server);
+        if is_new {
             row.last_strike = now;
         }
         if self.rows.len() > MAX_DIGESTS {
             self.evict_digest();
         }
+        is_new
     }
 
     /// Records that a server served `digest` completely, and clears its strikes: content that
