--- a/crates/catkin-policy/tests/limits.rs
+++ b/crates/catkin-policy/tests/limits.rs
@@ -122,6 +122,24 @@
     assert_eq!((after.strikes, after.hold_millis), (0, 0));
 }
 
+/// Guards against a request that crashes three more servers each time its quarantine ends: the
+/// strikes against it were forgotten with the quarantine.
+#[test]
+#[ignore = "KNOWN-RED: content_that_crashes_a_server_after_its_quarantine_is_quarantined_at_once"]
+fn content_that_crashes_a_server_after_its_quarantine_is_quarantined_at_once() {
+    let mut counter = StrikeCounter::new(3, 60_000);
+    for crash in 1..=3 {
+        counter.record_strike(NOW, DIGEST, server(crash));
+    }
+    let ended = NOW.plus_millis(61_000);
+    let allowed = counter.state(ended, DIGEST);
+
+    counter.record_strike(ended, DIGEST, server(4));
+
+    assert_eq!(allowed.hold_millis, 0);
+    assert_eq!(counter.state(ended, DIGEST).hold_millis, 60_000);
+}
+
 /// Guards against a quarantine of popular content, found by soak seed 1310: content that all
 /// callers request was running on three servers that crashed one after the other for another
 /// reason, and was refused from then on.
