Request newer declarations although other routers are outdated, too

Callers saw requests handled by an older version long after a newer one was confirmed, at routers that the store turned away.

Cause: a router requests newer declarations from the peer that reported them once that has lasted for 200 ms (1.5 s while the store answers). Every report of a router without newer declarations set this time back. With two routers outdated at once, each set back the other's time every 40 ms, so neither ever asked.

Evidence: routers_that_the_store_turns_away_get_declarations_from_a_peer had t-1 in place of t-2 at both routers 7 s after the write, and passes now. By the code, a single outdated router is not affected; that was not run. The soak cuts off one router at a time, or all.

The time is set back only once this router has the newest version that any router reported. Only a router that has a newer version is asked.

--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -332,9 +332,14 @@
         version: u64,
     ) {
         let known = state.route_table().map_or(0, |table| table.version());
-        if version <= known {
+        let (newest, _) = state.peer_versions.get();
+        if newest <= known {
             return self.outdated_since.set(None);
         }
+        // The sender may be as outdated as this router, which says nothing about the others.
+        if version <= known {
+            return;
+        }
         let since = self.outdated_since.get().unwrap_or_else(Instant::now);
         self.outdated_since.set(Some(since));
         let too_early = self.requested_at.get().is_some_and(|at| at.elapsed() < REQUEST_INTERVAL);
