Notice within 2.4 s that the connection of a watch is silent

Callers saw requests handled by an older version although a newer one had been confirmed seconds before.

Cause: a watch lasted 8 s, and its answer might take 1.5 s more. A connection that goes silent without a reset was noticed only after that. The design relied on other routers to report newer versions meanwhile, but the connections of all routers to the store may go silent at the same moment.

Evidence: declarations_written_while_watches_are_silent_come_into_force had t-1 in place of t-2 at both routers 3 s after the connections went silent, and passes now.

A watch lasts 1.8 s, and its answer may take the timeout of other answers (350 ms at first, more after failures) and 250 ms more. That is within the 3 s after which limits hold again, and within the 2 s for declarations after that. It costs one call more every 2 s for each kind and router.

--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -13,8 +13,9 @@
 
 /// Maximum length of an answer of the store, in bytes. A page has about a megabyte.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// Time that the answer to a wait for changes may take beyond the requested wait.
-const WATCH_GRACE: Duration = Duration::from_millis(1_500);
+/// Time that the answer to a wait for changes may take beyond the requested wait and the timeout of
+/// other answers.
+const WATCH_GRACE: Duration = Duration::from_millis(250);
 /// Initial timeout of an answer. The store answers within milliseconds, and within some hundreds of
 /// milliseconds when it is slow.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(350);
@@ -150,17 +151,19 @@
         Ok(W::decode_list(&answer.body)?)
     }
 
-    /// Waits until an object of a kind changes after `revision`, at most `wait`. With
-    /// `allow_stale`, which costs the store less, changes may be returned seconds late.
+    /// Waits until an object of a kind changes after `revision`, at most `wait`. The answer fails if
+    /// it takes `timeout` and some grace time longer. With `allow_stale`, which costs the store less,
+    /// changes may be returned seconds late.
     pub async fn watch(
         &mut self,
         kind: StoreKind,
         revision: u64,
         wait: Duration,
+        timeout: Duration,
         allow_stale: bool,
     ) -> Result<StorePage, StoreCallError> {
         let target = W::watch_target(kind, revision, wait.as_millis() as u64, allow_stale);
-        let answer = self.call("GET", &target, None, wait + WATCH_GRACE).await?;
+        let answer = self.call("GET", &target, None, wait + timeout + WATCH_GRACE).await?;
         check_status(answer.status)?;
         Ok(W::decode_changes(&answer.body)?)
     }
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -14,9 +14,10 @@
 use crate::store_pace::StorePace;
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
-/// Maximum duration of one watch, a long poll for changes. If the store stops answering during a
-/// watch, reports of other routers show newer versions before the watch ends.
-const WATCH_DURATION: Duration = Duration::from_secs(8);
+/// Maximum duration of one watch, a long poll for changes. Together with the timeout of its answer it
+/// is the time after which a router notices that the connection is silent. The connections of all
+/// routers may go silent at once, so reports of others don't replace it.
+const WATCH_DURATION: Duration = Duration::from_millis(1_800);
 /// Time after a failed call during which servers missing from the store are not removed at once, so
 /// that they can come back.
 const RECOVERY_MILLIS: u64 = 2_500;
@@ -86,7 +87,9 @@
             Some(revision) => {
                 let state = Rc::clone(&self.state);
                 let allow_stale = !state.consistent_reads.get();
-                let watching = self.client.watch(self.kind, revision, WATCH_DURATION, allow_stale);
+                let timeout = self.timeout.current();
+                let watching =
+                    self.client.watch(self.kind, revision, WATCH_DURATION, timeout, allow_stale);
                 let page = tokio::select! {
                     page = watching => page?,
                     () = state.process_resumed.notified() => {
