Order the store's revisions by its era

Callers saw requests handled by older declarations after the store had come back from a copy, at routers that started then.

Cause: revisions fall when the store is restored from a copy, and are given out again. Wherever two were compared, the larger one counted as newer: the incarnation of a router's process is the revision of its entry, so peers dropped the messages of a router that started after a restore as those of an earlier process, and it dropped theirs. It kept the declarations of the copy and neither learned nor reported strikes. Changes of servers with a revision below the known one were ignored, and a watch from a revision of the lost history missed changes once the counter had passed it.

StorePoint (era, then revision) replaces the bare revision in the list of servers, its copies, reports, departures and incarnations. The era is read from every answer of the store. The first one of a new era ends the call, drops the pages of an unfinished list and lists all objects again; one of an earlier era is ignored. Servers that the copy lacks are kept for 2 s, as after an outage. In messages a point is one number, equal to the bare revision in era 0, so routers before and after this change understand each other. Declarations were and are ordered by the operator's version.

Not covered: a peer key or an entry of a router that only the lost history had, and servers removed in the lost time that the copy brings back.

--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -79,12 +79,12 @@
     Ok(PeerService::new(link, routers))
 }
 
-/// Returns the revision of this router's entry as its incarnation. It rises with every start,
-/// independently of the clock.
+/// Returns the point of this router's entry as its incarnation. It rises with every start,
+/// independently of the clock, also after the store was restored from a copy.
 fn find_incarnation(page: &StorePage, name: &str) -> Result<u64, String> {
     let found = page.entries.iter().find(|entry| entry.name == name);
     found
-        .map(|entry| entry.revision)
+        .map(|entry| page.entry_point(entry).as_number())
         .ok_or_else(|| format!("the store has no entry of this router, \"{name}\""))
 }
 
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -8,7 +8,7 @@
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer, `refusal` answers requests that were not served.
-//! 3. Store: `join` registers the router, `store_follower` applies changes of declarations and
+//! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
 //!    servers to `route_table` and `server_book`, through `store_client`. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
@@ -55,6 +55,7 @@
 mod store_client;
 mod store_follower;
 mod store_pace;
+mod store_point;
 mod wire;
 
 pub use budget_book::BudgetBook;
@@ -87,6 +88,7 @@
 pub use speed_book::{SpeedBook, StartedSample};
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
+pub use store_point::StorePoint;
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
 };
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -29,6 +29,7 @@
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, ListCopy, RelayUpdates};
 use crate::store_follower::install_declarations;
+use crate::store_point::StorePoint;
 use crate::wire::EntryWire;
 
 /// Minimum interval of checks for updates to report.
@@ -242,7 +243,8 @@
         }
         for row in &report.leaving {
             let server = ServerId(row.server);
-            if state.servers.borrow_mut().mark_leaving(now, server, row.revision) {
+            let point = StorePoint::from_number(row.revision);
+            if state.servers.borrow_mut().mark_leaving(now, server, point) {
                 log::info!(
                     "servers: reported as leaving by {}; no new requests. server={server}",
                     source.vm
@@ -251,9 +253,10 @@
             }
         }
         let (declaration, directory) = state.peer_versions.get();
+        let reported_directory = StorePoint::from_number(report.directory);
         state
             .peer_versions
-            .set((declaration.max(report.declaration), directory.max(report.directory)));
+            .set((declaration.max(report.declaration), directory.max(reported_directory)));
         state.peer_versions_change.notify_waiters();
         self.request_declarations(state, source, report.declaration);
         if report.joining {
@@ -361,12 +364,11 @@
     ) {
         let version = state.route_table().map_or(0, |table| table.version());
         let declarations = state.stored_declarations.borrow();
-        let Some((revision, content)) = declarations.as_ref().filter(|_| version > ask.version)
-        else {
+        let Some((point, content)) = declarations.as_ref().filter(|_| version > ask.version) else {
             return;
         };
         let content = content.as_bytes().to_vec();
-        let copy = DeclarationCopy { version, revision: *revision, content };
+        let copy = DeclarationCopy { version, revision: point.as_number(), content };
         self.link.send(source.vm, source.address, &wrap_message(Kind::DeclarationCopy(copy)));
     }
 
@@ -592,7 +594,10 @@
 
 fn apply_declaration_copy<W: EntryWire>(state: &EntryState<W>, copy: &DeclarationCopy) {
     match std::str::from_utf8(&copy.content) {
-        Ok(content) => install_declarations(state, copy.revision, content, "peer"),
+        Ok(content) => {
+            let point = StorePoint::from_number(copy.revision);
+            install_declarations(state, point, content, "peer");
+        }
         Err(error) => log::warn!(
             "peers: declarations of another router ignored; they are not UTF-8. error={error}"
         ),
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -49,13 +49,14 @@
 pub(crate) fn build_status<W>(state: &EntryState<W>) -> EntryReport {
     let servers = state.servers.borrow();
     let leaving = servers.departures();
-    let leaving = leaving.map(|(server, revision)| LeavingServer { server: server.0, revision });
+    let leaving = leaving
+        .map(|(server, point)| LeavingServer { server: server.0, revision: point.as_number() });
     let outcomes = state.outcomes.borrow();
     let ejected = outcomes.local_ejections(state.now());
     let ejected = ejected.map(ejected_count);
     EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
-        directory: servers.latest_change(),
+        directory: servers.latest_change().as_number(),
         domain: state.local_domain.0,
         strength: state.settings().strength(),
         leaving: leaving.collect(),
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -5,6 +5,7 @@
 use catkin_base::{ClockTime, ServerId, hash_parts};
 
 use crate::record::ServerRecord;
+use crate::store_point::StorePoint;
 
 /// How long a server whose entry disappeared around an outage of the store may still be used, in
 /// milliseconds. Live servers register again within two seconds after the store returns.
@@ -23,8 +24,8 @@
     pub server: ServerId,
     /// Content of its entry.
     pub record: ServerRecord,
-    /// Revision of its entry.
-    pub revision: u64,
+    /// Point of the last change of its entry.
+    pub point: StorePoint,
     /// While its entry is missing: until when it may still be used.
     missing_until: Option<ClockTime>,
 }
@@ -39,8 +40,8 @@
 /// A departure, for the reports to other routers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Departure {
-    /// Revision of the store that showed the departure.
-    revision: u64,
+    /// Point of the store that showed the departure.
+    point: StorePoint,
     /// When this router learned of it.
     at: ClockTime,
 }
@@ -65,10 +66,10 @@
     /// Names of entries by server identifier.
     names: BTreeMap<ServerId, String>,
     departures: BTreeMap<ServerId, Departure>,
-    /// Revision of the store that the list reflects.
-    revision: u64,
-    /// Revision of the latest change of a server's entry.
-    latest_change: u64,
+    /// Point of the store that the list reflects; `None` before the first list.
+    point: Option<StorePoint>,
+    /// Point of the latest change of a server's entry.
+    latest_change: StorePoint,
 }
 
 /// Derives the identifier of one incarnation of a server from its name, start time and address.
@@ -79,63 +80,67 @@
 }
 
 impl ServerBook {
-    /// Revision of the store that the list of servers reflects.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Point of the store that the list of servers reflects; the earliest one before the first
+    /// list.
+    pub fn point(&self) -> StorePoint {
+        self.point.unwrap_or_default()
     }
 
-    /// Revision of the latest change of a server's entry that is reflected. Unlike the revision of
-    /// the list it does not rise with writes of other kinds, so it is what routers compare.
-    pub fn latest_change(&self) -> u64 {
+    /// Point of the latest change of a server's entry that is reflected. Unlike the point of the
+    /// list it does not advance with writes of other kinds, so it is what routers compare.
+    pub fn latest_change(&self) -> StorePoint {
         self.latest_change
     }
 
     /// Whether the servers were listed.
     pub fn is_listed(&self) -> bool {
-        self.revision > 0
+        self.point.is_some()
     }
 
     /// Whether the list lacks a change of a server's entry that another router knows.
-    pub fn is_outdated(&self, change: u64) -> bool {
-        change > self.revision.max(self.latest_change)
+    pub fn is_outdated(&self, change: StorePoint) -> bool {
+        change > self.point().max(self.latest_change)
     }
 
-    /// Advances the revision that the list reflects; an older one is ignored.
-    pub fn advance_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// Advances the point that the list reflects; an earlier one is ignored.
+    pub fn advance_point(&mut self, point: StorePoint) {
+        self.point = self.point.max(Some(point));
     }
 
-    /// Applies an entry of the store; older revisions than the known one are ignored. `record` is
+    /// Applies an entry of the store; earlier points than the known one are ignored. `record` is
     /// `None` if the entry can't be used, and removes the server.
+    ///
+    /// A server that was leaving stays so at the first entry of a new era, which may be older than
+    /// the announcement.
     pub fn apply_entry(
         &mut self,
         now: ClockTime,
         name: &str,
-        revision: u64,
+        point: StorePoint,
         record: Option<ServerRecord>,
     ) -> ServerChange {
-        self.latest_change = self.latest_change.max(revision);
+        self.latest_change = self.latest_change.max(point);
         let known = self.servers.get_mut(name);
-        if known.as_ref().is_some_and(|known| known.revision > revision) {
+        if known.as_ref().is_some_and(|known| known.point > point) {
             return ServerChange::Unchanged;
         }
-        let Some(record) = record else { return self.remove_server(now, name, revision) };
+        let Some(mut record) = record else { return self.remove_server(now, name, point) };
         let server = derive_server_id(name, &record);
         if let Some(known) = known.filter(|known| known.server == server) {
             let left = record.leaving && !known.record.leaving;
+            record.leaving |= known.record.leaving && point.era() > known.point.era();
             known.record = record;
-            known.revision = revision;
+            known.point = point;
             known.missing_until = None;
             if left {
-                self.departures.insert(server, Departure { revision, at: now });
+                self.departures.insert(server, Departure { point, at: now });
                 return ServerChange::Leaving(server);
             }
             return ServerChange::Unchanged;
         }
         let leaving = record.leaving;
         let name = name.to_owned();
-        let known =
-            KnownServer { name: name.clone(), server, record, revision, missing_until: None };
+        let known = KnownServer { name: name.clone(), server, record, point, missing_until: None };
         self.names.insert(server, name.clone());
         if let Some(before) = self.servers.insert(name, known) {
             self.names.remove(&before.server);
@@ -149,39 +154,39 @@
         &mut self,
         now: ClockTime,
         name: &str,
-        revision: u64,
+        point: StorePoint,
         confirmed: bool,
     ) -> ServerChange {
-        self.latest_change = self.latest_change.max(revision);
-        self.drop_entry(now, name, revision, confirmed)
+        self.latest_change = self.latest_change.max(point);
+        self.drop_entry(now, name, point, confirmed)
     }
 
-    /// Drops an entry that is missing as of `revision`, which may be later than its removal.
+    /// Drops an entry that is missing as of `point`, which may be later than its removal.
     fn drop_entry(
         &mut self,
         now: ClockTime,
         name: &str,
-        revision: u64,
+        point: StorePoint,
         confirmed: bool,
     ) -> ServerChange {
         let Some(known) = self.servers.get_mut(name) else { return ServerChange::Unchanged };
-        if known.revision > revision {
+        if known.point > point {
             return ServerChange::Unchanged;
         }
         if confirmed {
-            return self.remove_server(now, name, revision);
+            return self.remove_server(now, name, point);
         }
         known.missing_until.get_or_insert(now.plus_millis(MISSING_GRACE_MILLIS));
         ServerChange::Unchanged
     }
 
-    /// Applies a complete list as of `revision`; servers not in it are removed as in
+    /// Applies a complete list as of `point`; servers not in it are removed as in
     /// [`Self::apply_removal`].
     pub fn apply_list(
         &mut self,
         now: ClockTime,
-        revision: u64,
-        entries: Vec<(String, u64, Option<ServerRecord>)>,
+        point: StorePoint,
+        entries: Vec<(String, StorePoint, Option<ServerRecord>)>,
         confirmed: bool,
     ) -> Vec<ServerChange> {
         let listed: std::collections::BTreeSet<&str> =
@@ -190,12 +195,12 @@
         let missing: Vec<String> = missing.cloned().collect();
         let mut changes = Vec::new();
         for name in missing {
-            changes.push(self.drop_entry(now, &name, revision, confirmed));
+            changes.push(self.drop_entry(now, &name, point, confirmed));
         }
-        for (name, entry_revision, record) in entries {
-            changes.push(self.apply_entry(now, &name, entry_revision, record));
+        for (name, entry_point, record) in entries {
+            changes.push(self.apply_entry(now, &name, entry_point, record));
         }
-        self.advance_revision(revision);
+        self.advance_point(point);
         changes.retain(|change| *change != ServerChange::Unchanged);
         changes
     }
@@ -212,7 +217,7 @@
             .collect();
         let mut dropped = Vec::new();
         for name in names {
-            if let ServerChange::Removed(server) = self.remove_server(now, &name, u64::MAX) {
+            if let ServerChange::Removed(server) = self.remove_server(now, &name, StorePoint::MAX) {
                 dropped.push(server);
             }
         }
@@ -221,25 +226,25 @@
         dropped
     }
 
-    /// Marks a server as leaving because another router reported its departure as of `revision`;
+    /// Marks a server as leaving because another router reported its departure as of `point`;
     /// returns false if that is outdated or known.
-    pub fn mark_leaving(&mut self, now: ClockTime, server: ServerId, revision: u64) -> bool {
+    pub fn mark_leaving(&mut self, now: ClockTime, server: ServerId, point: StorePoint) -> bool {
         let name = self.names.get(&server);
         let Some(known) = name.and_then(|name| self.servers.get_mut(name)) else { return false };
-        if known.revision > revision || known.record.leaving {
+        if known.point > point || known.record.leaving {
             return false;
         }
         known.record.leaving = true;
-        self.departures.insert(server, Departure { revision, at: now });
+        self.departures.insert(server, Departure { point, at: now });
         true
     }
 
-    /// The newest departures and their revisions.
-    pub fn departures(&self) -> impl Iterator<Item = (ServerId, u64)> {
+    /// The newest departures and their points.
+    pub fn departures(&self) -> impl Iterator<Item = (ServerId, StorePoint)> {
         let mut newest: Vec<_> = self.departures.iter().collect();
         newest.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.at));
         let newest = newest.into_iter().take(MAX_DEPARTURES);
-        newest.map(|(server, departure)| (*server, departure.revision))
+        newest.map(|(server, departure)| (*server, departure.point))
     }
 
     /// Servers of `service` that may get requests.
@@ -270,12 +275,12 @@
     }
 
     /// Removes a server and records its departure.
-    fn remove_server(&mut self, now: ClockTime, name: &str, revision: u64) -> ServerChange {
+    fn remove_server(&mut self, now: ClockTime, name: &str, point: StorePoint) -> ServerChange {
         let Some(known) = self.servers.remove(name) else { return ServerChange::Unchanged };
         self.names.remove(&known.server);
-        // `u64::MAX` stands for no revision; the one of the entry is used then.
-        let revision = if revision == u64::MAX { known.revision } else { revision };
-        self.departures.insert(known.server, Departure { revision, at: now });
+        // The latest point stands for none; the one of the entry is used then.
+        let point = if point == StorePoint::MAX { known.point } else { point };
+        self.departures.insert(known.server, Departure { point, at: now });
         ServerChange::Removed(known.server)
     }
 }
--- a/crates/catkin-entry/src/server_copy.rs
+++ b/crates/catkin-entry/src/server_copy.rs
@@ -7,14 +7,15 @@
 
 use crate::record::ServerRecord;
 use crate::server_book::{KnownServer, ServerBook};
+use crate::store_point::StorePoint;
 
 /// A decoded list of servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerList {
-    /// Revision of the store that the list reflects.
-    pub revision: u64,
-    /// Name, revision and content of each entry.
-    pub entries: Vec<(String, u64, Option<ServerRecord>)>,
+    /// Point of the store that the list reflects.
+    pub point: StorePoint,
+    /// Name, point of the last change and content of each entry.
+    pub entries: Vec<(String, StorePoint, Option<ServerRecord>)>,
 }
 
 /// Encodes the servers of `book` whose entries are in the store.
@@ -24,7 +25,7 @@
     let listed = book.iter().filter(|known| !known.is_missing());
     let rows = listed.map(|known| encode_server(known, &mut services, &mut domains)).collect();
     ServerListCopy {
-        revision: book.revision(),
+        revision: book.point().as_number(),
         services: services.names,
         domains: domains.names,
         rows,
@@ -35,9 +36,10 @@
 pub fn decode_server_list(copy: &ServerListCopy) -> Option<ServerList> {
     let entries = copy.rows.iter().map(|row| {
         let record = decode_server(copy, row)?;
-        Some((row.name.clone(), row.revision, Some(record)))
+        Some((row.name.clone(), StorePoint::from_number(row.revision), Some(record)))
     });
-    Some(ServerList { revision: copy.revision, entries: entries.collect::<Option<_>>()? })
+    let point = StorePoint::from_number(copy.revision);
+    Some(ServerList { point, entries: entries.collect::<Option<_>>()? })
 }
 
 /// Names that rows refer to by index, in the order of their first use.
@@ -71,7 +73,7 @@
     };
     ListedServer {
         name: known.name.clone(),
-        revision: known.revision,
+        revision: known.point.as_number(),
         service: services.find_index(&record.service),
         domain: domains.find_index(&record.domain),
         slots: record.slots,
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -25,6 +25,7 @@
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
+use crate::store_point::StorePoint;
 use crate::wire::StoreKind;
 
 /// Number of servers that must crash while running requests with the same content before the
@@ -93,8 +94,8 @@
     /// This router's failure domain.
     pub(crate) local_domain: DomainId,
     pub(crate) route_table: RefCell<Option<Rc<RouteTable>>>,
-    /// Revision and stored text of the declarations in force, to be sent to other routers.
-    pub(crate) stored_declarations: RefCell<Option<(u64, Rc<str>)>>,
+    /// Point and stored text of the declarations in force, to be sent to other routers.
+    pub(crate) stored_declarations: RefCell<Option<(StorePoint, Rc<str>)>>,
     pub(crate) servers: RefCell<ServerBook>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) cache_index: RefCell<CacheIndex>,
@@ -113,9 +114,9 @@
     pub(crate) selection_input_change: Notify,
     /// Signals that another router reported its versions.
     pub(crate) peer_versions_change: Notify,
-    /// Newest version of the declarations, and newest revision of the server list, that any router
+    /// Newest version of the declarations, and latest change of a server's entry, that any router
     /// reported.
-    pub(crate) peer_versions: Cell<(u64, u64)>,
+    pub(crate) peer_versions: Cell<(u64, StorePoint)>,
     pub(crate) list_copy: RefCell<ListCopy>,
     /// Signals that `list_copy` changed or that servers were listed.
     pub(crate) list_copy_change: Notify,
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -1,11 +1,13 @@
 //! Client of the platform's store, over one persistent connection.
 
+use std::cmp::Ordering;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use catkin_base::copy_type;
+use catkin_http::ResponseHead;
 use tokio::time::Instant;
 
 use crate::connection::{ExchangeFailure, HttpConnection};
@@ -66,6 +68,18 @@
     /// The store refused the call with this status; nothing was changed.
     #[error("the store refused with status {0}")]
     Refused(u16),
+    /// The store was restored from a copy since the last answer, so that what was known of it may be
+    /// lost there; nothing is known of the call.
+    #[error("the store was restored from a copy: era {era}, before {before}")]
+    Restored {
+        /// Era of the store before.
+        before: u64,
+        /// Era of this answer.
+        era: u64,
+    },
+    /// The answer is from an era before that of an earlier answer; it is ignored.
+    #[error("the answer is from era {0}, before that of an earlier answer")]
+    OutdatedEra(u64),
     /// The store no longer has the changes after the revision of a wait.
     #[error("the store no longer has the changes after the requested revision")]
     HistoryGone,
@@ -83,18 +97,21 @@
 pub struct StoreClient<W> {
     address: SocketAddr,
     connection: Option<HttpConnection>,
+    /// Era of the latest answer; `None` before the first one.
+    era: Option<u64>,
     wire: PhantomData<W>,
 }
 
 struct StoreAnswer {
     status: u16,
+    era: u64,
     body: Bytes,
 }
 
 impl<W: EntryWire> StoreClient<W> {
     /// Creates a client. The first call connects it.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None, wire: PhantomData }
+        Self { address, connection: None, era: None, wire: PhantomData }
     }
 
     /// Closes the connection. The next call opens another one.
@@ -148,7 +165,7 @@
         let target = W::list_target(kind, after);
         let answer = self.call("GET", &target, None, timeout).await?;
         check_status(answer.status)?;
-        Ok(W::decode_list(&answer.body)?)
+        Ok(StorePage { era: answer.era, ..W::decode_list(&answer.body)? })
     }
 
     /// Waits until an object of a kind changes after `revision`, at most `wait`. The answer fails if
@@ -165,7 +182,7 @@
         let target = W::watch_target(kind, revision, wait.as_millis() as u64, allow_stale);
         let answer = self.call("GET", &target, None, wait + timeout + WATCH_GRACE).await?;
         check_status(answer.status)?;
-        Ok(W::decode_changes(&answer.body)?)
+        Ok(StorePage { era: answer.era, ..W::decode_changes(&answer.body)? })
     }
 
     /// Reads one object. With `allow_stale`, which costs the store less, the object may be seconds
@@ -242,7 +259,28 @@
         if connection.is_reusable() {
             self.connection = Some(connection);
         }
-        Ok(StoreAnswer { status: head.status, body })
+        let era = self.check_era(&head)?;
+        Ok(StoreAnswer { status: head.status, era, body })
+    }
+
+    /// Reads the era of an answer. One that states none is in the era of those before, at first 0.
+    /// Fails if the era is not that of the answers before.
+    fn check_era(&mut self, head: &ResponseHead) -> Result<u64, StoreCallError> {
+        let name = W::HEADERS.store_era;
+        let era = match head.fields.text(name) {
+            Some(text) => text.parse().map_err(|_| WireError {
+                what: "answer of the store".to_owned(),
+                reason: format!("field {name} is {text:?}, not a whole number"),
+            })?,
+            None => return Ok(self.era.unwrap_or(0)),
+        };
+        let before = self.era.unwrap_or(era);
+        self.era = Some(before.max(era));
+        match era.cmp(&before) {
+            Ordering::Greater => Err(StoreCallError::Restored { before, era }),
+            Ordering::Less => Err(StoreCallError::OutdatedEra(era)),
+            Ordering::Equal => Ok(era),
+        }
     }
 
     async fn take_connection(
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -12,6 +12,7 @@
 use crate::state::{EntryState, ListCopy};
 use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient};
 use crate::store_pace::StorePace;
+use crate::store_point::StorePoint;
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
 /// Maximum duration of one watch, a long poll for changes. Together with the timeout of its answer it
@@ -45,7 +46,7 @@
     let mut follower = StoreFollower {
         client: StoreClient::new(address),
         kind,
-        revision: None,
+        point: None,
         pages: None,
         failed_at: None,
         pace: StorePace::default(),
@@ -70,8 +71,8 @@
     state: Rc<EntryState<W>>,
     client: StoreClient<W>,
     kind: StoreKind,
-    /// Revision up to which changes are known; `None` if the next call must list all objects.
-    revision: Option<u64>,
+    /// Point up to which changes are known; `None` if the next call must list all objects.
+    point: Option<StorePoint>,
     /// Pages of a list that could not be completed.
     pages: Option<ListedPages>,
     failed_at: Option<ClockTime>,
@@ -82,19 +83,24 @@
 impl<W: EntryWire> StoreFollower<W> {
     /// Lists all objects, or watches for the next changes, and applies the result.
     async fn read_next(&mut self) -> Result<(), StoreCallError> {
-        match self.revision {
+        match self.point {
             None => self.list_all().await?,
-            Some(revision) => {
+            Some(point) => {
                 let state = Rc::clone(&self.state);
                 let allow_stale = !state.consistent_reads.get();
                 let timeout = self.timeout.current();
-                let watching =
-                    self.client.watch(self.kind, revision, WATCH_DURATION, timeout, allow_stale);
+                let watching = self.client.watch(
+                    self.kind,
+                    point.revision(),
+                    WATCH_DURATION,
+                    timeout,
+                    allow_stale,
+                );
                 let page = tokio::select! {
                     page = watching => page?,
                     () = state.process_resumed.notified() => {
                         self.client.reset();
-                        self.revision = None;
+                        self.point = None;
                         return Ok(());
                     }
                     () = wait_until_outdated(&state, self.kind) => {
@@ -103,13 +109,13 @@
                             self.kind
                         );
                         self.client.reset();
-                        self.revision = None;
+                        self.point = None;
                         return Ok(());
                     }
                 };
                 self.record_answer();
                 let changed = !page.entries.is_empty();
-                self.apply_changes(page);
+                self.apply_changes(&page);
                 if changed {
                     sleep(self.batch_delay()).await;
                 }
@@ -140,13 +146,15 @@
         while pages.list.has_more {
             let timeout = self.timeout.current();
             if let Err(error) = self.client.list_next(self.kind, &mut pages.list, timeout).await {
-                self.pages = Some(pages);
+                // Pages of two eras don't make up one list.
+                let restored = matches!(error, StoreCallError::Restored { .. });
+                self.pages = Some(pages).filter(|_| !restored);
                 return Err(error);
             }
             self.timeout = GrowingTimeout::default();
         }
         self.record_answer();
-        self.apply_list(pages.list);
+        self.apply_list(&pages.list);
         Ok(())
     }
 
@@ -177,16 +185,16 @@
         }
     }
 
-    /// Applies the list of another router. The next watch starts from its revision, so that it
+    /// Applies the list of another router. The next watch starts from its point, so that it
     /// returns what changed since.
     fn apply_copy(&mut self, list: ServerList) {
         log::info!(
-            "store: servers listed by another router. revision={} servers={}",
-            list.revision,
+            "store: servers listed by another router. point={} servers={}",
+            list.point,
             list.entries.len()
         );
         self.record_answer();
-        self.revision = Some(list.revision);
+        self.point = Some(list.point);
         self.apply_servers(list);
     }
 
@@ -227,7 +235,7 @@
     }
 
     async fn handle_error(&mut self, error: &StoreCallError) {
-        let call = if self.revision.is_some() { "watch" } else { "list" };
+        let call = if self.point.is_some() { "watch" } else { "list" };
         let answered = self.state.store_answered.borrow().get(&self.kind).copied();
         log::warn!(
             "store: call failed; all objects are listed again. kind={:?} call={call} \
@@ -240,7 +248,18 @@
         self.timeout.grow();
         // After a failed call, a watch from the old revision could miss changes that the store no
         // longer has.
-        self.revision = None;
+        self.point = None;
+        if let StoreCallError::Restored { before, era } = error {
+            log::warn!(
+                "store: restored from a copy; all objects are listed again. kind={:?} \
+                 era_before={before} era={era}",
+                self.kind
+            );
+            metrics::counter!("catkin_entry_store_restores_total").increment(1);
+            // Live servers that are missing from the copy register again.
+            self.failed_at = Some(self.state.now());
+            return;
+        }
         let failing = *error != StoreCallError::HistoryGone;
         self.set_store_failing(failing);
         if failing {
@@ -250,41 +269,40 @@
         }
     }
 
-    fn apply_list(&mut self, page: StorePage) {
-        self.revision = Some(page.revision);
+    fn apply_list(&mut self, page: &StorePage) {
+        let point = page.point();
+        self.point = Some(point);
         match self.kind {
             StoreKind::Servers => {
-                let entries = page.entries.into_iter();
-                let entries = entries.map(|entry| {
-                    let record = read_server::<W>(&entry);
-                    (entry.name, entry.revision, record)
+                let entries = page.entries.iter().map(|entry| {
+                    (entry.name.clone(), page.entry_point(entry), read_server::<W>(entry))
                 });
-                let list = ServerList { revision: page.revision, entries: entries.collect() };
+                let list = ServerList { point, entries: entries.collect() };
                 self.apply_servers(list);
             }
-            _ => self.apply_declarations(page.entries),
+            _ => self.apply_declarations(page),
         }
     }
 
     fn apply_servers(&self, list: ServerList) {
-        let ServerList { revision, entries } = list;
+        let ServerList { point, entries } = list;
         let now = self.state.now();
         let recovered = self.is_recovered();
         let mut servers = self.state.servers.borrow_mut();
-        let changes = servers.apply_list(now, revision, entries, recovered);
+        let changes = servers.apply_list(now, point, entries, recovered);
         drop(servers);
         log::info!(
-            "store: servers listed. revision={revision} changes={} settled={recovered}",
+            "store: servers listed. point={point} changes={} settled={recovered}",
             changes.len()
         );
         self.apply_server_changes(&changes);
         self.state.list_copy_change.notify_waiters();
     }
 
-    fn apply_changes(&mut self, page: StorePage) {
-        self.revision = Some(page.revision);
+    fn apply_changes(&mut self, page: &StorePage) {
+        self.point = Some(page.point());
         if self.kind != StoreKind::Servers {
-            return self.apply_declarations(page.entries);
+            return self.apply_declarations(page);
         }
         let now = self.state.now();
         let recovered = self.is_recovered();
@@ -292,15 +310,17 @@
         let mut servers = self.state.servers.borrow_mut();
         for entry in &page.entries {
             let change = if entry.removed {
-                // An event without a revision is placed at that of the page.
-                let revision = if entry.revision > 0 { entry.revision } else { page.revision };
-                servers.apply_removal(now, &entry.name, revision, recovered)
+                // An event without a revision is placed at the point of the page.
+                let has_revision = entry.revision > 0;
+                let point = if has_revision { page.entry_point(entry) } else { page.point() };
+                servers.apply_removal(now, &entry.name, point, recovered)
             } else {
-                servers.apply_entry(now, &entry.name, entry.revision, read_server::<W>(entry))
+                let record = read_server::<W>(entry);
+                servers.apply_entry(now, &entry.name, page.entry_point(entry), record)
             };
             changes.push(change);
         }
-        servers.advance_revision(page.revision);
+        servers.advance_point(page.point());
         drop(servers);
         self.apply_server_changes(&changes);
     }
@@ -313,10 +333,11 @@
         }
     }
 
-    fn apply_declarations(&self, entries: Vec<StoredEntry>) {
-        let declarations = entries.into_iter().filter(|entry| entry.name == W::DECLARATIONS_NAME);
+    fn apply_declarations(&self, page: &StorePage) {
+        let declarations = page.entries.iter().filter(|entry| entry.name == W::DECLARATIONS_NAME);
         for entry in declarations.filter(|entry| !entry.removed) {
-            install_declarations(&self.state, entry.revision, &entry.content, "store");
+            let point = page.entry_point(entry);
+            install_declarations(&self.state, point, &entry.content, "store");
         }
     }
 }
@@ -338,7 +359,7 @@
 /// Installs declarations if they are newer than those in force. `source` is logged.
 pub(crate) fn install_declarations<W: EntryWire>(
     state: &EntryState<W>,
-    revision: u64,
+    point: StorePoint,
     content: &str,
     source: &str,
 ) {
@@ -346,7 +367,7 @@
         Ok(record) => record,
         Err(error) => {
             log::error!(
-                "store: declarations ignored; they cannot be decoded. revision={revision} error={error}"
+                "store: declarations ignored; they cannot be decoded. point={point} error={error}"
             );
             return;
         }
@@ -356,14 +377,14 @@
         return;
     }
     log::info!(
-        "declarations: new version in force. version={} before={current} revision={revision} \
+        "declarations: new version in force. version={} before={current} point={point} \
          source={source} routes={} services={}",
         record.version,
         record.routes.len(),
         record.services.len()
     );
     *state.route_table.borrow_mut() = Some(Rc::new(RouteTable::new(record)));
-    *state.stored_declarations.borrow_mut() = Some((revision, content.into()));
+    *state.stored_declarations.borrow_mut() = Some((point, content.into()));
     state.updates.borrow_mut().send_now = true;
     state.selection_input_change.notify_waiters();
 }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -5,6 +5,7 @@
 use catkin_base::{copy_type, value_type};
 
 use crate::record::{DeclarationRecord, PromptPart, ServerRecord};
+use crate::store_point::StorePoint;
 
 /// Names of the header fields that the router reads or writes.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +31,9 @@
     pub expected_server: &'static str,
     /// The load of a server.
     pub load: &'static str,
+    /// Era of the store, on its answers. It rises by one whenever the store is restored from a
+    /// copy.
+    pub store_era: &'static str,
     /// Set on answers to requests that were not run.
     pub not_run: &'static str,
     /// Priority, sent to servers.
@@ -75,6 +79,20 @@
         pub has_more: bool,
         /// Revision of the store.
         pub revision: u64,
+        /// Era of the store, from the head of the answer; the decoders set 0.
+        pub era: u64,
+    }
+}
+
+impl StorePage {
+    /// Point of the store that the page reflects.
+    pub fn point(&self) -> StorePoint {
+        StorePoint::new(self.era, self.revision)
+    }
+
+    /// Point of the last change of an entry of the page.
+    pub fn entry_point(&self, entry: &StoredEntry) -> StorePoint {
+        StorePoint::new(self.era, entry.revision)
     }
 }
 
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -5,7 +5,8 @@
 
 use catkin_base::{ClockTime, ServerId, VmId};
 use catkin_entry::{
-    LoadSource, LoadTable, OpenLoad, ReportedLoads, ServerBook, ServerRecord, derive_server_id,
+    LoadSource, LoadTable, OpenLoad, ReportedLoads, ServerBook, ServerRecord, StorePoint,
+    derive_server_id,
 };
 use proptest::prelude::*;
 
@@ -95,11 +96,11 @@
     };
     let mut book = ServerBook::default();
 
-    book.apply_entry(at(0), "i-1", 1, Some(record(1)));
-    book.apply_entry(at(1), "i-1", 2, Some(record(2)));
+    book.apply_entry(at(0), "i-1", StorePoint::new(0, 1), Some(record(1)));
+    book.apply_entry(at(1), "i-1", StorePoint::new(0, 2), Some(record(2)));
 
     assert!(book.get(derive_server_id("i-1", &record(1))).is_none());
-    assert_eq!(book.get(derive_server_id("i-1", &record(2))).unwrap().revision, 2);
-    book.apply_removal(at(2), "i-1", 3, true);
+    assert_eq!(book.get(derive_server_id("i-1", &record(2))).unwrap().point, StorePoint::new(0, 2));
+    book.apply_removal(at(2), "i-1", StorePoint::new(0, 3), true);
     assert!(book.get(derive_server_id("i-1", &record(2))).is_none());
 }
--- a/crates/catkin-entry/tests/list_plan.rs
+++ b/crates/catkin-entry/tests/list_plan.rs
@@ -5,8 +5,8 @@
 
 use catkin_base::{ClockTime, DomainId, VmId};
 use catkin_entry::{
-    FleetMember, ListSource, ServerBook, ServerRecord, choose_asked_router, choose_list_source,
-    decode_server_list, encode_server_list,
+    FleetMember, ListSource, ServerBook, ServerRecord, StorePoint, choose_asked_router,
+    choose_list_source, decode_server_list, encode_server_list,
 };
 
 const DOMAINS: u64 = 6;
@@ -59,10 +59,16 @@
     }
 }
 
+/// A point of a store that was restored twice.
+fn point(revision: u64) -> StorePoint {
+    StorePoint::new(2, revision)
+}
+
 fn book(count: u64) -> ServerBook {
-    let entries = (0..count).map(|index| (format!("i-{index:05}"), index + 1, Some(server(index))));
+    let entries =
+        (0..count).map(|index| (format!("i-{index:05}"), point(index + 1), Some(server(index))));
     let mut book = ServerBook::default();
-    book.apply_list(ClockTime::ZERO, 90_000, entries.collect(), true);
+    book.apply_list(ClockTime::ZERO, point(90_000), entries.collect(), true);
     book
 }
 
@@ -139,17 +145,17 @@
     let copy = encode_server_list(&original);
     let list = decode_server_list(&copy).unwrap();
     let mut copied = ServerBook::default();
-    copied.apply_list(ClockTime::ZERO, list.revision, list.entries, true);
+    copied.apply_list(ClockTime::ZERO, list.point, list.entries, true);
 
     assert!(copied.iter().eq(original.iter()));
-    assert_eq!(copied.revision(), 90_000);
+    assert_eq!(copied.point(), point(90_000));
     assert_eq!(copied.latest_change(), original.latest_change());
 }
 
 #[test]
 fn servers_whose_entries_are_missing_are_not_passed_on() {
     let mut book = book(2);
-    book.apply_removal(ClockTime::ZERO, "i-00001", 90_001, false);
+    book.apply_removal(ClockTime::ZERO, "i-00001", point(90_001), false);
 
     let list = decode_server_list(&encode_server_list(&book)).unwrap();
 
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -7,7 +7,7 @@
 use catkin_entry::{
     AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, MISSING_GRACE_MILLIS, OutcomeBook,
     RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerRecord,
-    ServiceShare, TeamRecord, choose_service, derive_server_id,
+    ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id,
 };
 
 fn server(started_unix_millis: u64) -> ServerRecord {
@@ -27,7 +27,7 @@
 
 fn one_server_book() -> ServerBook {
     let mut book = ServerBook::default();
-    book.apply_entry(at(0), "i-1", 5, Some(server(1)));
+    book.apply_entry(at(0), "i-1", point(5), Some(server(1)));
     book
 }
 
@@ -35,6 +35,11 @@
     ClockTime::from_millis(millis)
 }
 
+/// A point of a store that was never restored.
+fn point(revision: u64) -> StorePoint {
+    StorePoint::new(0, revision)
+}
+
 fn route(prefix: &str) -> RouteRecord {
     RouteRecord {
         name: format!("route {prefix}"),
@@ -113,21 +118,21 @@
 fn a_leaving_server_gets_no_requests_and_stays_listed() {
     let mut book = one_server_book();
 
-    let change = book.apply_entry(at(1), "i-1", 6, Some(leaving_server()));
+    let change = book.apply_entry(at(1), "i-1", point(6), Some(leaving_server()));
 
     let id = derive_server_id("i-1", &server(1));
     assert_eq!(change, ServerChange::Leaving(id));
     assert_eq!(book.usable("s").count(), 0);
     assert_eq!(book.leaving("s").count(), 1);
-    assert_eq!(book.departures().collect::<Vec<_>>(), [(id, 6)]);
+    assert_eq!(book.departures().collect::<Vec<_>>(), [(id, point(6))]);
 }
 
 #[test]
 fn an_entry_with_an_older_revision_does_not_make_a_leaving_server_usable() {
     let mut book = one_server_book();
-    book.apply_entry(at(1), "i-1", 6, Some(leaving_server()));
+    book.apply_entry(at(1), "i-1", point(6), Some(leaving_server()));
 
-    let change = book.apply_entry(at(2), "i-1", 5, Some(server(1)));
+    let change = book.apply_entry(at(2), "i-1", point(5), Some(server(1)));
 
     assert_eq!(change, ServerChange::Unchanged);
     assert_eq!(book.usable("s").count(), 0);
@@ -137,7 +142,7 @@
 fn a_server_that_restarts_under_its_name_replaces_the_earlier_one() {
     let mut book = one_server_book();
 
-    let change = book.apply_entry(at(1), "i-1", 6, Some(server(2)));
+    let change = book.apply_entry(at(1), "i-1", point(6), Some(server(2)));
 
     assert_eq!(change, ServerChange::Appeared(derive_server_id("i-1", &server(2))));
     assert!(book.get(derive_server_id("i-1", &server(1))).is_none());
@@ -146,9 +151,9 @@
 #[test]
 fn an_entry_that_cannot_be_decoded_removes_only_its_own_server() {
     let mut book = one_server_book();
-    book.apply_entry(at(0), "i-2", 5, Some(server(3)));
+    book.apply_entry(at(0), "i-2", point(5), Some(server(3)));
 
-    book.apply_entry(at(1), "i-2", 6, None);
+    book.apply_entry(at(1), "i-2", point(6), None);
 
     assert_eq!(book.usable("s").count(), 1);
 }
@@ -156,7 +161,7 @@
 #[test]
 fn servers_missing_after_a_store_outage_are_removed_after_a_grace_period() {
     let mut book = one_server_book();
-    book.apply_list(at(100), 9, Vec::new(), false);
+    book.apply_list(at(100), point(9), Vec::new(), false);
     let early = book.remove_missing(at(100 + MISSING_GRACE_MILLIS - 1));
     let usable = book.usable("s").count();
 
@@ -169,8 +174,8 @@
 #[test]
 fn a_server_whose_entry_comes_back_after_a_store_outage_stays() {
     let mut book = one_server_book();
-    book.apply_list(at(100), 9, Vec::new(), false);
-    book.apply_entry(at(200), "i-1", 10, Some(server(1)));
+    book.apply_list(at(100), point(9), Vec::new(), false);
+    book.apply_entry(at(200), "i-1", point(10), Some(server(1)));
 
     assert_eq!(book.remove_missing(at(10_000)), []);
     assert_eq!(book.usable("s").count(), 1);
@@ -180,33 +185,72 @@
 fn servers_missing_without_a_store_outage_are_removed_at_once() {
     let mut book = one_server_book();
 
-    let changes = book.apply_list(at(100), 9, Vec::new(), true);
+    let changes = book.apply_list(at(100), point(9), Vec::new(), true);
 
     assert_eq!(changes, [ServerChange::Removed(derive_server_id("i-1", &server(1)))]);
 }
 
+/// Guards against changes of servers that are ignored after the store was restored from a copy: their
+/// revisions are below the known ones until the counter has passed those.
+#[test]
+fn an_entry_of_a_later_era_replaces_one_with_a_larger_revision() {
+    let mut book = one_server_book();
+
+    let change = book.apply_entry(at(1), "i-1", StorePoint::new(1, 2), Some(leaving_server()));
+
+    assert_eq!(change, ServerChange::Leaving(derive_server_id("i-1", &server(1))));
+    assert!(book.is_outdated(StorePoint::new(1, 3)));
+    assert!(!book.is_outdated(point(1_000)));
+}
+
+/// Guards against requests to a server that announced its departure in the time that the store lost
+/// when it was restored from a copy.
+#[test]
+fn a_leaving_server_stays_so_in_the_copy_until_its_entry_is_written_again() {
+    let mut book = one_server_book();
+    book.apply_entry(at(1), "i-1", point(9), Some(leaving_server()));
+    let copy = vec![("i-1".to_owned(), StorePoint::new(1, 5), Some(server(1)))];
+
+    book.apply_list(at(2), StorePoint::new(1, 6), copy, false);
+    let usable_in_copy = book.usable("s").count();
+    book.apply_entry(at(3), "i-1", StorePoint::new(1, 7), Some(server(1)));
+
+    assert_eq!(usable_in_copy, 0);
+    assert_eq!(book.usable("s").count(), 1);
+}
+
+#[test]
+fn points_are_ordered_by_era_and_keep_it_in_their_number() {
+    let [before, after] = [StorePoint::new(1, 900), StorePoint::new(2, 3)];
+
+    assert!(before < after);
+    assert_eq!(StorePoint::from_number(after.as_number()), after);
+    assert_eq!((after.era(), after.revision()), (2, 3));
+    assert_eq!(point(7).as_number(), 7);
+}
+
 /// Guards against lists that all routers repeat because one of them listed the same servers later.
 /// The revision of a list counts writes of every kind, so it rises whenever a router registers.
 #[test]
 fn a_later_list_of_the_same_servers_does_not_outdate_an_earlier_one() {
-    let entries = || vec![("i-1".to_owned(), 5, Some(server(1)))];
+    let entries = || vec![("i-1".to_owned(), point(5), Some(server(1)))];
     let [mut earlier, mut later] = [ServerBook::default(), ServerBook::default()];
-    earlier.apply_list(at(0), 10, entries(), true);
-    later.apply_list(at(1), 20, entries(), true);
+    earlier.apply_list(at(0), point(10), entries(), true);
+    later.apply_list(at(1), point(20), entries(), true);
 
     assert!(!earlier.is_outdated(later.latest_change()));
-    later.apply_entry(at(2), "i-2", 21, Some(server(2)));
+    later.apply_entry(at(2), "i-2", point(21), Some(server(2)));
     assert!(earlier.is_outdated(later.latest_change()));
-    earlier.apply_list(at(3), 22, entries(), true);
+    earlier.apply_list(at(3), point(22), entries(), true);
     assert!(!earlier.is_outdated(later.latest_change()));
 }
 
 #[test]
 fn a_removal_outdates_lists_from_before_it() {
     let [mut other, mut book] = [one_server_book(), one_server_book()];
-    other.advance_revision(24);
+    other.advance_point(point(24));
 
-    book.apply_removal(at(1), "i-1", 25, true);
+    book.apply_removal(at(1), "i-1", point(25), true);
 
     assert!(other.is_outdated(book.latest_change()));
     assert!(!book.is_outdated(other.latest_change()));
@@ -217,8 +261,8 @@
     let mut book = one_server_book();
     let id = derive_server_id("i-1", &server(1));
 
-    assert!(!book.mark_leaving(at(1), id, 4));
-    assert!(book.mark_leaving(at(1), id, 6));
+    assert!(!book.mark_leaving(at(1), id, point(4)));
+    assert!(book.mark_leaving(at(1), id, point(6)));
     assert_eq!(book.usable("s").count(), 0);
 }
 
