Count crashes of servers that break a reused connection

Callers saw servers end one after the other under one request that came again and again.

Cause: a reused connection that broke before the first byte of an answer counted as one that the server had closed while it was idle, and no strike was recorded, although the request may have run. Most requests go over reused connections, so a request that crashes servers was seldom quarantined. A request was also sent to a further server in the same call after the third crash.

After such a break the router connects to the server once more, for at most 150 ms. If that is refused, the server has crashed: the request gets a strike and the server counts as unreachable. If the server accepts or does not answer, the break counts for nothing, as before; otherwise reset connections would quarantine content that many callers request. Before each further attempt the router checks whether the content is quarantined.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to one server and waits for the head of the answer.
 
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,13 +11,15 @@
 use tokio::time::Instant;
 
 use crate::call::{EntryCall, SendDetails, encode_call};
-use crate::connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
+use crate::connection::{ExchangeFailure, ExpectedAnswer, HttpConnection};
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for finding out whether a server still listens after a reused connection broke.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of connections to one server if its service declares no limit.
 const DEFAULT_CONNECTIONS: u32 = 64;
 /// Maximum size of the body of an answer that declines a request, in bytes.
@@ -29,8 +32,11 @@
         Unreachable,
         /// The maximum number of connections to the server is open.
         NoChannel,
-        /// A reused connection broke before the first byte of an answer.
+        /// A reused connection broke before the first byte of an answer, and the server listens.
         StaleChannel,
+        /// A reused connection broke before the first byte of an answer, and the server no longer
+        /// listens.
+        Crashed,
         /// The server declined the request and did not run it.
         Declined,
         /// Another server has this address now.
@@ -173,7 +179,17 @@
     let reused = connection.get().exchanges() > 0;
     let exchanged =
         connection.get().exchange(&request, Some(expected), call.is_head(), answer_deadline);
-    let head = exchanged.await.map_err(|error| send_error(error, reused))?;
+    let head = match exchanged.await {
+        Ok(head) => head,
+        Err(error) if reused && error.failure == ExchangeFailure::Broken => {
+            let failure = classify_reused_break(assigned.address).await;
+            return Err(AttemptError { failure, ran: error.ran });
+        }
+        Err(error) => {
+            let failure = convert_failure(error.failure);
+            return Err(AttemptError { failure, ran: error.ran });
+        }
+    };
     let (head, connection) = check_head::<W>(state, call, &assigned, head, connection).await?;
     Ok(StartedAnswer { head, connection, slot: assigned.slot })
 }
@@ -218,12 +234,16 @@
     share_connection_limit(limit, state.live_routers())
 }
 
-/// Converts a failed exchange. If a reused connection broke, the server probably closed it while
-/// idle, which does not count against the server.
-fn send_error(error: ExchangeError, reused: bool) -> AttemptError {
-    let stale = reused && error.failure == ExchangeFailure::Broken;
-    let failure = if stale { AttemptFailure::StaleChannel } else { convert_failure(error.failure) };
-    AttemptError { failure, ran: error.ran }
+/// Finds out why a reused connection broke before the first byte of an answer. Most often the server
+/// closed it while it was idle, which counts neither against the server nor against the request. A
+/// server that refuses new connections has crashed. One that does not answer may be cut off, so
+/// that counts as the usual case.
+async fn classify_reused_break(address: SocketAddr) -> AttemptFailure {
+    let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
+    match HttpConnection::connect(address, deadline).await {
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => AttemptFailure::Crashed,
+        _ => AttemptFailure::StaleChannel,
+    }
 }
 
 /// Checks the head of an answer: fails if the server declined the request or if the head is not one
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -125,8 +125,7 @@
     if outlives_process(state, call) {
         return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Stopping)));
     }
-    let quarantined = state.strikes.borrow().state(state.now(), call.digest).hold_millis > 0;
-    if quarantined {
+    if is_quarantined(state, call) {
         return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Quarantined)));
     }
     let mut progress = CallProgress {
@@ -214,6 +213,11 @@
     }
 }
 
+/// Whether the content of the request crashed so many servers that it is refused.
+fn is_quarantined<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
+    state.strikes.borrow().state(state.now(), call.digest).hold_millis > 0
+}
+
 /// Decides after a failed attempt whether the request ends, and how; `None` if it is retried.
 fn decide_end<W: EntryWire>(
     state: &EntryState<W>,
@@ -223,7 +227,12 @@
     started: bool,
 ) -> Option<ServedCall> {
     let over = Instant::now() >= call.deadline;
-    let cause = if over { RefusalCause::TimeOver } else { RefusalCause::ServerFailed };
+    let quarantined = is_quarantined(state, call);
+    let cause = match (over, quarantined) {
+        (true, _) => RefusalCause::TimeOver,
+        (false, true) => RefusalCause::Quarantined,
+        (false, false) => RefusalCause::ServerFailed,
+    };
     let end = if started {
         ServedCall::Truncated(error)
     } else {
@@ -232,7 +241,7 @@
     let allowed = progress.ran == RunVerdict::NotRun || call.may_repeat();
     let attempts_left = progress.possibly_run_attempts < call.route.max_attempts
         && progress.not_run_attempts < MAX_NOT_RUN_ATTEMPTS;
-    if over || !allowed || !attempts_left {
+    if over || quarantined || !allowed || !attempts_left {
         return Some(end);
     }
     // An attempt that reached no server adds no load to the service, so it spends no retry.
@@ -304,11 +313,14 @@
     metrics::counter!("catkin_entry_failed_attempts_total", "fault" => failure).increment(1);
     let outcome = match error.failure {
         // The server is gone; its entry remains until the store removes it.
-        AttemptFailure::Unreachable | AttemptFailure::Misdirected => AttemptOutcome::Unreachable,
+        AttemptFailure::Unreachable | AttemptFailure::Misdirected | AttemptFailure::Crashed => {
+            AttemptOutcome::Unreachable
+        }
         AttemptFailure::StaleChannel => return,
         _ => AttemptOutcome::Failed,
     };
-    if error.failure == AttemptFailure::Broken && error.ran != RunVerdict::NotRun {
+    let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
+    if broke && error.ran != RunVerdict::NotRun {
         state.record_strike(call.digest, server, state.local_vm);
         state.updates.borrow_mut().strikes.push((call.digest, server));
     }
