Send each strike in three reports

Cause: a strike was sent to the other routers in one datagram. If that was lost, its receiver sent the request to further servers. Found by reading; the report that was lost cannot be told from the record.

The queue of strikes is a module of its own, and returns each strike for three successive reports. each_strike_is_in_three_reports checks that; before, the list was emptied by the first report. A relay passes a strike on only when it is new, so that repeated strikes are not multiplied.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,7 +17,7 @@
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
-//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`]. [`run_entry`] runs the process. An
+//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`StrikeQueue`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -56,6 +56,7 @@
 mod store_follower;
 mod store_pace;
 mod store_point;
+mod strike_queue;
 mod wire;
 
 pub use budget_book::BudgetBook;
@@ -89,6 +90,7 @@
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
+pub use strike_queue::{Strike, StrikeQueue};
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
 };
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -220,8 +220,8 @@
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
             let server = ServerId(row.server);
-            state.record_strike(digest, server, source.vm);
-            if let Some(updates) = relayed {
+            let is_new = state.record_strike(digest, server, source.vm);
+            if let Some(updates) = relayed.filter(|_| is_new) {
                 updates.borrow_mut().strikes.push((digest, server));
             }
         }
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, RequestDigest, ServerId};
+use catkin_base::{ClockTime, ServerId};
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
     EntryReport, EntryScope, KeptPart, LeavingServer, OpenCount, OutcomeCount, PeerMessage,
@@ -14,6 +14,7 @@
 use crate::load_table::OpenLoad;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
+use crate::strike_queue::Strike;
 
 /// Maximum number of cached parts in one report, so that it fits a datagram.
 const MAX_PARTS: usize = 24;
@@ -92,12 +93,11 @@
     let parts = repeated.iter().take(MAX_PARTS / 2).chain(&fresh);
     report.kept = parts.copied().map(encode_part).collect();
     updates.parts_to_repeat = fresh;
-    let count = updates.strikes.len().min(MAX_STRIKES);
-    let strikes: Vec<_> = updates.strikes.drain(..count).collect();
+    let strikes = updates.strikes.next_batch(MAX_STRIKES);
     report.strikes = strikes.iter().copied().map(strike_report).collect();
     let mut relayed = state.to_other_domains.borrow_mut();
     relayed.cached_parts.extend(&updates.parts_to_repeat);
-    relayed.strikes.extend(strikes);
+    strikes.into_iter().for_each(|strike| relayed.strikes.push(strike));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
         relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
@@ -163,8 +163,8 @@
     }
     let first = &mut reports[0];
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
-    let count = updates.strikes.len().min(MAX_STRIKES);
-    first.strikes = updates.strikes.drain(..count).map(strike_report).collect();
+    let strikes = updates.strikes.next_batch(MAX_STRIKES);
+    first.strikes = strikes.into_iter().map(strike_report).collect();
     reports
 }
 
@@ -186,6 +186,6 @@
     f64::from(row.factor_percent) / 100.0
 }
 
-fn strike_report((digest, server): (RequestDigest, ServerId)) -> StrikeReport {
+pub(crate) fn strike_report((digest, server): Strike) -> StrikeReport {
     StrikeReport { digest: digest.0, server: server.0, confirmed: false }
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -26,6 +26,7 @@
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
 use crate::store_point::StorePoint;
+use crate::strike_queue::StrikeQueue;
 use crate::wire::StoreKind;
 
 /// Number of servers that must crash while running requests with the same content before the
@@ -53,8 +54,8 @@
     pub(crate) cached_parts: Vec<CachedPart>,
     /// Cached parts that were sent once and are sent again with the next report.
     pub(crate) parts_to_repeat: Vec<CachedPart>,
-    /// Servers that crashed while running a request, with the digest of its content.
-    pub(crate) strikes: Vec<(RequestDigest, ServerId)>,
+    /// Strikes that this router recorded.
+    pub(crate) strikes: StrikeQueue,
     /// Whether open requests changed since the last report.
     pub(crate) loads_changed: bool,
     /// Whether a report must be sent at the next check, also without other updates.
@@ -65,7 +66,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RelayUpdates {
     pub(crate) cached_parts: Vec<CachedPart>,
-    pub(crate) strikes: Vec<(RequestDigest, ServerId)>,
+    pub(crate) strikes: StrikeQueue,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
     /// Factors of slow servers, and until when they count.
