Send the strikes that count to routers that start or were silent

Callers saw a request that had crashed three servers sent to more servers by routers that had started since.

Cause: strikes were reported when they occurred and never again. A router that started later, or was cut off from the others at that time, learned of none.

A router answers each join announcement of a router of its own domain, or of a small fleet, with the strikes that count, the latest content first, 128 at most. Routers send announcements when they start and, every second, to routers that they have not heard of for a while, so a router that was cut off catches up, too. A strike that is already known changes nothing, so the quarantine is not prolonged.

--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -23,7 +23,8 @@
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 use crate::report_builder::{
     build_domain_reports, build_load_report, build_other_domain_reports, build_report,
-    build_status, decode_factor, encode_part, has_updates, list_cached_parts, wrap_message,
+    build_status, decode_factor, encode_part, has_updates, list_cached_parts, strike_report,
+    wrap_message,
 };
 use crate::server_copy::{decode_server_list, encode_server_list};
 use crate::speed_book::PEER_FACTOR_MILLIS;
@@ -58,6 +59,10 @@
 /// Minimum interval of sending the list of servers to the same router, which may request it again
 /// while it is on its way.
 const LIST_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Maximum number of strikes in one report to a router that starts, so that it fits a datagram.
+const MAX_JOIN_STRIKES: usize = 16;
+/// Maximum number of such reports to one router.
+const MAX_STRIKE_REPORTS: usize = 8;
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -268,6 +273,9 @@
                 answer.kept = list_cached_parts(state);
             }
             self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(answer)));
+            if !remote {
+                self.send_strikes(state, source);
+            }
         }
         if report.tells_kept && (report.knows_kept || !report.kept.is_empty()) {
             let (parts, complete) = (report.kept.len(), report.knows_kept);
@@ -281,6 +289,16 @@
         state.selection_input_change.notify_one();
     }
 
+    /// Sends the strikes that count to a router that starts, or that was silent.
+    fn send_strikes<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let strikes = state.strikes.borrow().active_strikes(state.now());
+        for batch in strikes.chunks(MAX_JOIN_STRIKES).take(MAX_STRIKE_REPORTS) {
+            let mut report = build_status(state);
+            report.strikes = batch.iter().copied().map(strike_report).collect();
+            self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
+        }
+    }
+
     /// Records the open requests of a report, unless they are for a relay and this router is not
     /// one.
     fn record_loads<W: EntryWire>(
--- a/crates/catkin-policy/src/strike.rs
+++ b/crates/catkin-policy/src/strike.rs
@@ -84,6 +84,18 @@
         StrikeState { strikes, hold_millis }
     }
 
+    /// Strikes that count at `now`, those against the content that was struck last first.
+    pub fn active_strikes(&self, now: ClockTime) -> Vec<(RequestDigest, ServerId)> {
+        let hold_millis = self.hold_millis;
+        let is_active = |row: &StrikeRow| now.millis_since(row.last_strike) < hold_millis;
+        let mut rows: Vec<_> = self.rows.iter().filter(|(_, row)| is_active(row)).collect();
+        rows.sort_by_key(|(_, row)| std::cmp::Reverse(row.last_strike));
+        let strikes = rows.into_iter();
+        strikes
+            .flat_map(|(digest, row)| row.servers.iter().map(|server| (*digest, *server)))
+            .collect()
+    }
+
     /// Returns the number of digests with strikes.
     pub fn len(&self) -> usize {
         self.rows.len()
