Keep quarantined content in the store

Callers would see a request that had crashed three servers crash more after all routers had been killed at once.

Cause: strikes were in the memory of the routers only, and no router was left to report them.

A router that saw one of the crashes writes the strikes to the store once the content is quarantined, as an object of a kind of its own; one call for each piece of content and router that saw a crash. A router reads the objects when it starts: one list more a start. Objects of more than ten minutes don't count and are removed by the next router that starts. Requests are not delayed by any of this; a store that is away only delays the knowledge, which peers have, too.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -9,7 +9,7 @@
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer, `refusal` answers requests that were not served.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
-//!    servers to `route_table` and `server_book`, through `store_client`. `list_plan` decides which
+//!    servers to `route_table` and `server_book`, through `store_client`, `strike_store` keeps what is quarantined. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
@@ -57,6 +57,7 @@
 mod store_pace;
 mod store_point;
 mod strike_queue;
+mod strike_store;
 mod wire;
 
 pub use budget_book::BudgetBook;
@@ -92,5 +93,6 @@
 pub use store_point::StorePoint;
 pub use strike_queue::{Strike, StrikeQueue};
 pub use wire::{
-    EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry, WireError,
+    EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry,
+    StrikeRecord, WireError,
 };
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -28,7 +28,7 @@
 };
 use crate::server_copy::{decode_server_list, encode_server_list};
 use crate::speed_book::PEER_FACTOR_MILLIS;
-use crate::state::{EntryState, ListCopy, RelayUpdates};
+use crate::state::{EntryState, ListCopy, RelayUpdates, StrikeSource};
 use crate::store_follower::install_declarations;
 use crate::store_point::StorePoint;
 use crate::wire::EntryWire;
@@ -225,7 +225,7 @@
         for row in &report.strikes {
             let digest = RequestDigest(row.digest);
             let server = ServerId(row.server);
-            let is_new = state.record_strike(digest, server, source.vm);
+            let is_new = state.record_strike(digest, server, StrikeSource::Router(source.vm));
             if let Some(updates) = relayed.filter(|_| is_new) {
                 updates.borrow_mut().strikes.push((digest, server));
             }
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -25,6 +25,7 @@
 use crate::settings::{EntrySettings, parse_settings};
 use crate::state::EntryState;
 use crate::store_follower::follow_kind;
+use crate::strike_store::follow_strikes;
 use crate::wire::{EntryWire, StoreKind};
 
 /// Time after the stop signal for which connections of idle callers stay open. The load balancer
@@ -123,6 +124,7 @@
     tasks.spawn_local(serve_metrics(metrics, handle, Rc::clone(&state)));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Declarations));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Servers));
+    tasks.spawn_local(follow_strikes(Rc::clone(&state)));
     tasks.spawn_local(run_peers(Rc::clone(&state)));
     tasks.spawn_local(maintain_state(Rc::clone(&state)));
     tasks.spawn_local(follow_settings(Rc::clone(&state), file, hangup));
@@ -312,6 +314,8 @@
 fn remove_expired<W: EntryWire>(state: &EntryState<W>, now: ClockTime) {
     state.loads.borrow_mut().remove_expired(now);
     state.cache_index.borrow_mut().remove_expired(now);
+    let strikes = state.strikes.borrow();
+    state.local_strikes.borrow_mut().retain(|digest| !strikes.servers(*digest).is_empty());
     state.speeds.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::state::EntryState;
+use crate::state::{EntryState, StrikeSource};
 use crate::wire::EntryWire;
 
 /// Maximum number of attempts for one request that certainly did not run.
@@ -321,7 +321,7 @@
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
     if broke && error.ran != RunVerdict::NotRun {
-        state.record_strike(call.digest, server, state.local_vm);
+        state.record_strike(call.digest, server, StrikeSource::Local);
         state.updates.borrow_mut().strikes.push((call.digest, server));
     }
     record_outcome(state, call, server, outcome);
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -1,12 +1,12 @@
 //! State that the tasks of one entry router share. All tasks run on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId};
+use catkin_base::{ClockTime, DomainId, RequestDigest, ServerId, VmId, copy_type};
 use catkin_policy::{StrikeCounter, StrikeState};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -73,6 +73,18 @@
     pub(crate) slow: BTreeMap<ServerId, (f64, ClockTime)>,
 }
 
+copy_type! {
+    /// Where a router learned of a strike.
+    pub(crate) enum StrikeSource {
+        /// The server broke off an attempt of this router.
+        Local,
+        /// Another router reported it.
+        Router(VmId),
+        /// The store had it.
+        Store,
+    }
+}
+
 /// Progress of getting the first list of servers from another router.
 #[derive(Debug, Default)]
 pub(crate) enum ListCopy {
@@ -104,6 +116,12 @@
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) strikes: RefCell<StrikeCounter>,
+    /// Content that a server ended under as this router saw.
+    pub(crate) local_strikes: RefCell<BTreeSet<RequestDigest>>,
+    /// Quarantined content that is to be stored.
+    pub(crate) unstored_strikes: RefCell<BTreeSet<RequestDigest>>,
+    /// Signals that `unstored_strikes` grew.
+    pub(crate) unstored_strikes_change: Notify,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) updates: RefCell<PeerUpdates>,
     /// Pending updates to other domains, if this router is a relay.
@@ -166,6 +184,9 @@
             speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
             strikes: RefCell::new(StrikeCounter::new(STRIKE_LIMIT, QUARANTINE_MILLIS)),
+            local_strikes: RefCell::default(),
+            unstored_strikes: RefCell::default(),
+            unstored_strikes_change: Notify::new(),
             pool: RefCell::default(),
             updates: RefCell::default(),
             to_other_domains: RefCell::default(),
@@ -252,26 +273,34 @@
         self.selection_input_change.notify_waiters();
     }
 
-    /// Records a strike and logs it if it is new; returns whether it is. `source` is the router that
-    /// saw the server break off.
+    /// Records a strike and logs it if it is new; returns whether it is. Quarantined content is
+    /// queued for the store at the routers that saw one of its crashes.
     pub(crate) fn record_strike(
         &self,
         digest: RequestDigest,
         server: ServerId,
-        source: VmId,
+        source: StrikeSource,
     ) -> bool {
         let now = self.now();
         let mut strikes = self.strikes.borrow_mut();
-        let is_new = strikes.record_strike(now, digest, server);
-        if is_new {
-            let StrikeState { strikes, hold_millis } = strikes.state(now, digest);
-            metrics::counter!("catkin_entry_strikes_total").increment(1);
-            log::info!(
-                "strikes: server broke off while it ran a request. digest={digest} \
-                 server={server} strikes={strikes} refused_for_millis={hold_millis} source={source}"
-            );
+        if !strikes.record_strike(now, digest, server) {
+            return false;
+        }
+        let StrikeState { strikes, hold_millis } = strikes.state(now, digest);
+        metrics::counter!("catkin_entry_strikes_total").increment(1);
+        log::info!(
+            "strikes: server broke off while it ran a request. digest={digest} server={server} \
+             strikes={strikes} refused_for_millis={hold_millis} source={source:?}"
+        );
+        let mut local = self.local_strikes.borrow_mut();
+        if source == StrikeSource::Local {
+            local.insert(digest);
+        }
+        if hold_millis > 0 && source != StrikeSource::Store && local.contains(&digest) {
+            self.unstored_strikes.borrow_mut().insert(digest);
+            self.unstored_strikes_change.notify_waiters();
         }
-        is_new
+        true
     }
 
     pub(crate) fn remove_server(&self, server: ServerId) {
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use catkin_base::{copy_type, value_type};
+use catkin_base::{RequestDigest, ServerId, copy_type, value_type};
 
 use crate::record::{DeclarationRecord, PromptPart, ServerRecord};
 use crate::store_point::StorePoint;
@@ -53,6 +53,8 @@
         Routers,
         /// The key that routers authenticate one another with.
         PeerKeys,
+        /// Content of requests that crashed servers.
+        Strikes,
     }
 }
 
@@ -111,6 +113,18 @@
     }
 }
 
+value_type! {
+    /// Content of requests that crashed servers, in the store.
+    pub struct StrikeRecord {
+        /// Digest of the content.
+        pub digest: RequestDigest,
+        /// Servers that crashed while they ran it.
+        pub servers: Vec<ServerId>,
+        /// When the record was written, in milliseconds since the Unix epoch.
+        pub written_unix_millis: u64,
+    }
+}
+
 value_type! {
     /// A prompt part in a server's list of cached parts.
     pub struct ListedPart {
@@ -182,6 +196,10 @@
     fn decode_peer_key(content: &str) -> Result<String, WireError>;
     /// Encodes the peer key, given in hexadecimal.
     fn encode_peer_key(key_hex: &str) -> String;
+    /// Decodes quarantined content.
+    fn decode_strikes(content: &str) -> Result<StrikeRecord, WireError>;
+    /// Encodes quarantined content.
+    fn encode_strikes(record: &StrikeRecord) -> String;
     /// Decodes the parts of a prompt from a header value.
     fn decode_prompt_parts(value: &str) -> Result<Vec<PromptPart>, WireError>;
     /// Decodes a server's list of cached parts.
--- a/crates/catkin-policy/src/strike.rs
+++ b/crates/catkin-policy/src/strike.rs
@@ -96,6 +96,11 @@
             .collect()
     }
 
+    /// Servers that crashed while they ran `digest`, those kept after a quarantine included.
+    pub fn servers(&self, digest: RequestDigest) -> Vec<ServerId> {
+        self.rows.get(&digest).map_or_else(Vec::new, |row| row.servers.iter().copied().collect())
+    }
+
     /// Returns the number of digests with strikes.
     pub fn len(&self) -> usize {
         self.rows.len()
