Log the version of a server's software and the stream that a request resumes

What could not be told apart before: whether a stream went to a server of another version than the one that began it. The entry's version is decoded, passed on in lists of servers, and written in the line of an assignment with the request that began the stream. No decision depends on it yet. Lists of servers from routers before this change have no versions; their servers count as of unknown version.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -192,13 +192,15 @@
     tokens_ahead: u64,
 ) {
     let now = state.now();
+    let servers = state.servers.borrow();
     let speeds = state.speeds.borrow();
     let slow_factor = speeds.slow_factor(now, selection.server);
     let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
         "call: assigned to a server; sending. request={} server={} load={} mean={:.1} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
-         slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={}",
+         slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={} software={} \
+         resumes={}",
         call.id_text(),
         selection.server,
         selection.load,
@@ -212,6 +214,8 @@
         slow_factor,
         expected * slow_factor,
         call.deadline.saturating_duration_since(Instant::now()).as_millis(),
-        call.version
+        call.version,
+        servers.get(selection.server).map_or("?", |known| known.record.software.as_str()),
+        call.resumed_id.as_deref().unwrap_or("-")
     );
 }
--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -70,6 +70,9 @@
     pub priority: u8,
     /// Prefixes of the prompt, shortest first.
     pub prefixes: Vec<PrefixPart>,
+    /// Identifier of the request that began the stream which this one resumes, if the caller states
+    /// it.
+    pub resumed_id: Option<String>,
     /// Digest of target, API key and body, to recognize requests that crash servers.
     pub digest: RequestDigest,
 }
@@ -94,6 +97,7 @@
             drop_last_prefix(&prefixes).last().map_or_else(|| hash_parts(&[&id]), |part| part.key);
         let service = choose_service(route, seed).ok_or(CheckError::NoService)?.to_owned();
         let digest = digest_call(&head, &body, names);
+        let resumed_id = head.fields.text(names.resumes).map(str::to_owned);
         Ok(Self {
             id,
             arrived,
@@ -104,6 +108,7 @@
             team: team.map(|team| team.name.clone()),
             priority: combine_priority(team, route),
             prefixes,
+            resumed_id,
             digest,
             head,
             body,
@@ -227,6 +232,7 @@
         names.model,
         names.prompt_parts,
         names.last_event,
+        names.resumes,
     ];
     for name in single {
         let named = fields.contains_token("connection", name);
--- a/crates/catkin-entry/src/record.rs
+++ b/crates/catkin-entry/src/record.rs
@@ -131,6 +131,9 @@
         pub slots: u32,
         /// Whether the server is leaving.
         pub leaving: bool,
+        /// Version of the server's software, not of the weights of its model; empty if unknown.
+        /// Versions have no order, and one can't continue a stream that another one began.
+        pub software: String,
         /// Start time of the process, in milliseconds since the Unix epoch. Distinguishes two
         /// starts under one name.
         pub started_unix_millis: u64,
--- a/crates/catkin-entry/src/server_copy.rs
+++ b/crates/catkin-entry/src/server_copy.rs
@@ -22,13 +22,17 @@
 pub fn encode_server_list(book: &ServerBook) -> ServerListCopy {
     let mut services = NameTable::default();
     let mut domains = NameTable::default();
+    let mut software = NameTable::default();
     let listed = book.iter().filter(|known| !known.is_missing());
-    let rows = listed.map(|known| encode_server(known, &mut services, &mut domains)).collect();
+    let rows = listed
+        .map(|known| encode_server(known, &mut services, &mut domains, &mut software))
+        .collect();
     ServerListCopy {
         revision: book.point().as_number(),
         services: services.names,
         domains: domains.names,
         rows,
+        software: software.names,
     }
 }
 
@@ -65,6 +69,7 @@
     known: &KnownServer,
     services: &mut NameTable,
     domains: &mut NameTable,
+    software: &mut NameTable,
 ) -> ListedServer {
     let record = &known.record;
     let (ipv4, ipv6) = match record.address.ip() {
@@ -82,6 +87,7 @@
         ipv4,
         port: record.address.port().into(),
         ipv6,
+        software: Some(software.find_index(&record.software)),
     }
 }
 
@@ -91,12 +97,17 @@
         Err(_) if row.ipv6.is_empty() => IpAddr::V4(Ipv4Addr::from_bits(row.ipv4)),
         Err(_) => return None,
     };
+    let software = match row.software {
+        Some(index) => copy.software.get(index as usize)?.clone(),
+        None => String::new(),
+    };
     Some(ServerRecord {
         service: copy.services.get(row.service as usize)?.clone(),
         address: SocketAddr::new(ip, u16::try_from(row.port).ok()?),
         domain: copy.domains.get(row.domain as usize)?.clone(),
         slots: row.slots,
         leaving: row.leaving,
+        software,
         started_unix_millis: row.started_unix_millis,
     })
 }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -24,6 +24,9 @@
     pub prompt_parts: &'static str,
     /// Identifier of the last event that the caller received.
     pub last_event: &'static str,
+    /// Identifier of the caller's earlier request that brought the first event of a stream, if this
+    /// one resumes it.
+    pub resumes: &'static str,
     /// Marks an answer as written by the server itself; a 2xx or 5xx answer without it is treated
     /// as malformed.
     pub seal: &'static str,
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -92,6 +92,7 @@
         domain: "a".to_owned(),
         slots: 1,
         leaving: false,
+        software: "v1".to_owned(),
         started_unix_millis: started,
     };
     let mut book = ServerBook::default();
--- a/crates/catkin-entry/tests/list_plan.rs
+++ b/crates/catkin-entry/tests/list_plan.rs
@@ -55,6 +55,7 @@
         domain: format!("d-{}", index % DOMAINS),
         slots: 12,
         leaving: index == 3,
+        software: format!("v{}", index % 3),
         started_unix_millis: 1_700_000_000_000 + index,
     }
 }
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -17,6 +17,7 @@
         domain: "a".to_owned(),
         slots: 4,
         leaving: false,
+        software: "v1".to_owned(),
         started_unix_millis,
     }
 }
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -527,6 +527,9 @@
     pub domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(message, repeated, tag = "4")]
     pub rows: ::prost::alloc::vec::Vec<ListedServer>,
+    /// versions that the rows refer to by index
+    #[prost(string, repeated, tag = "5")]
+    pub software: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ListedServer {
@@ -553,6 +556,9 @@
     /// instead of ipv4
     #[prost(bytes = "vec", tag = "10")]
     pub ipv6: ::prost::alloc::vec::Vec<u8>,
+    /// version of the server's software, absent if unknown
+    #[prost(uint32, optional, tag = "11")]
+    pub software: ::core::option::Option<u32>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/catkin-soak/src/run.rs
+++ b/crates/catkin-soak/src/run.rs
@@ -324,6 +324,7 @@
         domain: format!("domain-{}", address_index % 3),
         slots: SLOTS,
         leaving,
+        software: "v1".to_owned(),
         started_unix_millis: 1,
     })
 }
