Let two routers of a small fleet notice silent connections for all

Cause: watches of 1.8 s at every router nearly doubled the calls to the store.

Two live routers of a small fleet, and the consistent readers of a large one, have watches of 1.4 s, the others of 8 s. A router that finds its connection silent lists again and reports what it found, and the others list again on that within about 300 ms. A router that becomes one of the two ends its watch at once.

--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -491,6 +491,9 @@
                 others.len() + 1
             );
         }
+        if !state.short_watches.replace(plan.short_watches) && plan.short_watches {
+            state.watches_shortened.notify_waiters();
+        }
         plan
     }
 
--- a/crates/catkin-entry/src/relay_plan.rs
+++ b/crates/catkin-entry/src/relay_plan.rs
@@ -17,6 +17,8 @@
 pub const MAX_SMALL_FLEET: usize = 12;
 /// Number of routers of a large fleet that read the store consistently, spread over the domains.
 const CONSISTENT_READERS: usize = 4;
+/// Number of routers of a small fleet whose watches are short. Two, so that one may be paused.
+const SHORT_WATCHERS: usize = 2;
 /// Routers of another domain that each report is sent to while the domain's relay is unknown.
 const RELAY_CANDIDATES: usize = 3;
 
@@ -50,6 +52,9 @@
     /// Whether this router reads the store consistently, that is without stale reads. The others
     /// learn of changes from such routers.
     pub consistent_reads: bool,
+    /// Whether this router's watches of the store are short, so that it soon notices a connection
+    /// that went silent. The others learn from such routers what they miss.
+    pub short_watches: bool,
 }
 
 /// Relays of other domains from which reports were received.
@@ -74,7 +79,14 @@
     ) -> ReportPlan {
         if others.len() < MAX_SMALL_FLEET {
             let direct_peers = others.iter().map(|member| member.vm).collect();
-            return ReportPlan { direct_peers, consistent_reads: true, ..ReportPlan::default() };
+            let alive = others.iter().filter(|member| member.alive);
+            let ahead = alive.filter(|member| relay_order(member) < relay_order(&local)).count();
+            return ReportPlan {
+                direct_peers,
+                consistent_reads: true,
+                short_watches: ahead < SHORT_WATCHERS,
+                ..ReportPlan::default()
+            };
         }
         let is_direct =
             |member: &&FleetMember| member.domain.is_none() || member.domain == local.domain;
@@ -88,7 +100,14 @@
             if is_relay { self.choose_remote_peers(now, groups) } else { Vec::new() };
         let direct_peers = direct().map(|member| member.vm).collect();
         let consistent_reads = ahead < CONSISTENT_READERS.div_ceil(other_domain_count + 1);
-        ReportPlan { direct_peers, is_relay, remote_peers, other_domain_count, consistent_reads }
+        ReportPlan {
+            direct_peers,
+            is_relay,
+            remote_peers,
+            other_domain_count,
+            consistent_reads,
+            short_watches: consistent_reads,
+        }
     }
 
     fn choose_remote_peers(
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -147,6 +147,10 @@
     pub(crate) store_answered: RefCell<BTreeMap<StoreKind, Instant>>,
     /// Whether this router must read the store consistently, that is without stale reads.
     pub(crate) consistent_reads: Cell<bool>,
+    /// Whether this router's watches of the store are short.
+    pub(crate) short_watches: Cell<bool>,
+    /// Signals that watches are to be short from now on.
+    pub(crate) watches_shortened: Notify,
     /// Progress of loading the cache index.
     pub(crate) cache_sync: RefCell<CacheSync>,
     /// When the process ends at the latest; `None` until it stops.
@@ -201,6 +205,8 @@
             store_failing: Cell::new(false),
             store_answered: RefCell::default(),
             consistent_reads: Cell::new(true),
+            short_watches: Cell::new(true),
+            watches_shortened: Notify::new(),
             cache_sync: RefCell::default(),
             exit_deadline: Cell::new(None),
             open_calls: Cell::new(0),
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -15,10 +15,13 @@
 use crate::store_point::StorePoint;
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry};
 
-/// Maximum duration of one watch, a long poll for changes. Together with the timeout of its answer it
-/// is the time after which a router notices that the connection is silent. The connections of all
-/// routers may go silent at once, so reports of others don't replace it.
-const WATCH_DURATION: Duration = Duration::from_millis(1_800);
+/// Maximum duration of one watch, a long poll for changes. If its connection goes silent, reports of
+/// other routers show newer versions before the watch ends.
+const WATCH_DURATION: Duration = Duration::from_secs(8);
+/// The same at the routers that the others rely on for that, since the connections of all routers may
+/// go silent at once. With the timeout of the answer, and the time until the others have listed
+/// again, it is below the 3 s after which declarations must be in force again.
+const SHORT_WATCH_DURATION: Duration = Duration::from_millis(1_400);
 /// Time after a failed call during which servers missing from the store are not removed at once, so
 /// that they can come back.
 const RECOVERY_MILLIS: u64 = 2_500;
@@ -92,7 +95,7 @@
                 let watching = self.client.watch(
                     self.kind,
                     point.revision(),
-                    WATCH_DURATION,
+                    if state.short_watches.get() { SHORT_WATCH_DURATION } else { WATCH_DURATION },
                     timeout,
                     allow_stale,
                 );
@@ -103,6 +106,10 @@
                         self.point = None;
                         return Ok(());
                     }
+                    () = state.watches_shortened.notified() => {
+                        self.client.reset();
+                        return Ok(());
+                    }
                     () = wait_until_outdated(&state, self.kind) => {
                         log::info!(
                             "store: other routers have a newer version; listing again. kind={:?}",
--- a/crates/catkin-entry/tests/relays.rs
+++ b/crates/catkin-entry/tests/relays.rs
@@ -289,3 +289,30 @@
     table.record_report(ClockTime::from_millis(1_600), LoadSource::OtherDomains, loads);
     assert_eq!(table.total_load(ServerId(1)).open, 2);
 }
+
+/// Guards against a store whose connections go silent at all routers at once while the routers that
+/// would notice it early are down.
+#[test]
+fn two_live_routers_of_a_small_fleet_have_short_watches() {
+    let member = |vm: u64, alive: bool| FleetMember {
+        vm: VmId(vm),
+        domain: Some(DomainId(vm % DOMAINS)),
+        alive,
+        strength: vm_strength(VmId(vm)),
+    };
+    for down in 0..7 {
+        let is_watcher = |local: &u64| {
+            let others: Vec<FleetMember> = (0..7)
+                .filter(|other| other != local)
+                .map(|other| member(other, other != down))
+                .collect();
+            let plan =
+                RelayBook::default().plan_reports(ClockTime::ZERO, member(*local, true), &others);
+            plan.short_watches
+        };
+
+        let watchers = (0..7).filter(|local| *local != down).filter(is_watcher).count();
+
+        assert_eq!(watchers, 2, "router {down} is down");
+    }
+}
