Continue a stream only at the software version that began it

Callers saw streams with events of two software versions of the servers.

Cause: the router did not know the versions. It continued a broken stream within one answer, and one that a caller resumed, at any server of the service.

Within one answer the router selects only servers of the version that sent the first event. For a caller that resumes a stream, it needs the version that began it, which another router may have seen: each router keeps the versions of the streams that begin there for 30 s. It refuses the request at once if no server has the version, or if nobody knows it. While there is one version nothing is sent, and a stream of unknown origin goes on, also after all routers ended. A router of less than 30 s asks in that case, too, since it doesn't know which versions there were.

Two messages are new; routers before this change ignore them. The versions of a list of servers from such a router are unknown, which counts as a version.

A server that starts again under its name with another version is protected by its entry only once that has changed.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -12,6 +12,7 @@
 use crate::call::{EntryCall, is_connection_field, write_field};
 use crate::caller::CallerWriter;
 use crate::connection::ExchangeFailure;
+use crate::origin_book::{SoftwareKey, StreamKey};
 use crate::record::RouteKind;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
@@ -45,6 +46,10 @@
     last_events: Option<Instant>,
     /// Times between events since the last measurement of their pace.
     event_gaps: Vec<Duration>,
+    /// Key of the stream, if it begins with this request.
+    new_stream: Option<StreamKey>,
+    /// Software version of the server that sent the first event of this answer.
+    software: Option<SoftwareKey>,
     /// Head of the first answer, once it was written to the caller.
     head: Option<ResponseHead>,
 }
@@ -58,6 +63,8 @@
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
             last_events: None,
             event_gaps: Vec::new(),
+            new_stream: (!call.is_resumed()).then(|| StreamKey::from_request(&call.id)),
+            software: None,
             head: None,
         }
     }
@@ -67,6 +74,12 @@
         self.head.is_some()
     }
 
+    /// Software version of the server that sent the first event of this answer; no other version
+    /// can continue the stream.
+    pub(crate) fn software(&self) -> Option<SoftwareKey> {
+        self.software
+    }
+
     /// Identifier of the last event that the caller has.
     pub(crate) fn last_event(&self) -> Option<&Bytes> {
         self.head.as_ref().and_then(|_| self.splitter.last_id())
@@ -91,7 +104,7 @@
         }
         if self.streaming && success {
             self.last_events = None;
-            self.forward_stream(answer, writer, answer_deadline).await
+            self.forward_stream(state, answer, writer, answer_deadline).await
         } else {
             self.forward_buffered(state, answer, writer).await
         }
@@ -100,6 +113,7 @@
     /// Forwards an event stream in complete events, so that another server can continue it.
     async fn forward_stream<W: EntryWire>(
         &mut self,
+        state: &EntryState<W>,
         mut answer: StartedAnswer<W>,
         writer: &mut CallerWriter,
         answer_deadline: Instant,
@@ -126,6 +140,7 @@
             };
             if let Some(events) = events {
                 awaits_first = false;
+                self.record_origin(state, answer.software);
                 answer.slot.record_start(&self.service);
                 self.measure_pace(&answer, &events);
                 answer.slot.mark_prefilled();
@@ -134,6 +149,16 @@
         }
     }
 
+    /// Records the version that sends the first event, before the caller gets it.
+    fn record_origin<W: EntryWire>(&mut self, state: &EntryState<W>, software: SoftwareKey) {
+        if self.software.replace(software).is_some() {
+            return;
+        }
+        if let Some(key) = self.new_stream {
+            state.origins.borrow_mut().record_stream(state.now(), key, software);
+        }
+    }
+
     /// Measures the times between the events of a stream, and records their pace once there are
     /// enough of them.
     fn measure_pace<W: EntryWire>(&mut self, answer: &StartedAnswer<W>, events: &[u8]) {
@@ -160,7 +185,7 @@
         if writer.chunks {
             writer.write(b"0\r\n\r\n").await?;
         }
-        let StartedAnswer { head, connection, slot } = answer;
+        let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
         drop(slot);
         Ok(ForwardEnd::Complete { status })
@@ -208,7 +233,7 @@
                 return self.forward_unbuffered(answer, body, writer).await;
             }
         }
-        let StartedAnswer { head, connection, slot } = answer;
+        let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
         drop(slot);
         state.selection_input_change.notify_one();
--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -11,6 +11,7 @@
 use crate::attempt::AssignedCall;
 use crate::cache_index::CachedPart;
 use crate::call::EntryCall;
+use crate::origin_book::SoftwareKey;
 use crate::refusal::RefusalCause;
 use crate::server_book::KnownServer;
 use crate::server_selection::{
@@ -30,12 +31,13 @@
 /// One request in this many copies a part that only one server caches to a second server.
 const SECOND_COPY_PERIOD: u64 = 10;
 
-/// Assigns a request to a server. If all servers are full, waits for free capacity, at most for the
+/// Assigns a request to a server, one of the given software version if there is one. If all servers are full, waits for free capacity, at most for the
 /// target latency divided by [`CAPACITY_WAIT_DIVISOR`].
 pub(crate) async fn assign_server<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
+    software: Option<SoftwareKey>,
 ) -> Result<AssignedCall<W>, RefusalCause> {
     if call.shared_prefix().is_some() {
         wait_for_cache_index(state, call.deadline).await;
@@ -44,7 +46,10 @@
         (Instant::now() + call.route.target_latency / CAPACITY_WAIT_DIVISOR).min(call.deadline);
     loop {
         let freed = state.selection_input_change.notified();
-        let cause = match try_assign(state, call, tried) {
+        if software.is_some_and(|software| !has_version(state, call, software)) {
+            return Err(RefusalCause::VersionGone);
+        }
+        let cause = match try_assign(state, call, tried, software) {
             Ok(assigned) => return Ok(assigned),
             Err(SelectionError::NoServer) => RefusalCause::NoServer,
             Err(SelectionError::Full) => RefusalCause::Full,
@@ -73,10 +78,11 @@
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
+    software: Option<SoftwareKey>,
 ) -> Result<AssignedCall<W>, SelectionError> {
     let now = state.now();
     let capacity = shared_capacity(state, call);
-    let candidates = list_candidates(state, call, tried, capacity);
+    let candidates = list_candidates(state, call, tried, software, capacity);
     let shared = call.shared_prefix();
     let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
     let own_tokens = u64::from(prompt - shared.map_or(0, |shared| shared.tokens.min(prompt)));
@@ -115,10 +121,25 @@
         slot: OpenSlot::acquire(state, selection.server, unread_tokens, measured_tokens),
         name: known.name.clone(),
         address: known.record.address,
+        software: SoftwareKey::from_name(&known.record.software),
         fetch_from: selection.fetch_from.and_then(address),
     })
 }
 
+/// Whether a server of the call's service that may get requests has this software version.
+fn has_version<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    software: SoftwareKey,
+) -> bool {
+    let servers = state.servers.borrow();
+    servers.usable(&call.service).any(|known| is_version(known, software))
+}
+
+fn is_version(known: &KnownServer, software: SoftwareKey) -> bool {
+    SoftwareKey::from_name(&known.record.software) == software
+}
+
 /// Whether the servers of the call's service are model engines.
 fn is_engine<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
     let table = state.route_table.borrow();
@@ -138,12 +159,14 @@
     })
 }
 
-/// Lists the servers of the call's service that were not tried yet, and the leaving ones that
+/// Lists the servers of the call's service that were not tried yet, of one software version if it is
+/// given, and the leaving ones that
 /// others may fetch from.
 fn list_candidates<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
+    software: Option<SoftwareKey>,
     capacity: u64,
 ) -> Vec<ServerCandidate> {
     let now = state.now();
@@ -153,7 +176,10 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
-    let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
+    let usable = servers
+        .usable(&call.service)
+        .filter(|known| !tried.contains(&known.server))
+        .filter(|known| software.is_none_or(|software| is_version(known, software)));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
     let candidate = |known: &KnownServer| {
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -13,6 +13,7 @@
 use crate::call::{EntryCall, SendDetails, encode_call};
 use crate::connection::{ExchangeFailure, ExpectedAnswer, HttpConnection};
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
+use crate::origin_book::SoftwareKey;
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -101,6 +102,8 @@
     pub(crate) name: String,
     /// Address of the server.
     pub(crate) address: SocketAddr,
+    /// Version of the server's software.
+    pub(crate) software: SoftwareKey,
     /// A server that caches the part of the prompt that this one lacks.
     pub(crate) fetch_from: Option<SocketAddr>,
 }
@@ -110,6 +113,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) connection: PooledConnection<W>,
     pub(crate) slot: OpenSlot<W>,
+    /// Version of the server's software.
+    pub(crate) software: SoftwareKey,
 }
 
 /// A guard of a connection that the pool counts; dropping it closes the connection, unless it was
@@ -191,7 +196,7 @@
         }
     };
     let (head, connection) = check_head::<W>(state, call, &assigned, head, connection).await?;
-    Ok(StartedAnswer { head, connection, slot: assigned.slot })
+    Ok(StartedAnswer { head, connection, slot: assigned.slot, software: assigned.software })
 }
 
 /// Takes an idle connection from the pool or opens another one.
--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -73,6 +73,8 @@
     /// Identifier of the request that began the stream which this one resumes, if the caller states
     /// it.
     pub resumed_id: Option<String>,
+    /// Whether the caller states the last event that it has.
+    pub has_last_event: bool,
     /// Digest of target, API key and body, to recognize requests that crash servers.
     pub digest: RequestDigest,
 }
@@ -97,6 +99,7 @@
             drop_last_prefix(&prefixes).last().map_or_else(|| hash_parts(&[&id]), |part| part.key);
         let service = choose_service(route, seed).ok_or(CheckError::NoService)?.to_owned();
         let digest = digest_call(&head, &body, names);
+        let has_last_event = head.fields.contains(names.last_event);
         let resumed_id = head.fields.text(names.resumes).map(str::to_owned);
         Ok(Self {
             id,
@@ -109,6 +112,7 @@
             priority: combine_priority(team, route),
             prefixes,
             resumed_id,
+            has_last_event,
             digest,
             head,
             body,
@@ -124,6 +128,12 @@
         }
     }
 
+    /// Whether the request resumes a stream of which the caller has a part.
+    pub fn is_resumed(&self) -> bool {
+        self.route.kind == RouteKind::Streaming
+            && (self.resumed_id.is_some() || self.has_last_event)
+    }
+
     /// Whether this is a HEAD request, whose answer has no body.
     pub fn is_head(&self) -> bool {
         self.head.method.as_ref() == b"HEAD"
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -7,7 +7,7 @@
 //! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
-//!    answer, `refusal` answers requests that were not served.
+//!    answer, `origin_book` knows where a resumed stream may go on, `refusal` answers requests that were not served.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
 //!    servers to `route_table` and `server_book`, through `store_client`, `strike_store` keeps what is quarantined. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
@@ -17,7 +17,7 @@
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
-//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`StrikeQueue`]. [`run_entry`] runs the process. An
+//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`StrikeQueue`], [`OriginBook`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -36,6 +36,7 @@
 mod list_plan;
 mod load_table;
 mod logging;
+mod origin_book;
 mod outcome_book;
 mod pause_watch;
 mod peer_service;
@@ -69,6 +70,9 @@
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads};
 pub use logging::LineBudget;
+pub use origin_book::{
+    OriginBook, ResumeChoice, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers,
+};
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
 pub use process::{read_settings, run_entry};
 pub use record::{
--- /dev/null
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -0,0 +1,176 @@
+//! Software versions at which streams began, so that a stream goes on only at its own version.
+
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, VmId, copy_type, hash_parts};
+
+use crate::relay_plan::MAX_SMALL_FLEET;
+
+/// Time for which the origin of a stream, and a version that no server has any more, are kept, in
+/// milliseconds. It exceeds the time that callers wait for a stream, retries included.
+const LIFETIME_MILLIS: u64 = 30_000;
+/// Maximum number of origins; further ones are dropped.
+const MAX_ORIGINS: usize = 50_000;
+/// Number of routers of a large fleet that are told the origin of a stream.
+const ORIGIN_KEEPERS: usize = 3;
+/// Number of routers of a large fleet that are asked for it. It exceeds the number of those that are
+/// told, since the routers may disagree on who is alive.
+const ASKED_KEEPERS: usize = 6;
+
+copy_type! {
+    /// Key of a stream: the hash of the identifier of the request that began it.
+    pub struct StreamKey(pub u64);
+}
+
+copy_type! {
+    /// Key of a version of the servers' software: the hash of its name.
+    pub struct SoftwareKey(pub u64);
+}
+
+copy_type! {
+    /// Where a stream may go on.
+    pub enum ResumeChoice {
+        /// At any server: all have had one version for as long as the stream can have lasted.
+        AnyVersion,
+        /// At servers of this version.
+        OnlyVersion(SoftwareKey),
+        /// The version that began it is not known here.
+        Unknown,
+    }
+}
+
+impl StreamKey {
+    /// Derives the key from the identifier of the request that began the stream.
+    pub fn from_request(id: &[u8]) -> Self {
+        Self(hash_parts(&[b"stream", id]))
+    }
+}
+
+impl SoftwareKey {
+    /// Derives the key from the name of the version.
+    pub fn from_name(name: &str) -> Self {
+        Self(hash_parts(&[b"software", name.as_bytes()]))
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct StreamOrigin {
+    software: SoftwareKey,
+    at: ClockTime,
+}
+
+/// Origins of streams, and the software versions of each service.
+#[derive(Debug, Clone, Default)]
+pub struct OriginBook {
+    origins: BTreeMap<StreamKey, StreamOrigin>,
+    /// When a server of the version was last listed, by service.
+    versions: BTreeMap<String, BTreeMap<SoftwareKey, ClockTime>>,
+    /// Origins that other routers are still to be told.
+    unsent: Vec<StreamKey>,
+    /// Whether some service had several versions when origins were last taken to be sent.
+    was_mixed: bool,
+}
+
+impl OriginBook {
+    /// Records the versions of the listed servers, given as pairs of service and version, and drops
+    /// what is too old.
+    pub fn record_versions<'a>(
+        &mut self,
+        now: ClockTime,
+        servers: impl Iterator<Item = (&'a str, &'a str)>,
+    ) {
+        for (service, software) in servers {
+            let software = SoftwareKey::from_name(software);
+            match self.versions.get_mut(service) {
+                Some(versions) => _ = versions.insert(software, now),
+                None => {
+                    self.versions.insert(service.to_owned(), BTreeMap::from([(software, now)]));
+                }
+            }
+        }
+        let is_kept = |at: ClockTime| now.millis_since(at) < LIFETIME_MILLIS;
+        for versions in self.versions.values_mut() {
+            versions.retain(|_, seen| is_kept(*seen));
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
+        self.origins.retain(|_, origin| is_kept(origin.at));
+    }
+
+    /// Records that a stream began here.
+    pub fn record_stream(&mut self, now: ClockTime, key: StreamKey, software: SoftwareKey) {
+        if self.record_reported(now, key, software) {
+            self.unsent.push(key);
+        }
+    }
+
+    /// Records the origin of a stream that another router reported; returns whether it was recorded.
+    /// The first origin of a stream stays.
+    pub fn record_reported(
+        &mut self,
+        now: ClockTime,
+        key: StreamKey,
+        software: SoftwareKey,
+    ) -> bool {
+        if self.origins.len() >= MAX_ORIGINS || self.origins.contains_key(&key) {
+            return false;
+        }
+        self.origins.insert(key, StreamOrigin { software, at: now });
+        true
+    }
+
+    /// The version at which a stream began.
+    pub fn find(&self, key: StreamKey) -> Option<SoftwareKey> {
+        self.origins.get(&key).map(|origin| origin.software)
+    }
+
+    /// Decides where a stream of `service` may go on. `key` is `None` if the caller does not state
+    /// which request began it.
+    pub fn choose_resume(&self, service: &str, key: Option<StreamKey>) -> ResumeChoice {
+        match key.and_then(|key| self.find(key)) {
+            Some(software) => ResumeChoice::OnlyVersion(software),
+            None if self.is_mixed(service) => ResumeChoice::Unknown,
+            None => ResumeChoice::AnyVersion,
+        }
+    }
+
+    /// Returns the origins to be sent to other routers. None are sent while each service has a single
+    /// version, since they are not needed then; once one has several, all that are kept.
+    pub fn unsent_origins(&mut self) -> Vec<(StreamKey, SoftwareKey)> {
+        let unsent = std::mem::take(&mut self.unsent);
+        let mixed = self.versions.values().any(|versions| versions.len() > 1);
+        if !mixed {
+            self.was_mixed = false;
+            return Vec::new();
+        }
+        if !std::mem::replace(&mut self.was_mixed, true) {
+            return self.origins.iter().map(|(key, origin)| (*key, origin.software)).collect();
+        }
+        unsent.into_iter().filter_map(|key| Some((key, self.find(key)?))).collect()
+    }
+
+    /// Whether servers of several versions were listed for the service lately.
+    fn is_mixed(&self, service: &str) -> bool {
+        self.versions.get(service).is_some_and(|versions| versions.len() > 1)
+    }
+}
+
+/// Chooses the routers that are told where a stream began, among the live ones: all of a small fleet,
+/// and some of a large one.
+pub fn choose_keepers(key: StreamKey, routers: &[VmId]) -> Vec<VmId> {
+    rank_keepers(key, routers, ORIGIN_KEEPERS)
+}
+
+/// Chooses the routers that are asked where a stream began, among the live ones.
+pub fn choose_asked_keepers(key: StreamKey, routers: &[VmId]) -> Vec<VmId> {
+    rank_keepers(key, routers, ASKED_KEEPERS)
+}
+
+fn rank_keepers(key: StreamKey, routers: &[VmId], count: usize) -> Vec<VmId> {
+    let mut ranked = routers.to_vec();
+    if ranked.len() < MAX_SMALL_FLEET {
+        return ranked;
+    }
+    ranked.sort_by_cached_key(|vm| hash_parts(&[&key.0.to_le_bytes(), &vm.0.to_le_bytes()]));
+    ranked.truncate(count);
+    ranked
+}
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -260,6 +260,7 @@
             load_cache_index(&state, &service),
             service.request_server_list(&state),
             service.answer_list_requests(&state),
+            service.ask_origins(&state),
         );
     };
     tokio::select! {
@@ -293,6 +294,7 @@
             discard_stale_state(&state);
         }
         let dropped = state.servers.borrow_mut().remove_missing(state.now());
+        state.record_versions();
         for server in dropped {
             log::info!("servers: still missing from the store; removed. server={server}");
             state.remove_server(server);
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -38,6 +38,10 @@
     TimeOver,
     /// The content of the request crashed servers and is quarantined.
     Quarantined,
+    /// No server has the software version that began the stream which the request resumes.
+    VersionGone,
+    /// No router knows which software version began the stream which the request resumes.
+    OriginUnknown,
     /// The router is stopping.
     Stopping,
 }
@@ -72,6 +76,8 @@
             RefusalCause::ServerFailed => "server-failed",
             RefusalCause::TimeOver => "time-over",
             RefusalCause::Quarantined => "quarantined",
+            RefusalCause::VersionGone => "version-gone",
+            RefusalCause::OriginUnknown => "origin-unknown",
             RefusalCause::Stopping => "stopping",
         }
     }
@@ -94,7 +100,11 @@
     /// Chooses a random time after which the caller should retry; `None` if that cannot help.
     /// `left` is the time until the caller's deadline.
     pub fn retry_after(self, left: Duration, random: &mut impl Rng) -> Option<Duration> {
-        let temporary = self.status() == 503 && self.cause != RefusalCause::Quarantined;
+        let lasting = matches!(
+            self.cause,
+            RefusalCause::Quarantined | RefusalCause::VersionGone | RefusalCause::OriginUnknown
+        );
+        let temporary = self.status() == 503 && !lasting;
         if !temporary || left < MIN_RETRY_AFTER {
             return None;
         }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer, send_attempt};
 use crate::call::EntryCall;
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
+use crate::origin_book::{ResumeChoice, SoftwareKey, StreamKey};
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
 use crate::refusal::{Refusal, RefusalCause};
@@ -28,6 +29,12 @@
 /// Minimum of this timeout.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum wait for other routers to tell where a stream began.
+const ORIGIN_ANSWER_WAIT: Duration = Duration::from_millis(150);
+/// Time after the start of the router during which servers may have had other software versions that
+/// it does not know of, while a stream that began then may still be resumed.
+const VERSIONS_UNKNOWN_TIME: Duration = Duration::from_secs(30);
+
 /// Attempts made so far for a request.
 struct CallProgress {
     /// Servers that were tried.
@@ -134,9 +141,14 @@
         not_run_attempts: 0,
         ran: RunVerdict::NotRun,
     };
+    let resumed_software = match find_resumed_software(state, call).await {
+        Ok(software) => software,
+        Err(cause) => return Ok(ServedCall::Refused(Refusal::not_run(cause))),
+    };
     let mut forwarder = AnswerForwarder::new(call);
     loop {
-        let assigned = match assign_server(state, call, &progress.tried).await {
+        let software = forwarder.software().or(resumed_software);
+        let assigned = match assign_server(state, call, &progress.tried, software).await {
             Ok(assigned) => assigned,
             Err(cause) if forwarder.is_started() => {
                 log::info!(
@@ -213,6 +225,61 @@
     }
 }
 
+/// Finds the software version at which a stream that the request resumes must go on; `None` if any
+/// will do. Asks other routers if this one does not know where the stream began.
+async fn find_resumed_software<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+) -> Result<Option<SoftwareKey>, RefusalCause> {
+    if !call.is_resumed() {
+        return Ok(None);
+    }
+    let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
+    let choose = || state.origins.borrow().choose_resume(&call.service, key);
+    // A router that started lately doesn't know which versions there were before.
+    let is_new = state.started.elapsed() < VERSIONS_UNKNOWN_TIME;
+    let asks = match choose() {
+        ResumeChoice::OnlyVersion(_) => false,
+        ResumeChoice::Unknown => true,
+        ResumeChoice::AnyVersion => is_new,
+    };
+    if let Some(key) = key.filter(|_| asks) {
+        let _asked = AskedOrigin::new(state, key);
+        let until = call.deadline.min(Instant::now() + ORIGIN_ANSWER_WAIT);
+        while !matches!(choose(), ResumeChoice::OnlyVersion(_)) {
+            let reported = state.origins_change.notified();
+            if timeout_at(until, reported).await.is_err() {
+                break;
+            }
+        }
+    }
+    match choose() {
+        ResumeChoice::OnlyVersion(software) => Ok(Some(software)),
+        ResumeChoice::AnyVersion => Ok(None),
+        ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
+    }
+}
+
+/// Asks other routers for the origin of a stream until dropped.
+struct AskedOrigin<'a, W> {
+    state: &'a EntryState<W>,
+    key: StreamKey,
+}
+
+impl<'a, W> AskedOrigin<'a, W> {
+    fn new(state: &'a EntryState<W>, key: StreamKey) -> Self {
+        state.asked_origins.borrow_mut().insert(key);
+        state.asked_origins_change.notify_waiters();
+        Self { state, key }
+    }
+}
+
+impl<W> Drop for AskedOrigin<'_, W> {
+    fn drop(&mut self) {
+        self.state.asked_origins.borrow_mut().remove(&self.key);
+    }
+}
+
 /// Whether the content of the request crashed so many servers that it is refused.
 fn is_quarantined<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
     state.strikes.borrow().state(state.now(), call.digest).hold_millis > 0
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -17,6 +17,7 @@
 use crate::cache_sync::CacheSync;
 use crate::connection_pool::ConnectionPool;
 use crate::load_table::LoadTable;
+use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
 use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
@@ -116,6 +117,13 @@
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) strikes: RefCell<StrikeCounter>,
+    pub(crate) origins: RefCell<OriginBook>,
+    /// Streams whose origin other routers are asked for.
+    pub(crate) asked_origins: RefCell<BTreeSet<StreamKey>>,
+    /// Signals that `asked_origins` grew.
+    pub(crate) asked_origins_change: Notify,
+    /// Signals that another router reported origins.
+    pub(crate) origins_change: Notify,
     /// Content that a server ended under as this router saw.
     pub(crate) local_strikes: RefCell<BTreeSet<RequestDigest>>,
     /// Quarantined content that is to be stored.
@@ -189,6 +197,10 @@
             budgets: RefCell::new(budgets),
             strikes: RefCell::new(StrikeCounter::new(STRIKE_LIMIT, QUARANTINE_MILLIS)),
             local_strikes: RefCell::default(),
+            origins: RefCell::default(),
+            asked_origins: RefCell::default(),
+            asked_origins_change: Notify::new(),
+            origins_change: Notify::new(),
             unstored_strikes: RefCell::default(),
             unstored_strikes_change: Notify::new(),
             pool: RefCell::default(),
@@ -236,6 +248,14 @@
         self.loads.borrow().live_routers(self.now())
     }
 
+    /// Records the software versions of the listed servers.
+    pub(crate) fn record_versions(&self) {
+        let servers = self.servers.borrow();
+        let listed = servers.iter().map(|known| &known.record);
+        let versions = listed.map(|record| (record.service.as_str(), record.software.as_str()));
+        self.origins.borrow_mut().record_versions(self.now(), versions);
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
@@ -266,7 +286,7 @@
         }
         match change {
             ServerChange::Unchanged => return,
-            ServerChange::Appeared(_) => {}
+            ServerChange::Appeared(_) => self.record_versions(),
             ServerChange::Leaving(server) => {
                 self.pool.borrow_mut().drop_idle_to(server);
                 self.updates.borrow_mut().send_now = true;
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -89,6 +89,10 @@
         ServerListAsk(super::ServerListAsk),
         #[prost(message, tag = "26")]
         ServerListCopy(super::ServerListCopy),
+        #[prost(message, tag = "27")]
+        StreamOrigins(super::StreamOrigins),
+        #[prost(message, tag = "28")]
+        StreamOriginAsk(super::StreamOriginAsk),
     }
 }
 /// Membership. Of several updates about a member, the highest incarnation takes precedence, then the
@@ -560,6 +564,26 @@
     #[prost(uint32, optional, tag = "11")]
     pub software: ::core::option::Option<u32>,
 }
+/// Software versions at which streams began, for routers at which callers resume them.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamOrigins {
+    #[prost(message, repeated, tag = "1")]
+    pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// hash of the identifier of the request that began it
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// hash of the version
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOriginAsk {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub streams: ::prost::alloc::vec::Vec<u64>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum MemberState {
