Count all software versions of a service in the mean load of a resumed stream

Found on reading the change before: candidates of other versions were left out, so the bound on a server's load came from the mean of the one version. If the last servers of a version carry the resumed streams, that mean rises with them, and nothing bounds them against their service. They count as candidates that can't get the request now. servers_of_other_software_versions_count_in_the_mean_load covers it.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -159,8 +159,7 @@
     })
 }
 
-/// Lists the servers of the call's service that were not tried yet, of one software version if it is
-/// given, and the leaving ones that
+/// Lists the servers of the call's service that were not tried yet, and the leaving ones that
 /// others may fetch from.
 fn list_candidates<W: EntryWire>(
     state: &EntryState<W>,
@@ -176,10 +175,7 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
-    let usable = servers
-        .usable(&call.service)
-        .filter(|known| !tried.contains(&known.server))
-        .filter(|known| software.is_none_or(|software| is_version(known, software)));
+    let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
     let candidate = |known: &KnownServer| {
@@ -196,6 +192,8 @@
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
+            } else if software.is_some_and(|software| !is_version(known, software)) {
+                CandidateState::OtherVersion
             } else if outcomes.is_unreachable(now, server) {
                 CandidateState::Unreachable
             } else if outcomes.is_ejected(now, server) {
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -43,6 +43,9 @@
         Ejected,
         /// Requests only if no other server has free capacity; nothing can be fetched from it.
         Unreachable,
+        /// Not this request, since its software version can't continue the stream. It counts in the
+        /// mean load.
+        OtherVersion,
         /// No requests; others may still fetch from it.
         Leaving,
     }
@@ -139,7 +142,9 @@
     let not_leaving =
         || candidates.iter().filter(|candidate| candidate.state != CandidateState::Leaving);
     let count = not_leaving().count();
-    if count == 0 {
+    let selectable =
+        || not_leaving().filter(|candidate| candidate.state != CandidateState::OtherVersion);
+    if selectable().next().is_none() {
         return Err(SelectionError::NoServer);
     }
     let mean = f64::from(not_leaving().map(|candidate| candidate.load).sum::<u32>()) / count as f64;
@@ -150,11 +155,11 @@
             && f64::from(candidate.load) < count_places(query, candidate)
     };
     let available =
-        not_leaving().filter(|candidate| candidate.state == CandidateState::Available).filter(fits);
+        selectable().filter(|candidate| candidate.state == CandidateState::Available).filter(fits);
     let caching_servers: Vec<ServerCandidate> =
         candidates.iter().filter(|candidate| candidate.cached_tokens > 0).copied().collect();
     let selected = select_candidate(query, available, &caching_servers, soft)
-        .or_else(|| select_candidate(query, not_leaving().filter(fits), &caching_servers, soft))
+        .or_else(|| select_candidate(query, selectable().filter(fits), &caching_servers, soft))
         .ok_or(SelectionError::Full)?;
     Ok(ServerSelection {
         server: selected.server,
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -326,3 +326,22 @@
     assert_eq!(table.total_load(ServerId(1)).open, 1);
     assert_eq!(table.live_routers(start.plus_millis(3_000)), 1);
 }
+
+/// Guards against a server that gets more than its bound from streams which only its software version
+/// can continue: the bound was taken from the mean load of that version, not of the service.
+#[test]
+fn servers_of_other_software_versions_count_in_the_mean_load() {
+    let mut servers = pool(10);
+    for (index, server) in servers.iter_mut().enumerate() {
+        let is_only_version = index < 2;
+        server.load = if is_only_version { 10 } else { 1 };
+        server.state =
+            if is_only_version { CandidateState::Available } else { CandidateState::OtherVersion };
+    }
+
+    let selection = select_server(plain_request(1), &servers, &bounds());
+
+    assert_eq!(selection, Err(SelectionError::Full));
+    servers.retain(|server| server.state == CandidateState::OtherVersion);
+    assert_eq!(select_server(plain_request(1), &servers, &bounds()), Err(SelectionError::NoServer));
+}
