Fetch cached parts only from servers of the same software version

Looked for the same cause elsewhere after streams were continued by another version: the memory of a prompt that one version writes was fetched by servers of others. Nobody reported a fault of this; it is only suspected. A server fetches from servers of its own version, and the cost of a server that must fetch counts no others. nothing_is_fetched_from_another_software_version covers it.

In a service whose servers all have one version nothing changes.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -189,6 +189,7 @@
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
+            software: SoftwareKey::from_name(&known.record.software),
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -7,6 +7,8 @@
 
 use catkin_base::{ServerId, copy_type, hash_parts};
 
+use crate::origin_book::SoftwareKey;
+
 /// Cost of each request already open on a server, in milliseconds, for requests with a shared
 /// prefix: each one makes the engine's decoding steps a little longer.
 const OPEN_REQUEST_MILLIS: f64 = 0.5;
@@ -71,10 +73,19 @@
     pub cache_fill: f64,
     /// Factor by which the server takes longer than its service; 1 unless it is slow.
     pub slow_factor: f64,
+    /// Version of the server's software. Cached parts are fetched only within one version.
+    pub software: SoftwareKey,
     /// What the server may be used for.
     pub state: CandidateState,
 }
 
+impl ServerCandidate {
+    /// Whether this server can fetch cached parts from `other`.
+    fn can_fetch_from(&self, other: &Self) -> bool {
+        other.software == self.software && other.state != CandidateState::Unreachable
+    }
+}
+
 /// Bounds on the load of one server, relative to the mean load of its service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBounds {
@@ -241,7 +252,7 @@
     }
     let sources =
         caching_servers.iter().filter(|other| other.cached_tokens > candidate.cached_tokens);
-    let sources = sources.filter(|other| other.state != CandidateState::Unreachable);
+    let sources = sources.filter(|other| candidate.can_fetch_from(other));
     let best =
         sources.clone().map(|other| other.cached_tokens).max().unwrap_or(candidate.cached_tokens);
     let copies = sources.filter(|other| other.cached_tokens == best).count();
@@ -251,7 +262,7 @@
     (f64::from(missing - lacks(best)) * fetch + prefill + eviction) * query.token_millis
 }
 
-/// Chooses the reachable server that caches the most of what the selected one lacks.
+/// Chooses the server to fetch from that caches the most of what the selected one lacks.
 fn choose_source(
     query: SelectionQuery,
     caching_servers: &[ServerCandidate],
@@ -262,8 +273,8 @@
     }
     let with_more_cached =
         caching_servers.iter().filter(|other| other.cached_tokens > selected.cached_tokens);
-    let reachable = with_more_cached.filter(|other| other.state != CandidateState::Unreachable);
-    reachable
+    let sources = with_more_cached.filter(|other| selected.can_fetch_from(other));
+    sources
         .max_by_key(|other| (other.cached_tokens, other.same_domain, u32::MAX - other.load))
         .map(|other| other.server)
 }
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -7,8 +7,8 @@
 use catkin_base::{ClockTime, ServerId, VmId};
 use catkin_entry::{
     CacheIndex, CachedPart, CandidateState, LoadBounds, LoadSource, LoadTable, PrefixPart,
-    PromptPart, ReportedLoads, SelectionError, SelectionQuery, ServerCandidate, list_prefix_parts,
-    select_server,
+    PromptPart, ReportedLoads, SelectionError, SelectionQuery, ServerCandidate, SoftwareKey,
+    list_prefix_parts, select_server,
 };
 use proptest::prelude::*;
 
@@ -33,6 +33,7 @@
         cached_tokens: 0,
         cache_fill: 0.0,
         slow_factor: 1.0,
+        software: SoftwareKey(1),
         state: CandidateState::Available,
     }
 }
@@ -345,3 +346,16 @@
     servers.retain(|server| server.state == CandidateState::OtherVersion);
     assert_eq!(select_server(plain_request(1), &servers, &bounds()), Err(SelectionError::NoServer));
 }
+
+/// Guards against a server that fetches cached parts which another software version wrote.
+#[test]
+fn nothing_is_fetched_from_another_software_version() {
+    let mut servers = pool(2);
+    servers[0].cached_tokens = 10_000;
+    servers[0].state = CandidateState::Leaving;
+    servers[0].software = SoftwareKey(2);
+
+    let selection = select_server(long_prompt(), &servers, &bounds()).unwrap();
+
+    assert_eq!((selection.server, selection.fetch_from), (ServerId(2), None));
+}
--- a/crates/catkin-entry/tests/speed_book.rs
+++ b/crates/catkin-entry/tests/speed_book.rs
@@ -3,8 +3,8 @@
 
 use catkin_base::{ClockTime, ServerId};
 use catkin_entry::{
-    CandidateState, LoadBounds, SelectionQuery, ServerCandidate, SpeedBook, StartedSample,
-    select_server,
+    CandidateState, LoadBounds, SelectionQuery, ServerCandidate, SoftwareKey, SpeedBook,
+    StartedSample, select_server,
 };
 
 const SERVICE: &str = "s";
@@ -76,6 +76,7 @@
         cached_tokens: 0,
         cache_fill: 0.0,
         slow_factor,
+        software: SoftwareKey(1),
         state: CandidateState::Available,
     }
 }
