Soak: restore the store from a copy, and silence it for all routers

The store is restored from a copy of some hundred milliseconds to four seconds; the operator and the servers write again what was lost after 1.5 s. The open connections of all routers to the store go silent just before a new version of the declarations. In both cases the current version must be in force within the usual bound, counted from 3 s after the fault.

--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::check::SoakBounds;
 use crate::ledger::{CallKind, FaultPeriod, FaultTarget, LeavingRecord, VersionRecord};
 use crate::link::{LinkFlow, LinkProxy};
 use crate::plan::{FaultKind, LinkFault, PlannedFault};
@@ -31,6 +32,9 @@
 const STOP_INTERVAL: Duration = Duration::from_millis(700);
 /// Time in which callers may still use a blackholed connection, in milliseconds: one request.
 const BLACKHOLE_MILLIS: u64 = 9_000;
+/// Time after a restore of the store until the operator and the servers have written again what was
+/// lost.
+const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 /// Minimum number of servers that each service keeps.
 const MIN_SERVERS: usize = 2;
 
@@ -81,6 +85,8 @@
                 self.break_store(StoreBehavior::LosesAnswers, length).await;
             }
             FaultKind::StoreDropsHistory => self.store.drop_history(),
+            FaultKind::RestoreStore => self.restore_store(length).await,
+            FaultKind::SilenceStore => self.silence_store().await,
             FaultKind::CrashServer(server) => self.crash_server(server, length).await,
             FaultKind::AnnounceLeave(server) => self.replace_server(server, true).await,
             FaultKind::RemoveServer(server) => self.replace_server(server, false).await,
@@ -158,6 +164,36 @@
         self.context.end_period(period);
     }
 
+    async fn restore_store(&self, lost: Duration) {
+        let copy = self.store.copy();
+        sleep(lost).await;
+        let period = self.begin_fault(FaultTarget::Store, false);
+        let before = self.store.restore(copy.clone());
+        sleep(REWRITE_DELAY).await;
+        self.store.write_again(&copy, &before);
+        self.context.end_period(period);
+        self.expect_current_version().await;
+    }
+
+    async fn silence_store(&self) {
+        let period = self.begin_fault(FaultTarget::Store, false);
+        for link in &self.store_links {
+            link.update_state(|state| state.blackholes += 1);
+        }
+        self.context.end_period(period);
+        self.write_version();
+        self.expect_current_version().await;
+    }
+
+    /// Expects that the current declarations come into force once the limits hold again after a fault
+    /// that has just ended.
+    async fn expect_current_version(&self) {
+        let version = self.version.get();
+        sleep(Duration::from_millis(SoakBounds::default().fault_grace + 1)).await;
+        let record = VersionRecord { version, at: self.context.now() };
+        self.context.ledger.borrow_mut().versions.push(record);
+    }
+
     async fn crash_server(&self, address_index: usize, length: Duration) {
         if self.faulted[address_index].replace(true) {
             return;
--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -11,6 +11,8 @@
 /// Minimum and maximum duration of a fault, in milliseconds.
 const MIN_LENGTH_MILLIS: u64 = 300;
 const MAX_LENGTH_MILLIS: u64 = 4_000;
+/// Mean interval between two faults of the store that affect all routers, in milliseconds.
+const MEAN_STORE_PAUSE_MILLIS: u64 = 10_000;
 /// One router fault in so many is soon followed by another one on the same router.
 const REPEAT_PERIOD: u32 = 4;
 
@@ -61,6 +63,12 @@
         StoreLosesAnswers,
         /// The store drops its history of changes, so that watches must start over.
         StoreDropsHistory,
+        /// The store is restored from a copy: what was written in the time before is lost. The operator
+        /// and the servers write it again a little later.
+        RestoreStore,
+        /// The open connections of all routers to the store pass no more bytes, and the operator
+        /// writes a new version of the declarations.
+        SilenceStore,
         /// A server crashes; a server with another name starts at its address.
         CrashServer(usize),
         /// A server announces that it leaves; later another server of any service has its address.
@@ -112,10 +120,27 @@
         }
         at += random.random_range(0..=2 * MEAN_PAUSE_MILLIS);
     }
+    faults.extend(plan_store_faults(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws the faults of the store that affect all routers. They have random numbers of their own, so
+/// that the other faults of a seed stay what they were before these kinds existed.
+fn plan_store_faults(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed ^ u64::MAX);
+    let mut faults = Vec::new();
+    let mut at = QUIET_START_MILLIS;
+    loop {
+        at += random.random_range(0..=2 * MEAN_STORE_PAUSE_MILLIS);
+        if at >= size.millis {
+            return faults;
+        }
+        let kind = if random.random() { FaultKind::RestoreStore } else { FaultKind::SilenceStore };
+        faults.push(PlannedFault { at, length: draw_length(&mut random), kind });
+    }
+}
+
 fn draw_length(random: &mut StdRng) -> u64 {
     random.random_range(MIN_LENGTH_MILLIS..=MAX_LENGTH_MILLIS)
 }
--- a/crates/catkin-soak/src/store.rs
+++ b/crates/catkin-soak/src/store.rs
@@ -42,13 +42,24 @@
     }
 }
 
+type ObjectTable = BTreeMap<(StoreKind, String), StoredEntry>;
+
+/// A copy of the store's objects.
+#[derive(Clone)]
+pub(crate) struct StoreCopy {
+    objects: ObjectTable,
+    revision: u64,
+}
+
 #[derive(Default)]
 struct StoreObjects {
-    objects: BTreeMap<(StoreKind, String), StoredEntry>,
+    objects: ObjectTable,
     changes: Vec<(StoreKind, StoredEntry)>,
     revision: u64,
     /// Changes up to this revision are no longer in the history.
     dropped_revision: u64,
+    /// Number of times that the store was restored from a copy.
+    era: u64,
     behavior: StoreBehavior,
 }
 
@@ -107,6 +118,48 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies all objects.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let objects = self.objects.borrow();
+        StoreCopy { objects: objects.objects.clone(), revision: objects.revision }
+    }
+
+    /// Loses what was written since the copy, and starts the next era. Returns the objects before.
+    pub(crate) fn restore(&self, copy: StoreCopy) -> StoreCopy {
+        let before = self.copy();
+        let mut objects = self.objects.borrow_mut();
+        objects.objects = copy.objects;
+        objects.revision = copy.revision;
+        objects.changes.clear();
+        objects.dropped_revision = copy.revision;
+        objects.era += 1;
+        drop(objects);
+        self.changed.notify_waiters();
+        before
+    }
+
+    /// Writes the declarations and the entries of servers again as they were `before` the restore of
+    /// `copy`, unless they have changed since.
+    pub(crate) fn write_again(&self, copy: &StoreCopy, before: &StoreCopy) {
+        let mut objects = self.objects.borrow_mut();
+        let names = copy.objects.keys().chain(before.objects.keys());
+        let lasting = |(kind, _): &&(StoreKind, String)| {
+            matches!(kind, StoreKind::Declarations | StoreKind::Servers)
+        };
+        for key in names.filter(lasting) {
+            let content = |table: &ObjectTable| table.get(key).map(|entry| entry.content.clone());
+            if content(&objects.objects) != content(&copy.objects) {
+                continue;
+            }
+            match content(&before.objects) {
+                Some(content) => objects.write(key.0, &key.1, content),
+                None => _ = objects.remove(key.0, &key.1),
+            }
+        }
+        drop(objects);
+        self.changed.notify_waiters();
+    }
+
     /// Writes an object as an operator or a server would.
     pub(crate) fn write(&self, kind: StoreKind, name: &str, content: String) {
         self.objects.borrow_mut().write(kind, name, content);
@@ -125,7 +178,9 @@
         let mut reader = MessageReader::new(read);
         while let Ok(message) = reader.read().await {
             let Some(answer) = self.answer_message(&message).await else { return };
-            if write_answer(&mut write, answer.status, "", &answer.body).await.is_err() {
+            let era = self.objects.borrow().era;
+            let fields = format!("{}: {era}\r\n", W::HEADERS.store_era);
+            if write_answer(&mut write, answer.status, &fields, &answer.body).await.is_err() {
                 return;
             }
         }
@@ -238,7 +293,7 @@
         if self.behavior == StoreBehavior::Down {
             return Some(StoreAnswer::empty(503));
         }
-        if revision < self.dropped_revision {
+        if revision < self.dropped_revision || revision > self.revision {
             return Some(StoreAnswer::empty(410));
         }
         let newer = |(known, entry): &&(StoreKind, StoredEntry)| {
