Don't ask for the origin of a stream at the first start of the fleet

At the first start there were no streams before, so a router that knows of one version need not wait up to 150 ms for an answer that nobody has.

--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -237,7 +237,7 @@
     let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
     let choose = || state.origins.borrow().choose_resume(&call.service, key);
     // A router that started lately doesn't know which versions there were before.
-    let is_new = state.started.elapsed() < VERSIONS_UNKNOWN_TIME;
+    let is_new = !state.settings().first_start && state.started.elapsed() < VERSIONS_UNKNOWN_TIME;
     let asks = match choose() {
         ResumeChoice::OnlyVersion(_) => false,
         ResumeChoice::Unknown => true,
