Don't quarantine content that any router has served lately

Cause: since crashes on reused connections count, and strikes reach routers that start, three servers that crash for another reason while they run a popular page are enough to quarantine it everywhere. Only the router that served it cleared the strikes, and only until it was told of them again.

Content that crashes servers is never answered. Content is stored only if it is still quarantined after 400 ms, and removed from the store when it turns out to be sound; a router that reads it at its start asks the others by reporting its strikes.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,7 +17,8 @@
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
-//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`StrikeQueue`], [`OriginBook`]. [`run_entry`] runs the process. An
+//! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
+//! [`OriginBook`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -45,8 +46,10 @@
 mod refusal;
 mod relay_plan;
 mod report_builder;
+mod report_queue;
 mod route_table;
 mod serve;
+mod served_content;
 mod server_book;
 mod server_copy;
 mod server_selection;
@@ -57,7 +60,6 @@
 mod store_follower;
 mod store_pace;
 mod store_point;
-mod strike_queue;
 mod strike_store;
 mod wire;
 
@@ -81,7 +83,9 @@
 };
 pub use refusal::{Refusal, RefusalCause};
 pub use relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
+pub use report_queue::{ReportQueue, Strike};
 pub use route_table::{RouteMatch, RouteTable, choose_service};
+pub use served_content::ServedContent;
 pub use server_book::{
     KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
 };
@@ -95,7 +99,6 @@
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
-pub use strike_queue::{Strike, StrikeQueue};
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry,
     StrikeRecord, WireError,
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -237,6 +237,13 @@
                 updates.borrow_mut().strikes.push((digest, server));
             }
         }
+        for digest in &report.sound {
+            let digest = RequestDigest(*digest);
+            let struck = state.record_sound(digest);
+            if let Some(updates) = relayed.filter(|_| struck) {
+                updates.borrow_mut().sound.push(digest);
+            }
+        }
         for row in &report.outcomes {
             let server = ServerId(row.server);
             state.outcomes.borrow_mut().record_peer_ejection(now, server);
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::ClockTime;
+use catkin_base::{ClockTime, RequestDigest};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use miette::{IntoDiagnostic, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
@@ -317,7 +317,9 @@
     state.loads.borrow_mut().remove_expired(now);
     state.cache_index.borrow_mut().remove_expired(now);
     let strikes = state.strikes.borrow();
-    state.local_strikes.borrow_mut().retain(|digest| !strikes.servers(*digest).is_empty());
+    let is_struck = |digest: &RequestDigest| !strikes.servers(*digest).is_empty();
+    state.local_strikes.borrow_mut().retain(is_struck);
+    state.stored_strikes.borrow_mut().retain(is_struck);
     state.speeds.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -12,9 +12,9 @@
 
 use crate::cache_index::CachedPart;
 use crate::load_table::OpenLoad;
+use crate::report_queue::Strike;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
-use crate::strike_queue::Strike;
 
 /// Maximum number of cached parts in one report, so that it fits a datagram.
 const MAX_PARTS: usize = 24;
@@ -35,6 +35,7 @@
         || updates.send_now
         || !updates.cached_parts.is_empty()
         || !updates.strikes.is_empty()
+        || !updates.sound.is_empty()
 }
 
 pub(crate) fn list_cached_parts<W>(state: &EntryState<W>) -> Vec<KeptPart> {
@@ -98,6 +99,9 @@
     let mut relayed = state.to_other_domains.borrow_mut();
     relayed.cached_parts.extend(&updates.parts_to_repeat);
     strikes.into_iter().for_each(|strike| relayed.strikes.push(strike));
+    let sound = updates.sound.next_batch(MAX_STRIKES);
+    report.sound = sound.iter().map(|digest| digest.0).collect();
+    sound.into_iter().for_each(|digest| relayed.sound.push(digest));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
         relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
@@ -165,6 +169,8 @@
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
     let strikes = updates.strikes.next_batch(MAX_STRIKES);
     first.strikes = strikes.into_iter().map(strike_report).collect();
+    let sound = updates.sound.next_batch(MAX_STRIKES);
+    first.sound = sound.into_iter().map(|digest| digest.0).collect();
     reports
 }
 
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -194,7 +194,7 @@
                         ForwardEnd::Complete { status } => {
                             record_outcome(state, call, server, classify_status(status));
                             if status < 500 {
-                                state.strikes.borrow_mut().record_served(call.digest);
+                                state.record_served(call.digest);
                             }
                             let attempts =
                                 progress.possibly_run_attempts + progress.not_run_attempts + 1;
@@ -387,8 +387,8 @@
         _ => AttemptOutcome::Failed,
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
-    if broke && error.ran != RunVerdict::NotRun {
-        state.record_strike(call.digest, server, StrikeSource::Local);
+    let may_have_crashed = broke && error.ran != RunVerdict::NotRun;
+    if may_have_crashed && state.record_strike(call.digest, server, StrikeSource::Local) {
         state.updates.borrow_mut().strikes.push((call.digest, server));
     }
     record_outcome(state, call, server, outcome);
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -20,14 +20,15 @@
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
 use crate::relay_plan::MAX_SMALL_FLEET;
+use crate::report_queue::{ReportQueue, Strike};
 use crate::route_table::RouteTable;
+use crate::served_content::ServedContent;
 use crate::server_book::{ServerBook, ServerChange};
 use crate::server_copy::ServerList;
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
 use crate::store_point::StorePoint;
-use crate::strike_queue::StrikeQueue;
 use crate::wire::StoreKind;
 
 /// Number of servers that must crash while running requests with the same content before the
@@ -56,7 +57,9 @@
     /// Cached parts that were sent once and are sent again with the next report.
     pub(crate) parts_to_repeat: Vec<CachedPart>,
     /// Strikes that this router recorded.
-    pub(crate) strikes: StrikeQueue,
+    pub(crate) strikes: ReportQueue<Strike>,
+    /// Content that servers answered although a strike against it was reported.
+    pub(crate) sound: ReportQueue<RequestDigest>,
     /// Whether open requests changed since the last report.
     pub(crate) loads_changed: bool,
     /// Whether a report must be sent at the next check, also without other updates.
@@ -67,7 +70,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct RelayUpdates {
     pub(crate) cached_parts: Vec<CachedPart>,
-    pub(crate) strikes: StrikeQueue,
+    pub(crate) strikes: ReportQueue<Strike>,
+    /// Content that servers answered although a strike against it was reported.
+    pub(crate) sound: ReportQueue<RequestDigest>,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
     /// Factors of slow servers, and until when they count.
@@ -117,6 +122,7 @@
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) strikes: RefCell<StrikeCounter>,
+    pub(crate) served: RefCell<ServedContent>,
     pub(crate) origins: RefCell<OriginBook>,
     /// Streams whose origin other routers are asked for.
     pub(crate) asked_origins: RefCell<BTreeSet<StreamKey>>,
@@ -128,7 +134,11 @@
     pub(crate) local_strikes: RefCell<BTreeSet<RequestDigest>>,
     /// Quarantined content that is to be stored.
     pub(crate) unstored_strikes: RefCell<BTreeSet<RequestDigest>>,
-    /// Signals that `unstored_strikes` grew.
+    /// Quarantined content that this router has stored or read from the store.
+    pub(crate) stored_strikes: RefCell<BTreeSet<RequestDigest>>,
+    /// Stored content that has turned out to be sound and is to be removed from the store.
+    pub(crate) refuted_strikes: RefCell<BTreeSet<RequestDigest>>,
+    /// Signals that `unstored_strikes` or `refuted_strikes` grew.
     pub(crate) unstored_strikes_change: Notify,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) updates: RefCell<PeerUpdates>,
@@ -196,12 +206,15 @@
             speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
             strikes: RefCell::new(StrikeCounter::new(STRIKE_LIMIT, QUARANTINE_MILLIS)),
+            served: RefCell::default(),
             local_strikes: RefCell::default(),
             origins: RefCell::default(),
             asked_origins: RefCell::default(),
             asked_origins_change: Notify::new(),
             origins_change: Notify::new(),
             unstored_strikes: RefCell::default(),
+            stored_strikes: RefCell::default(),
+            refuted_strikes: RefCell::default(),
             unstored_strikes_change: Notify::new(),
             pool: RefCell::default(),
             updates: RefCell::default(),
@@ -299,7 +312,8 @@
         self.selection_input_change.notify_waiters();
     }
 
-    /// Records a strike and logs it if it is new; returns whether it is. Quarantined content is
+    /// Records a strike and logs it if it is new; returns whether it is. A strike against content that
+    /// was answered lately is not recorded, and the other routers are told. Quarantined content is
     /// queued for the store at the routers that saw one of its crashes.
     pub(crate) fn record_strike(
         &self,
@@ -308,6 +322,12 @@
         source: StrikeSource,
     ) -> bool {
         let now = self.now();
+        if self.served.borrow().contains(now, digest) {
+            if source != StrikeSource::Local {
+                self.updates.borrow_mut().sound.push(digest);
+            }
+            return false;
+        }
         let mut strikes = self.strikes.borrow_mut();
         if !strikes.record_strike(now, digest, server) {
             return false;
@@ -329,6 +349,31 @@
         true
     }
 
+    /// Records that a server answered content. If there were strikes against it, other routers are
+    /// told.
+    pub(crate) fn record_served(&self, digest: RequestDigest) {
+        if self.record_sound(digest) {
+            self.updates.borrow_mut().sound.push(digest);
+        }
+    }
+
+    /// Records that content was answered, here or at another router, and clears the strikes against
+    /// it; returns whether there were any.
+    pub(crate) fn record_sound(&self, digest: RequestDigest) -> bool {
+        self.served.borrow_mut().record(self.now(), digest);
+        let mut strikes = self.strikes.borrow_mut();
+        let struck = !strikes.servers(digest).is_empty();
+        if struck {
+            log::info!("strikes: content was answered; its strikes are cleared. digest={digest}");
+            strikes.record_served(digest);
+        }
+        if self.stored_strikes.borrow_mut().remove(&digest) {
+            self.refuted_strikes.borrow_mut().insert(digest);
+            self.unstored_strikes_change.notify_waiters();
+        }
+        struck
+    }
+
     pub(crate) fn remove_server(&self, server: ServerId) {
         self.cache_index.borrow_mut().remove_server(server);
         self.outcomes.borrow_mut().remove_server(server);
--- a/crates/catkin-entry/src/strike_store.rs
+++ b/crates/catkin-entry/src/strike_store.rs
@@ -1,4 +1,5 @@
 //! Keeps quarantined content in the store, so that it stays refused when all routers end at once.
+//! Content that turns out to be sound is removed.
 
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -10,6 +11,8 @@
 use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 use crate::wire::{EntryWire, StoreKind, StrikeRecord};
 
+/// Time for other routers to report that the content was answered, before it is stored.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Maximum number of attempts to write one object. Other routers know the strikes, too.
@@ -25,12 +28,21 @@
     loop {
         let queued = state.unstored_strikes_change.notified();
         let digests = std::mem::take(&mut *state.unstored_strikes.borrow_mut());
-        if digests.is_empty() {
+        let refuted = std::mem::take(&mut *state.refuted_strikes.borrow_mut());
+        if digests.is_empty() && refuted.is_empty() {
             queued.await;
             continue;
         }
+        for digest in refuted {
+            store.remove(&digest.to_string()).await;
+        }
+        if !digests.is_empty() {
+            sleep(ANSWER_WAIT).await;
+        }
         for digest in digests {
-            store.write(digest).await;
+            if state.strikes.borrow().state(state.now(), digest).hold_millis > 0 {
+                store.write(digest).await;
+            }
         }
     }
 }
@@ -74,8 +86,11 @@
                 self.remove(&entry.name).await;
                 continue;
             }
+            self.state.stored_strikes.borrow_mut().insert(record.digest);
             for server in record.servers {
                 self.state.record_strike(record.digest, server, StrikeSource::Store);
+                // Routers that have answered the content say so.
+                self.state.updates.borrow_mut().strikes.push((record.digest, server));
             }
         }
     }
@@ -84,7 +99,8 @@
         let timeout = GrowingTimeout::default().current();
         if let Err(error) = self.client.delete(StoreKind::Strikes, name, timeout).await {
             log::info!(
-                "strikes: expired object not removed; a later start removes it. name={name} \
+                "strikes: object not removed; a router that starts after it has expired removes it. \
+                 name={name} \
                  error={error}"
             );
         }
@@ -106,6 +122,7 @@
             {
                 Ok(()) | Err(StoreCallError::Conflict(_)) => {
                     log::info!("strikes: quarantined content stored. digest={digest}");
+                    self.state.stored_strikes.borrow_mut().insert(digest);
                     return;
                 }
                 Err(error) => {
--- a/crates/catkin-entry/tests/strike_queue.rs
+++ b/crates/catkin-entry/tests/report_queue.rs
@@ -1,7 +1,7 @@
-//! Tests of the strikes to be reported to other routers.
+//! Tests of the items to be reported to other routers.
 
 use catkin_base::{RequestDigest, ServerId};
-use catkin_entry::{Strike, StrikeQueue};
+use catkin_entry::{ReportQueue, Strike};
 
 fn strike(number: u64) -> Strike {
     (RequestDigest(number), ServerId(number))
@@ -10,7 +10,7 @@
 /// Guards against a strike that no other router learns of because one datagram was lost.
 #[test]
 fn each_strike_is_in_three_reports() {
-    let mut queue = StrikeQueue::default();
+    let mut queue = ReportQueue::default();
     queue.push(strike(1));
     queue.push(strike(1));
 
@@ -22,7 +22,7 @@
 
 #[test]
 fn strikes_that_exceed_a_report_are_sent_before_repeated_ones() {
-    let mut queue = StrikeQueue::default();
+    let mut queue = ReportQueue::default();
     for number in 1..=3 {
         queue.push(strike(number));
     }
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -453,6 +453,9 @@
     pub strength: u32,
     #[prost(message, repeated, tag = "19")]
     pub slow: ::prost::alloc::vec::Vec<SlowServer>,
+    /// digests of content that was answered although a strike against it was reported
+    #[prost(fixed64, repeated, tag = "20")]
+    pub sound: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SlowServer {
--- a/crates/catkin-soak/src/failed_seeds.rs
+++ b/crates/catkin-soak/src/failed_seeds.rs
@@ -16,7 +16,7 @@
 const MINUTE: u64 = 60_000;
 
 /// All failed seeds. The cause of each also has a test that does not depend on timing.
-pub const FAILED_SEEDS: [FailedSeed; 4] = [
+pub const FAILED_SEEDS: [FailedSeed; 5] = [
     FailedSeed {
         seed: 1,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
@@ -37,4 +37,9 @@
         size: SoakSize { routers: 24, servers: 8, millis: MINUTE },
         cause: "content that all callers request was quarantined because servers crashed",
     },
+    FailedSeed {
+        seed: 6_202,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "routers that had not served a popular page refused it after three servers crashed",
+    },
 ];
