Keep the key of a server's version with the server; split off the exchange of origins

The key was hashed for each server at each assignment. An answer of a new era of the store is logged once, by its own line.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -31,8 +31,9 @@
 /// One request in this many copies a part that only one server caches to a second server.
 const SECOND_COPY_PERIOD: u64 = 10;
 
-/// Assigns a request to a server, one of the given software version if there is one. If all servers are full, waits for free capacity, at most for the
-/// target latency divided by [`CAPACITY_WAIT_DIVISOR`].
+/// Assigns a request to a server, of the given software version if there is one. If all servers are
+/// full, waits for free capacity, at most for the target latency divided by
+/// [`CAPACITY_WAIT_DIVISOR`].
 pub(crate) async fn assign_server<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
@@ -121,7 +122,7 @@
         slot: OpenSlot::acquire(state, selection.server, unread_tokens, measured_tokens),
         name: known.name.clone(),
         address: known.record.address,
-        software: SoftwareKey::from_name(&known.record.software),
+        software: known.software,
         fetch_from: selection.fetch_from.and_then(address),
     })
 }
@@ -133,11 +134,7 @@
     software: SoftwareKey,
 ) -> bool {
     let servers = state.servers.borrow();
-    servers.usable(&call.service).any(|known| is_version(known, software))
-}
-
-fn is_version(known: &KnownServer, software: SoftwareKey) -> bool {
-    SoftwareKey::from_name(&known.record.software) == software
+    servers.usable(&call.service).any(|known| known.software == software)
 }
 
 /// Whether the servers of the call's service are model engines.
@@ -189,11 +186,11 @@
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
-            software: SoftwareKey::from_name(&known.record.software),
+            software: known.software,
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
-            } else if software.is_some_and(|software| !is_version(known, software)) {
+            } else if software.is_some_and(|software| known.software != software) {
                 CandidateState::OtherVersion
             } else if outcomes.is_unreachable(now, server) {
                 CandidateState::Unreachable
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -13,7 +13,8 @@
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
-//!    `cache_sync` and `cache_loader` load the `cache_index` after a start.
+//!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
+//!    where streams began.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
@@ -38,6 +39,7 @@
 mod load_table;
 mod logging;
 mod origin_book;
+mod origin_exchange;
 mod outcome_book;
 mod pause_watch;
 mod peer_service;
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -77,10 +77,9 @@
     pub fn record_versions<'a>(
         &mut self,
         now: ClockTime,
-        servers: impl Iterator<Item = (&'a str, &'a str)>,
+        servers: impl Iterator<Item = (&'a str, SoftwareKey)>,
     ) {
         for (service, software) in servers {
-            let software = SoftwareKey::from_name(software);
             match self.versions.get_mut(service) {
                 Some(versions) => _ = versions.insert(software, now),
                 None => {
--- /dev/null
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -0,0 +1,97 @@
+//! Exchanges with other routers at which software versions streams began.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::VmId;
+use catkin_peer::MessageSource;
+use catkin_peer::messages::peer_message::Kind;
+use catkin_peer::messages::{StreamOrigin, StreamOriginAsk, StreamOrigins};
+use tokio::time::sleep;
+
+use crate::origin_book::{SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers};
+use crate::peer_service::PeerService;
+use crate::state::EntryState;
+use crate::wire::EntryWire;
+
+/// Maximum number of stream origins in one message, so that it fits a datagram.
+const MAX_ORIGINS: usize = 48;
+/// Interval at which other routers are asked for the origin of a stream.
+const ORIGIN_ASK_INTERVAL: Duration = Duration::from_millis(30);
+
+impl PeerService {
+    /// Tells other routers at which software versions streams began.
+    pub(crate) fn send_origins<W: EntryWire>(&self, state: &EntryState<W>) {
+        let unsent = state.origins.borrow_mut().unsent_origins();
+        if unsent.is_empty() {
+            return;
+        }
+        let routers = self.list_live_routers(state);
+        let mut by_router: BTreeMap<VmId, Vec<StreamOrigin>> = BTreeMap::new();
+        for (key, software) in unsent {
+            for vm in choose_keepers(key, &routers) {
+                let origin = StreamOrigin { stream: key.0, software: software.0 };
+                by_router.entry(vm).or_default().push(origin);
+            }
+        }
+        for (vm, origins) in by_router {
+            for batch in origins.chunks(MAX_ORIGINS) {
+                self.send_kind(vm, Kind::StreamOrigins(StreamOrigins { origins: batch.to_vec() }));
+            }
+        }
+    }
+
+    /// Asks other routers for the origins of streams that are resumed here, as long as they are
+    /// wanted.
+    pub(crate) async fn ask_origins<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+        loop {
+            let wanted = state.asked_origins_change.notified();
+            if state.asked_origins.borrow().is_empty() {
+                wanted.await;
+            }
+            let routers = self.list_live_routers(state);
+            for key in state.asked_origins.borrow().iter() {
+                for vm in choose_asked_keepers(*key, &routers) {
+                    let ask = StreamOriginAsk { streams: vec![key.0] };
+                    self.send_kind(vm, Kind::StreamOriginAsk(ask));
+                }
+            }
+            sleep(ORIGIN_ASK_INTERVAL).await;
+        }
+    }
+
+    pub(crate) fn answer_origin_ask<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        ask: &StreamOriginAsk,
+    ) {
+        let book = state.origins.borrow();
+        let found = ask.streams.iter().filter_map(|stream| {
+            let software = book.find(StreamKey(*stream))?.0;
+            Some(StreamOrigin { stream: *stream, software })
+        });
+        let origins: Vec<StreamOrigin> = found.collect();
+        if !origins.is_empty() {
+            self.send_kind(source.vm, Kind::StreamOrigins(StreamOrigins { origins }));
+        }
+    }
+
+    /// The other routers that count as alive.
+    fn list_live_routers<W: EntryWire>(&self, state: &EntryState<W>) -> Vec<VmId> {
+        let (_, others) = self.list_members(state);
+        others.iter().filter(|member| member.alive).map(|member| member.vm).collect()
+    }
+}
+
+/// Records origins that another router reported.
+pub(crate) fn record_origins<W: EntryWire>(state: &EntryState<W>, reported: &StreamOrigins) {
+    let now = state.now();
+    let mut book = state.origins.borrow_mut();
+    for origin in &reported.origins {
+        book.record_reported(now, StreamKey(origin.stream), SoftwareKey(origin.software));
+    }
+    drop(book);
+    state.origins_change.notify_waiters();
+}
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -11,7 +11,7 @@
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
     DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage, ServerListAsk,
-    ServerListCopy, StreamOrigin, StreamOriginAsk, StreamOrigins,
+    ServerListCopy,
 };
 use catkin_peer::{DropReason, MessageSource, PeerLink, UdpLink};
 use tokio::time::{Instant, sleep, timeout};
@@ -19,7 +19,7 @@
 use crate::cache_index::CachedPart;
 use crate::list_plan::{ListSource, choose_asked_router, choose_list_source};
 use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads};
-use crate::origin_book::{SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers};
+use crate::origin_exchange::record_origins;
 use crate::outcome_book::PEER_EJECTION_MILLIS;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 use crate::report_builder::{
@@ -64,10 +64,6 @@
 const MAX_JOIN_STRIKES: usize = 16;
 /// Maximum number of such reports to one router.
 const MAX_STRIKE_REPORTS: usize = 8;
-/// Maximum number of stream origins in one message, so that it fits a datagram.
-const MAX_ORIGINS: usize = 48;
-/// Interval at which other routers are asked for the origin of a stream.
-const ORIGIN_ASK_INTERVAL: Duration = Duration::from_millis(30);
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -463,7 +459,7 @@
         self.send_kind(vm, Kind::ServerListCopy(copy));
     }
 
-    fn send_kind(&self, vm: VmId, kind: Kind) {
+    pub(crate) fn send_kind(&self, vm: VmId, kind: Kind) {
         if let Some(router) = self.routers.borrow().get(&vm) {
             self.link.send(vm, router.address, &wrap_message(kind));
         }
@@ -489,69 +485,6 @@
         }
     }
 
-    /// Tells other routers at which software versions streams began.
-    fn send_origins<W: EntryWire>(&self, state: &EntryState<W>) {
-        let unsent = state.origins.borrow_mut().unsent_origins();
-        if unsent.is_empty() {
-            return;
-        }
-        let routers = self.list_live_routers(state);
-        let mut by_router: BTreeMap<VmId, Vec<StreamOrigin>> = BTreeMap::new();
-        for (key, software) in unsent {
-            for vm in choose_keepers(key, &routers) {
-                let origin = StreamOrigin { stream: key.0, software: software.0 };
-                by_router.entry(vm).or_default().push(origin);
-            }
-        }
-        for (vm, origins) in by_router {
-            for batch in origins.chunks(MAX_ORIGINS) {
-                self.send_kind(vm, Kind::StreamOrigins(StreamOrigins { origins: batch.to_vec() }));
-            }
-        }
-    }
-
-    /// Asks other routers for the origins of streams that are resumed here, as long as they are
-    /// wanted.
-    pub(crate) async fn ask_origins<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
-        loop {
-            let wanted = state.asked_origins_change.notified();
-            if state.asked_origins.borrow().is_empty() {
-                wanted.await;
-            }
-            let routers = self.list_live_routers(state);
-            for key in state.asked_origins.borrow().iter() {
-                for vm in choose_asked_keepers(*key, &routers) {
-                    let ask = StreamOriginAsk { streams: vec![key.0] };
-                    self.send_kind(vm, Kind::StreamOriginAsk(ask));
-                }
-            }
-            sleep(ORIGIN_ASK_INTERVAL).await;
-        }
-    }
-
-    fn answer_origin_ask<W: EntryWire>(
-        &self,
-        state: &EntryState<W>,
-        source: &MessageSource,
-        ask: &StreamOriginAsk,
-    ) {
-        let book = state.origins.borrow();
-        let found = ask.streams.iter().filter_map(|stream| {
-            let software = book.find(StreamKey(*stream))?.0;
-            Some(StreamOrigin { stream: *stream, software })
-        });
-        let origins: Vec<StreamOrigin> = found.collect();
-        if !origins.is_empty() {
-            self.send_kind(source.vm, Kind::StreamOrigins(StreamOrigins { origins }));
-        }
-    }
-
-    /// The other routers that count as alive.
-    fn list_live_routers<W: EntryWire>(&self, state: &EntryState<W>) -> Vec<VmId> {
-        let (_, others) = self.list_members(state);
-        others.iter().filter(|member| member.alive).map(|member| member.vm).collect()
-    }
-
     fn plan_reports<W: EntryWire>(&self, state: &EntryState<W>) -> ReportPlan {
         let (local, others) = self.list_members(state);
         let plan = self.relays.borrow_mut().plan_reports(state.now(), local, &others);
@@ -576,7 +509,10 @@
     }
 
     /// Returns this router and the others, as input to the report plan.
-    fn list_members<W: EntryWire>(&self, state: &EntryState<W>) -> (FleetMember, Vec<FleetMember>) {
+    pub(crate) fn list_members<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+    ) -> (FleetMember, Vec<FleetMember>) {
         let now = state.now();
         let routers = self.routers.borrow();
         let member = |(vm, router): (&VmId, &KnownRouter)| FleetMember {
@@ -691,16 +627,6 @@
     }
 }
 
-fn record_origins<W: EntryWire>(state: &EntryState<W>, reported: &StreamOrigins) {
-    let now = state.now();
-    let mut book = state.origins.borrow_mut();
-    for origin in &reported.origins {
-        book.record_reported(now, StreamKey(origin.stream), SoftwareKey(origin.software));
-    }
-    drop(book);
-    state.origins_change.notify_waiters();
-}
-
 fn apply_declaration_copy<W: EntryWire>(state: &EntryState<W>, copy: &DeclarationCopy) {
     match std::str::from_utf8(&copy.content) {
         Ok(content) => {
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -4,6 +4,7 @@
 
 use catkin_base::{ClockTime, ServerId, hash_parts};
 
+use crate::origin_book::SoftwareKey;
 use crate::record::ServerRecord;
 use crate::store_point::StorePoint;
 
@@ -24,6 +25,8 @@
     pub server: ServerId,
     /// Content of its entry.
     pub record: ServerRecord,
+    /// Key of its software version.
+    pub software: SoftwareKey,
     /// Point of the last change of its entry.
     pub point: StorePoint,
     /// While its entry is missing: until when it may still be used.
@@ -129,6 +132,7 @@
         if let Some(known) = known.filter(|known| known.server == server) {
             let left = record.leaving && !known.record.leaving;
             record.leaving |= known.record.leaving && point.era() > known.point.era();
+            known.software = SoftwareKey::from_name(&record.software);
             known.record = record;
             known.point = point;
             known.missing_until = None;
@@ -140,7 +144,15 @@
         }
         let leaving = record.leaving;
         let name = name.to_owned();
-        let known = KnownServer { name: name.clone(), server, record, point, missing_until: None };
+        let software = SoftwareKey::from_name(&record.software);
+        let known = KnownServer {
+            name: name.clone(),
+            server,
+            record,
+            software,
+            point,
+            missing_until: None,
+        };
         self.names.insert(server, name.clone());
         if let Some(before) = self.servers.insert(name, known) {
             self.names.remove(&before.server);
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -264,8 +264,7 @@
     /// Records the software versions of the listed servers.
     pub(crate) fn record_versions(&self) {
         let servers = self.servers.borrow();
-        let listed = servers.iter().map(|known| &known.record);
-        let versions = listed.map(|record| (record.service.as_str(), record.software.as_str()));
+        let versions = servers.iter().map(|known| (known.record.service.as_str(), known.software));
         self.origins.borrow_mut().record_versions(self.now(), versions);
     }
 
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -242,6 +242,9 @@
     }
 
     async fn handle_error(&mut self, error: &StoreCallError) {
+        if let StoreCallError::Restored { before, era } = error {
+            return self.handle_restore(*before, *era);
+        }
         let call = if self.point.is_some() { "watch" } else { "list" };
         let answered = self.state.store_answered.borrow().get(&self.kind).copied();
         log::warn!(
@@ -256,17 +259,6 @@
         // After a failed call, a watch from the old revision could miss changes that the store no
         // longer has.
         self.point = None;
-        if let StoreCallError::Restored { before, era } = error {
-            log::warn!(
-                "store: restored from a copy; all objects are listed again. kind={:?} \
-                 era_before={before} era={era}",
-                self.kind
-            );
-            metrics::counter!("catkin_entry_store_restores_total").increment(1);
-            // Live servers that are missing from the copy register again.
-            self.failed_at = Some(self.state.now());
-            return;
-        }
         let failing = *error != StoreCallError::HistoryGone;
         self.set_store_failing(failing);
         if failing {
@@ -276,6 +268,19 @@
         }
     }
 
+    fn handle_restore(&mut self, before: u64, era: u64) {
+        log::warn!(
+            "store: restored from a copy; all objects are listed again. kind={:?} \
+             era_before={before} era={era}",
+            self.kind
+        );
+        metrics::counter!("catkin_entry_store_restores_total").increment(1);
+        self.client.reset();
+        self.point = None;
+        // Live servers that are missing from the copy register again.
+        self.failed_at = Some(self.state.now());
+    }
+
     fn apply_list(&mut self, page: &StorePage) {
         let point = page.point();
         self.point = Some(point);
--- a/crates/catkin-entry/tests/origin_book.rs
+++ b/crates/catkin-entry/tests/origin_book.rs
@@ -20,7 +20,7 @@
 }
 
 fn record_versions(book: &mut OriginBook, now: ClockTime, versions: &[&str]) {
-    book.record_versions(now, versions.iter().map(|version| (SERVICE, *version)));
+    book.record_versions(now, versions.iter().map(|version| (SERVICE, software(version))));
 }
 
 #[test]
