--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -86,7 +86,9 @@
         | Kind::DeclarationAsk(_)
         | Kind::DeclarationCopy(_)
         | Kind::ServerListAsk(_)
-        | Kind::ServerListCopy(_) => {}
+        | Kind::ServerListCopy(_)
+        | Kind::StreamOrigins(_)
+        | Kind::StreamOriginAsk(_) => {}
         // Membership messages are handled by `handle_message`.
         Kind::Ping(_) | Kind::PingAck(_) | Kind::PingRequest(_) => {}
     }
--- a/crates/catkin-router/src/traffic.rs
+++ b/crates/catkin-router/src/traffic.rs
@@ -79,5 +79,7 @@
         Kind::DeclarationCopy(_) => "declaration-copy",
         Kind::ServerListAsk(_) => "server-list-ask",
         Kind::ServerListCopy(_) => "server-list-copy",
+        Kind::StreamOrigins(_) => "stream-origins",
+        Kind::StreamOriginAsk(_) => "stream-origin-ask",
     }
 }
