--- a/crates/catkin-entry/src/origin_exchange.rs
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -44,7 +44,7 @@
 
     /// Asks other routers for the origins of streams that are resumed here, as long as they are
     /// wanted.
-    pub(crate) async fn ask_origins<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
+    pub(crate) async fn query_origins<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         loop {
             let wanted = state.asked_origins_change.notified();
             if state.asked_origins.borrow().is_empty() {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -260,7 +260,7 @@
             load_cache_index(&state, &service),
             service.request_server_list(&state),
             service.answer_list_requests(&state),
-            service.ask_origins(&state),
+            service.query_origins(&state),
         );
     };
     tokio::select! {
