--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -50,6 +50,8 @@
     new_stream: Option<StreamKey>,
     /// Software version of the server that sent the first event of this answer.
     software: Option<SoftwareKey>,
+    /// When the first events of the current attempt arrived.
+    first_events: Option<Instant>,
     /// Head of the first answer, once it was written to the caller.
     head: Option<ResponseHead>,
 }
@@ -65,6 +67,7 @@
             event_gaps: Vec::new(),
             new_stream: (!call.is_resumed()).then(|| StreamKey::from_request(&call.id)),
             software: None,
+            first_events: None,
             head: None,
         }
     }
@@ -80,6 +83,16 @@
         self.software
     }
 
+    /// Prepares for an attempt at another server.
+    pub(crate) fn begin_attempt(&mut self) {
+        self.first_events = None;
+    }
+
+    /// When the first events of the current attempt arrived.
+    pub(crate) fn first_events(&self) -> Option<Instant> {
+        self.first_events
+    }
+
     /// Identifier of the last event that the caller has.
     pub(crate) fn last_event(&self) -> Option<&Bytes> {
         self.head.as_ref().and_then(|_| self.splitter.last_id())
@@ -140,6 +153,7 @@
             };
             if let Some(events) = events {
                 awaits_first = false;
+                self.first_events.get_or_insert_with(Instant::now);
                 self.record_origin(state, answer.software);
                 answer.slot.record_start(&self.service);
                 self.measure_pace(&answer, &events);
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: sends a request to one server and waits for the head of the answer.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,14 +12,13 @@
 use crate::call::{EntryCall, SendDetails, encode_call};
 use crate::connection::{ExchangeFailure, ExpectedAnswer, HttpConnection};
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
+use crate::crash_check::{ServerCheck, check_server};
 use crate::origin_book::SoftwareKey;
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for finding out whether a server still listens after a reused connection broke.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of connections to one server if its service declares no limit.
 const DEFAULT_CONNECTIONS: u32 = 64;
 /// Maximum size of the body of an answer that declines a request, in bytes.
@@ -74,6 +72,15 @@
         Self { failure, ran: RunVerdict::NotRun }
     }
 
+    /// Whether the server may have crashed under the request.
+    pub(crate) fn may_have_crashed(self) -> bool {
+        let silent = matches!(
+            self.failure,
+            AttemptFailure::Broken | AttemptFailure::Crashed | AttemptFailure::TimedOut
+        );
+        silent && self.ran != RunVerdict::NotRun
+    }
+
     /// The error for an answer with an error status that is withheld to try another server.
     pub(crate) const fn answered_failure() -> Self {
         Self { failure: AttemptFailure::Answered, ran: RunVerdict::HasRun }
@@ -187,7 +194,7 @@
     let head = match exchanged.await {
         Ok(head) => head,
         Err(error) if reused && error.failure == ExchangeFailure::Broken => {
-            let failure = classify_reused_break(assigned.address).await;
+            let failure = classify_reused_break(state, &assigned).await;
             return Err(AttemptError { failure, ran: error.ran });
         }
         Err(error) => {
@@ -243,11 +250,13 @@
 /// closed it while it was idle, which counts neither against the server nor against the request. A
 /// server that refuses new connections has crashed. One that does not answer may be cut off, so
 /// that counts as the usual case.
-async fn classify_reused_break(address: SocketAddr) -> AttemptFailure {
-    let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
-    match HttpConnection::connect(address, deadline).await {
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => AttemptFailure::Crashed,
-        _ => AttemptFailure::StaleChannel,
+async fn classify_reused_break<W>(
+    state: &EntryState<W>,
+    assigned: &AssignedCall<W>,
+) -> AttemptFailure {
+    match check_server(state, assigned.slot.server, assigned.address).await {
+        ServerCheck::Gone => AttemptFailure::Crashed,
+        ServerCheck::Listening | ServerCheck::Silent => AttemptFailure::StaleChannel,
     }
 }
 
--- /dev/null
+++ b/crates/catkin-entry/src/crash_check.rs
@@ -0,0 +1,69 @@
+//! Finds out whether a server crashed when a connection to it broke, by connecting once more.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::{ServerId, copy_type};
+use tokio::sync::OnceCell;
+use tokio::time::Instant;
+
+use crate::connection::HttpConnection;
+use crate::state::EntryState;
+
+/// Timeout of a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a check counts. A crash breaks all connections at once.
+const CHECK_LIFETIME: Duration = Duration::from_millis(50);
+
+copy_type! {
+    /// Whether a server accepts connections.
+    pub(crate) enum ServerCheck {
+        /// It refuses connections, so that its process has ended.
+        Gone,
+        /// It accepts connections.
+        Listening,
+        /// It does not answer: its VM is down, or it is cut off from this router.
+        Silent,
+    }
+}
+
+/// Checks by server, so that many connections that break at once cause a single one.
+#[derive(Debug, Default)]
+pub(crate) struct CheckTable {
+    checks: BTreeMap<ServerId, (Instant, Rc<OnceCell<ServerCheck>>)>,
+}
+
+impl CheckTable {
+    /// Returns the check of a server that was started lately, or the place for a new one.
+    fn find_check(&mut self, now: Instant, server: ServerId) -> Rc<OnceCell<ServerCheck>> {
+        self.checks.retain(|_, (started, _)| now - *started < CHECK_TIMEOUT + CHECK_LIFETIME);
+        let found = self.checks.get(&server);
+        if let Some((_, check)) = found.filter(|(started, _)| now - *started < CHECK_LIFETIME) {
+            return Rc::clone(check);
+        }
+        let check = Rc::new(OnceCell::new());
+        self.checks.insert(server, (now, Rc::clone(&check)));
+        check
+    }
+}
+
+/// Finds out whether a server accepts connections, after one to it broke or was silent.
+pub(crate) async fn check_server<W>(
+    state: &EntryState<W>,
+    server: ServerId,
+    address: SocketAddr,
+) -> ServerCheck {
+    let check = state.server_checks.borrow_mut().find_check(Instant::now(), server);
+    *check.get_or_init(|| connect_once(address)).await
+}
+
+async fn connect_once(address: SocketAddr) -> ServerCheck {
+    match HttpConnection::connect(address, Instant::now() + CHECK_TIMEOUT).await {
+        Ok(_) => ServerCheck::Listening,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ServerCheck::Gone,
+        Err(_) => ServerCheck::Silent,
+    }
+}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod caller;
 mod connection;
 mod connection_pool;
+mod crash_check;
 mod join;
 mod list_plan;
 mod load_table;
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer, send_attempt};
 use crate::call::EntryCall;
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
+use crate::crash_check::{ServerCheck, check_server};
 use crate::origin_book::{ResumeChoice, SoftwareKey, StreamKey};
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
@@ -29,6 +30,8 @@
 /// Minimum of this timeout.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
 /// Maximum wait for other routers to tell where a stream began.
 const ORIGIN_ANSWER_WAIT: Duration = Duration::from_millis(150);
 /// Time after the start of the router during which servers may have had other software versions that
@@ -163,6 +166,8 @@
             }
         };
         let server = assigned.slot.server;
+        let address = assigned.address;
+        forwarder.begin_attempt();
         progress.tried.insert(server);
         let answer_deadline = choose_answer_deadline(call, &progress);
         let error = match send_attempt(
@@ -205,6 +210,10 @@
                 }
             }
         };
+        if error.may_have_crashed() {
+            let check = check_server(state, server, address).await;
+            log_possible_crash(call, server, forwarder.first_events(), check);
+        }
         record_failure(state, call, server, error);
         if error.ran == RunVerdict::NotRun {
             progress.not_run_attempts += 1;
@@ -368,6 +377,28 @@
     if status >= 500 { AttemptOutcome::Failed } else { AttemptOutcome::Served }
 }
 
+/// Logs what may show which part of a request crashed a server.
+fn log_possible_crash(
+    call: &EntryCall,
+    server: ServerId,
+    first_events: Option<Instant>,
+    check: ServerCheck,
+) {
+    let parts: Vec<String> = call
+        .prefixes
+        .iter()
+        .map(|part| format!("{:016x}", part.key))
+        .take(MAX_LOGGED_PARTS)
+        .collect();
+    let begun_millis = first_events.map(|first| first.elapsed().as_millis());
+    log::info!(
+        "server: connection broke off or was silent while a request was open. request={} \
+         server={server} begun_millis={begun_millis:?} check={check:?} parts={}",
+        call.id_text(),
+        parts.join(",")
+    );
+}
+
 /// Records a failed attempt: its metric, a strike if it may have crashed the server, and its
 /// outcome.
 fn record_failure<W: EntryWire>(
@@ -387,8 +418,10 @@
         _ => AttemptOutcome::Failed,
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
-    let may_have_crashed = broke && error.ran != RunVerdict::NotRun;
-    if may_have_crashed && state.record_strike(call.digest, server, StrikeSource::Local) {
+    if broke
+        && error.may_have_crashed()
+        && state.record_strike(call.digest, server, StrikeSource::Local)
+    {
         state.updates.borrow_mut().strikes.push((call.digest, server));
     }
     record_outcome(state, call, server, outcome);
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -16,6 +16,7 @@
 use crate::cache_index::{CacheIndex, CachedPart};
 use crate::cache_sync::CacheSync;
 use crate::connection_pool::ConnectionPool;
+use crate::crash_check::CheckTable;
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
@@ -141,6 +142,7 @@
     /// Signals that `unstored_strikes` or `refuted_strikes` grew.
     pub(crate) unstored_strikes_change: Notify,
     pub(crate) pool: RefCell<ConnectionPool>,
+    pub(crate) server_checks: RefCell<CheckTable>,
     pub(crate) updates: RefCell<PeerUpdates>,
     /// Pending updates to other domains, if this router is a relay.
     pub(crate) to_other_domains: RefCell<RelayUpdates>,
@@ -217,6 +219,7 @@
             refuted_strikes: RefCell::default(),
             unstored_strikes_change: Notify::new(),
             pool: RefCell::default(),
+            server_checks: RefCell::default(),
             updates: RefCell::default(),
             to_other_domains: RefCell::default(),
             to_own_domain: RefCell::default(),
