Fail a stream that ends inside an event

Callers saw a broken stream that looked whole, and which was not resumed: if an answer has neither a length nor chunks, the router took the end of its connection for the end of the answer, and sent the incomplete event, too. A caller of HTTP/1.0 could not tell a part from the whole, since the router closed its connection in order.

Fix: bytes after the last event fail the attempt; a connection without chunks is reset after a broken answer.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -26,6 +26,8 @@
 /// Number of events of a stream that one measurement of their pace spans.
 const PACED_EVENTS: usize = 8;
 
+/// Media type of event streams.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
 /// Time for which events of a stream arrive before it counts as an answer that does not crash the
 /// server.
 const ANSWERED_TIME: Duration = Duration::from_millis(300);
@@ -214,14 +216,23 @@
         }
     }
 
-    /// Writes the rest of a body and its end, and releases the connection.
+    /// Writes the rest of a body and its end, and releases the connection. A stream that ends inside
+    /// an event has failed, whatever its framing says.
     async fn end_stream<W: EntryWire>(
         &mut self,
-        answer: StartedAnswer<W>,
+        mut answer: StartedAnswer<W>,
         writer: &mut CallerWriter,
         status: u16,
     ) -> io::Result<ForwardEnd> {
         let rest = self.splitter.take_remaining();
+        if !rest.is_empty() && consists_of_events(&mut answer) {
+            log::info!(
+                "server: stream ended inside an event; it counts as broken off. server={} bytes={}",
+                answer.slot.server,
+                rest.len()
+            );
+            return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
+        }
         self.write_events(&answer.head, &rest, writer).await?;
         if writer.chunks {
             writer.write(b"0\r\n\r\n").await?;
@@ -317,6 +328,15 @@
     }
 }
 
+/// Whether the body of a streaming route's answer consists of events: its type says so, or it has no
+/// type and its end is only that of the connection.
+fn consists_of_events<W: EntryWire>(answer: &mut StartedAnswer<W>) -> bool {
+    match answer.head.fields.text("content-type") {
+        Some(media_type) => media_type.trim_start().starts_with(EVENT_STREAM_TYPE),
+        None => answer.connection.get().ended_with_connection(),
+    }
+}
+
 /// Writes the status line and the end-to-end header fields.
 fn write_head(text: &mut Vec<u8>, head: &ResponseHead, writer: &CallerWriter) {
     text.extend_from_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -10,6 +10,7 @@
     BodyDecoder, BodyFraming, BodyStep, HeadError, RequestHead, determine_request_framing,
     take_request_head,
 };
+use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -62,6 +63,23 @@
         self.started = true;
         timeout(WRITE_TIMEOUT, self.writer.write_all(bytes)).await?
     }
+
+    /// Makes sure that the caller does not take the end of the connection for that of the answer. A
+    /// chunked answer lacks its last chunk; any other one ends with a reset.
+    fn abort(self) {
+        if self.chunks {
+            return;
+        }
+        let reset = set_socket_linger(self.writer.as_ref(), Some(Duration::ZERO));
+        if let Err(error) = reset {
+            log::warn!(
+                "caller: connection not reset after a broken answer; the part looks whole. \
+                 error={error}"
+            );
+        }
+        // Dropping the half would end the connection in order.
+        self.writer.forget();
+    }
 }
 
 /// Result of waiting for the head of a request.
@@ -114,7 +132,8 @@
         match end {
             Some(CallEnd::Answered) => {}
             Some(CallEnd::AnsweredLast) => break,
-            Some(CallEnd::Truncated) | None => return,
+            Some(CallEnd::Truncated) => return writer.abort(),
+            None => return,
         }
     }
     connection.linger(&mut writer).await;
