Log the figures of an exhausted retry budget

Hypotheses 1 to 3 of the incident on repeats could not be told apart: the log had neither the repeats and requests in the window nor the number of routers that the share was computed for. A metric counts the repeats by service.

--- a/crates/catkin-entry/src/budget_book.rs
+++ b/crates/catkin-entry/src/budget_book.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use catkin_base::ClockTime;
-use catkin_policy::RetryBudget;
+use catkin_policy::{BudgetUsage, RetryBudget};
 
 /// Fraction of the fleet's extra retries that all routers together use. Routers that do not see
 /// one another for a moment count too few routers and so take too large a share; the fraction keeps
@@ -46,6 +46,11 @@
         self.update_budget(service, routers).try_retry(now)
     }
 
+    /// Returns what counts in the budget of `service`.
+    pub fn usage(&mut self, now: ClockTime, service: &str, routers: u32) -> BudgetUsage {
+        self.update_budget(service, routers).usage(now)
+    }
+
     /// The budget of `service`, with this router's current share of the extra retries.
     fn update_budget(&mut self, service: &str, routers: u32) -> &mut RetryBudget {
         // Rounded down, so that the limit is never exceeded.
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -346,9 +346,21 @@
     let routers = state.live_routers();
     let taken = state.budgets.borrow_mut().try_retry(state.now(), &call.service, routers);
     if !taken {
-        log::info!("call: retry budget is exhausted; not retrying. request={}", call.id_text());
+        let usage = state.budgets.borrow_mut().usage(state.now(), &call.service, routers);
+        log::info!(
+            "call: retry budget is exhausted; not retrying. request={} retries={} allowed={} \
+             requests={} routers={routers}",
+            call.id_text(),
+            usage.retries,
+            usage.allowed,
+            usage.requests
+        );
         metrics::counter!("catkin_entry_budget_spent_total").increment(1);
     }
+    if taken {
+        metrics::counter!("catkin_entry_retries_total", "service" => call.service.clone())
+            .increment(1);
+    }
     taken
 }
 
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -68,7 +68,7 @@
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_key_router, choose_owner, rank_servers};
 pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
-pub use retry::RetryBudget;
+pub use retry::{BudgetUsage, RetryBudget};
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
 pub use spec::{RouterSpec, ServerSpec};
 pub use state::{OwnerPhase, ServerState};
--- a/crates/catkin-policy/src/retry.rs
+++ b/crates/catkin-policy/src/retry.rs
@@ -1,6 +1,6 @@
 //! Retry budget: limits retries to a percentage of recent requests.
 
-use catkin_base::ClockTime;
+use catkin_base::{ClockTime, copy_type};
 
 /// Length of the sliding window over which requests and retries are counted, in milliseconds.
 const WINDOW_MILLIS: u64 = 10_000;
@@ -9,6 +9,18 @@
 /// Default number of retries allowed in a window in addition to the percentage of requests.
 const DEFAULT_EXTRA_RETRIES: u64 = 3;
 
+copy_type! {
+    /// Requests and retries that count in a budget.
+    pub struct BudgetUsage {
+        /// Requests in the window.
+        pub requests: u64,
+        /// Retries in the window.
+        pub retries: u64,
+        /// Retries that are allowed in it.
+        pub allowed: u64,
+    }
+}
+
 /// Allows retries in proportion to recent requests, so that retries can't multiply an overload.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
@@ -48,6 +60,16 @@
 
     /// Takes one retry from the budget; returns false if the budget is exhausted.
     pub fn try_retry(&mut self, now: ClockTime) -> bool {
+        let BudgetUsage { retries, allowed, .. } = self.usage(now);
+        if retries >= allowed {
+            return false;
+        }
+        self.bucket(now).retries += 1;
+        true
+    }
+
+    /// Returns what counts in the budget now.
+    pub fn usage(&self, now: ClockTime) -> BudgetUsage {
         let current = bucket_number(now);
         let recent =
             self.buckets.iter().filter(|bucket| bucket.number + WINDOW_BUCKETS as u64 > current);
@@ -55,11 +77,7 @@
             (requests + bucket.requests, retries + bucket.retries)
         });
         let allowed = self.extra_retries + requests * u64::from(self.percent) / 100;
-        if retries >= allowed {
-            return false;
-        }
-        self.bucket(now).retries += 1;
-        true
+        BudgetUsage { requests, retries, allowed }
     }
 
     fn bucket(&mut self, now: ClockTime) -> &mut BudgetBucket {
