Bound what is skipped or forwarded of a server that sends bytes without end

Callers of such a server waited 15 s for interim heads and late answers, until their deadline for a slow decline, and got an error answer without end. Class: input bounded by the time of the request alone.

Fix: eight skipped heads, 256 KiB and 250 ms of skipped bodies, 100 ms for the body of a decline, 256 KiB for an error answer, 64 MiB for any answer but a stream.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -20,6 +20,9 @@
 
 /// Maximum size of an answer that is read completely before it is forwarded, in bytes.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
+/// Maximum size of an answer that is no stream, in bytes. A server in trouble may send one without
+/// end.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
 /// Maximum size of an event in a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -281,6 +284,9 @@
                 Ok(None) => break,
                 Err(failure) => return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure))),
             }
+            if body.len() > MAX_BUFFERED_BYTES && !(200..300).contains(&answer.head.status) {
+                return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
+            }
             if body.len() > MAX_BUFFERED_BYTES {
                 return self.forward_unbuffered(answer, body, writer).await;
             }
@@ -313,16 +319,23 @@
     ) -> io::Result<ForwardEnd> {
         let status = answer.head.status;
         self.write_events(&answer.head.clone(), &first, writer).await?;
+        let mut length = first.len();
+        // The caller has a part of this answer; another server's answer can't replace it.
+        let cut_off = |failure| {
+            let ran = catkin_base::RunVerdict::HasRun;
+            Ok(ForwardEnd::Failed(AttemptError { failure, ran }))
+        };
         loop {
             match answer.connection.get().next_bytes().await {
-                Ok(Some(bytes)) => self.write_events(&answer.head, &bytes, writer).await?,
-                Ok(None) => return self.end_stream(answer, writer, status).await,
-                // The caller has a part of this answer; another server's answer can't replace it.
-                Err(_) => {
-                    let failure = AttemptFailure::Broken;
-                    let ran = catkin_base::RunVerdict::HasRun;
-                    return Ok(ForwardEnd::Failed(AttemptError { failure, ran }));
+                Ok(Some(bytes)) => {
+                    length += bytes.len();
+                    if length > MAX_ANSWER_BYTES {
+                        return cut_off(AttemptFailure::Garbled);
+                    }
+                    self.write_events(&answer.head, &bytes, writer).await?;
                 }
+                Ok(None) => return self.end_stream(answer, writer, status).await,
+                Err(_) => return cut_off(AttemptFailure::Broken),
             }
         }
     }
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -23,6 +23,8 @@
 const DEFAULT_CONNECTIONS: u32 = 64;
 /// Maximum size of the body of an answer that declines a request, in bytes.
 const MAX_DECLINED_BYTES: usize = 64 << 10;
+/// Maximum time for which that body is read, so that the connection can be used again.
+const DECLINED_TIMEOUT: Duration = Duration::from_millis(100);
 
 copy_type! {
     /// Why an attempt failed.
@@ -282,7 +284,8 @@
             head.status,
             head.fields.text(names.load).unwrap_or("-")
         );
-        let read = connection.get().read_body(MAX_DECLINED_BYTES, call.deadline).await;
+        let deadline = call.deadline.min(Instant::now() + DECLINED_TIMEOUT);
+        let read = connection.get().read_body(MAX_DECLINED_BYTES, deadline).await;
         if read.is_ok() {
             connection.release(head.fields.text("keep-alive"));
         }
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -13,10 +13,16 @@
 use rustix::net::{RecvFlags, recv, sockopt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
+/// Maximum number of interim heads and late answers that are skipped before an answer.
+const MAX_SKIPPED_HEADS: u32 = 8;
+/// Maximum total size of the bodies of skipped late answers, in bytes.
+const MAX_SKIPPED_BYTES: usize = 256 << 10;
+/// Maximum time for which the body of a late answer is skipped.
+const SKIP_TIMEOUT: Duration = Duration::from_millis(250);
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 /// `TCP_USER_TIMEOUT`: time without acknowledgement of sent data that breaks the connection, in
@@ -140,8 +146,14 @@
         expected: Option<ExpectedAnswer<'_>>,
         to_head_request: bool,
     ) -> Result<ResponseHead, ExchangeFailure> {
+        let mut skipped_heads = 0;
+        let mut skipped_bytes = 0;
         loop {
             while let Some(head) = self.take_head()? {
+                skipped_heads += 1;
+                if skipped_heads > MAX_SKIPPED_HEADS {
+                    return Err(ExchangeFailure::Garbled);
+                }
                 if (100..200).contains(&head.status) {
                     continue;
                 }
@@ -156,7 +168,8 @@
                     "server: skipped a late answer to an earlier request. status={}",
                     head.status
                 );
-                self.skip_body(&mut decoder).await?;
+                let skipping = self.skip_body(&mut decoder, &mut skipped_bytes);
+                timeout(SKIP_TIMEOUT, skipping).await.map_err(|_| ExchangeFailure::Garbled)??;
             }
             self.transfer_bytes(write).await?;
         }
@@ -194,12 +207,22 @@
         }
     }
 
-    /// Reads and discards the body of a late answer.
-    async fn skip_body(&mut self, decoder: &mut BodyDecoder) -> Result<(), ExchangeFailure> {
+    /// Reads and discards the body of a late answer; fails if more than [`MAX_SKIPPED_BYTES`] are
+    /// discarded in total.
+    async fn skip_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        skipped_bytes: &mut usize,
+    ) -> Result<(), ExchangeFailure> {
         if decoder.ends_with_connection() {
             return Err(ExchangeFailure::Broken);
         }
-        while next_bytes(&mut self.stream, &mut self.buffer, decoder).await?.is_some() {}
+        while let Some(bytes) = next_bytes(&mut self.stream, &mut self.buffer, decoder).await? {
+            *skipped_bytes += bytes.len();
+            if *skipped_bytes > MAX_SKIPPED_BYTES {
+                return Err(ExchangeFailure::Garbled);
+            }
+        }
         Ok(())
     }
 
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -7,7 +7,10 @@
 //! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
-//!    answer, `origin_book` knows where a resumed stream may go on, `refusal` answers requests that were not served.
+//!    answer, `origin_book` knows where a resumed stream may go on, `refusal` answers
+//!    requests that were not served. `crash_check` finds out whether a server crashed under a request,
+//!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
+//!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
 //!    servers to `route_table` and `server_book`, through `store_client`, `strike_store` keeps what is quarantined. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
@@ -19,7 +22,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -241,6 +241,8 @@
     metrics::gauge!("catkin_entry_caller_connections").set(state.connections.get() as f64);
     metrics::gauge!("catkin_entry_server_connections").set(state.pool.borrow().len() as f64);
     metrics::gauge!("catkin_entry_kept_parts").set(state.cache_index.borrow().len() as f64);
+    let quarantined = state.crashes.borrow().quarantined_parts(state.now()).len();
+    metrics::gauge!("catkin_entry_quarantined_parts").set(quarantined as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
     for (kind, answered) in state.store_answered.borrow().iter() {
         let kind = format!("{kind:?}");
