--- a/crates/catkin-entry/src/crash_book.rs
+++ b/crates/catkin-entry/src/crash_book.rs
@@ -4,6 +4,7 @@
 //! which requests with different contents share, are counted by a [`SuspectTable`].
 
 use std::collections::BTreeSet;
+use std::fmt;
 
 use catkin_base::{ClockTime, PartKey, RequestDigest, ServerId, VmId, copy_type};
 use catkin_policy::{
@@ -49,6 +50,15 @@
     }
 }
 
+impl fmt::Display for QuarantineKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Content(digest) => write!(formatter, "content:{digest}"),
+            Self::Part(part) => write!(formatter, "part:{part}"),
+        }
+    }
+}
+
 /// Crashes under requests, and what is to be changed in the store because of them.
 #[derive(Debug)]
 pub struct CrashBook {
--- a/crates/catkin-entry/src/crash_reports.rs
+++ b/crates/catkin-entry/src/crash_reports.rs
@@ -98,7 +98,7 @@
             Ok(_) => CallVerdict::Allowed,
             Err(key) => {
                 log::info!(
-                    "strikes: request is quarantined; refusing it. request={} key={key:?}",
+                    "strikes: request is quarantined; refusing it. request={} key={key}",
                     call.id_text()
                 );
                 CallVerdict::Refused
