Soak: count the repeats that each service gets

In any ten seconds a service may get a fifth of its requests, and 50, as repeats. Settings files that change without a signal now change another key.

--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks the guarantees of the router against what callers and servers saw.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::{copy_type, value_type};
 
@@ -21,6 +21,8 @@
         pub answer: u64,
         /// Time after the end of the last fault by which everything must work again.
         pub recovery: u64,
+        /// Length of each window in which repeats are counted.
+        pub budget_window: u64,
     }
 }
 
@@ -33,10 +35,15 @@
             version_overlap: 250,
             answer: 500,
             recovery: 12_000,
+            budget_window: 10_000,
         }
     }
 }
 
+/// Repeats that a service may get in a window, as a percentage of the requests for it.
+const REPEAT_PERCENT: usize = 20;
+/// Repeats that it may get beyond that.
+pub(crate) const EXTRA_REPEATS: usize = 50;
 /// Percentage of requests sent after the recovery time that must succeed. Servers fail one request
 /// in sixty by themselves, and no fault is active then.
 const RECOVERED_PERCENT: usize = 95;
@@ -79,6 +86,9 @@
         /// A router's process did not exit within its grace period.
         #[error("router {0} did not stop in time, at {1}")]
         GraceExceeded(usize, u64),
+        /// A service got too many requests beyond the first arrival of each.
+        #[error("{0} got {1} repeats in the window from {2}; {3} are allowed")]
+        TooManyRepeats(String, usize, u64, usize),
         /// Too few requests succeeded after the end of all faults.
         #[error("{served} of {all} requests were served after all faults were over")]
         NotRecovered {
@@ -114,10 +124,45 @@
         true => SoakViolation::GraceExceeded(exit.router, exit.at),
         false => SoakViolation::ExitedUnexpectedly(exit.router, exit.at),
     }));
+    violations.extend(check_budgets(ledger, bounds));
     violations.extend(check_recovery(ledger, bounds));
     violations
 }
 
+/// Finds for each service the first window with too many repeats.
+fn check_budgets(ledger: &SoakLedger, bounds: &SoakBounds) -> Vec<SoakViolation> {
+    let mut arrivals: Vec<&ArrivalRecord> = ledger.arrivals.iter().collect();
+    arrivals.sort_by_key(|arrival| arrival.at);
+    let mut known = BTreeSet::new();
+    let mut repeats: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+    for arrival in arrivals {
+        if !known.insert(arrival.id.as_str()) {
+            repeats.entry(&arrival.service).or_default().push(arrival.at);
+        }
+    }
+    let found = repeats.into_iter().filter_map(|(service, repeats)| {
+        let calls = ledger.calls.iter().filter(|call| call.kind.service() == service);
+        let sent: Vec<u64> = calls.map(|call| call.sent).collect();
+        let excess = repeats.iter().find_map(|from| {
+            let window = bounds.budget_window;
+            let count = count_within(&repeats, *from, window);
+            // The requests of the window, of the one before or of the one half a window before.
+            let starts = [*from, from.saturating_sub(window), from.saturating_sub(window / 2)];
+            let requests = starts.map(|start| count_within(&sent, start, window)).into_iter().max();
+            let allowed = requests.unwrap_or(0) * REPEAT_PERCENT / 100 + EXTRA_REPEATS;
+            (count > allowed).then_some((count, *from, allowed))
+        });
+        let (count, from, allowed) = excess?;
+        Some(SoakViolation::TooManyRepeats(service.to_owned(), count, from, allowed))
+    });
+    found.collect()
+}
+
+/// Number of times within a window.
+fn count_within(times: &[u64], from: u64, window: u64) -> usize {
+    times.iter().filter(|at| (from..from + window).contains(*at)).count()
+}
+
 fn check_repeats(call: &CallRecord, arrivals: &[&ArrivalRecord]) -> Option<SoakViolation> {
     let ran = arrivals.iter().filter(|arrival| arrival.ran).count();
     (!call.kind.may_repeat() && ran > 1).then(|| SoakViolation::RanTwice(call.id.clone()))
--- a/crates/catkin-soak/src/router.rs
+++ b/crates/catkin-soak/src/router.rs
@@ -14,6 +14,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::sleep;
 
+use crate::check::EXTRA_REPEATS;
 use crate::ledger::{FaultPeriod, FaultTarget, ProcessExit, StartRecord};
 use crate::run::SoakContext;
 
@@ -102,11 +103,11 @@
             "store": addresses.store,
             "grace_seconds": GRACE_PERIOD.as_secs(),
             "retry_ratio": 0.2,
-            "retry_extra": 50 + self.rewrites.get(),
+            "retry_extra": EXTRA_REPEATS,
             "load_factor": 2,
             "memory_megabytes": 200,
             "descriptors": 2_000,
-            "log_lines_per_second": LOG_LINES_PER_SECOND,
+            "log_lines_per_second": LOG_LINES_PER_SECOND + self.rewrites.get(),
         });
         std::fs::write(self.settings_path(), settings.to_string())
     }
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -227,3 +227,34 @@
         ]
     );
 }
+
+/// A ledger in which a service gets this many repeats in a window with 100 requests.
+fn violations_with_repeats(repeats: usize) -> Vec<SoakViolation> {
+    violations_with(|ledger| {
+        for number in 0..101 {
+            let id = format!("r-{number}");
+            let sent = 10_000 + number * 90;
+            ledger.calls.push(CallRecord {
+                kind: CallKind::Idempotent,
+                ..call(&id, sent, answered(200, Some("s1")))
+            });
+            ledger.arrivals.push(arrival(&id, "s1", sent + 5, 1));
+        }
+        for number in 0..repeats {
+            let id = format!("r-{}", number % 100);
+            let at = 10_010 + (number as u64 % 100) * 90;
+            ledger.arrivals.push(ArrivalRecord { ran: false, ..arrival(&id, "s2", at, 1) });
+        }
+    })
+}
+
+#[test]
+fn more_repeats_than_the_budget_allows_are_found() {
+    let service = CallKind::Idempotent.service().to_owned();
+
+    assert_eq!(violations_with_repeats(70), []);
+    assert_eq!(
+        violations_with_repeats(71),
+        [SoakViolation::TooManyRepeats(service, 71, 10_010, 70)]
+    );
+}
