Log what servers state of their load and of leaving, and the size of the mean

The log could not tell whether an answer said that its server leaves, from where a router knew that a server leaves, over how many servers the mean of an assignment was taken, and what a server itself said of its load. No decision is changed. Tests of catkin-entry passed.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -219,7 +219,7 @@
     let slow_factor = speeds.slow_factor(now, selection.server);
     let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
-        "call: assigned to a server; sending. request={} server={} load={} mean={:.1} \
+        "call: assigned to a server; sending. request={} server={} load={} mean={:.1} servers={} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
          slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={} software={} \
          resumes={}",
@@ -227,6 +227,7 @@
         selection.server,
         selection.load,
         selection.mean,
+        selection.servers,
         call.shared_prefix().map_or(0, |shared| shared.key),
         call.shared_prefix().map_or(0, |shared| shared.tokens),
         selection.cached_tokens,
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -272,6 +272,14 @@
     mut connection: PooledConnection<W>,
 ) -> Result<(ResponseHead, PooledConnection<W>), AttemptError> {
     let names = &W::HEADERS;
+    if states_leaving::<W>(&head) {
+        log::info!(
+            "server: answer states that the server leaves. request={} server={} status={}",
+            call.id_text(),
+            assigned.slot.server,
+            head.status
+        );
+    }
     let not_run = head.fields.contains(names.not_run) || head.status == 421;
     if not_run {
         let failure =
@@ -303,3 +311,8 @@
     }
     Ok((head, connection))
 }
+
+/// Whether the head of an answer states that its server leaves.
+fn states_leaving<W: EntryWire>(head: &ResponseHead) -> bool {
+    head.fields.values(W::HEADERS.leaving).any(|value| value.trim_ascii() == b"1")
+}
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -67,11 +67,12 @@
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
     match served {
-        Ok(ServedCall::Complete { status, attempts }) => {
+        Ok(ServedCall::Complete { status, attempts, server, stated_load }) => {
             log::info!(
                 "call: answered in full. request={} route={route} status={status} \
-                 attempts={attempts} millis={millis}",
-                call.id_text()
+                 attempts={attempts} millis={millis} server={server} stated_load={}",
+                call.id_text(),
+                stated_load.as_deref().unwrap_or("-")
             );
             record_answer(call, status);
             let last = writer.closing;
@@ -122,7 +123,14 @@
 /// How a request ended.
 enum ServedCall {
     /// The caller has the complete answer.
-    Complete { status: u16, attempts: u32 },
+    Complete {
+        status: u16,
+        attempts: u32,
+        /// The server whose answer was complete.
+        server: ServerId,
+        /// What the server stated of its load, as received.
+        stated_load: Option<String>,
+    },
     /// The answer broke off after the caller had a part of it.
     Truncated(AttemptError),
     /// The caller gets a refusal instead of an answer.
@@ -192,6 +200,7 @@
                 if withheld && spend_retry(state, call) {
                     AttemptError::answered_failure()
                 } else {
+                    let stated_load = answer.head.fields.text(W::HEADERS.load).map(str::to_owned);
                     match forward_answer(
                         state,
                         call,
@@ -212,7 +221,12 @@
                             }
                             let attempts =
                                 progress.possibly_run_attempts + progress.not_run_attempts + 1;
-                            return Ok(ServedCall::Complete { status, attempts });
+                            return Ok(ServedCall::Complete {
+                                status,
+                                attempts,
+                                server,
+                                stated_load,
+                            });
                         }
                         ForwardEnd::Failed(error) => error,
                     }
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -129,6 +129,8 @@
     pub load: u32,
     /// Mean load of the servers of the service.
     pub mean: f64,
+    /// Number of servers that the mean was taken over.
+    pub servers: usize,
     /// Tokens of the shared prefix that the selected server caches.
     pub cached_tokens: u32,
     /// Prompt tokens that the selected server has yet to prefill, without those of this request.
@@ -177,6 +179,7 @@
         fetch_from: choose_source(query, &caching_servers, &selected),
         load: selected.load,
         mean,
+        servers: count,
         cached_tokens: selected.cached_tokens,
         unread_tokens: selected.unread_tokens,
     })
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -304,7 +304,7 @@
         ServerChange::Unchanged => {}
         ServerChange::Appeared(server) => log::info!("servers: new server. server={server}"),
         ServerChange::Leaving(server) => {
-            log::info!("servers: server is leaving; no new requests. server={server}");
+            log::info!("servers: server is leaving; no new requests. server={server} source=store");
         }
         ServerChange::Removed(server) => {
             log::info!("servers: server was removed, and its state with it. server={server}");
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -33,6 +33,8 @@
     pub seal: &'static str,
     /// Name of the only server that may run the request; any other one must decline it.
     pub expected_server: &'static str,
+    /// Set on all answers of a server that leaves.
+    pub leaving: &'static str,
     /// The load of a server.
     pub load: &'static str,
     /// Era of the store, on its answers. It rises by one whenever the store is restored from a
