Stop requests to a server whose answers say that it leaves

Cause: the field Server-Leaving was forwarded and never read. Class: what a server says of itself is not read, not remembered and not passed on.

It is remembered by incarnation (name, start, address), whatever the store says of it later, told to the other routers with the departures and to routers that start.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
 use crate::crash_check::{ServerCheck, check_server};
 use crate::origin_book::SoftwareKey;
+use crate::server_notice::read_notice;
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -193,7 +194,10 @@
     let reused = connection.get().exchanges() > 0;
     let exchanged =
         connection.get().exchange(&request, Some(expected), call.is_head(), answer_deadline);
-    let head = match exchanged.await {
+    let exchanged = exchanged.await;
+    let skipped = connection.get().skipped_heads();
+    record_notices(state, call, assigned.slot.server, skipped, exchanged.as_ref().ok());
+    let head = match exchanged {
         Ok(head) => head,
         Err(error) if reused && error.failure == ExchangeFailure::Broken => {
             let failure = classify_reused_break(state, &assigned).await;
@@ -272,14 +276,6 @@
     mut connection: PooledConnection<W>,
 ) -> Result<(ResponseHead, PooledConnection<W>), AttemptError> {
     let names = &W::HEADERS;
-    if states_leaving::<W>(&head) {
-        log::info!(
-            "server: answer states that the server leaves. request={} server={} status={}",
-            call.id_text(),
-            assigned.slot.server,
-            head.status
-        );
-    }
     let not_run = head.fields.contains(names.not_run) || head.status == 421;
     if not_run {
         let failure =
@@ -312,7 +308,19 @@
     Ok((head, connection))
 }
 
-/// Whether the head of an answer states that its server leaves.
-fn states_leaving<W: EntryWire>(head: &ResponseHead) -> bool {
-    head.fields.values(W::HEADERS.leaving).any(|value| value.trim_ascii() == b"1")
+/// Records what a server states of itself in the heads of an exchange. An answer with status 421 comes
+/// from another server.
+fn record_notices<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    server: ServerId,
+    skipped: &[ResponseHead],
+    head: Option<&ResponseHead>,
+) {
+    if head.is_some_and(|head| head.status == 421) {
+        return;
+    }
+    for head in skipped.iter().chain(head) {
+        state.record_notice(server, read_notice::<W>(&head.fields), call.id_text());
+    }
 }
--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -12,6 +12,7 @@
 use crate::cache_index::{CachedPart, part_key};
 use crate::connection::HttpConnection;
 use crate::peer_service::PeerService;
+use crate::server_notice::{ServerNotice, read_notice};
 use crate::state::EntryState;
 use crate::wire::{EntryWire, ListedPart};
 
@@ -77,7 +78,10 @@
     for server in &engines {
         let server = *server;
         match fetch_list::<W>(addresses[&server]).await {
-            Ok(parts) => loaded.extend(record_list(state, server, parts, max_parts)),
+            Ok((notice, parts)) => {
+                state.record_notice(server, notice, "cache-list");
+                loaded.extend(record_list(state, server, parts, max_parts));
+            }
             Err(reason) => {
                 log::info!(
                     "servers: list of cached parts not received; its parts become known only as \
@@ -100,7 +104,10 @@
     engines.map(|known| (known.server, known.record.address)).collect()
 }
 
-async fn fetch_list<W: EntryWire>(address: SocketAddr) -> Result<Vec<ListedPart>, String> {
+/// Fetches a server's list of cached parts, and what the server states of itself.
+async fn fetch_list<W: EntryWire>(
+    address: SocketAddr,
+) -> Result<(ServerNotice, Vec<ListedPart>), String> {
     let deadline = Instant::now() + LIST_TIMEOUT;
     let opened = HttpConnection::connect(address, deadline).await;
     let mut connection = opened.map_err(|error| error.to_string())?;
@@ -113,7 +120,8 @@
     }
     let body = connection.read_body(MAX_LIST_BYTES, deadline).await;
     let body = body.map_err(|failure| format!("{failure:?}"))?;
-    W::decode_cache_list(&body).map_err(|error| error.to_string())
+    let parts = W::decode_cache_list(&body).map_err(|error| error.to_string())?;
+    Ok((read_notice::<W>(&head.fields), parts))
 }
 
 /// Records the longest parts of a list. Short parts take little time to prefill again, and every
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -18,7 +18,7 @@
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Maximum number of interim heads and late answers that are skipped before an answer.
-const MAX_SKIPPED_HEADS: u32 = 8;
+const MAX_SKIPPED_HEADS: usize = 8;
 /// Maximum total size of the bodies of skipped late answers, in bytes.
 const MAX_SKIPPED_BYTES: usize = 256 << 10;
 /// Maximum time for which the body of a late answer is skipped.
@@ -77,6 +77,8 @@
     reusable: bool,
     /// Number of requests sent.
     exchanges: u32,
+    /// Interim heads and heads of late answers that were skipped before the current answer.
+    skipped_heads: Vec<ResponseHead>,
 }
 
 /// Identifies the answer to a request among late answers to earlier ones.
@@ -94,7 +96,14 @@
         let connecting = TcpStream::connect(address);
         let stream = timeout_at(deadline, connecting).await.map_err(|_| timed_out())??;
         set_options(&stream);
-        Ok(Self { stream, buffer: BytesMut::new(), decoder: None, reusable: true, exchanges: 0 })
+        Ok(Self {
+            stream,
+            buffer: BytesMut::new(),
+            decoder: None,
+            reusable: true,
+            exchanges: 0,
+            skipped_heads: Vec::new(),
+        })
     }
 
     /// Whether the idle connection has received neither bytes nor its end.
@@ -115,6 +124,12 @@
         self.exchanges
     }
 
+    /// Interim heads and heads of late answers that the last exchange skipped. They come from the same
+    /// server as the answer.
+    pub fn skipped_heads(&self) -> &[ResponseHead] {
+        &self.skipped_heads
+    }
+
     /// Sends a request and reads the head of its answer, until `deadline`. Late answers to earlier
     /// requests, which lack the `expected` identifier, are skipped. `to_head_request` says that the
     /// answer has no body.
@@ -127,6 +142,7 @@
     ) -> Result<ResponseHead, ExchangeError> {
         self.exchanges += 1;
         self.decoder = None;
+        self.skipped_heads.clear();
         let mut write = RequestWrite { request, written: 0, failed: false };
         let running = self.run_exchange(&mut write, expected, to_head_request);
         match timeout_at(deadline, running).await {
@@ -146,15 +162,14 @@
         expected: Option<ExpectedAnswer<'_>>,
         to_head_request: bool,
     ) -> Result<ResponseHead, ExchangeFailure> {
-        let mut skipped_heads = 0;
         let mut skipped_bytes = 0;
         loop {
             while let Some(head) = self.take_head()? {
-                skipped_heads += 1;
-                if skipped_heads > MAX_SKIPPED_HEADS {
+                if self.skipped_heads.len() >= MAX_SKIPPED_HEADS {
                     return Err(ExchangeFailure::Garbled);
                 }
                 if (100..200).contains(&head.status) {
+                    self.skipped_heads.push(head);
                     continue;
                 }
                 let framing = determine_response_framing(&head, to_head_request);
@@ -168,6 +183,7 @@
                     "server: skipped a late answer to an earlier request. status={}",
                     head.status
                 );
+                self.skipped_heads.push(head);
                 let skipping = self.skip_body(&mut decoder, &mut skipped_bytes);
                 timeout(SKIP_TIMEOUT, skipping).await.map_err(|_| ExchangeFailure::Garbled)??;
             }
--- /dev/null
+++ b/crates/catkin-entry/src/departure_table.rs
@@ -0,0 +1,86 @@
+//! Servers that leave or left: what other routers are told of them, and what holds for entries of the
+//! same servers that come back.
+//!
+//! A server that stated in an answer that it leaves does so for good: a later incarnation of it has
+//! another identifier.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use catkin_base::{ClockTime, ServerId, copy_type};
+
+use crate::store_point::StorePoint;
+
+/// Time for which a departure is reported to other routers, in milliseconds.
+const REPORT_MILLIS: u64 = 6_000;
+/// Maximum number of departures in one report, newest first, so that it fits a datagram.
+const MAX_REPORTED: usize = 20;
+/// Maximum number of leaving servers that are remembered; the oldest ones are forgotten first.
+const MAX_LEAVES: usize = 4_096;
+
+copy_type! {
+    /// A departure, for the reports to other routers.
+    pub struct ServerDeparture {
+        /// The server.
+        pub server: ServerId,
+        /// Point of the store that showed the departure.
+        pub point: StorePoint,
+        /// Whether the server itself stated it in an answer, so that no entry revokes it.
+        pub stated: bool,
+    }
+}
+
+/// Departures by server.
+#[derive(Debug, Clone, Default)]
+pub struct DepartureTable {
+    /// Departures that are reported, and when this router learned of them.
+    recent: BTreeMap<ServerId, (ServerDeparture, ClockTime)>,
+    /// Servers that stated that they leave, and when they did last.
+    leaves: BTreeMap<ServerId, ClockTime>,
+}
+
+impl DepartureTable {
+    /// Records a departure that is to be reported.
+    pub fn record_departure(&mut self, now: ClockTime, departure: ServerDeparture) {
+        self.recent.insert(departure.server, (departure, now));
+    }
+
+    /// Records that a server stated in an answer that it leaves; returns false if that is known.
+    pub fn record_statement(&mut self, now: ClockTime, server: ServerId) -> bool {
+        let is_new = self.leaves.insert(server, now).is_none();
+        self.limit_leaves();
+        is_new
+    }
+
+    /// Whether the server stated in an answer that it leaves.
+    pub fn has_stated(&self, server: ServerId) -> bool {
+        self.leaves.contains_key(&server)
+    }
+
+    /// Forgets that a server leaves.
+    pub fn forget_leave(&mut self, server: ServerId) {
+        self.leaves.remove(&server);
+    }
+
+    /// The newest departures.
+    pub fn recent(&self) -> impl Iterator<Item = ServerDeparture> {
+        let mut newest: Vec<_> = self.recent.values().copied().collect();
+        newest.sort_by_key(|(_, at)| Reverse(*at));
+        newest.into_iter().take(MAX_REPORTED).map(|(departure, _)| departure)
+    }
+
+    /// Removes departures that are no longer reported.
+    pub fn remove_expired(&mut self, now: ClockTime) {
+        self.recent.retain(|_, (_, at)| now.millis_since(*at) < REPORT_MILLIS);
+    }
+
+    fn limit_leaves(&mut self) {
+        if self.leaves.len() <= MAX_LEAVES {
+            return;
+        }
+        let oldest = self.leaves.iter().min_by_key(|(_, at)| **at).map(|(server, _)| *server);
+        if let Some(server) = oldest {
+            self.leaves.remove(&server);
+        }
+    }
+}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -7,12 +7,12 @@
 //! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
-//!    answer, `origin_book` knows where a resumed stream may go on, `refusal` answers
+//!    answer, `server_notice` reads what a server states of itself, `origin_book` knows where a resumed stream may go on, `refusal` answers
 //!    requests that were not served. `crash_check` finds out whether a server crashed under a request,
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
-//!    servers to `route_table` and `server_book`, through `store_client`, `strike_store` keeps what is quarantined. `list_plan` decides which
+//!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
@@ -22,7 +22,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -40,6 +40,7 @@
 mod crash_book;
 mod crash_check;
 mod crash_reports;
+mod departure_table;
 mod join;
 mod list_plan;
 mod load_table;
@@ -60,6 +61,7 @@
 mod served_content;
 mod server_book;
 mod server_copy;
+mod server_notice;
 mod server_selection;
 mod settings;
 mod speed_book;
@@ -78,6 +80,7 @@
 pub use connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
+pub use departure_table::{DepartureTable, ServerDeparture};
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads};
 pub use logging::LineBudget;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -26,7 +26,8 @@
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 use crate::report_builder::{
     build_domain_reports, build_load_report, build_other_domain_reports, build_report,
-    build_status, decode_factor, encode_part, has_updates, list_cached_parts, wrap_message,
+    build_status, decode_factor, encode_departure, encode_part, has_updates, list_cached_parts,
+    wrap_message,
 };
 use crate::server_copy::{decode_server_list, encode_server_list};
 use crate::speed_book::PEER_FACTOR_MILLIS;
@@ -65,8 +66,10 @@
 const MAX_JOIN_STRIKES: usize = 16;
 /// Maximum number of quarantines of prompt parts in such a report.
 const MAX_JOIN_QUARANTINES: usize = 4;
-/// Maximum number of such reports to one router.
-const MAX_STRIKE_REPORTS: usize = 8;
+/// Maximum number of leaving servers in such a report.
+const MAX_JOIN_LEAVES: usize = 32;
+/// Maximum number of reports of one kind to a router that starts.
+const MAX_JOIN_REPORTS: usize = 8;
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -263,7 +266,9 @@
         for row in &report.leaving {
             let server = ServerId(row.server);
             let point = StorePoint::from_number(row.revision);
-            if state.servers.borrow_mut().mark_leaving(now, server, point) {
+            if row.stated {
+                state.record_leave_statement(server, &source.vm.to_string());
+            } else if state.servers.borrow_mut().mark_leaving(now, server, point) {
                 log::info!(
                     "servers: reported as leaving by {}; no new requests. server={server}",
                     source.vm
@@ -289,6 +294,7 @@
             self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(answer)));
             if !remote {
                 self.send_strikes(state, source);
+                self.send_leave_statements(state, source);
             }
         }
         if report.tells_kept && (report.knows_kept || !report.kept.is_empty()) {
@@ -306,19 +312,30 @@
     /// Sends the strikes that count to a router that starts, or that was silent.
     fn send_strikes<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
         let strikes = state.crashes.borrow().active_strikes(state.now());
-        for batch in strikes.chunks(MAX_JOIN_STRIKES).take(MAX_STRIKE_REPORTS) {
+        for batch in strikes.chunks(MAX_JOIN_STRIKES).take(MAX_JOIN_REPORTS) {
             let mut report = build_status(state);
             report.strikes = batch.iter().copied().map(encode_strike).collect();
             self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
         }
         let quarantines = state.crashes.borrow().quarantined_parts(state.now());
-        for batch in quarantines.chunks(MAX_JOIN_QUARANTINES).take(MAX_STRIKE_REPORTS) {
+        for batch in quarantines.chunks(MAX_JOIN_QUARANTINES).take(MAX_JOIN_REPORTS) {
             let mut report = build_status(state);
             report.quarantined = batch.iter().map(encode_quarantine).collect();
             self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
         }
     }
 
+    /// Sends the servers that stated that they leave to a router that starts, or that was silent. The
+    /// store may list them as ready.
+    fn send_leave_statements<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let stated: Vec<_> = state.servers.borrow().stated_leaves().collect();
+        for batch in stated.chunks(MAX_JOIN_LEAVES).take(MAX_JOIN_REPORTS) {
+            let mut report = build_status(state);
+            report.leaving = batch.iter().copied().map(encode_departure).collect();
+            self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
+        }
+    }
+
     /// Records the open requests of a report, unless they are for a relay and this router is not
     /// one.
     fn record_loads<W: EntryWire>(
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::cache_index::CachedPart;
+use crate::departure_table::ServerDeparture;
 use crate::load_table::OpenLoad;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
@@ -43,12 +44,16 @@
     KeptPart { part: part.key, server: part.server.0, tokens: part.tokens }
 }
 
+pub(crate) fn encode_departure(departure: ServerDeparture) -> LeavingServer {
+    let ServerDeparture { server, point, stated } = departure;
+    LeavingServer { server: server.0, revision: point.as_number(), stated }
+}
+
 /// Builds the fields that every report has: versions, leaving servers, ejected servers.
 pub(crate) fn build_status<W>(state: &EntryState<W>) -> EntryReport {
     let servers = state.servers.borrow();
     let leaving = servers.departures();
-    let leaving = leaving
-        .map(|(server, point)| LeavingServer { server: server.0, revision: point.as_number() });
+    let leaving = leaving.map(encode_departure);
     let outcomes = state.outcomes.borrow();
     let ejected = outcomes.local_ejections(state.now());
     let ejected = ejected.map(ejected_count);
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -4,6 +4,7 @@
 
 use catkin_base::{ClockTime, ServerId, hash_parts};
 
+use crate::departure_table::{DepartureTable, ServerDeparture};
 use crate::origin_book::SoftwareKey;
 use crate::record::ServerRecord;
 use crate::store_point::StorePoint;
@@ -11,10 +12,6 @@
 /// How long a server whose entry disappeared around an outage of the store may still be used, in
 /// milliseconds. Live servers register again within two seconds after the store returns.
 pub const MISSING_GRACE_MILLIS: u64 = 2_000;
-/// Time for which a departure is reported to other routers, in milliseconds.
-const DEPARTURE_REPORT_MILLIS: u64 = 6_000;
-/// Maximum number of departures in one report, newest first, so that it fits a datagram.
-const MAX_DEPARTURES: usize = 20;
 
 /// A server and the latest state of its entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,15 +37,6 @@
     }
 }
 
-/// A departure, for the reports to other routers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Departure {
-    /// Point of the store that showed the departure.
-    point: StorePoint,
-    /// When this router learned of it.
-    at: ClockTime,
-}
-
 /// Effect of an entry on the set of servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerChange {
@@ -68,7 +56,7 @@
     servers: BTreeMap<String, KnownServer>,
     /// Names of entries by server identifier.
     names: BTreeMap<ServerId, String>,
-    departures: BTreeMap<ServerId, Departure>,
+    departures: DepartureTable,
     /// Point of the store that the list reflects; `None` before the first list.
     point: Option<StorePoint>,
     /// Point of the latest change of a server's entry.
@@ -114,7 +102,7 @@
     /// `None` if the entry can't be used, and removes the server.
     ///
     /// A server that was leaving stays so at the first entry of a new era, which may be older than
-    /// the announcement.
+    /// the announcement, and for good if it stated that itself.
     pub fn apply_entry(
         &mut self,
         now: ClockTime,
@@ -129,6 +117,7 @@
         }
         let Some(mut record) = record else { return self.remove_server(now, name, point) };
         let server = derive_server_id(name, &record);
+        record.leaving |= self.departures.has_stated(server);
         if let Some(known) = known.filter(|known| known.server == server) {
             let left = record.leaving && !known.record.leaving;
             record.leaving |= known.record.leaving && point.era() > known.point.era();
@@ -137,7 +126,8 @@
             known.point = point;
             known.missing_until = None;
             if left {
-                self.departures.insert(server, Departure { point, at: now });
+                let departure = ServerDeparture { server, point, stated: false };
+                self.departures.record_departure(now, departure);
                 return ServerChange::Leaving(server);
             }
             return ServerChange::Unchanged;
@@ -233,8 +223,7 @@
                 dropped.push(server);
             }
         }
-        self.departures
-            .retain(|_, departure| now.millis_since(departure.at) < DEPARTURE_REPORT_MILLIS);
+        self.departures.remove_expired(now);
         dropped
     }
 
@@ -247,16 +236,41 @@
             return false;
         }
         known.record.leaving = true;
-        self.departures.insert(server, Departure { point, at: now });
+        let departure = ServerDeparture { server, point, stated: false };
+        self.departures.record_departure(now, departure);
         true
     }
 
-    /// The newest departures and their points.
-    pub fn departures(&self) -> impl Iterator<Item = (ServerId, StorePoint)> {
-        let mut newest: Vec<_> = self.departures.iter().collect();
-        newest.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.at));
-        let newest = newest.into_iter().take(MAX_DEPARTURES);
-        newest.map(|(server, departure)| (*server, departure.point))
+    /// Records that a server stated in an answer that it leaves, whether or not it is listed; returns
+    /// false if that is known.
+    pub fn record_leave_statement(&mut self, now: ClockTime, server: ServerId) -> bool {
+        let is_new = self.departures.record_statement(now, server);
+        let name = self.names.get(&server);
+        let known = name.and_then(|name| self.servers.get_mut(name));
+        let point = known.as_ref().map_or_else(StorePoint::default, |known| known.point);
+        if let Some(known) = known {
+            known.record.leaving = true;
+        }
+        if is_new {
+            let departure = ServerDeparture { server, point, stated: true };
+            self.departures.record_departure(now, departure);
+        }
+        is_new
+    }
+
+    /// The newest departures.
+    pub fn departures(&self) -> impl Iterator<Item = ServerDeparture> {
+        self.departures.recent()
+    }
+
+    /// Listed servers that stated that they leave, whatever their entries say.
+    pub fn stated_leaves(&self) -> impl Iterator<Item = ServerDeparture> {
+        let stated = self.iter().filter(|known| self.departures.has_stated(known.server));
+        stated.map(|known| ServerDeparture {
+            server: known.server,
+            point: known.point,
+            stated: true,
+        })
     }
 
     /// Servers of `service` that may get requests.
@@ -292,7 +306,12 @@
         self.names.remove(&known.server);
         // The latest point stands for none; the one of the entry is used then.
         let point = if point == StorePoint::MAX { known.point } else { point };
-        self.departures.insert(known.server, Departure { point, at: now });
+        let departure = ServerDeparture { server: known.server, point, stated: false };
+        self.departures.record_departure(now, departure);
+        if known.record.started_unix_millis == 0 {
+            // A later incarnation has the same identifier.
+            self.departures.forget_leave(known.server);
+        }
         ServerChange::Removed(known.server)
     }
 }
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -6,8 +6,8 @@
 use catkin_base::{ClockTime, ServerId};
 use catkin_entry::{
     AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, MISSING_GRACE_MILLIS, OutcomeBook,
-    RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerRecord,
-    ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id,
+    RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerDeparture,
+    ServerRecord, ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id,
 };
 
 fn server(started_unix_millis: u64) -> ServerRecord {
@@ -125,7 +125,8 @@
     assert_eq!(change, ServerChange::Leaving(id));
     assert_eq!(book.usable("s").count(), 0);
     assert_eq!(book.leaving("s").count(), 1);
-    assert_eq!(book.departures().collect::<Vec<_>>(), [(id, point(6))]);
+    let departure = ServerDeparture { server: id, point: point(6), stated: false };
+    assert_eq!(book.departures().collect::<Vec<_>>(), [departure]);
 }
 
 #[test]
@@ -220,6 +221,54 @@
     assert_eq!(book.usable("s").count(), 1);
 }
 
+/// Guards against a server that stated in an answer that it leaves and is used again because of an
+/// entry that says that it is ready, or that comes back after it was removed.
+#[test]
+fn no_entry_revokes_what_a_server_stated_itself() {
+    let mut book = one_server_book();
+    let id = derive_server_id("i-1", &server(1));
+
+    let news = [1, 2].map(|millis| book.record_leave_statement(at(millis), id));
+    book.apply_entry(at(3), "i-1", point(7), Some(server(1)));
+    let usable_as_ready = book.usable("s").count();
+    book.apply_removal(at(4), "i-1", point(8), true);
+    let change = book.apply_entry(at(5), "i-1", StorePoint::new(1, 2), Some(server(1)));
+
+    assert_eq!(news, [true, false]);
+    assert_eq!(usable_as_ready, 0);
+    assert_eq!(change, ServerChange::Leaving(id));
+    assert_eq!(book.usable("s").count(), 0);
+    assert_eq!(book.stated_leaves().map(|departure| departure.server).collect::<Vec<_>>(), [id]);
+}
+
+/// Guards against a statement that is lost because the server is not listed when it arrives.
+#[test]
+fn a_statement_counts_for_a_server_that_is_listed_later() {
+    let mut book = ServerBook::default();
+    book.record_leave_statement(at(0), derive_server_id("i-1", &server(1)));
+
+    book.apply_entry(at(1), "i-1", point(5), Some(server(1)));
+    book.apply_entry(at(1), "i-2", point(5), Some(server(1)));
+
+    let usable: Vec<&str> = book.usable("s").map(|known| known.name.as_str()).collect();
+    assert_eq!(usable, ["i-2"]);
+}
+
+/// Guards against a server without a start time that is never used again after it left: its later
+/// incarnations have the same identifier.
+#[test]
+fn a_server_without_a_start_time_is_used_again_after_its_entry_was_removed() {
+    let mut book = ServerBook::default();
+    book.apply_entry(at(0), "i-1", point(5), Some(server(0)));
+    book.record_leave_statement(at(1), derive_server_id("i-1", &server(0)));
+    let usable_while_listed = book.usable("s").count();
+
+    book.apply_removal(at(2), "i-1", point(6), true);
+    book.apply_entry(at(3), "i-1", point(7), Some(server(0)));
+
+    assert_eq!((usable_while_listed, book.usable("s").count()), (0, 1));
+}
+
 #[test]
 fn points_are_ordered_by_era_and_keep_it_in_their_number() {
     let [before, after] = [StorePoint::new(1, 900), StorePoint::new(2, 3)];
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -531,6 +531,9 @@
     pub server: u64,
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// by the server itself in an answer: no entry of the store revokes it
+    #[prost(bool, tag = "3")]
+    pub stated: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OutcomeCount {
