Keep a server that announced its leave out of use when an older copy of the store brings it back

Requests reached a server that had announced in the store that it leaves, after its entry was removed and the store was restored from a copy made before: the entry counted as a new server. The announcement was kept for the first entry of the next era, but in the record of the server, which the removal deleted. Class: knowledge of an incarnation that dies with its entry.

DepartureTable remembers announcements by incarnation beyond the entry. As before, an entry that is written again in the new era decides, so that a server whose copy is only old comes back.

--- a/crates/catkin-entry/src/departure_table.rs
+++ b/crates/catkin-entry/src/departure_table.rs
@@ -2,7 +2,8 @@
 //! same servers that come back.
 //!
 //! A server that stated in an answer that it leaves does so for good: a later incarnation of it has
-//! another identifier.
+//! another identifier. An announcement in the store may be missing after the store was restored from a
+//! copy, so it also counts for the first entry of the next era.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -30,13 +31,23 @@
     }
 }
 
+copy_type! {
+    /// From where it is known that a server leaves.
+    enum LeaveSource {
+        /// Its entry in the store announced it, or was in place before the store was restored.
+        Entry(StorePoint),
+        /// The server stated it in an answer.
+        Statement,
+    }
+}
+
 /// Departures by server.
 #[derive(Debug, Clone, Default)]
 pub struct DepartureTable {
     /// Departures that are reported, and when this router learned of them.
     recent: BTreeMap<ServerId, (ServerDeparture, ClockTime)>,
-    /// Servers that stated that they leave, and when they did last.
-    leaves: BTreeMap<ServerId, ClockTime>,
+    /// Servers that announced or stated that they leave, and when this router learned of it.
+    leaves: BTreeMap<ServerId, (LeaveSource, ClockTime)>,
 }
 
 impl DepartureTable {
@@ -47,14 +58,37 @@
 
     /// Records that a server stated in an answer that it leaves; returns false if that is known.
     pub fn record_statement(&mut self, now: ClockTime, server: ServerId) -> bool {
-        let is_new = self.leaves.insert(server, now).is_none();
+        let before = self.leaves.insert(server, (LeaveSource::Statement, now));
         self.limit_leaves();
-        is_new
+        !matches!(before, Some((LeaveSource::Statement, _)))
+    }
+
+    /// Applies an entry of a server as of `point`, which says whether the server is `leaving`; returns
+    /// whether the server counts as leaving.
+    pub fn apply_entry(
+        &mut self,
+        now: ClockTime,
+        server: ServerId,
+        point: StorePoint,
+        leaving: bool,
+    ) -> bool {
+        let leaves = match self.leaves.get(&server) {
+            Some((LeaveSource::Statement, _)) => return true,
+            Some((LeaveSource::Entry(before), _)) => leaving || point.era() > before.era(),
+            None => leaving,
+        };
+        if leaves {
+            self.leaves.insert(server, (LeaveSource::Entry(point), now));
+            self.limit_leaves();
+        } else {
+            self.leaves.remove(&server);
+        }
+        leaves
     }
 
     /// Whether the server stated in an answer that it leaves.
     pub fn has_stated(&self, server: ServerId) -> bool {
-        self.leaves.contains_key(&server)
+        matches!(self.leaves.get(&server), Some((LeaveSource::Statement, _)))
     }
 
     /// Forgets that a server leaves.
@@ -78,7 +112,7 @@
         if self.leaves.len() <= MAX_LEAVES {
             return;
         }
-        let oldest = self.leaves.iter().min_by_key(|(_, at)| **at).map(|(server, _)| *server);
+        let oldest = self.leaves.iter().min_by_key(|(_, (_, at))| *at).map(|(server, _)| *server);
         if let Some(server) = oldest {
             self.leaves.remove(&server);
         }
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -117,10 +117,9 @@
         }
         let Some(mut record) = record else { return self.remove_server(now, name, point) };
         let server = derive_server_id(name, &record);
-        record.leaving |= self.departures.has_stated(server);
+        record.leaving = self.departures.apply_entry(now, server, point, record.leaving);
         if let Some(known) = known.filter(|known| known.server == server) {
             let left = record.leaving && !known.record.leaving;
-            record.leaving |= known.record.leaving && point.era() > known.point.era();
             known.software = SoftwareKey::from_name(&record.software);
             known.record = record;
             known.point = point;
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -221,6 +221,33 @@
     assert_eq!(book.usable("s").count(), 1);
 }
 
+/// Guards against requests to a server that announced its departure, was removed, and is in a copy
+/// from which the store was restored.
+#[test]
+fn a_removed_server_that_had_announced_its_departure_stays_leaving_in_the_copy() {
+    let mut book = one_server_book();
+    book.apply_entry(at(1), "i-1", point(9), Some(leaving_server()));
+    book.apply_removal(at(2), "i-1", point(10), true);
+
+    book.apply_entry(at(3), "i-1", StorePoint::new(1, 5), Some(server(1)));
+    let usable_in_copy = book.usable("s").count();
+    book.apply_entry(at(4), "i-1", StorePoint::new(1, 7), Some(server(1)));
+
+    assert_eq!(usable_in_copy, 0);
+    assert_eq!(book.usable("s").count(), 1);
+}
+
+/// Guards against a server that is not used any more because its entry lapsed without an announcement.
+#[test]
+fn a_server_whose_entry_lapsed_is_used_again_once_it_registers() {
+    let mut book = one_server_book();
+    book.apply_removal(at(2), "i-1", point(10), true);
+
+    let change = book.apply_entry(at(3), "i-1", point(11), Some(server(1)));
+
+    assert_eq!(change, ServerChange::Appeared(derive_server_id("i-1", &server(1))));
+}
+
 /// Guards against a server that stated in an answer that it leaves and is used again because of an
 /// entry that says that it is ready, or that comes back after it was removed.
 #[test]
