Soak: servers that leave say so in their answers, and the router that forwarded one is held to it

The new check excuses only restarts and pauses of the router. The check fails in a constructed ledger (tests/checks.rs).

--- a/crates/catkin-soak/src/caller.rs
+++ b/crates/catkin-soak/src/caller.rs
@@ -100,6 +100,10 @@
         Err(error) => Ok(Err(error)),
     };
     let reusable = matches!(&answer, Ok(Ok(message)) if !closes_connection(message));
+    let leaving_server = match &answer {
+        Ok(Ok(message)) => read_leaving_server::<W>(message),
+        _ => None,
+    };
     let outcome = match answer {
         Ok(Ok(message)) => classify_answer::<W>(&message, &id, kind),
         Ok(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
@@ -117,6 +121,7 @@
         ended: context.now(),
         timeout: TIMEOUT_MILLIS,
         outcome,
+        leaving_server,
     });
     reusable.then_some(connection)
 }
@@ -144,6 +149,12 @@
     text + "\r\n" + &body
 }
 
+/// Name of the server whose answer states that it leaves.
+fn read_leaving_server<W: StandinWire>(message: &HttpMessage) -> Option<String> {
+    message.field(W::HEADERS.leaving)?;
+    message.field(W::HEADERS.seal).map(str::to_owned)
+}
+
 fn closes_connection(message: &HttpMessage) -> bool {
     message.field("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -71,6 +71,10 @@
         /// A request reached a server that had left.
         #[error("request {0} reached {1} at {2}, after it had left")]
         ReachedLeftServer(String, String, u64),
+        /// A router sent a request to a server long after an answer had told it that the server
+        /// leaves.
+        #[error("router {2} sent request {0} to {1} at {3}, after it had said that it leaves")]
+        IgnoredLeaving(String, String, usize, u64),
         /// A router applied older declarations after newer ones.
         #[error("request {0} was handled by version {1} after {2} had been in force at router {3}")]
         VersionRegressed(String, u64, u64, usize),
@@ -119,6 +123,7 @@
     violations
         .extend(ledger.arrivals.iter().filter_map(|arrival| check_request_known(arrival, &calls)));
     violations.extend(check_leavings(ledger, bounds, &calls));
+    violations.extend(check_leave_statements(ledger, bounds, &calls));
     violations.extend(check_versions(ledger, bounds, &calls));
     violations.extend(ledger.exits.iter().map(|exit| match exit.exceeded_grace {
         true => SoakViolation::GraceExceeded(exit.router, exit.at),
@@ -267,6 +272,43 @@
     violations
 }
 
+/// Finds requests of a router to a server that had stated in an answer, which the router forwarded,
+/// that it leaves. Only a restart or a pause of the router excuses them.
+fn check_leave_statements(
+    ledger: &SoakLedger,
+    bounds: &SoakBounds,
+    calls: &BTreeMap<&str, &CallRecord>,
+) -> Vec<SoakViolation> {
+    let mut told: BTreeMap<(usize, &str), u64> = BTreeMap::new();
+    for call in &ledger.calls {
+        if let Some(server) = &call.leaving_server {
+            let at = told.entry((call.router, server)).or_insert(call.ended);
+            *at = call.ended.min(*at);
+        }
+    }
+    let is_late = |arrival: &&ArrivalRecord| {
+        let Some(call) = calls.get(arrival.id.as_str()) else { return false };
+        let Some(at) = told.get(&(call.router, arrival.server.as_str())) else { return false };
+        let targets = [FaultTarget::Router(call.router), FaultTarget::Machine];
+        let restarted =
+            ledger.start_count(call.router, arrival.at) != ledger.start_count(call.router, *at);
+        call.sent > at + bounds.leaving
+            && !restarted
+            && !ledger.is_affected(&targets, *at, arrival.at)
+    };
+    let late = ledger.arrivals.iter().filter(is_late);
+    late.map(|arrival| {
+        let router = calls[arrival.id.as_str()].router;
+        SoakViolation::IgnoredLeaving(
+            arrival.id.clone(),
+            arrival.server.clone(),
+            router,
+            arrival.at,
+        )
+    })
+    .collect()
+}
+
 /// Whether no fault kept the router from reading the store or delayed its requests.
 fn is_undisturbed(
     ledger: &SoakLedger,
--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -224,6 +224,7 @@
             return;
         }
         self.faulted[address_index].set(true);
+        server.leave();
         if announces {
             let address = self.server_links[address_index].address;
             let entry = encode_server_entry::<W>(&identity, address_index, address, true);
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -89,6 +89,8 @@
         pub timeout: u64,
         /// Outcome of the request.
         pub outcome: CallOutcome,
+        /// The server whose answer stated that it leaves.
+        pub leaving_server: Option<String>,
     }
 }
 
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -47,6 +47,8 @@
     /// Cancelled by a crash; all connections end then.
     crash_token: RefCell<CancellationToken>,
     alive: Cell<bool>,
+    /// Whether the server states in its answers that it leaves.
+    leaving: Cell<bool>,
     running: Cell<u32>,
     wire: PhantomData<W>,
 }
@@ -63,6 +65,7 @@
             identity: RefCell::new(identity),
             crash_token: RefCell::default(),
             alive: Cell::new(true),
+            leaving: Cell::new(false),
             running: Cell::new(0),
             wire: PhantomData,
         }
@@ -78,10 +81,16 @@
         self.crash_token.borrow().cancel();
     }
 
+    /// States in all further answers that the server leaves.
+    pub(crate) fn leave(&self) {
+        self.leaving.set(true);
+    }
+
     /// Starts again under another identity.
     pub(crate) fn start(&self, identity: ServerIdentity) {
         *self.identity.borrow_mut() = identity;
         *self.crash_token.borrow_mut() = CancellationToken::new();
+        self.leaving.set(false);
         self.alive.set(true);
     }
 
@@ -131,7 +140,10 @@
         let full = self.running.get() >= SLOTS;
         let ran = !is_other && !full;
         self.record_arrival(&id, message, &identity, ran);
-        let fields = format!("{}: {id}\r\n", names.request_id);
+        let mut fields = format!("{}: {id}\r\n", names.request_id);
+        if self.leaving.get() {
+            fields += &format!("{}: 1\r\n", names.leaving);
+        }
         if !ran {
             let status = if is_other { 421 } else { 503 };
             let fields = format!("{fields}{}: 1\r\n", names.not_run);
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -19,6 +19,7 @@
         ended: sent + 100,
         timeout: 4_000,
         outcome,
+        leaving_server: None,
     }
 }
 
@@ -61,6 +62,26 @@
     assert_eq!(violations_with(|_| {}), []);
 }
 
+/// The first answer of router 0 states at 10,100 that its server leaves.
+#[test]
+fn a_request_to_a_server_that_had_stated_its_leave_is_found_unless_the_router_was_disturbed() {
+    let violations_with_fault = |target: FaultTarget, sent: u64| {
+        violations_with(|ledger| {
+            let told = call("a", 10_000, answered(200, Some("s2")));
+            ledger.calls.push(CallRecord { leaving_server: Some("s2".to_owned()), ..told });
+            ledger.arrivals.push(arrival("a", "s2", 10_010, 1));
+            ledger.calls.push(call("b", sent, answered(200, Some("s2"))));
+            ledger.arrivals.push(arrival("b", "s2", sent + 10, 1));
+            ledger.periods.push(period(target, 11_000, 12_500, false));
+        })
+    };
+
+    let ignored = SoakViolation::IgnoredLeaving("b".to_owned(), "s2".to_owned(), 0, 12_111);
+    assert_eq!(violations_with_fault(FaultTarget::Store, 12_101), [ignored]);
+    assert_eq!(violations_with_fault(FaultTarget::Store, 12_100), []);
+    assert_eq!(violations_with_fault(FaultTarget::Router(0), 12_101), []);
+}
+
 #[test]
 fn a_repeated_run_is_found_unless_the_kind_may_repeat() {
     let violations_of_repeat = |kind: CallKind| {
