--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -67,12 +67,13 @@
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
     match served {
-        Ok(ServedCall::Complete { status, attempts, server, stated_load }) => {
+        Ok(ServedCall::Complete { status, attempts, server, stated_load, stated_limit }) => {
             log::info!(
                 "call: answered in full. request={} route={route} status={status} \
-                 attempts={attempts} millis={millis} server={server} stated_load={}",
+                 attempts={attempts} millis={millis} server={server} stated_load={} stated_limit={}",
                 call.id_text(),
-                stated_load.as_deref().unwrap_or("-")
+                stated_load.as_deref().unwrap_or("-"),
+                stated_limit.as_deref().unwrap_or("-")
             );
             record_answer(call, status);
             let last = writer.closing;
@@ -130,6 +131,8 @@
         server: ServerId,
         /// What the server stated of its load, as received.
         stated_load: Option<String>,
+        /// The limit that the server named, as received.
+        stated_limit: Option<String>,
     },
     /// The answer broke off after the caller had a part of it.
     Truncated(AttemptError),
@@ -200,7 +203,9 @@
                 if withheld && spend_retry(state, call) {
                     AttemptError::answered_failure()
                 } else {
-                    let stated_load = answer.head.fields.text(W::HEADERS.load).map(str::to_owned);
+                    let stated = |name| answer.head.fields.text(name).map(str::to_owned);
+                    let stated_load = stated(W::HEADERS.load);
+                    let stated_limit = stated(W::HEADERS.limit);
                     match forward_answer(
                         state,
                         call,
@@ -226,6 +231,7 @@
                                 attempts,
                                 server,
                                 stated_load,
+                                stated_limit,
                             });
                         }
                         ForwardEnd::Failed(error) => error,
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -35,6 +35,8 @@
     pub expected_server: &'static str,
     /// Set on all answers of a server that leaves.
     pub leaving: &'static str,
+    /// Requests per second that a server takes from all routers together, a decimal number.
+    pub limit: &'static str,
     /// The load of a server.
     pub load: &'static str,
     /// Era of the store, on its answers. It rises by one whenever the store is restored from a
