Keep the limits that servers name, over all routers together

Cause: the field Server-Limit was forwarded and never read. Reading it alone would not do, since the limit counts for all routers together. Class: what a server says of itself is not read, not remembered and not passed on.

LimitTable (catkin-policy, no I/O) gives each router a share by its part of the requests for the service. Credits grow at that rate; what all routers sent lately, as reported, bounds the sum, and lets credits grow faster while a limit is hardly used. Limits are told to the other routers, with their age, and to routers that start; an answer without the field ends a limit if its request was sent after the limit was named. A server that allows nothing gets a request every few seconds. Servers with limits no longer lower the mean of the others. If all servers of a service are used up for longer than the request may wait, it is refused at once.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -22,6 +22,9 @@
 
 /// The maximum wait for free capacity is the target latency of the route divided by this.
 const CAPACITY_WAIT_DIVISOR: u32 = 2;
+/// Minimum and maximum wait until the limits of servers are checked again.
+const MIN_CREDIT_WAIT: Duration = Duration::from_millis(10);
+const MAX_CREDIT_WAIT: Duration = Duration::from_secs(60);
 /// How long after the start of the router requests with a shared prefix wait until it is known
 /// which parts servers cache.
 const CACHE_INDEX_WAIT: Duration = Duration::from_millis(900);
@@ -54,14 +57,40 @@
             Ok(assigned) => return Ok(assigned),
             Err(SelectionError::NoServer) => RefusalCause::NoServer,
             Err(SelectionError::Full) => RefusalCause::Full,
+            Err(SelectionError::Limited) => RefusalCause::Limited,
         };
-        if timeout_at(wait_until, freed).await.is_err() {
+        let credited = next_credit(state, call, tried);
+        if cause == RefusalCause::Limited && credited.is_none_or(|at| at > wait_until) {
+            return Err(cause);
+        }
+        let until = credited.map_or(wait_until, |at| at.min(wait_until));
+        let is_freed = timeout_at(until, freed).await.is_ok();
+        if !is_freed && until == wait_until {
             let over = Instant::now() >= call.deadline;
             return Err(if over { RefusalCause::TimeOver } else { cause });
         }
     }
 }
 
+/// When a server whose limit is used up may get a request again; `None` if there is no such server.
+fn next_credit<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    tried: &BTreeSet<ServerId>,
+) -> Option<Instant> {
+    let mut limits = state.limits.borrow_mut();
+    if limits.is_empty() {
+        return None;
+    }
+    let now = state.now();
+    let share = state.limit_share(&call.service);
+    let servers = state.servers.borrow();
+    let untried = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
+    let waits = untried.map(|known| limits.wait_millis(now, known.server, share(known.server)));
+    let wait = waits.filter(|millis| *millis > 0).min()?;
+    Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_CREDIT_WAIT, MAX_CREDIT_WAIT))
+}
+
 /// Waits, just after the start of the router, until it is known which parts servers cache: the
 /// wait costs less than a prompt that is prefilled a second time.
 async fn wait_for_cache_index<W: EntryWire>(state: &EntryState<W>, deadline: Instant) {
@@ -115,6 +144,8 @@
         }
     }
     state.cache_index.borrow_mut().evict_beyond(selection.server, capacity);
+    let share = state.limit_share(&call.service)(selection.server);
+    state.limits.borrow_mut().record_send(now, selection.server, share);
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(selection.server).ok_or(SelectionError::NoServer)?;
@@ -172,11 +203,15 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
+    let mut limits = state.limits.borrow_mut();
+    let share = state.limit_share(&call.service);
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
     let candidate = |known: &KnownServer| {
         let server = known.server;
+        let names_limit = limits.rate(server).is_some();
+        let is_used_up = names_limit && limits.wait_millis(now, server, share(server)) > 0;
         let load = loads.total_load(server);
         ServerCandidate {
             server,
@@ -187,11 +222,14 @@
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
             software: known.software,
+            names_limit,
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
             } else if software.is_some_and(|software| known.software != software) {
                 CandidateState::OtherVersion
+            } else if is_used_up {
+                CandidateState::Limited
             } else if outcomes.is_unreachable(now, server) {
                 CandidateState::Unreachable
             } else if outcomes.is_ejected(now, server) {
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkin_base::{RunVerdict, ServerId, copy_type};
+use catkin_base::{ClockTime, RunVerdict, ServerId, copy_type};
 use catkin_http::ResponseHead;
 use tokio::time::Instant;
 
@@ -14,7 +14,7 @@
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
 use crate::crash_check::{ServerCheck, check_server};
 use crate::origin_book::SoftwareKey;
-use crate::server_notice::read_notice;
+use crate::server_notice::{NoticeSource, read_notice};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -192,11 +192,16 @@
     let request = encode_call::<W>(call, &details);
     let expected = ExpectedAnswer { id_field: W::HEADERS.request_id, id: &call.id };
     let reused = connection.get().exchanges() > 0;
+    let sent = state.now();
     let exchanged =
         connection.get().exchange(&request, Some(expected), call.is_head(), answer_deadline);
     let exchanged = exchanged.await;
-    let skipped = connection.get().skipped_heads();
-    record_notices(state, call, assigned.slot.server, skipped, exchanged.as_ref().ok());
+    let heads = ExchangeHeads {
+        sent,
+        skipped: connection.get().skipped_heads(),
+        answer: exchanged.as_ref().ok(),
+    };
+    record_notices(state, call, assigned.slot.server, heads);
     let head = match exchanged {
         Ok(head) => head,
         Err(error) if reused && error.failure == ExchangeFailure::Broken => {
@@ -308,19 +313,31 @@
     Ok((head, connection))
 }
 
+/// The heads that were read in an exchange.
+#[derive(Clone, Copy)]
+struct ExchangeHeads<'a> {
+    /// When the request was sent.
+    sent: ClockTime,
+    skipped: &'a [ResponseHead],
+    answer: Option<&'a ResponseHead>,
+}
+
 /// Records what a server states of itself in the heads of an exchange. An answer with status 421 comes
 /// from another server.
 fn record_notices<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
     server: ServerId,
-    skipped: &[ResponseHead],
-    head: Option<&ResponseHead>,
+    heads: ExchangeHeads<'_>,
 ) {
-    if head.is_some_and(|head| head.status == 421) {
+    if heads.answer.is_some_and(|head| head.status == 421) {
         return;
     }
-    for head in skipped.iter().chain(head) {
-        state.record_notice(server, read_notice::<W>(&head.fields), call.id_text());
+    let record = |head: &ResponseHead, source| {
+        state.record_notice(server, read_notice::<W>(&head.fields), source, call.id_text());
+    };
+    heads.skipped.iter().for_each(|head| record(head, NoticeSource::Other(heads.sent)));
+    if let Some(head) = heads.answer {
+        record(head, NoticeSource::Answer(heads.sent));
     }
 }
--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -12,7 +12,7 @@
 use crate::cache_index::{CachedPart, part_key};
 use crate::connection::HttpConnection;
 use crate::peer_service::PeerService;
-use crate::server_notice::{ServerNotice, read_notice};
+use crate::server_notice::{NoticeSource, ServerNotice, read_notice};
 use crate::state::EntryState;
 use crate::wire::{EntryWire, ListedPart};
 
@@ -79,7 +79,8 @@
         let server = *server;
         match fetch_list::<W>(addresses[&server]).await {
             Ok((notice, parts)) => {
-                state.record_notice(server, notice, "cache-list");
+                let source = NoticeSource::Other(state.now());
+                state.record_notice(server, notice, source, "cache-list");
                 loaded.extend(record_list(state, server, parts, max_parts));
             }
             Err(reason) => {
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,7 +17,7 @@
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
-//!    where streams began.
+//!    where streams began, `limit_exchange` the limits that servers name.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
@@ -42,6 +42,7 @@
 mod crash_reports;
 mod departure_table;
 mod join;
+mod limit_exchange;
 mod list_plan;
 mod load_table;
 mod logging;
@@ -82,7 +83,7 @@
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
 pub use departure_table::{DepartureTable, ServerDeparture};
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
-pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads};
+pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
 pub use origin_book::{
     OriginBook, ResumeChoice, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers,
@@ -102,6 +103,7 @@
     KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
 };
 pub use server_copy::{ServerList, decode_server_list, encode_server_list};
+pub use server_notice::{LimitNotice, read_limit};
 pub use server_selection::{
     CandidateState, LoadBounds, SelectionError, SelectionQuery, ServerCandidate, ServerSelection,
     select_server,
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -1,8 +1,9 @@
-//! Open requests on each server, aggregated over all routers.
+//! Open requests on each server, and recent requests to servers that name limits, aggregated over all
+//! routers.
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, DomainId, ServerId, VmId, copy_type};
+use catkin_base::{ClockTime, DomainId, ServerId, VmId, copy_type, hash_parts};
 
 /// Time for which the last report of another router counts. The requests of a frozen router still
 /// occupy servers.
@@ -18,6 +19,20 @@
         pub open: u32,
         /// Prompt tokens of these requests that the server has yet to prefill.
         pub unread_tokens: u64,
+        /// Recent requests to the server if it names a limit, in hundredths, each weighted by its age.
+        pub recent_sends: u32,
+    }
+}
+
+copy_type! {
+    /// Key of a service in reports.
+    pub struct ServiceKey(pub u64);
+}
+
+impl ServiceKey {
+    /// Derives the key from the name of the service.
+    pub fn from_name(name: &str) -> Self {
+        Self(hash_parts(&[name.as_bytes()]))
     }
 }
 
@@ -45,12 +60,14 @@
     pub fragments: u32,
     /// Open requests by server, for every server of the fragment that has any.
     pub opens: BTreeMap<ServerId, OpenLoad>,
+    /// Recent requests for services whose servers name limits, in hundredths.
+    pub demands: BTreeMap<ServiceKey, u32>,
 }
 
 impl ReportedLoads {
     /// Returns the unfragmented report of one router.
     pub fn of_router(opens: BTreeMap<ServerId, OpenLoad>) -> Self {
-        Self { routers: 1, fragment: 0, fragments: 1, opens }
+        Self { routers: 1, fragment: 0, fragments: 1, opens, demands: BTreeMap::new() }
     }
 }
 
@@ -65,11 +82,13 @@
     fn add(&mut self, other: Self) {
         self.open += other.open;
         self.unread_tokens += other.unread_tokens;
+        self.recent_sends = self.recent_sends.saturating_add(other.recent_sends);
     }
 
     fn subtract(&mut self, other: Self) {
         self.open = self.open.saturating_sub(other.open);
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.recent_sends = self.recent_sends.saturating_sub(other.recent_sends);
     }
 }
 
@@ -77,6 +96,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct LoadTable {
     local: BTreeMap<ServerId, OpenLoad>,
+    /// What this router reports of its recent requests, in hundredths.
+    local_sends: BTreeMap<ServerId, u32>,
+    local_demands: BTreeMap<ServiceKey, u32>,
     /// Reports by source and fragment index.
     peers: BTreeMap<(LoadSource, u32), PeerLoads>,
     /// Totals of all reports, kept up to date because server selection reads them for every server
@@ -190,7 +212,7 @@
         let is_router = |source| matches!(source, LoadSource::Router(_));
         (
             1 + self.count_routers(now, is_router),
-            self.aggregate_loads(self.local.clone(), is_router),
+            self.aggregate_loads(self.local_loads(), is_router),
         )
     }
 
@@ -227,9 +249,63 @@
         self.reported.clear();
     }
 
-    /// Returns the open requests of this router alone, by server.
-    pub fn local_loads(&self) -> &BTreeMap<ServerId, OpenLoad> {
-        &self.local
+    /// Returns the requests of this router alone, by server.
+    pub fn local_loads(&self) -> BTreeMap<ServerId, OpenLoad> {
+        let mut loads = self.local.clone();
+        for (server, recent_sends) in &self.local_sends {
+            loads.entry(*server).or_default().recent_sends = *recent_sends;
+        }
+        loads
+    }
+
+    /// Sets what this router reports of its recent requests, by server and by service, in hundredths.
+    pub fn set_local_rates(
+        &mut self,
+        sends: BTreeMap<ServerId, u32>,
+        demands: BTreeMap<ServiceKey, u32>,
+    ) {
+        self.local_sends = sends;
+        self.local_demands = demands;
+    }
+
+    /// Returns the recent requests of this router by service.
+    pub fn local_demands(&self) -> &BTreeMap<ServiceKey, u32> {
+        &self.local_demands
+    }
+
+    /// Returns the recent requests of the other routers to a server that names a limit, in hundredths.
+    pub fn reported_sends(&self, server: ServerId) -> u32 {
+        self.reported.get(&server).map_or(0, |load| load.recent_sends)
+    }
+
+    /// Returns the recent requests of the other routers for a service, in hundredths.
+    pub fn reported_demand(&self, service: ServiceKey) -> u32 {
+        self.sum_demands(BTreeMap::new(), |_| true).get(&service).copied().unwrap_or(0)
+    }
+
+    /// Returns the recent requests by service of the routers that [`Self::aggregate_domain`] covers.
+    pub fn domain_demands(&self) -> BTreeMap<ServiceKey, u32> {
+        let is_router = |source| matches!(source, LoadSource::Router(_));
+        self.sum_demands(self.local_demands.clone(), is_router)
+    }
+
+    /// The same for [`Self::aggregate_other_domains`].
+    pub fn other_domain_demands(&self) -> BTreeMap<ServiceKey, u32> {
+        self.sum_demands(BTreeMap::new(), |source| matches!(source, LoadSource::Domain(_)))
+    }
+
+    fn sum_demands(
+        &self,
+        mut totals: BTreeMap<ServiceKey, u32>,
+        includes: impl Fn(LoadSource) -> bool,
+    ) -> BTreeMap<ServiceKey, u32> {
+        for (_, peer) in self.peers.iter().filter(|((source, _), _)| includes(*source)) {
+            for (service, requests) in &peer.loads.demands {
+                let total = totals.entry(*service).or_default();
+                *total = total.saturating_add(*requests);
+            }
+        }
+        totals
     }
 
     /// Returns the open requests of all routers on `server`.
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -19,8 +19,9 @@
 use crate::cache_index::CachedPart;
 use crate::crash_book::CrashSource;
 use crate::crash_reports::{decode_crash, decode_quarantine, encode_quarantine, encode_strike};
+use crate::limit_exchange::{MAX_LIMITS, decode_limit, encode_limit};
 use crate::list_plan::{ListSource, choose_asked_router, choose_list_source};
-use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads};
+use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads, ServiceKey};
 use crate::origin_exchange::record_origins;
 use crate::outcome_book::PEER_EJECTION_MILLIS;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
@@ -263,6 +264,12 @@
                 updates.borrow_mut().slow.insert(server, (factor, until));
             }
         }
+        for statement in report.limits.iter().map(|row| decode_limit(now, row)) {
+            let is_new = state.record_limit(statement, &source.vm.to_string());
+            if let Some(updates) = relayed.filter(|_| is_new) {
+                updates.borrow_mut().limits.push(statement);
+            }
+        }
         for row in &report.leaving {
             let server = ServerId(row.server);
             let point = StorePoint::from_number(row.revision);
@@ -295,6 +302,7 @@
             if !remote {
                 self.send_strikes(state, source);
                 self.send_leave_statements(state, source);
+                self.send_limits(state, source);
             }
         }
         if report.tells_kept && (report.knows_kept || !report.kept.is_empty()) {
@@ -336,6 +344,17 @@
         }
     }
 
+    /// Sends the limits that servers name to a router that starts, or that was silent.
+    fn send_limits<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let limits: Vec<_> = state.limits.borrow().statements().collect();
+        for batch in limits.chunks(MAX_LIMITS).take(MAX_JOIN_REPORTS) {
+            let mut report = build_status(state);
+            let now = state.now();
+            report.limits = batch.iter().map(|limit| encode_limit(now, limit)).collect();
+            self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
+        }
+    }
+
     /// Records the open requests of a report, unless they are for a relay and this router is not
     /// one.
     fn record_loads<W: EntryWire>(
@@ -355,11 +374,17 @@
         }
         let opens = report.opens.iter();
         let opens = opens.map(|row| {
-            let load = OpenLoad { open: row.open, unread_tokens: row.unread_tokens };
+            let load = OpenLoad {
+                open: row.open,
+                unread_tokens: row.unread_tokens,
+                recent_sends: row.recent_sends,
+            };
             (ServerId(row.server), load)
         });
         let EntryReport { routers, piece: fragment, pieces: fragments, .. } = *report;
-        let loads = ReportedLoads { routers, fragment, fragments, opens: opens.collect() };
+        let demands = report.demands.iter();
+        let demands = demands.map(|row| (ServiceKey(row.service), row.requests)).collect();
+        let loads = ReportedLoads { routers, fragment, fragments, opens: opens.collect(), demands };
         state.loads.borrow_mut().record_report(state.now(), load_source, loads);
     }
 
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -243,6 +243,8 @@
     metrics::gauge!("catkin_entry_kept_parts").set(state.cache_index.borrow().len() as f64);
     let quarantined = state.crashes.borrow().quarantined_parts(state.now()).len();
     metrics::gauge!("catkin_entry_quarantined_parts").set(quarantined as f64);
+    let limited = state.limits.borrow().statements().count();
+    metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
     for (kind, answered) in state.store_answered.borrow().iter() {
         let kind = format!("{kind:?}");
@@ -320,6 +322,8 @@
     state.cache_index.borrow_mut().remove_expired(now);
     state.crashes.borrow_mut().remove_expired();
     state.speeds.borrow_mut().remove_expired(now);
+    state.limits.borrow_mut().remove_expired(now);
+    state.demands.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
 
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -32,6 +32,8 @@
     NoServer,
     /// No server has both a free slot and a load that stays within its bound.
     Full,
+    /// All servers name limits that are used up.
+    Limited,
     /// Attempts failed and no further one is allowed.
     ServerFailed,
     /// The deadline of the request has passed.
@@ -73,6 +75,7 @@
             RefusalCause::NoDeclarations => "no-declarations",
             RefusalCause::NoServer => "no-server",
             RefusalCause::Full => "full",
+            RefusalCause::Limited => "limited",
             RefusalCause::ServerFailed => "server-failed",
             RefusalCause::TimeOver => "time-over",
             RefusalCause::Quarantined => "quarantined",
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -12,7 +12,8 @@
 
 use crate::cache_index::CachedPart;
 use crate::departure_table::ServerDeparture;
-use crate::load_table::OpenLoad;
+use crate::limit_exchange::encode_demand;
+use crate::load_table::{OpenLoad, ServiceKey};
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
 
@@ -31,6 +32,7 @@
     let updates = state.updates.borrow();
     updates.loads_changed
         || updates.send_now
+        || !updates.limits.is_empty()
         || !updates.cached_parts.is_empty()
         || !updates.crashes.is_empty()
 }
@@ -71,7 +73,9 @@
 /// Builds a report with the status, the open requests of this router and the servers that it found
 /// slow, without updates.
 pub(crate) fn build_load_report<W>(state: &EntryState<W>) -> EntryReport {
+    state.update_local_rates();
     let mut report = build_status(state);
+    report.demands = state.loads.borrow().local_demands().iter().map(encode_demand).collect();
     report.opens = state.loads.borrow().local_loads().iter().map(open_count).collect();
     let speeds = state.speeds.borrow();
     let slow = speeds.local_slow(state.now()).take(MAX_SLOW);
@@ -98,6 +102,7 @@
     let mut relayed = state.to_other_domains.borrow_mut();
     relayed.cached_parts.extend(&updates.parts_to_repeat);
     updates.crashes.fill_report(state.now(), &mut report, Some(&mut relayed.crashes));
+    updates.limits.fill_report(state.now(), &mut report, Some(&mut relayed.limits));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
         relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
@@ -113,25 +118,42 @@
 /// Builds the reports of a relay to the relays of other domains: the load totals and the updates of
 /// its own domain.
 pub(crate) fn build_domain_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
-    let totals = state.loads.borrow().aggregate_domain(state.now());
-    build_relayed_reports(state, EntryScope::Domain, totals, &state.to_other_domains)
+    state.update_local_rates();
+    let loads = state.loads.borrow();
+    let (routers, opens) = loads.aggregate_domain(state.now());
+    let totals = LoadTotals { routers, opens, demands: loads.domain_demands() };
+    drop(loads);
+    build_relayed_reports(state, EntryScope::Domain, &totals, &state.to_other_domains)
 }
 
 /// Builds the reports of a relay to its own domain: the load totals and the updates of the other
 /// domains.
 pub(crate) fn build_other_domain_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
-    let totals = state.loads.borrow().aggregate_other_domains(state.now());
-    build_relayed_reports(state, EntryScope::Elsewhere, totals, &state.to_own_domain)
+    let loads = state.loads.borrow();
+    let (routers, opens) = loads.aggregate_other_domains(state.now());
+    let totals = LoadTotals { routers, opens, demands: loads.other_domain_demands() };
+    drop(loads);
+    build_relayed_reports(state, EntryScope::Elsewhere, &totals, &state.to_own_domain)
+}
+
+/// Aggregated requests of several routers.
+struct LoadTotals {
+    routers: u32,
+    opens: BTreeMap<ServerId, OpenLoad>,
+    demands: BTreeMap<ServiceKey, u32>,
 }
 
 fn build_relayed_reports<W>(
     state: &EntryState<W>,
     scope: EntryScope,
-    (routers, opens): (u32, BTreeMap<ServerId, OpenLoad>),
+    totals: &LoadTotals,
     updates: &RefCell<RelayUpdates>,
 ) -> Vec<EntryReport> {
+    let routers = totals.routers;
     let status = EntryReport { scope: scope.into(), routers, ..build_status(state) };
-    split_report(&status, &opens, &mut updates.borrow_mut(), state.now())
+    let mut reports = split_report(&status, &totals.opens, &mut updates.borrow_mut(), state.now());
+    reports[0].demands = totals.demands.iter().map(encode_demand).collect();
+    reports
 }
 
 /// Splits a report into fragments that fit a datagram each. The server's identifier alone
@@ -164,11 +186,17 @@
     let first = &mut reports[0];
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
     updates.crashes.fill_report(now, first, None);
+    updates.limits.fill_report(now, first, None);
     reports
 }
 
 fn open_count((server, load): (&ServerId, &OpenLoad)) -> OpenCount {
-    OpenCount { server: server.0, open: load.open, unread_tokens: load.unread_tokens }
+    OpenCount {
+        server: server.0,
+        open: load.open,
+        unread_tokens: load.unread_tokens,
+        recent_sends: load.recent_sends,
+    }
 }
 
 /// Encodes an ejected server, which the message carries as an outcome count of zero.
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::crash_book::CrashSource;
 use crate::crash_check::{ServerCheck, check_server};
 use crate::crash_reports::CallVerdict;
+use crate::load_table::ServiceKey;
 use crate::origin_book::{ResumeChoice, SoftwareKey, StreamKey};
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
@@ -63,6 +64,7 @@
     let now = state.now();
     let routers = state.budget_routers();
     state.budgets.borrow_mut().record_request(now, &call.service, routers);
+    state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
     let served = run_call(state, call, writer).await;
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -48,6 +48,9 @@
         /// Not this request, since its software version can't continue the stream. It counts in the
         /// mean load.
         OtherVersion,
+        /// No requests at the moment, since the limit that it names is used up; others may fetch from
+        /// it.
+        Limited,
         /// No requests; others may still fetch from it.
         Leaving,
     }
@@ -75,6 +78,9 @@
     pub slow_factor: f64,
     /// Version of the server's software. Cached parts are fetched only within one version.
     pub software: SoftwareKey,
+    /// Whether the server names a limit on its requests. It may have few then, and says nothing about
+    /// how many the others should have.
+    pub names_limit: bool,
     /// What the server may be used for.
     pub state: CandidateState,
 }
@@ -144,6 +150,8 @@
     NoServer,
     /// No server has both a free place and a load that stays within the hard bound.
     Full,
+    /// All servers name limits that are used up.
+    Limited,
 }
 
 /// Selects a server among `candidates`, which all belong to one service.
@@ -154,23 +162,26 @@
 ) -> Result<ServerSelection, SelectionError> {
     let not_leaving =
         || candidates.iter().filter(|candidate| candidate.state != CandidateState::Leaving);
-    let count = not_leaving().count();
     let selectable =
         || not_leaving().filter(|candidate| candidate.state != CandidateState::OtherVersion);
     if selectable().next().is_none() {
         return Err(SelectionError::NoServer);
     }
-    let mean = f64::from(not_leaving().map(|candidate| candidate.load).sum::<u32>()) / count as f64;
+    let (mean, count) = average_load(not_leaving);
     let hard = mean * bounds.hard_factor + bounds.hard_extra;
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
     let fits = |candidate: &&ServerCandidate| {
-        f64::from(candidate.load) + 1.0 <= hard
+        candidate.state != CandidateState::Limited
+            && f64::from(candidate.load) + 1.0 <= hard
             && f64::from(candidate.load) < count_places(query, candidate)
     };
     let available =
         selectable().filter(|candidate| candidate.state == CandidateState::Available).filter(fits);
     let caching_servers: Vec<ServerCandidate> =
         candidates.iter().filter(|candidate| candidate.cached_tokens > 0).copied().collect();
+    if selectable().all(|candidate| candidate.state == CandidateState::Limited) {
+        return Err(SelectionError::Limited);
+    }
     let selected = select_candidate(query, available, &caching_servers, soft)
         .or_else(|| select_candidate(query, selectable().filter(fits), &caching_servers, soft))
         .ok_or(SelectionError::Full)?;
@@ -185,6 +196,19 @@
     })
 }
 
+/// Returns the mean load of the servers, and over how many it is taken: those without a limit, if there
+/// are any.
+fn average_load<'a, Candidates>(candidates: impl Fn() -> Candidates) -> (f64, usize)
+where
+    Candidates: Iterator<Item = &'a ServerCandidate>,
+{
+    let all_limited = candidates().all(|candidate| candidate.names_limit);
+    let counted = || candidates().filter(|candidate| all_limited || !candidate.names_limit);
+    let count = counted().count();
+    let load: u32 = counted().map(|candidate| candidate.load).sum();
+    (f64::from(load) / count as f64, count)
+}
+
 /// Number of requests that may be open on a server: its slots, and the requests that it works off
 /// while one may wait in its queue. The loads that a router knows are older than a short request
 /// takes, so requests of such a service that wait for a free slot are refused in vain.
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
+use catkin_policy::LimitTable;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +19,7 @@
 use crate::crash_book::CrashBook;
 use crate::crash_check::CheckTable;
 use crate::crash_reports::CrashUpdates;
+use crate::limit_exchange::{DemandCounter, LimitUpdates};
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
@@ -52,6 +54,7 @@
     /// Cached parts that were sent once and are sent again with the next report.
     pub(crate) parts_to_repeat: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
+    pub(crate) limits: LimitUpdates,
     /// Whether open requests changed since the last report.
     pub(crate) loads_changed: bool,
     /// Whether a report must be sent at the next check, also without other updates.
@@ -63,6 +66,7 @@
 pub(crate) struct RelayUpdates {
     pub(crate) cached_parts: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
+    pub(crate) limits: LimitUpdates,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
     /// Factors of slow servers, and until when they count.
@@ -99,6 +103,8 @@
     pub(crate) outcomes: RefCell<OutcomeBook>,
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
+    pub(crate) limits: RefCell<LimitTable>,
+    pub(crate) demands: RefCell<DemandCounter>,
     pub(crate) crashes: RefCell<CrashBook>,
     /// Signals that quarantines are to be stored or removed from the store.
     pub(crate) crash_store_change: Notify,
@@ -165,8 +171,9 @@
     pub(crate) fn new(settings: EntrySettings) -> Self {
         let budgets =
             BudgetBook::new(settings.retry_ratio, settings.retry_extra, settings.first_start);
+        let local_vm = VmId::from_name(&settings.vm);
         Self {
-            local_vm: VmId::from_name(&settings.vm),
+            local_vm,
             local_domain: DomainId::from_name(&settings.domain),
             settings: RefCell::new(Rc::new(settings)),
             started: Instant::now(),
@@ -178,6 +185,8 @@
             outcomes: RefCell::default(),
             speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
+            limits: RefCell::new(LimitTable::new(local_vm.0)),
+            demands: RefCell::default(),
             crashes: RefCell::default(),
             crash_store_change: Notify::new(),
             other_routers: RefCell::new(Rc::from([])),
@@ -295,6 +304,7 @@
         self.cache_index.borrow_mut().remove_server(server);
         self.outcomes.borrow_mut().remove_server(server);
         self.speeds.borrow_mut().remove_server(server);
+        self.limits.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
     }
 }
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -48,7 +48,7 @@
                     let loads: BTreeMap<ServerId, OpenLoad> = loads
                         .into_iter()
                         .map(|(server, open, unread_tokens)| {
-                            (ServerId(server), OpenLoad { open, unread_tokens })
+                            (ServerId(server), OpenLoad { open, unread_tokens, ..OpenLoad::default() })
                         })
                         .collect();
                     reports.insert(vm, (now, loads.clone()));
--- a/crates/catkin-entry/tests/relays.rs
+++ b/crates/catkin-entry/tests/relays.rs
@@ -114,7 +114,13 @@
             if plan.is_relay {
                 self.routers[index].loads.set_other_domain_count(plan.other_domain_count);
                 let (routers, opens) = self.routers[index].loads.aggregate_domain(clock);
-                let totals = ReportedLoads { routers, fragment: 0, fragments: 1, opens };
+                let totals = ReportedLoads {
+                    routers,
+                    fragment: 0,
+                    fragments: 1,
+                    opens,
+                    demands: BTreeMap::new(),
+                };
                 for to in &plan.remote_peers {
                     self.send(index, *to, LoadSource::Domain(domain), totals.clone());
                 }
@@ -122,7 +128,13 @@
                     continue;
                 }
                 let (routers, opens) = self.routers[index].loads.aggregate_other_domains(clock);
-                let totals = ReportedLoads { routers, fragment: 0, fragments: 1, opens };
+                let totals = ReportedLoads {
+                    routers,
+                    fragment: 0,
+                    fragments: 1,
+                    opens,
+                    demands: BTreeMap::new(),
+                };
                 for to in &plan.direct_peers {
                     self.send(index, *to, LoadSource::OtherDomains, totals.clone());
                 }
@@ -262,7 +274,8 @@
         routers: 3,
         fragment,
         fragments,
-        opens: BTreeMap::from([(ServerId(server), OpenLoad { open: 2, unread_tokens: 0 })]),
+        opens: BTreeMap::from([(ServerId(server), OpenLoad { open: 2, ..OpenLoad::default() })]),
+        demands: BTreeMap::new(),
     };
     table.record_report(clock, LoadSource::OtherDomains, report(0, 2, 10));
     table.record_report(clock, LoadSource::OtherDomains, report(1, 2, 11));
@@ -279,7 +292,7 @@
     let mut table = LoadTable::default();
     let loads = ReportedLoads::of_router(BTreeMap::from([(
         ServerId(1),
-        OpenLoad { open: 2, unread_tokens: 0 },
+        OpenLoad { open: 2, ..OpenLoad::default() },
     )]));
     let source = LoadSource::Domain(DomainId(1));
     table.record_report(ClockTime::from_millis(0), source, loads.clone());
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -34,6 +34,7 @@
         cache_fill: 0.0,
         slow_factor: 1.0,
         software: SoftwareKey(1),
+        names_limit: false,
         state: CandidateState::Available,
     }
 }
@@ -314,8 +315,10 @@
 fn loads_of_a_silent_router_count_until_they_expire() {
     let start = ClockTime::from_millis(10);
     let mut table = LoadTable::default();
-    let opens =
-        BTreeMap::from([(ServerId(1), catkin_entry::OpenLoad { open: 4, unread_tokens: 100 })]);
+    let opens = BTreeMap::from([(
+        ServerId(1),
+        catkin_entry::OpenLoad { open: 4, unread_tokens: 100, recent_sends: 0 },
+    )]);
     table.record_report(start, LoadSource::Router(VmId(9)), ReportedLoads::of_router(opens));
     table.open(ServerId(1), 50);
 
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -463,6 +463,34 @@
     /// prompt parts that were answered although a crash under them was reported
     #[prost(fixed64, repeated, tag = "23")]
     pub sound_parts: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, repeated, tag = "24")]
+    pub limits: ::prost::alloc::vec::Vec<NamedLimit>,
+    /// of services whose servers name limits, in the scope
+    #[prost(message, repeated, tag = "25")]
+    pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
+}
+/// A limit on the requests of all routers that a server named, or its end.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NamedLimit {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub per_thousand_seconds: u32,
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
+    /// time since the server said so
+    #[prost(uint32, tag = "4")]
+    pub age_millis: u32,
+}
+/// Recent requests of callers for a service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceDemand {
+    /// hash of the name
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// in hundredths, each weighted by its age
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
 }
 /// A server that broke off while a request was open there whose answer had not begun.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -514,6 +542,9 @@
     /// prompt tokens that the server has not read yet
     #[prost(uint64, tag = "3")]
     pub unread_tokens: u64,
+    /// to a server that names a limit: requests in hundredths, each weighted by its age
+    #[prost(uint32, tag = "4")]
+    pub recent_sends: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct KeptPart {
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -10,7 +10,8 @@
 //! Then `rank` and `plan` hold the entry router's side. The owner's side starts with `owner`;
 //! `decision`, `dispatch`, `release` and `handover` add its operations, and `ledger`, with `queue`,
 //! `health`, `warm`, `history` and `bound`, holds its state. `load` and `report` aggregate and send
-//! the load of pools. `retry`, `strike`, `suspect`, `backoff` and `recent` stand alone.
+//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `backoff` and `recent` stand
+//! alone.
 //!
 //! ```
 //! use catkin_base::{ChatId, ServerId};
@@ -50,6 +51,7 @@
 mod report;
 mod retry;
 mod rules;
+mod server_limit;
 mod spec;
 mod state;
 mod strike;
@@ -70,6 +72,7 @@
 pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
 pub use retry::{BudgetUsage, RetryBudget};
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
+pub use server_limit::{LimitShare, LimitStatement, LimitTable, RequestRate, compute_fraction};
 pub use spec::{RouterSpec, ServerSpec};
 pub use state::{OwnerPhase, ServerState};
 pub use strike::{StrikeCounter, StrikeState};
