--- a/crates/catkin-soak/src/caller.rs
+++ b/crates/catkin-soak/src/caller.rs
@@ -100,10 +100,12 @@
         Err(error) => Ok(Err(error)),
     };
     let reusable = matches!(&answer, Ok(Ok(message)) if !closes_connection(message));
-    let leaving_server = match &answer {
-        Ok(Ok(message)) => read_leaving_server::<W>(message),
+    let stated_by = |name| match &answer {
+        Ok(Ok(message)) => read_stating_server::<W>(message, name),
         _ => None,
     };
+    let leaving_server = stated_by(W::HEADERS.leaving);
+    let limited_server = stated_by(W::HEADERS.limit);
     let outcome = match answer {
         Ok(Ok(message)) => classify_answer::<W>(&message, &id, kind),
         Ok(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
@@ -122,6 +124,7 @@
         timeout: TIMEOUT_MILLIS,
         outcome,
         leaving_server,
+        limited_server,
     });
     reusable.then_some(connection)
 }
@@ -149,9 +152,9 @@
     text + "\r\n" + &body
 }
 
-/// Name of the server whose answer states that it leaves.
-fn read_leaving_server<W: StandinWire>(message: &HttpMessage) -> Option<String> {
-    message.field(W::HEADERS.leaving)?;
+/// Name of the server whose answer has a header field.
+fn read_stating_server<W: StandinWire>(message: &HttpMessage, name: &str) -> Option<String> {
+    message.field(name)?;
     message.field(W::HEADERS.seal).map(str::to_owned)
 }
 
--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -23,6 +23,10 @@
         pub recovery: u64,
         /// Length of each window in which repeats are counted.
         pub budget_window: u64,
+        /// Time after a router forwarded an answer that names a limit from which on its requests count.
+        pub limit_notice: u64,
+        /// Length of each window in which requests to a server with a limit are counted.
+        pub limit_window: u64,
     }
 }
 
@@ -36,6 +40,8 @@
             answer: 500,
             recovery: 12_000,
             budget_window: 10_000,
+            limit_notice: 500,
+            limit_window: 4_000,
         }
     }
 }
@@ -44,6 +50,9 @@
 const REPEAT_PERCENT: usize = 20;
 /// Repeats that it may get beyond that.
 pub(crate) const EXTRA_REPEATS: usize = 50;
+/// Multiple of its limit that a server may get in a window, in percent, and requests beyond that.
+const LIMIT_PERCENT: u64 = 150;
+const EXTRA_LIMITED: u64 = 5;
 /// Percentage of requests sent after the recovery time that must succeed. Servers fail one request
 /// in sixty by themselves, and no fault is active then.
 const RECOVERED_PERCENT: usize = 95;
@@ -75,6 +84,9 @@
         /// leaves.
         #[error("router {2} sent request {0} to {1} at {3}, after it had said that it leaves")]
         IgnoredLeaving(String, String, usize, u64),
+        /// A server got more requests than the limit that it named allows.
+        #[error("{0} got {1} requests in the window from {2}; its limit allows {3}")]
+        LimitExceeded(String, usize, u64, usize),
         /// A router applied older declarations after newer ones.
         #[error("request {0} was handled by version {1} after {2} had been in force at router {3}")]
         VersionRegressed(String, u64, u64, usize),
@@ -124,6 +136,7 @@
         .extend(ledger.arrivals.iter().filter_map(|arrival| check_request_known(arrival, &calls)));
     violations.extend(check_leavings(ledger, bounds, &calls));
     violations.extend(check_leave_statements(ledger, bounds, &calls));
+    violations.extend(check_limits(ledger, bounds, &calls));
     violations.extend(check_versions(ledger, bounds, &calls));
     violations.extend(ledger.exits.iter().map(|exit| match exit.exceeded_grace {
         true => SoakViolation::GraceExceeded(exit.router, exit.at),
@@ -309,6 +322,51 @@
     .collect()
 }
 
+/// Finds for each limit the first window with too many requests. Counted are those of routers that had
+/// forwarded an answer with a limit of the server, and had no fault since.
+fn check_limits(
+    ledger: &SoakLedger,
+    bounds: &SoakBounds,
+    calls: &BTreeMap<&str, &CallRecord>,
+) -> Vec<SoakViolation> {
+    let found = ledger.limits.iter().filter_map(|limit| {
+        let mut told: BTreeMap<usize, u64> = BTreeMap::new();
+        let stated = ledger.calls.iter().filter(|call| {
+            call.limited_server.as_ref() == Some(&limit.server) && call.ended >= limit.from
+        });
+        for call in stated {
+            let at = told.entry(call.router).or_insert(call.ended);
+            *at = call.ended.min(*at);
+        }
+        let first = *told.values().min()?;
+        let is_counted = |arrival: &&ArrivalRecord| {
+            let Some(call) = calls.get(arrival.id.as_str()) else { return false };
+            let Some(at) = told.get(&call.router) else { return false };
+            let targets = [FaultTarget::Router(call.router), FaultTarget::Machine];
+            let from = at.saturating_sub(bounds.fault_grace);
+            let restarted = ledger.start_count(call.router, arrival.at)
+                != ledger.start_count(call.router, from);
+            arrival.server == limit.server
+                && arrival.at <= limit.until
+                && arrival.at >= first + bounds.fault_grace
+                && arrival.at >= at + bounds.limit_notice
+                && !restarted
+                && !ledger.is_affected(&targets, from, arrival.at)
+        };
+        let counted = ledger.arrivals.iter().filter(is_counted);
+        let times: Vec<u64> = counted.map(|arrival| arrival.at).collect();
+        let allowed = limit.per_second * bounds.limit_window * LIMIT_PERCENT / 100_000;
+        let allowed = (allowed + EXTRA_LIMITED) as usize;
+        let excess = times.iter().find_map(|from| {
+            let count = count_within(&times, *from, bounds.limit_window);
+            (count > allowed).then_some((count, *from))
+        });
+        let (count, from) = excess?;
+        Some(SoakViolation::LimitExceeded(limit.server.clone(), count, from, allowed))
+    });
+    found.collect()
+}
+
 /// Whether no fault kept the router from reading the store or delayed its requests.
 fn is_undisturbed(
     ledger: &SoakLedger,
--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -10,7 +10,9 @@
 use tokio::time::sleep;
 
 use crate::check::SoakBounds;
-use crate::ledger::{CallKind, FaultPeriod, FaultTarget, LeavingRecord, VersionRecord};
+use crate::ledger::{
+    CallKind, FaultPeriod, FaultTarget, LeavingRecord, LimitRecord, VersionRecord,
+};
 use crate::link::{LinkFlow, LinkProxy};
 use crate::plan::{FaultKind, LinkFault, PlannedFault};
 use crate::router::RouterSupervisor;
@@ -91,6 +93,7 @@
             FaultKind::AnnounceLeave(server) => self.replace_server(server, true).await,
             FaultKind::RemoveServer(server) => self.replace_server(server, false).await,
             FaultKind::WriteDeclarations => self.write_version(),
+            FaultKind::NameLimit(server, limit) => self.limit_server(server, limit, length).await,
         }
     }
 
@@ -246,6 +249,21 @@
         self.faulted[address_index].set(false);
     }
 
+    /// Makes a server name a limit for a while, unless it crashes or leaves meanwhile.
+    async fn limit_server(&self, address_index: usize, per_second: u64, length: Duration) {
+        let server = &self.servers[address_index];
+        let name = server.identity().name;
+        server.set_limit(Some(per_second));
+        let from = self.context.now();
+        sleep(length).await;
+        server.set_limit(None);
+        if server.identity().name == name {
+            let until = self.context.now();
+            let record = LimitRecord { server: name, per_second, from, until };
+            self.context.ledger.borrow_mut().limits.push(record);
+        }
+    }
+
     fn start_server(&self, address_index: usize, service: String) {
         self.newest_identity.set(self.newest_identity.get() + 1);
         let identity = ServerIdentity { name: format!("s{}", self.newest_identity.get()), service };
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -91,6 +91,8 @@
         pub outcome: CallOutcome,
         /// The server whose answer stated that it leaves.
         pub leaving_server: Option<String>,
+        /// The server whose answer named a limit.
+        pub limited_server: Option<String>,
     }
 }
 
@@ -191,6 +193,20 @@
     }
 }
 
+value_type! {
+    /// The time during which a server named a limit on the requests of all routers.
+    pub struct LimitRecord {
+        /// Name of the server.
+        pub server: String,
+        /// The limit, in requests per second.
+        pub per_second: u64,
+        /// Time from which it named the limit.
+        pub from: u64,
+        /// Time until which it did.
+        pub until: u64,
+    }
+}
+
 /// Everything recorded during a soak.
 #[derive(Debug, Clone, Default)]
 pub struct SoakLedger {
@@ -208,6 +224,8 @@
     pub versions: Vec<VersionRecord>,
     /// Servers that left.
     pub leavings: Vec<LeavingRecord>,
+    /// Limits that servers named.
+    pub limits: Vec<LimitRecord>,
     /// Time at which the last fault ended.
     pub last_fault_end: u64,
 }
--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -13,6 +13,13 @@
 const MAX_LENGTH_MILLIS: u64 = 4_000;
 /// Mean interval between two faults of the store that affect all routers, in milliseconds.
 const MEAN_STORE_PAUSE_MILLIS: u64 = 10_000;
+/// Mean interval between two limits that servers name, in milliseconds.
+const MEAN_LIMIT_PAUSE_MILLIS: u64 = 4_000;
+/// Time for which a server names a limit, in milliseconds. Longer than the time after which it must be
+/// kept and the window in which requests are counted.
+const LIMIT_MILLIS: u64 = 9_000;
+/// Largest limit, in requests per second; below what a server gets without one.
+const MAX_LIMIT: u64 = 4;
 /// One router fault in so many is soon followed by another one on the same router.
 const REPEAT_PERIOD: u32 = 4;
 
@@ -78,6 +85,8 @@
         RemoveServer(usize),
         /// The operator writes a new version of the declarations.
         WriteDeclarations,
+        /// A server names a limit on the requests of all routers, in requests per second.
+        NameLimit(usize, u64),
     }
 }
 
@@ -121,6 +130,7 @@
         at += random.random_range(0..=2 * MEAN_PAUSE_MILLIS);
     }
     faults.extend(plan_store_faults(seed, size));
+    faults.extend(plan_limits(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -141,6 +151,22 @@
     }
 }
 
+/// Draws the limits that servers name. They have random numbers of their own, too.
+fn plan_limits(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut faults = Vec::new();
+    let mut at = QUIET_START_MILLIS;
+    loop {
+        at += random.random_range(0..=2 * MEAN_LIMIT_PAUSE_MILLIS);
+        if at >= size.millis {
+            return faults;
+        }
+        let server = random.random_range(0..size.servers);
+        let kind = FaultKind::NameLimit(server, random.random_range(0..=MAX_LIMIT));
+        faults.push(PlannedFault { at, length: LIMIT_MILLIS, kind });
+    }
+}
+
 fn draw_length(random: &mut StdRng) -> u64 {
     random.random_range(MIN_LENGTH_MILLIS..=MAX_LENGTH_MILLIS)
 }
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -49,6 +49,8 @@
     alive: Cell<bool>,
     /// Whether the server states in its answers that it leaves.
     leaving: Cell<bool>,
+    /// Requests per second of all routers that the server names as its limit.
+    limit: Cell<Option<u64>>,
     running: Cell<u32>,
     wire: PhantomData<W>,
 }
@@ -66,6 +68,7 @@
             crash_token: RefCell::default(),
             alive: Cell::new(true),
             leaving: Cell::new(false),
+            limit: Cell::new(None),
             running: Cell::new(0),
             wire: PhantomData,
         }
@@ -81,6 +84,11 @@
         self.crash_token.borrow().cancel();
     }
 
+    /// Names a limit in all further answers, or none.
+    pub(crate) fn set_limit(&self, per_second: Option<u64>) {
+        self.limit.set(per_second);
+    }
+
     /// States in all further answers that the server leaves.
     pub(crate) fn leave(&self) {
         self.leaving.set(true);
@@ -144,6 +152,9 @@
         if self.leaving.get() {
             fields += &format!("{}: 1\r\n", names.leaving);
         }
+        if let Some(per_second) = self.limit.get() {
+            fields += &format!("{}: {per_second}\r\n", names.limit);
+        }
         if !ran {
             let status = if is_other { 421 } else { 503 };
             let fields = format!("{fields}{}: 1\r\n", names.not_run);
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use catkin_soak::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, FaultPeriod, FaultTarget, LeavingRecord,
-    ProcessExit, SoakBounds, SoakLedger, SoakViolation, StartRecord, VersionRecord,
+    LimitRecord, ProcessExit, SoakBounds, SoakLedger, SoakViolation, StartRecord, VersionRecord,
     find_violations,
 };
 
@@ -20,6 +20,7 @@
         timeout: 4_000,
         outcome,
         leaving_server: None,
+        limited_server: None,
     }
 }
 
@@ -82,6 +83,32 @@
     assert_eq!(violations_with_fault(FaultTarget::Router(0), 12_101), []);
 }
 
+/// Router 0 is told at 10,100 that server s2 allows one request a second, so that 11 may arrive in a
+/// window from 13,100 on.
+#[test]
+fn requests_beyond_a_named_limit_are_found_unless_the_router_was_disturbed() {
+    let violations_of = |count: u64, target: FaultTarget| {
+        violations_with(|ledger| {
+            let (server, per_second) = ("s2".to_owned(), 1);
+            ledger.limits.push(LimitRecord { server, per_second, from: 9_900, until: 19_000 });
+            let told = call("a", 10_000, answered(200, Some("s2")));
+            ledger.calls.push(CallRecord { limited_server: Some("s2".to_owned()), ..told });
+            ledger.arrivals.push(arrival("a", "s2", 10_010, 1));
+            for number in 0..count {
+                let (id, sent) = (format!("b{number}"), 13_200 + number * 100);
+                ledger.calls.push(call(&id, sent, answered(200, Some("s2"))));
+                ledger.arrivals.push(arrival(&id, "s2", sent + 10, 1));
+            }
+            ledger.periods.push(period(target, 12_000, 12_500, false));
+        })
+    };
+
+    let exceeded = SoakViolation::LimitExceeded("s2".to_owned(), 12, 13_210, 11);
+    assert_eq!(violations_of(12, FaultTarget::Store), [exceeded]);
+    assert_eq!(violations_of(11, FaultTarget::Store), []);
+    assert_eq!(violations_of(12, FaultTarget::Router(0)), []);
+}
+
 #[test]
 fn a_repeated_run_is_found_unless_the_kind_may_repeat() {
     let violations_of_repeat = |kind: CallKind| {
