Named limits: guard against crowds only after requests have become rare

A crowd can only come if the requests of the report time exceed the room, and after their rate has fallen; else credits grow as usual.

--- a/crates/catkin-policy/src/server_limit.rs
+++ b/crates/catkin-policy/src/server_limit.rs
@@ -36,7 +36,9 @@
 /// Requests that may come at once after a time with few.
 const MIN_CROWD: f64 = 8.0;
 /// Time after which a router without a request for a server's service counts as idle, in seconds.
-const IDLE_SECONDS: f64 = 3.0;
+const IDLE_SECONDS: f64 = 1.5;
+/// Part of the highest rate of requests for a service below which a crowd may come at once.
+const QUIET_PART: f64 = 0.75;
 /// Longest time for which credit grows faster at once, in seconds.
 const FAST_SECONDS: f64 = 0.1;
 /// Time constant with which the highest rate of requests for the service is forgotten, in seconds.
@@ -126,7 +128,9 @@
         self.peak_rate = (self.peak_rate * (-seconds / PEAK_SECONDS).exp()).max(share.service_rate);
         let Some(rate) = self.fleet_rate() else { return };
         let own_rate = rate * share.fraction;
-        if seconds > IDLE_SECONDS {
+        let may_crowd = self.peak_rate * REPORT_SECONDS > crowd_room(rate)
+            && share.service_rate < self.peak_rate * QUIET_PART;
+        if may_crowd && seconds > IDLE_SECONDS {
             let holds_credit = self.first_credit * self.crowd() < crowd_room(rate);
             let most = if holds_credit { 1.0 } else { self.first_credit };
             self.credit = (self.credit + own_rate * seconds).min(most);
