--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -17,8 +17,8 @@
 const MIN_DEMAND: f64 = 0.01;
 /// Number of reports that each limit is sent in. Reports are datagrams, which may be lost.
 const REPORTS_PER_LIMIT: u32 = 3;
-/// Maximum number of limits in one report.
-pub(crate) const MAX_LIMITS: usize = 24;
+/// Maximum number of limits in one report, so that it fits a datagram with what else it has.
+pub(crate) const MAX_LIMITS: usize = 12;
 /// Counts are reported in hundredths.
 const COUNT_SCALE: f64 = 100.0;
 
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -32,6 +32,9 @@
 const ONLY_COPY_MILLIS: f64 = 60.0;
 /// Cost of a server in another failure domain, in milliseconds.
 const REMOTE_DOMAIN_MILLIS: f64 = 1.0;
+/// Cost of a server that names a limit for a request whose shared prefix it does not cache, in
+/// milliseconds.
+const LIMITED_MILLIS: f64 = 20.0;
 /// For a part that no server caches, servers whose cost is within this many milliseconds of the
 /// lowest are ranked by hash, so that routers select the same one without communicating.
 const HASH_RANKING_MILLIS: f64 = 40.0;
@@ -258,7 +261,10 @@
     };
     let slowness = (candidate.slow_factor - 1.0) * (queueing + occupancy + query.answer_millis);
     let prompt = estimate_prompt_cost(query, candidate, caching_servers);
-    queueing + over + distance + occupancy + slowness + prompt
+    // The few requests that a server with a limit takes are best those whose parts it caches.
+    let lacks = candidate.cached_tokens < query.shared_tokens;
+    let scarcity = if candidate.names_limit && lacks { LIMITED_MILLIS } else { 0.0 };
+    queueing + over + distance + occupancy + slowness + prompt + scarcity
 }
 
 /// Estimates the cost of prefilling or fetching the missing part of the shared prefix, in
--- a/crates/catkin-entry/tests/named_limits.rs
+++ b/crates/catkin-entry/tests/named_limits.rs
@@ -94,6 +94,21 @@
     assert_eq!((selection.mean, selection.servers), (20.0, 2));
 }
 
+/// Guards against limits that are used up by requests whose prompts are read again there, while those
+/// whose parts the server caches go elsewhere.
+#[test]
+fn a_server_that_names_a_limit_is_left_to_requests_whose_parts_it_caches() {
+    let idle_limited = limited(1, CandidateState::Available);
+    let caching = ServerCandidate { cached_tokens: 2_000, ..idle_limited };
+    let busier = candidate(2, 8);
+
+    let selected = [idle_limited, caching].map(|limited| {
+        select_server(query(), &[limited, busier], &bounds()).map(|selection| selection.server)
+    });
+
+    assert_eq!(selected, [Ok(ServerId(2)), Ok(ServerId(1))]);
+}
+
 #[test]
 fn the_mean_is_taken_over_all_servers_if_all_name_limits() {
     let busy = ServerCandidate { load: 4, ..limited(1, CandidateState::Available) };
