--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -253,6 +253,9 @@
     async fn limit_server(&self, address_index: usize, per_second: u64, length: Duration) {
         let server = &self.servers[address_index];
         let name = server.identity().name;
+        if server.names_limit() {
+            return;
+        }
         server.set_limit(Some(per_second));
         let from = self.context.now();
         sleep(length).await;
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -89,6 +89,11 @@
         self.limit.set(per_second);
     }
 
+    /// Whether the server names a limit.
+    pub(crate) fn names_limit(&self) -> bool {
+        self.limit.get().is_some()
+    }
+
     /// States in all further answers that the server leaves.
     pub(crate) fn leave(&self) {
         self.leaving.set(true);
