--- a/crates/catkin-policy/src/server_limit.rs
+++ b/crates/catkin-policy/src/server_limit.rs
@@ -45,8 +45,8 @@
 const PEAK_SECONDS: f64 = 30.0;
 /// Part of a limit that is shared equally, so that a router without requests so far has a share.
 const EQUAL_PART: f64 = 0.1;
-/// Time for which the end of a limit is remembered, in milliseconds. Reports of the limit that are
-/// older than its end may arrive later.
+/// Time for which the end of a limit, or the limit of a server that is not listed, is remembered, in
+/// milliseconds. Reports of a limit may arrive after its end, and before its server is listed.
 const END_MILLIS: u64 = 10_000;
 
 copy_type! {
@@ -274,9 +274,11 @@
         self.limits.remove(&server);
     }
 
-    /// Removes limits that ended long ago.
-    pub fn remove_expired(&mut self, now: ClockTime) {
-        let is_recent = |limit: &ServerLimit| now.millis_since(limit.stated) < END_MILLIS;
-        self.limits.retain(|_, limit| limit.rate.is_some() || is_recent(limit));
+    /// Removes limits that ended long ago, or that were named long ago by servers that are not listed.
+    pub fn remove_expired(&mut self, now: ClockTime, is_listed: impl Fn(ServerId) -> bool) {
+        self.limits.retain(|server, limit| {
+            let counts = limit.rate.is_some() && is_listed(*server);
+            counts || now.millis_since(limit.stated) < END_MILLIS
+        });
     }
 }
