Don't let a malformed answer end the limit of its server

An answer without a seal, which lacks the field like any other, ended the limit at all routers until the next sound answer. Found by reading.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -323,7 +323,8 @@
 }
 
 /// Records what a server states of itself in the heads of an exchange. An answer with status 421 comes
-/// from another server.
+/// from another server, and one with neither a seal nor a word that the request was not run is
+/// malformed: what it lacks says nothing.
 fn record_notices<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
@@ -338,6 +339,9 @@
     };
     heads.skipped.iter().for_each(|head| record(head, NoticeSource::Other(heads.sent)));
     if let Some(head) = heads.answer {
-        record(head, NoticeSource::Answer(heads.sent));
+        let names = &W::HEADERS;
+        let is_whole = head.fields.contains(names.seal) || head.fields.contains(names.not_run);
+        let source = if is_whole { NoticeSource::Answer } else { NoticeSource::Other };
+        record(head, source(heads.sent));
     }
 }
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -39,8 +39,8 @@
     pub(crate) enum NoticeSource {
         /// The answer to a request that was sent at this time. What it does not state is not so.
         Answer(ClockTime),
-        /// An interim head, a late answer before the answer to a request that was sent at this time, or
-        /// a list of cached parts.
+        /// An interim head, a late answer before the answer to a request that was sent at this time, a
+        /// malformed answer to it, or a list of cached parts.
         Other(ClockTime),
     }
 }
