Mean load: that of all servers, or of those without a limit if it is higher

With one idle or unreachable server without a limit beside loaded ones with limits, the mean was nought and the bound two requests, so that servers with free capacity counted as full. an_idle_server_without_a_limit_does_not_lower_the_mean failed before.

--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -81,8 +81,8 @@
     pub slow_factor: f64,
     /// Version of the server's software. Cached parts are fetched only within one version.
     pub software: SoftwareKey,
-    /// Whether the server names a limit on its requests. It may have few then, and says nothing about
-    /// how many the others should have.
+    /// Whether the server names a limit on its requests. If it has few for that reason, the others may
+    /// still have more.
     pub names_limit: bool,
     /// What the server may be used for.
     pub state: CandidateState,
@@ -199,17 +199,19 @@
     })
 }
 
-/// Returns the mean load of the servers, and over how many it is taken: those without a limit, if there
-/// are any.
+/// Returns the mean load of the servers, and over how many it is taken: over all, or over those without
+/// a limit if these have more requests.
 fn average_load<'a, Candidates>(candidates: impl Fn() -> Candidates) -> (f64, usize)
 where
     Candidates: Iterator<Item = &'a ServerCandidate>,
 {
-    let all_limited = candidates().all(|candidate| candidate.names_limit);
-    let counted = || candidates().filter(|candidate| all_limited || !candidate.names_limit);
-    let count = counted().count();
-    let load: u32 = counted().map(|candidate| candidate.load).sum();
-    (f64::from(load) / count as f64, count)
+    let average = |counts: fn(&&ServerCandidate) -> bool| {
+        let count = candidates().filter(counts).count();
+        let load: u32 = candidates().filter(counts).map(|candidate| candidate.load).sum();
+        (f64::from(load) / count.max(1) as f64, count)
+    };
+    let (of_all, of_unlimited) = (average(|_| true), average(|candidate| !candidate.names_limit));
+    if of_unlimited.0 > of_all.0 { of_unlimited } else { of_all }
 }
 
 /// Number of requests that may be open on a server: its slots, and the requests that it works off
--- a/crates/catkin-entry/tests/named_limits.rs
+++ b/crates/catkin-entry/tests/named_limits.rs
@@ -109,6 +109,19 @@
     assert_eq!(selected, [Ok(ServerId(2)), Ok(ServerId(1))]);
 }
 
+/// Guards against servers with limits that count as overloaded because the only one without is idle, for
+/// example since it can't be reached.
+#[test]
+fn an_idle_server_without_a_limit_does_not_lower_the_mean() {
+    let busy = ServerCandidate { load: 8, ..limited(1, CandidateState::Available) };
+    let unreachable = ServerCandidate { state: CandidateState::Unreachable, ..candidate(2, 0) };
+
+    let selection = select_server(query(), &[busy, busy, busy, unreachable], &bounds());
+
+    let selection = selection.expect("a server with a limit has free capacity");
+    assert_eq!((selection.server, selection.mean), (ServerId(1), 6.0));
+}
+
 #[test]
 fn the_mean_is_taken_over_all_servers_if_all_name_limits() {
     let busy = ServerCandidate { load: 4, ..limited(1, CandidateState::Available) };
