Keep telling other routers that a server stated its leave after its entry was removed

The removal replaced the statement in the reports by a departure that an entry of an older copy revokes. Found by reading; a_statement_is_reported_after_the_entry_was_removed failed before. Two functions get a verb in their names.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -59,7 +59,7 @@
             Err(SelectionError::Full) => RefusalCause::Full,
             Err(SelectionError::Limited) => RefusalCause::Limited,
         };
-        let credited = next_credit(state, call, tried);
+        let credited = find_next_credit(state, call, tried);
         if cause == RefusalCause::Limited && credited.is_none_or(|at| at > wait_until) {
             return Err(cause);
         }
@@ -73,7 +73,7 @@
 }
 
 /// When a server whose limit is used up may get a request again; `None` if there is no such server.
-fn next_credit<W: EntryWire>(
+fn find_next_credit<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
@@ -83,7 +83,7 @@
         return None;
     }
     let now = state.now();
-    let share = state.limit_share(&call.service);
+    let share = state.compute_limit_share(&call.service);
     let servers = state.servers.borrow();
     let untried = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let waits = untried.map(|known| limits.wait_millis(now, known.server, share(known.server)));
@@ -144,7 +144,7 @@
         }
     }
     state.cache_index.borrow_mut().evict_beyond(selection.server, capacity);
-    let share = state.limit_share(&call.service)(selection.server);
+    let share = state.compute_limit_share(&call.service)(selection.server);
     state.limits.borrow_mut().record_send(now, selection.server, share);
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
@@ -204,7 +204,7 @@
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
     let mut limits = state.limits.borrow_mut();
-    let share = state.limit_share(&call.service);
+    let share = state.compute_limit_share(&call.service);
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -112,7 +112,7 @@
     }
 
     /// Returns this router's share of the limits of a service, as a function of the server.
-    pub(crate) fn limit_share(&self, service: &str) -> impl Fn(ServerId) -> LimitShare {
+    pub(crate) fn compute_limit_share(&self, service: &str) -> impl Fn(ServerId) -> LimitShare {
         let now = self.now();
         let service = ServiceKey::from_name(service);
         let loads = self.loads.borrow();
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -305,7 +305,8 @@
         self.names.remove(&known.server);
         // The latest point stands for none; the one of the entry is used then.
         let point = if point == StorePoint::MAX { known.point } else { point };
-        let departure = ServerDeparture { server: known.server, point, stated: false };
+        let stated = self.departures.has_stated(known.server);
+        let departure = ServerDeparture { server: known.server, point, stated };
         self.departures.record_departure(now, departure);
         if known.record.started_unix_millis == 0 {
             // A later incarnation has the same identifier.
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -268,6 +268,18 @@
     assert_eq!(book.stated_leaves().map(|departure| departure.server).collect::<Vec<_>>(), [id]);
 }
 
+/// Guards against a statement that other routers are not told since the entry is removed just after it.
+#[test]
+fn a_statement_is_reported_after_the_entry_was_removed() {
+    let mut book = one_server_book();
+    book.record_leave_statement(at(1), derive_server_id("i-1", &server(1)));
+
+    book.apply_removal(at(2), "i-1", point(8), true);
+
+    assert!(book.departures().all(|departure| departure.stated));
+    assert_eq!(book.departures().count(), 1);
+}
+
 /// Guards against a statement that is lost because the server is not listed when it arrives.
 #[test]
 fn a_statement_counts_for_a_server_that_is_listed_later() {
