--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -335,6 +335,7 @@
         return;
     }
     let record = |head: &ResponseHead, source| {
+        log_retry_after(call, server, head);
         state.record_notice(server, read_notice::<W>(&head.fields), source, call.id_text());
     };
     heads.skipped.iter().for_each(|head| record(head, NoticeSource::Other(heads.sent)));
@@ -345,3 +346,13 @@
         record(head, source(heads.sent));
     }
 }
+
+/// Logs for how long a server that is unavailable wants to be left alone.
+fn log_retry_after(call: &EntryCall, server: ServerId, head: &ResponseHead) {
+    if let Some(text) = head.fields.text("retry-after").filter(|_| head.status == 503) {
+        log::info!(
+            "server: asks for a pause. request={} server={server} retry_after={text}",
+            call.id_text()
+        );
+    }
+}
