Keep requests away from servers that asked this router for a pause

What callers saw: a server that had asked for some seconds of rest went on getting requests, which it turned away again; each one was an attempt of a caller and a retry of the common budget.

Class: what a server says of itself is not read; the third field of its kind, after leaving and limits.

The answer is read from each head of an exchange, late answers and lists of cached parts included. PauseTable keeps the pause by incarnation and by this router alone: the server speaks to one router, and a pause that hundreds of routers applied would starve it; for the same reason a failure with a pause ejects nothing. Selection is the one gate for first tries, repeats, resumed streams and requests that wait; it is checked again once a connection is open, and before a list of cached parts is requested. A pause ends a little later at each router, one request goes first, and the others follow its answer. If all servers asked for a pause, requests are refused at once with the time until the first pause ends, spread over a second, unless it ends within an eighth of the target latency.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -22,9 +22,12 @@
 
 /// The maximum wait for free capacity is the target latency of the route divided by this.
 const CAPACITY_WAIT_DIVISOR: u32 = 2;
-/// Minimum and maximum wait until the limits of servers are checked again.
-const MIN_CREDIT_WAIT: Duration = Duration::from_millis(10);
-const MAX_CREDIT_WAIT: Duration = Duration::from_secs(60);
+/// The maximum wait for the end of a pause of all servers is the target latency divided by this. Only one
+/// request goes first then, so that a longer wait is mostly in vain.
+const PAUSE_WAIT_DIVISOR: u32 = 8;
+/// Minimum and maximum wait until the limits and pauses of servers are checked again.
+const MIN_OPENING_WAIT: Duration = Duration::from_millis(10);
+const MAX_OPENING_WAIT: Duration = Duration::from_secs(60);
 /// How long after the start of the router requests with a shared prefix wait until it is known
 /// which parts servers cache.
 const CACHE_INDEX_WAIT: Duration = Duration::from_millis(900);
@@ -48,6 +51,8 @@
     }
     let wait_until =
         (Instant::now() + call.route.target_latency / CAPACITY_WAIT_DIVISOR).min(call.deadline);
+    let pause_until =
+        (Instant::now() + call.route.target_latency / PAUSE_WAIT_DIVISOR).min(call.deadline);
     loop {
         let freed = state.selection_input_change.notified();
         if software.is_some_and(|software| !has_version(state, call, software)) {
@@ -55,15 +60,25 @@
         }
         let cause = match try_assign(state, call, tried, software) {
             Ok(assigned) => return Ok(assigned),
-            Err(SelectionError::NoServer) => RefusalCause::NoServer,
+            Err(SelectionError::NoServer) => {
+                find_pause(state, call).unwrap_or(RefusalCause::NoServer)
+            }
             Err(SelectionError::Full) => RefusalCause::Full,
-            Err(SelectionError::Limited) => RefusalCause::Limited,
+            Err(SelectionError::Restricted) => {
+                find_pause(state, call).unwrap_or(RefusalCause::Limited)
+            }
         };
-        let credited = find_next_credit(state, call, tried);
-        if cause == RefusalCause::Limited && credited.is_none_or(|at| at > wait_until) {
+        let opening = find_next_opening(state, call, tried);
+        let opens_by = |latest| opening.is_some_and(|at| at <= latest);
+        let is_vain = match cause {
+            RefusalCause::Limited => !opens_by(wait_until),
+            RefusalCause::Paused(_) => !opens_by(pause_until),
+            _ => false,
+        };
+        if is_vain {
             return Err(cause);
         }
-        let until = credited.map_or(wait_until, |at| at.min(wait_until));
+        let until = opening.map_or(wait_until, |at| at.min(wait_until));
         let is_freed = timeout_at(until, freed).await.is_ok();
         if !is_freed && until == wait_until {
             let over = Instant::now() >= call.deadline;
@@ -72,23 +87,39 @@
     }
 }
 
-/// When a server whose limit is used up may get a request again; `None` if there is no such server.
-fn find_next_credit<W: EntryWire>(
+/// The pause that ends first, if all servers of the call's service asked for one, those that the request
+/// was sent to included.
+fn find_pause<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> Option<RefusalCause> {
+    let pauses = state.pauses.borrow();
+    let now = state.now();
+    let servers = state.servers.borrow();
+    let rests = servers.usable(&call.service).map(|known| pauses.wait_millis(now, known.server));
+    let first = rests.min().filter(|millis| *millis > 0)?;
+    Some(RefusalCause::Paused(Duration::from_millis(first)))
+}
+
+/// When a server that is held back by its limit or by a pause may get a request again; `None` if there
+/// is no such server.
+fn find_next_opening<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
 ) -> Option<Instant> {
-    let mut limits = state.limits.borrow_mut();
-    if limits.is_empty() {
+    if state.limits.borrow().is_empty() && state.pauses.borrow().is_empty() {
         return None;
     }
     let now = state.now();
+    let mut limits = state.limits.borrow_mut();
+    let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
     let servers = state.servers.borrow();
     let untried = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
-    let waits = untried.map(|known| limits.wait_millis(now, known.server, share(known.server)));
+    let waits = untried.map(|known| {
+        let credit = limits.wait_millis(now, known.server, share(known.server));
+        credit.max(pauses.wait_millis(now, known.server))
+    });
     let wait = waits.filter(|millis| *millis > 0).min()?;
-    Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_CREDIT_WAIT, MAX_CREDIT_WAIT))
+    Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_OPENING_WAIT, MAX_OPENING_WAIT))
 }
 
 /// Waits, just after the start of the router, until it is known which parts servers cache: the
@@ -146,6 +177,7 @@
     state.cache_index.borrow_mut().evict_beyond(selection.server, capacity);
     let share = state.compute_limit_share(&call.service)(selection.server);
     state.limits.borrow_mut().record_send(now, selection.server, share);
+    state.pauses.borrow_mut().record_send(now, selection.server);
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
     let known = servers.get(selection.server).ok_or(SelectionError::NoServer)?;
@@ -204,6 +236,7 @@
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
     let mut limits = state.limits.borrow_mut();
+    let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
     let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
@@ -212,6 +245,7 @@
         let server = known.server;
         let names_limit = limits.rate(server).is_some();
         let is_used_up = names_limit && limits.wait_millis(now, server, share(server)) > 0;
+        let is_paused = pauses.wait_millis(now, server) > 0;
         let load = loads.total_load(server);
         ServerCandidate {
             server,
@@ -222,12 +256,14 @@
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
             software: known.software,
-            names_limit,
+            is_restricted: names_limit || is_paused,
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
             } else if software.is_some_and(|software| known.software != software) {
                 CandidateState::OtherVersion
+            } else if is_paused {
+                CandidateState::Paused
             } else if is_used_up {
                 CandidateState::Limited
             } else if outcomes.is_unreachable(now, server) {
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -34,6 +34,8 @@
         Unreachable,
         /// The maximum number of connections to the server is open.
         NoChannel,
+        /// The server asked for a pause while the router connected to it.
+        Withdrawn,
         /// A reused connection broke before the first byte of an answer, and the server listens.
         StaleChannel,
         /// A reused connection broke before the first byte of an answer, and the server no longer
@@ -182,6 +184,9 @@
     last_event: Option<&Bytes>,
 ) -> Result<StartedAnswer<W>, AttemptError> {
     let mut connection = open_connection(state, call, &assigned, answer_deadline).await?;
+    if state.is_paused(assigned.slot.server) {
+        return Err(AttemptError::not_run(AttemptFailure::Withdrawn));
+    }
     let fetch_from = assigned.fetch_from.map(|address| address.to_string());
     let details = SendDetails {
         expected_server: &assigned.name,
@@ -335,8 +340,7 @@
         return;
     }
     let record = |head: &ResponseHead, source| {
-        log_retry_after(call, server, head);
-        state.record_notice(server, read_notice::<W>(&head.fields), source, call.id_text());
+        state.record_notice(server, read_notice::<W>(head), source, call.id_text());
     };
     heads.skipped.iter().for_each(|head| record(head, NoticeSource::Other(heads.sent)));
     if let Some(head) = heads.answer {
@@ -346,13 +350,3 @@
         record(head, source(heads.sent));
     }
 }
-
-/// Logs for how long a server that is unavailable wants to be left alone.
-fn log_retry_after(call: &EntryCall, server: ServerId, head: &ResponseHead) {
-    if let Some(text) = head.fields.text("retry-after").filter(|_| head.status == 503) {
-        log::info!(
-            "server: asks for a pause. request={} server={server} retry_after={text}",
-            call.id_text()
-        );
-    }
-}
--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use catkin_base::{ServerId, VmId};
 use tokio::time::{Instant, sleep};
 
@@ -77,12 +78,19 @@
     let mut loaded = Vec::new();
     for server in &engines {
         let server = *server;
-        match fetch_list::<W>(addresses[&server]).await {
-            Ok((notice, parts)) => {
+        if state.is_paused(server) {
+            continue;
+        }
+        let listed = match fetch_list::<W>(addresses[&server]).await {
+            Ok((notice, listed)) => {
                 let source = NoticeSource::Other(state.now());
                 state.record_notice(server, notice, source, "cache-list");
-                loaded.extend(record_list(state, server, parts, max_parts));
+                listed
             }
+            Err(reason) => Err(reason),
+        };
+        match listed {
+            Ok(parts) => loaded.extend(record_list(state, server, parts, max_parts)),
             Err(reason) => {
                 log::info!(
                     "servers: list of cached parts not received; its parts become known only as \
@@ -105,10 +113,13 @@
     engines.map(|known| (known.server, known.record.address)).collect()
 }
 
-/// Fetches a server's list of cached parts, and what the server states of itself.
+/// The list of cached parts of an answer, or why it can't be read.
+type ListResult = Result<Vec<ListedPart>, String>;
+
+/// Fetches a server's list of cached parts, and what the server states of itself in any answer.
 async fn fetch_list<W: EntryWire>(
     address: SocketAddr,
-) -> Result<(ServerNotice, Vec<ListedPart>), String> {
+) -> Result<(ServerNotice, ListResult), String> {
     let deadline = Instant::now() + LIST_TIMEOUT;
     let opened = HttpConnection::connect(address, deadline).await;
     let mut connection = opened.map_err(|error| error.to_string())?;
@@ -116,13 +127,14 @@
     let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let exchanged = connection.exchange(request.as_bytes(), None, false, deadline).await;
     let head = exchanged.map_err(|error| format!("{:?}", error.failure))?;
+    let notice = read_notice::<W>(&head);
     if head.status != 200 {
-        return Err(format!("status {}", head.status));
+        return Ok((notice, Err(format!("status {}", head.status))));
     }
     let body = connection.read_body(MAX_LIST_BYTES, deadline).await;
-    let body = body.map_err(|failure| format!("{failure:?}"))?;
-    let parts = W::decode_cache_list(&body).map_err(|error| error.to_string())?;
-    Ok((read_notice::<W>(&head.fields), parts))
+    let body = body.map_err(|failure| format!("{failure:?}"));
+    let decode = |body: Bytes| W::decode_cache_list(&body).map_err(|error| error.to_string());
+    Ok((notice, body.and_then(decode)))
 }
 
 /// Records the longest parts of a list. Short parts take little time to prefill again, and every
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -103,7 +103,7 @@
     KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
 };
 pub use server_copy::{ServerList, decode_server_list, encode_server_list};
-pub use server_notice::{LimitNotice, read_limit};
+pub use server_notice::{LimitNotice, PauseNotice, read_limit, read_pause};
 pub use server_selection::{
     CandidateState, LoadBounds, SelectionError, SelectionQuery, ServerCandidate, ServerSelection,
     select_server,
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -245,6 +245,8 @@
     metrics::gauge!("catkin_entry_quarantined_parts").set(quarantined as f64);
     let limited = state.limits.borrow().statements().count();
     metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
+    let paused = state.pauses.borrow().count(state.now());
+    metrics::gauge!("catkin_entry_paused_servers").set(paused as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
     for (kind, answered) in state.store_answered.borrow().iter() {
         let kind = format!("{kind:?}");
@@ -324,6 +326,7 @@
     state.speeds.borrow_mut().remove_expired(now);
     let servers = state.servers.borrow();
     state.limits.borrow_mut().remove_expired(now, |server| servers.get(server).is_some());
+    state.pauses.borrow_mut().remove_expired(now);
     state.demands.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -10,6 +10,8 @@
 /// The maximum `Retry-After` time is the time left to the caller divided by this; callers ignore
 /// longer ones.
 const RETRY_AFTER_DIVISOR: u32 = 4;
+/// Time over which callers return after the pause of a server, so that they don't meet it all at once.
+const PAUSE_SPREAD: Duration = Duration::from_millis(1_000);
 
 /// Why the router refuses a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,6 +36,8 @@
     Full,
     /// All servers name limits that are used up.
     Limited,
+    /// All servers asked for a pause; the first one ends after this time.
+    Paused(Duration),
     /// Attempts failed and no further one is allowed.
     ServerFailed,
     /// The deadline of the request has passed.
@@ -76,6 +80,7 @@
             RefusalCause::NoServer => "no-server",
             RefusalCause::Full => "full",
             RefusalCause::Limited => "limited",
+            RefusalCause::Paused(_) => "paused",
             RefusalCause::ServerFailed => "server-failed",
             RefusalCause::TimeOver => "time-over",
             RefusalCause::Quarantined => "quarantined",
@@ -111,17 +116,22 @@
         if !temporary || left < MIN_RETRY_AFTER {
             return None;
         }
-        let latest = (left / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
-        let latest = latest.min(max_retry_after(self.cause).max(MIN_RETRY_AFTER));
-        Some(random.random_range(MIN_RETRY_AFTER..=latest))
+        let longest = (left / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
+        let earliest = match self.cause {
+            RefusalCause::Paused(rest) => rest.clamp(MIN_RETRY_AFTER, longest),
+            _ => MIN_RETRY_AFTER,
+        };
+        let latest = longest.min(max_retry_after(self.cause).max(MIN_RETRY_AFTER));
+        Some(random.random_range(earliest..=latest))
     }
 }
 
 /// Maximum `Retry-After` time by cause: the time after which the cause is expected to be gone.
-const fn max_retry_after(cause: RefusalCause) -> Duration {
+fn max_retry_after(cause: RefusalCause) -> Duration {
     match cause {
         RefusalCause::Stopping => MIN_RETRY_AFTER,
         RefusalCause::Full => Duration::from_millis(1_000),
+        RefusalCause::Paused(rest) => rest.saturating_add(PAUSE_SPREAD),
         _ => Duration::from_millis(1_500),
     }
 }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -249,10 +249,11 @@
             }
         }
         record_failure(state, call, server, error);
-        if error.ran == RunVerdict::NotRun {
-            progress.not_run_attempts += 1;
-        } else {
-            progress.possibly_run_attempts += 1;
+        match (error.failure, error.ran) {
+            // Nothing was tried at this server.
+            (AttemptFailure::Withdrawn, _) => {}
+            (_, RunVerdict::NotRun) => progress.not_run_attempts += 1,
+            _ => progress.possibly_run_attempts += 1,
         }
         progress.ran = progress.ran.combine(error.ran);
         if let Some(end) = decide_end(state, call, &progress, error, forwarder.is_started()) {
@@ -358,7 +359,7 @@
         return Some(end);
     }
     // An attempt that reached no server adds no load to the service, so it spends no retry.
-    let reached = error.failure != AttemptFailure::Unreachable;
+    let reached = !matches!(error.failure, AttemptFailure::Unreachable | AttemptFailure::Withdrawn);
     let paid = error.failure == AttemptFailure::Answered || !reached || spend_retry(state, call);
     (!paid).then_some(end)
 }
@@ -472,7 +473,7 @@
         AttemptFailure::Unreachable | AttemptFailure::Misdirected | AttemptFailure::Crashed => {
             AttemptOutcome::Unreachable
         }
-        AttemptFailure::StaleChannel => return,
+        AttemptFailure::StaleChannel | AttemptFailure::Withdrawn => return,
         _ => AttemptOutcome::Failed,
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
@@ -485,7 +486,8 @@
     record_outcome(state, call, server, outcome);
 }
 
-/// Records the outcome of an attempt, which may eject the server.
+/// Records the outcome of an attempt, which may eject the server. A failure with which the server asked
+/// this router for a pause says nothing to the others, to which an ejection is reported.
 fn record_outcome<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
@@ -495,6 +497,10 @@
     let servers = state.servers.borrow();
     let service_servers = servers.usable(&call.service).map(|known| known.server);
     let now = state.now();
+    let failed = outcome == AttemptOutcome::Failed;
+    if failed && state.is_paused(server) {
+        return;
+    }
     if state.outcomes.borrow_mut().record(now, server, outcome, service_servers) {
         log::info!(
             "servers: server ejected for failed attempts; used only if no available server has free \
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -1,14 +1,21 @@
 //! What servers state of themselves in the heads of their answers.
 
+use std::time::Duration;
+
 use catkin_base::{ClockTime, ServerId, copy_type};
-use catkin_http::FieldList;
+use catkin_http::ResponseHead;
 use catkin_policy::{LimitStatement, RequestRate};
 
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
-/// Longest limit that is read, in digits. A larger number is none that matters.
-const MAX_LIMIT_DIGITS: usize = 12;
+/// Longest decimal number that is read, in digits. A larger one is none that matters.
+const MAX_DIGITS: usize = 12;
+/// Header field with the time for which a server that is unavailable wants no requests (RFC 9110,
+/// section 10.2.3). Only the form in seconds is read: the clocks of VMs may differ.
+const RETRY_AFTER: &str = "retry-after";
+/// Status of an answer whose server is unavailable.
+const UNAVAILABLE: u16 = 503;
 
 copy_type! {
     /// What an answer says of its server's limit.
@@ -24,6 +31,20 @@
     }
 }
 
+copy_type! {
+    /// For how long an answer says that its server wants no requests from this router.
+    #[derive(Default)]
+    pub enum PauseNotice {
+        /// Nothing.
+        #[default]
+        Absent,
+        /// A time.
+        Asked(Duration),
+        /// Something that is no time.
+        Unreadable,
+    }
+}
+
 copy_type! {
     /// What a server states of itself in one answer.
     #[derive(Default)]
@@ -31,6 +52,7 @@
         /// It leaves.
         pub(crate) leaving: bool,
         pub(crate) limit: LimitNotice,
+        pub(crate) pause: PauseNotice,
     }
 }
 
@@ -45,27 +67,41 @@
     }
 }
 
-/// Reads the header fields of an answer.
-pub(crate) fn read_notice<W: EntryWire>(fields: &FieldList) -> ServerNotice {
+/// Reads the head of an answer.
+pub(crate) fn read_notice<W: EntryWire>(head: &ResponseHead) -> ServerNotice {
     let names = &W::HEADERS;
-    let leaving = fields.values(names.leaving).any(|value| value.trim_ascii() == b"1");
-    let limit = fields.values(names.limit).next();
-    ServerNotice { leaving, limit: limit.map_or(LimitNotice::Absent, read_limit) }
+    let leaving = head.fields.values(names.leaving).any(|value| value.trim_ascii() == b"1");
+    let limit = head.fields.values(names.limit).next();
+    let pause = head.fields.values(RETRY_AFTER).next().filter(|_| head.status == UNAVAILABLE);
+    ServerNotice {
+        leaving,
+        limit: limit.map_or(LimitNotice::Absent, read_limit),
+        pause: pause.map_or(PauseNotice::Absent, read_pause),
+    }
+}
+
+/// Reads the value of `Retry-After`, a decimal number of seconds.
+pub fn read_pause(value: &[u8]) -> PauseNotice {
+    read_decimal(value).map_or(PauseNotice::Unreadable, |seconds| {
+        PauseNotice::Asked(Duration::from_secs_f64(seconds))
+    })
 }
 
 /// Reads a limit, a decimal number of requests per second.
 pub fn read_limit(value: &[u8]) -> LimitNotice {
+    read_decimal(value).map_or(LimitNotice::Unreadable, |rate| {
+        // A rate that does not fit is none that binds.
+        let per_thousand_seconds = (rate * 1_000.0) as u32;
+        LimitNotice::Named(RequestRate { per_thousand_seconds })
+    })
+}
+
+/// Reads a decimal number without sign or exponent.
+fn read_decimal(value: &[u8]) -> Option<f64> {
     let value = value.trim_ascii();
     let is_number = value.iter().all(|byte| byte.is_ascii_digit() || *byte == b'.');
-    let text = std::str::from_utf8(value).unwrap_or_default();
-    match text.parse::<f64>() {
-        Ok(rate) if is_number && value.len() <= MAX_LIMIT_DIGITS => {
-            // A rate that does not fit is none that binds.
-            let per_thousand_seconds = (rate * 1_000.0) as u32;
-            LimitNotice::Named(RequestRate { per_thousand_seconds })
-        }
-        _ => LimitNotice::Unreadable,
-    }
+    let text = std::str::from_utf8(value).ok().filter(|_| is_number && value.len() <= MAX_DIGITS);
+    text?.parse().ok()
 }
 
 impl<W> EntryState<W> {
@@ -80,6 +116,7 @@
         if notice.leaving {
             self.record_leave_statement(server, request);
         }
+        self.record_pause(server, notice.pause, source, request);
         let (rate, stated) = match (notice.limit, source) {
             (LimitNotice::Named(rate), NoticeSource::Answer(_)) => (Some(rate), self.now()),
             (LimitNotice::Named(rate), NoticeSource::Other(sent)) => (Some(rate), sent),
@@ -101,6 +138,42 @@
         }
     }
 
+    /// Records that a server asked this router for a pause, or answered without asking for one.
+    fn record_pause(
+        &self,
+        server: ServerId,
+        pause: PauseNotice,
+        source: NoticeSource,
+        request: &str,
+    ) {
+        let mut pauses = self.pauses.borrow_mut();
+        match (pause, source) {
+            (PauseNotice::Asked(length), _) => {
+                metrics::counter!("catkin_entry_pauses_total").increment(1);
+                log::info!(
+                    "servers: server asks for a pause; no requests until its end. server={server} \
+                     millis={} request={request}",
+                    length.as_millis()
+                );
+                pauses.record_pause(self.now(), server, length);
+            }
+            (PauseNotice::Unreadable, _) => {
+                metrics::counter!("catkin_entry_unreadable_pauses_total").increment(1);
+                log::info!(
+                    "servers: pause is no decimal number of seconds; ignoring it. server={server} \
+                     request={request}"
+                );
+            }
+            (PauseNotice::Absent, NoticeSource::Answer(sent)) => pauses.record_answer(server, sent),
+            (PauseNotice::Absent, NoticeSource::Other(_)) => {}
+        }
+    }
+
+    /// Whether a pause that a server asked for is in force.
+    pub(crate) fn is_paused(&self, server: ServerId) -> bool {
+        self.pauses.borrow().is_paused(self.now(), server)
+    }
+
     /// Records that a server stated that it leaves, in an answer or, as another router reports, in one
     /// to that router.
     pub(crate) fn record_leave_statement(&self, server: ServerId, source: &str) {
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -54,6 +54,8 @@
         /// No requests at the moment, since the limit that it names is used up; others may fetch from
         /// it.
         Limited,
+        /// No requests at the moment, since it asked for a pause; others may fetch from it.
+        Paused,
         /// No requests; others may still fetch from it.
         Leaving,
     }
@@ -81,9 +83,9 @@
     pub slow_factor: f64,
     /// Version of the server's software. Cached parts are fetched only within one version.
     pub software: SoftwareKey,
-    /// Whether the server names a limit on its requests. If it has few for that reason, the others may
-    /// still have more.
-    pub names_limit: bool,
+    /// Whether the server names a limit on its requests or asked for a pause. If it has few for that
+    /// reason, the others may still have more.
+    pub is_restricted: bool,
     /// What the server may be used for.
     pub state: CandidateState,
 }
@@ -93,6 +95,11 @@
     fn can_fetch_from(&self, other: &Self) -> bool {
         other.software == self.software && other.state != CandidateState::Unreachable
     }
+
+    /// Whether the server gets no requests at the moment because it said so.
+    fn is_withheld(&self) -> bool {
+        matches!(self.state, CandidateState::Limited | CandidateState::Paused)
+    }
 }
 
 /// Bounds on the load of one server, relative to the mean load of its service.
@@ -153,8 +160,8 @@
     NoServer,
     /// No server has both a free place and a load that stays within the hard bound.
     Full,
-    /// All servers name limits that are used up.
-    Limited,
+    /// All servers name limits that are used up, or asked for a pause.
+    Restricted,
 }
 
 /// Selects a server among `candidates`, which all belong to one service.
@@ -174,7 +181,7 @@
     let hard = mean * bounds.hard_factor + bounds.hard_extra;
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
     let fits = |candidate: &&ServerCandidate| {
-        candidate.state != CandidateState::Limited
+        !candidate.is_withheld()
             && f64::from(candidate.load) + 1.0 <= hard
             && f64::from(candidate.load) < count_places(query, candidate)
     };
@@ -182,8 +189,8 @@
         selectable().filter(|candidate| candidate.state == CandidateState::Available).filter(fits);
     let caching_servers: Vec<ServerCandidate> =
         candidates.iter().filter(|candidate| candidate.cached_tokens > 0).copied().collect();
-    if selectable().all(|candidate| candidate.state == CandidateState::Limited) {
-        return Err(SelectionError::Limited);
+    if selectable().all(ServerCandidate::is_withheld) {
+        return Err(SelectionError::Restricted);
     }
     let selected = select_candidate(query, available, &caching_servers, soft)
         .or_else(|| select_candidate(query, selectable().filter(fits), &caching_servers, soft))
@@ -200,7 +207,7 @@
 }
 
 /// Returns the mean load of the servers, and over how many it is taken: over all, or over those without
-/// a limit if these have more requests.
+/// a limit or a pause if these have more requests.
 fn average_load<'a, Candidates>(candidates: impl Fn() -> Candidates) -> (f64, usize)
 where
     Candidates: Iterator<Item = &'a ServerCandidate>,
@@ -210,8 +217,8 @@
         let load: u32 = candidates().filter(counts).map(|candidate| candidate.load).sum();
         (f64::from(load) / count.max(1) as f64, count)
     };
-    let (of_all, of_unlimited) = (average(|_| true), average(|candidate| !candidate.names_limit));
-    if of_unlimited.0 > of_all.0 { of_unlimited } else { of_all }
+    let (of_all, of_free) = (average(|_| true), average(|candidate| !candidate.is_restricted));
+    if of_free.0 > of_all.0 { of_free } else { of_all }
 }
 
 /// Number of requests that may be open on a server: its slots, and the requests that it works off
@@ -265,7 +272,7 @@
     let prompt = estimate_prompt_cost(query, candidate, caching_servers);
     // The few requests that a server with a limit takes are best those whose parts it caches.
     let lacks = candidate.cached_tokens < query.shared_tokens;
-    let scarcity = if candidate.names_limit && lacks { LIMITED_MILLIS } else { 0.0 };
+    let scarcity = if candidate.is_restricted && lacks { LIMITED_MILLIS } else { 0.0 };
     queueing + over + distance + occupancy + slowness + prompt + scarcity
 }
 
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
-use catkin_policy::LimitTable;
+use catkin_policy::{LimitTable, PauseTable};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -104,6 +104,8 @@
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) limits: RefCell<LimitTable>,
+    /// Servers that asked this router for a pause.
+    pub(crate) pauses: RefCell<PauseTable>,
     pub(crate) demands: RefCell<DemandCounter>,
     pub(crate) crashes: RefCell<CrashBook>,
     /// Signals that quarantines are to be stored or removed from the store.
@@ -186,6 +188,7 @@
             speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
+            pauses: RefCell::new(PauseTable::new(local_vm.0)),
             demands: RefCell::default(),
             crashes: RefCell::default(),
             crash_store_change: Notify::new(),
@@ -305,6 +308,7 @@
         self.outcomes.borrow_mut().remove_server(server);
         self.speeds.borrow_mut().remove_server(server);
         self.limits.borrow_mut().remove_server(server);
+        self.pauses.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
     }
 }
--- a/crates/catkin-entry/tests/named_limits.rs
+++ b/crates/catkin-entry/tests/named_limits.rs
@@ -21,14 +21,14 @@
         cache_fill: 0.0,
         slow_factor: 1.0,
         software: SoftwareKey(1),
-        names_limit: false,
+        is_restricted: false,
         state: CandidateState::Available,
     }
 }
 
 /// A server that names a limit, which is used up if `state` says so.
 fn limited(server: u64, state: CandidateState) -> ServerCandidate {
-    ServerCandidate { names_limit: true, state, ..candidate(server, 0) }
+    ServerCandidate { is_restricted: true, state, ..candidate(server, 0) }
 }
 
 fn query() -> SelectionQuery {
@@ -137,7 +137,7 @@
     let used_up = limited(1, CandidateState::Limited);
     let full = ServerCandidate { load: 64, ..candidate(2, 0) };
 
-    assert_eq!(select_server(query(), &[used_up], &bounds()), Err(SelectionError::Limited));
+    assert_eq!(select_server(query(), &[used_up], &bounds()), Err(SelectionError::Restricted));
     assert_eq!(select_server(query(), &[used_up, full], &bounds()), Err(SelectionError::Full));
 }
 
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -34,7 +34,7 @@
         cache_fill: 0.0,
         slow_factor: 1.0,
         software: SoftwareKey(1),
-        names_limit: false,
+        is_restricted: false,
         state: CandidateState::Available,
     }
 }
--- a/crates/catkin-entry/tests/speed_book.rs
+++ b/crates/catkin-entry/tests/speed_book.rs
@@ -77,7 +77,7 @@
         cache_fill: 0.0,
         slow_factor,
         software: SoftwareKey(1),
-        names_limit: false,
+        is_restricted: false,
         state: CandidateState::Available,
     }
 }
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -10,8 +10,8 @@
 //! Then `rank` and `plan` hold the entry router's side. The owner's side starts with `owner`;
 //! `decision`, `dispatch`, `release` and `handover` add its operations, and `ledger`, with `queue`,
 //! `health`, `warm`, `history` and `bound`, holds its state. `load` and `report` aggregate and send
-//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `backoff` and `recent` stand
-//! alone.
+//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `server_pause`, `backoff` and
+//! `recent` stand alone.
 //!
 //! ```
 //! use catkin_base::{ChatId, ServerId};
@@ -52,6 +52,7 @@
 mod retry;
 mod rules;
 mod server_limit;
+mod server_pause;
 mod spec;
 mod state;
 mod strike;
@@ -73,6 +74,7 @@
 pub use retry::{BudgetUsage, RetryBudget};
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
 pub use server_limit::{LimitShare, LimitStatement, LimitTable, RequestRate, compute_fraction};
+pub use server_pause::PauseTable;
 pub use spec::{RouterSpec, ServerSpec};
 pub use state::{OwnerPhase, ServerState};
 pub use strike::{StrikeCounter, StrikeState};
