--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -27,6 +27,8 @@
         pub limit_notice: u64,
         /// Length of each window in which requests to a server with a limit are counted.
         pub limit_window: u64,
+        /// Time after an answer that asks for a pause from which on requests count.
+        pub pause_notice: u64,
     }
 }
 
@@ -42,6 +44,7 @@
             budget_window: 10_000,
             limit_notice: 500,
             limit_window: 4_000,
+            pause_notice: 500,
         }
     }
 }
@@ -53,6 +56,8 @@
 /// Multiple of its limit that a server may get in a window, in percent, and requests beyond that.
 const LIMIT_PERCENT: u64 = 150;
 const EXTRA_LIMITED: u64 = 5;
+/// Requests that may reach a server from one router while a pause counts.
+const ALLOWED_IN_PAUSE: usize = 2;
 /// Percentage of requests sent after the recovery time that must succeed. Servers fail one request
 /// in sixty by themselves, and no fault is active then.
 const RECOVERED_PERCENT: usize = 95;
@@ -87,6 +92,9 @@
         /// A server got more requests than the limit that it named allows.
         #[error("{0} got {1} requests in the window from {2}; its limit allows {3}")]
         LimitExceeded(String, usize, u64, usize),
+        /// A router sent requests to a server that had asked it for a pause.
+        #[error("router {1} sent {2} requests to {0} in the pause that it had asked for at {3}")]
+        IgnoredPause(String, usize, usize, u64),
         /// A router applied older declarations after newer ones.
         #[error("request {0} was handled by version {1} after {2} had been in force at router {3}")]
         VersionRegressed(String, u64, u64, usize),
@@ -137,6 +145,7 @@
     violations.extend(check_leavings(ledger, bounds, &calls));
     violations.extend(check_leave_statements(ledger, bounds, &calls));
     violations.extend(check_limits(ledger, bounds, &calls));
+    violations.extend(check_pauses(ledger, bounds, &calls));
     violations.extend(check_versions(ledger, bounds, &calls));
     violations.extend(ledger.exits.iter().map(|exit| match exit.exceeded_grace {
         true => SoakViolation::GraceExceeded(exit.router, exit.at),
@@ -367,6 +376,40 @@
     found.collect()
 }
 
+/// Finds pauses of servers in which the router that was asked sent more requests than
+/// [`ALLOWED_IN_PAUSE`]. Only a restart or a pause of the router, or a fault of the connections to the
+/// server, excuses it.
+fn check_pauses(
+    ledger: &SoakLedger,
+    bounds: &SoakBounds,
+    calls: &BTreeMap<&str, &CallRecord>,
+) -> Vec<SoakViolation> {
+    let router_of = |id: &str| calls.get(id).map(|call| call.router);
+    let found = ledger.pauses.iter().filter_map(|pause| {
+        let router = router_of(&pause.id)?;
+        let (from, until) = (pause.at + bounds.pause_notice, pause.at + pause.millis);
+        let counted = ledger.arrivals.iter().filter(|arrival| {
+            (from..until).contains(&arrival.at)
+                && arrival.server == pause.server
+                && router_of(&arrival.id) == Some(router)
+        });
+        let counted: Vec<&ArrivalRecord> = counted.collect();
+        let address_index = counted.first()?.address_index;
+        let targets = [
+            FaultTarget::Router(router),
+            FaultTarget::ServerLink(address_index),
+            FaultTarget::Machine,
+        ];
+        let restarted = ledger.start_count(router, until) != ledger.start_count(router, pause.at);
+        let disturbed =
+            ledger.is_affected(&targets, pause.at.saturating_sub(bounds.fault_grace), until);
+        let count = counted.len();
+        (count > ALLOWED_IN_PAUSE && !restarted && !disturbed)
+            .then(|| SoakViolation::IgnoredPause(pause.server.clone(), router, count, pause.at))
+    });
+    found.collect()
+}
+
 /// Whether no fault kept the router from reading the store or delayed its requests.
 fn is_undisturbed(
     ledger: &SoakLedger,
--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -94,6 +94,11 @@
             FaultKind::RemoveServer(server) => self.replace_server(server, false).await,
             FaultKind::WriteDeclarations => self.write_version(),
             FaultKind::NameLimit(server, limit) => self.limit_server(server, limit, length).await,
+            FaultKind::AskPauses(server, pause) => {
+                self.servers[server].set_pause(Some(pause));
+                sleep(length).await;
+                self.servers[server].set_pause(None);
+            }
         }
     }
 
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -207,6 +207,20 @@
     }
 }
 
+value_type! {
+    /// The answer of a server that asked the router of a request for a pause.
+    pub struct PauseRecord {
+        /// Request identifier.
+        pub id: String,
+        /// Name of the server.
+        pub server: String,
+        /// Time of the answer.
+        pub at: u64,
+        /// Length of the pause, in milliseconds.
+        pub millis: u64,
+    }
+}
+
 /// Everything recorded during a soak.
 #[derive(Debug, Clone, Default)]
 pub struct SoakLedger {
@@ -226,6 +240,8 @@
     pub leavings: Vec<LeavingRecord>,
     /// Limits that servers named.
     pub limits: Vec<LimitRecord>,
+    /// Pauses that servers asked for.
+    pub pauses: Vec<PauseRecord>,
     /// Time at which the last fault ended.
     pub last_fault_end: u64,
 }
--- a/crates/catkin-soak/src/lib.rs
+++ b/crates/catkin-soak/src/lib.rs
@@ -29,7 +29,7 @@
 pub use failed_seeds::{FAILED_SEEDS, FailedSeed};
 pub use ledger::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, FaultPeriod, FaultTarget, LeavingRecord,
-    LimitRecord, ProcessExit, SoakLedger, StartRecord, VersionRecord,
+    LimitRecord, PauseRecord, ProcessExit, SoakLedger, StartRecord, VersionRecord,
 };
 pub use plan::{FaultKind, LinkFault, PlannedFault, SoakSize, plan_faults};
 pub use run::{SoakError, SoakOptions, SoakReport, run_soak};
--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -18,6 +18,11 @@
 /// Time for which a server names a limit, in milliseconds. Longer than the time after which it must be
 /// kept and the window in which requests are counted.
 const LIMIT_MILLIS: u64 = 9_000;
+/// Mean interval between two times in which a server asks for pauses, in milliseconds.
+const MEAN_REST_PAUSE_MILLIS: u64 = 5_000;
+/// Shortest and longest pause that a server asks for, in milliseconds.
+const MIN_REST_MILLIS: u64 = 800;
+const MAX_REST_MILLIS: u64 = 4_000;
 /// Largest limit, in requests per second; below what a server gets without one.
 const MAX_LIMIT: u64 = 4;
 /// One router fault in so many is soon followed by another one on the same router.
@@ -87,6 +92,8 @@
         WriteDeclarations,
         /// A server names a limit on the requests of all routers, in requests per second.
         NameLimit(usize, u64),
+        /// A server declines all requests and asks for pauses of this length, in milliseconds.
+        AskPauses(usize, u64),
     }
 }
 
@@ -131,6 +138,7 @@
     }
     faults.extend(plan_store_faults(seed, size));
     faults.extend(plan_limits(seed, size));
+    faults.extend(plan_pauses(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -167,6 +175,23 @@
     }
 }
 
+/// Draws the pauses that servers ask for. They have random numbers of their own, too.
+fn plan_pauses(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(16) ^ u64::MAX);
+    let mut faults = Vec::new();
+    let mut at = QUIET_START_MILLIS;
+    loop {
+        at += random.random_range(0..=2 * MEAN_REST_PAUSE_MILLIS);
+        if at >= size.millis {
+            return faults;
+        }
+        let server = random.random_range(0..size.servers);
+        let pause = random.random_range(MIN_REST_MILLIS..=MAX_REST_MILLIS);
+        let length = draw_length(&mut random);
+        faults.push(PlannedFault { at, length, kind: FaultKind::AskPauses(server, pause) });
+    }
+}
+
 fn draw_length(random: &mut StdRng) -> u64 {
     random.random_range(MIN_LENGTH_MILLIS..=MAX_LENGTH_MILLIS)
 }
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::accept::listen;
 use crate::caller::{EVENTS, encode_event};
-use crate::ledger::{ArrivalRecord, CallKind};
+use crate::ledger::{ArrivalRecord, CallKind, PauseRecord};
 use crate::message::{HttpMessage, MessageReader, write_answer};
 use crate::run::SoakContext;
 use crate::wire::StandinWire;
@@ -51,6 +51,8 @@
     leaving: Cell<bool>,
     /// Requests per second of all routers that the server names as its limit.
     limit: Cell<Option<u64>>,
+    /// Length of the pauses that the server asks for, in milliseconds, while it declines all requests.
+    pause: Cell<Option<u64>>,
     running: Cell<u32>,
     wire: PhantomData<W>,
 }
@@ -69,6 +71,7 @@
             alive: Cell::new(true),
             leaving: Cell::new(false),
             limit: Cell::new(None),
+            pause: Cell::new(None),
             running: Cell::new(0),
             wire: PhantomData,
         }
@@ -89,6 +92,11 @@
         self.limit.set(per_second);
     }
 
+    /// Declines all further requests and asks for pauses of this length, in milliseconds, or ends that.
+    pub(crate) fn set_pause(&self, millis: Option<u64>) {
+        self.pause.set(millis);
+    }
+
     /// Whether the server names a limit.
     pub(crate) fn names_limit(&self) -> bool {
         self.limit.get().is_some()
@@ -150,7 +158,8 @@
         let identity = self.identity();
         let expected = message.field(names.expected_server);
         let is_other = expected.is_some_and(|expected| expected != identity.name);
-        let full = self.running.get() >= SLOTS;
+        let pause = self.pause.get().filter(|_| !is_other);
+        let full = self.running.get() >= SLOTS || pause.is_some();
         let ran = !is_other && !full;
         self.record_arrival(&id, message, &identity, ran);
         let mut fields = format!("{}: {id}\r\n", names.request_id);
@@ -162,6 +171,12 @@
         }
         if !ran {
             let status = if is_other { 421 } else { 503 };
+            if let Some(millis) = pause {
+                fields += &format!("Retry-After: {}\r\n", millis as f64 / 1_000.0);
+                let at = self.context.now();
+                let record = PauseRecord { id: id.clone(), server: identity.name, at, millis };
+                self.context.ledger.borrow_mut().pauses.push(record);
+            }
             let fields = format!("{fields}{}: 1\r\n", names.not_run);
             return write_answer(write, status, &fields, "").await;
         }
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -2,8 +2,8 @@
 
 use catkin_soak::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, FaultPeriod, FaultTarget, LeavingRecord,
-    LimitRecord, ProcessExit, SoakBounds, SoakLedger, SoakViolation, StartRecord, VersionRecord,
-    find_violations,
+    LimitRecord, PauseRecord, ProcessExit, SoakBounds, SoakLedger, SoakViolation, StartRecord,
+    VersionRecord, find_violations,
 };
 
 fn answered(status: u16, sealed_by: Option<&str>) -> CallOutcome {
@@ -109,6 +109,32 @@
     assert_eq!(violations_of(12, FaultTarget::Router(0)), []);
 }
 
+/// Server s2 asks router 0 at 10,010 for a pause of two seconds.
+#[test]
+fn requests_in_a_pause_are_found_unless_the_router_was_disturbed() {
+    let violations_of = |count: u64, target: FaultTarget| {
+        violations_with(|ledger| {
+            ledger.calls.push(call("a", 10_000, answered(503, None)));
+            let declined = ArrivalRecord { ran: false, ..arrival("a", "s2", 10_010, 1) };
+            ledger.arrivals.push(declined);
+            let (id, server) = ("a".to_owned(), "s2".to_owned());
+            ledger.pauses.push(PauseRecord { id, server, at: 10_010, millis: 2_000 });
+            for number in 0..count {
+                let (id, sent) = (format!("b{number}"), 10_500 + number * 100);
+                ledger.calls.push(call(&id, sent, answered(200, Some("s2"))));
+                ledger.arrivals.push(arrival(&id, "s2", sent + 10, 1));
+            }
+            ledger.periods.push(period(target, 10_600, 10_700, false));
+        })
+    };
+
+    let ignored = SoakViolation::IgnoredPause("s2".to_owned(), 0, 3, 10_010);
+    assert_eq!(violations_of(3, FaultTarget::Store), [ignored]);
+    assert_eq!(violations_of(2, FaultTarget::Store), []);
+    assert_eq!(violations_of(3, FaultTarget::Router(0)), []);
+    assert_eq!(violations_of(3, FaultTarget::ServerLink(0)), []);
+}
+
 #[test]
 fn a_repeated_run_is_found_unless_the_kind_may_repeat() {
     let violations_of_repeat = |kind: CallKind| {
