Log when a service is out of reach of this router, and when it is in reach again

The log could not tell 'I reach no server of this service' from 'these servers are down', nor since when. ReachTable judges by the connects of requests; a router that connected to no server for a second connects to one by itself, and to three of each doubtful service as soon as a connect has failed, so that it knows without traffic. No request goes another way yet.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -241,8 +241,12 @@
     let deadline = answer_deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let reserved = PooledConnection::reserve(state, server);
     match HttpConnection::connect(assigned.address, deadline).await {
-        Ok(connection) => Ok(reserved.with_connection(connection)),
+        Ok(connection) => {
+            state.record_connect(&call.service);
+            Ok(reserved.with_connection(connection))
+        }
         Err(error) => {
+            state.record_connect_failure(&call.service, server);
             log::info!(
                 "server: connecting failed. request={} server={server} address={} error={error}",
                 call.id_text(),
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod pause_watch;
 mod peer_service;
 mod process;
+mod reach_watch;
 mod record;
 mod refusal;
 mod relay_plan;
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -1,5 +1,6 @@
 //! Process of an entry router: start, background tasks, settings reload, stop.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use std::time::Duration;
 
 use catkin_base::ClockTime;
+use catkin_policy::ReachKey;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use miette::{IntoDiagnostic, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,6 +24,7 @@
 use crate::logging::start_logging;
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
 use crate::peer_service::{PeerService, close_service};
+use crate::reach_watch::{reach_key, watch_reach};
 use crate::settings::{EntrySettings, parse_settings};
 use crate::state::EntryState;
 use crate::store_follower::follow_kind;
@@ -127,6 +130,7 @@
     tasks.spawn_local(follow_strikes(Rc::clone(&state)));
     tasks.spawn_local(run_peers(Rc::clone(&state)));
     tasks.spawn_local(maintain_state(Rc::clone(&state)));
+    tasks.spawn_local(watch_reach(Rc::clone(&state)));
     tasks.spawn_local(follow_settings(Rc::clone(&state), file, hangup));
     let stopped = tokio::select! {
         () = wait_for_stop(interrupt, terminate) => Ok(()),
@@ -247,6 +251,8 @@
     metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
     let paused = state.pauses.borrow().count(state.now());
     metrics::gauge!("catkin_entry_paused_servers").set(paused as f64);
+    let lost = state.reach.borrow().lost_services().count();
+    metrics::gauge!("catkin_entry_lost_services").set(lost as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
     for (kind, answered) in state.store_answered.borrow().iter() {
         let kind = format!("{kind:?}");
@@ -327,6 +333,9 @@
     let servers = state.servers.borrow();
     state.limits.borrow_mut().remove_expired(now, |server| servers.get(server).is_some());
     state.pauses.borrow_mut().remove_expired(now);
+    let listed: BTreeSet<ReachKey> =
+        servers.iter().map(|known| reach_key(&known.record.service)).collect();
+    state.reach.borrow_mut().retain_services(|service| listed.contains(&service));
     state.demands.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
--- /dev/null
+++ b/crates/catkin-entry/src/reach_watch.rs
@@ -0,0 +1,168 @@
+//! Finds out which services this router reaches, by connects of requests and by connects of its own.
+//!
+//! A router without requests must know before its next caller that it is cut off. So it connects to some
+//! server now and then, and to several as soon as a connect has failed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catkin_base::ServerId;
+use catkin_policy::{ReachChange, ReachKey};
+use rand::seq::IteratorRandom;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::connection::HttpConnection;
+use crate::load_table::ServiceKey;
+use crate::state::EntryState;
+use crate::wire::EntryWire;
+
+/// Time since the last connect to any server after which the router connects to one by itself.
+const QUIET_TIME: Duration = Duration::from_millis(1_000);
+/// Interval of connects to the servers of services whose reach is in doubt.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
+/// Timeout of such a connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of servers of a service that are connected to at once.
+const CHECKED_SERVERS: usize = 3;
+
+/// A server that is connected to.
+#[derive(Debug, Clone, Copy)]
+struct CheckedServer {
+    service: ReachKey,
+    server: ServerId,
+    address: SocketAddr,
+}
+
+/// The key of a service in the table of reach.
+pub(crate) fn reach_key(service: &str) -> ReachKey {
+    ReachKey(ServiceKey::from_name(service).0)
+}
+
+/// Watches the reach of all services as long as the process runs.
+pub(crate) async fn watch_reach<W: EntryWire>(state: Rc<EntryState<W>>) {
+    loop {
+        let failed = state.connect_failure.notified();
+        let chosen = choose_doubtful(&state);
+        if chosen.is_empty() {
+            // The end of the wait is the next check, if no connect fails before.
+            let _ = timeout(QUIET_TIME, failed).await;
+            if let Some(checked) = choose_if_quiet(&state) {
+                check_servers(&state, vec![checked]).await;
+            }
+            continue;
+        }
+        let started = Instant::now();
+        check_servers(&state, chosen).await;
+        sleep(DOUBT_INTERVAL.saturating_sub(started.elapsed())).await;
+    }
+}
+
+/// Connects to servers at the same time, and records whether that succeeds.
+async fn check_servers<W: EntryWire>(state: &Rc<EntryState<W>>, checked: Vec<CheckedServer>) {
+    let mut connects = JoinSet::new();
+    for server in checked {
+        connects.spawn_local(async move {
+            let deadline = Instant::now() + CONNECT_TIMEOUT;
+            (server, HttpConnection::connect(server.address, deadline).await.is_ok())
+        });
+    }
+    while let Some(Ok((checked, connected))) = connects.join_next().await {
+        if connected {
+            state.apply_connect(checked.service);
+        } else {
+            state.apply_failure(checked.service, checked.server);
+        }
+    }
+}
+
+/// Lists the servers that may get requests, by service.
+fn list_servers<W>(state: &EntryState<W>) -> BTreeMap<ReachKey, Vec<CheckedServer>> {
+    let mut services: BTreeMap<ReachKey, Vec<CheckedServer>> = BTreeMap::new();
+    for known in state.servers.borrow().iter().filter(|known| !known.record.leaving) {
+        let service = reach_key(&known.record.service);
+        let checked =
+            CheckedServer { service, server: known.server, address: known.record.address };
+        services.entry(service).or_default().push(checked);
+    }
+    services
+}
+
+/// Chooses servers of the services whose reach is in doubt, at first those that were not tried.
+fn choose_doubtful<W>(state: &EntryState<W>) -> Vec<CheckedServer> {
+    let now = state.now();
+    let reach = state.reach.borrow();
+    let mut chosen = Vec::new();
+    for (service, servers) in list_servers(state) {
+        if !reach.is_doubtful(now, service) {
+            continue;
+        }
+        let is_untried = |checked: &CheckedServer| !reach.has_failed(service, checked.server);
+        let untried = servers.iter().copied().filter(is_untried);
+        let mut sample = untried.choose_multiple(&mut rand::rng(), CHECKED_SERVERS);
+        if sample.is_empty() || reach.is_lost(service) {
+            sample = servers.into_iter().choose_multiple(&mut rand::rng(), CHECKED_SERVERS);
+        }
+        chosen.extend(sample);
+    }
+    chosen
+}
+
+/// Chooses any server, if no server was connected to lately.
+fn choose_if_quiet<W>(state: &EntryState<W>) -> Option<CheckedServer> {
+    let age = state.reach.borrow().connect_age_millis(state.now());
+    if age.is_some_and(|millis| millis < QUIET_TIME.as_millis() as u64) {
+        return None;
+    }
+    list_servers(state).into_values().flatten().choose(&mut rand::rng())
+}
+
+impl<W> EntryState<W> {
+    /// Records that a request's connect to a server of the service succeeded.
+    pub(crate) fn record_connect(&self, service: &str) {
+        self.apply_connect(reach_key(service));
+    }
+
+    /// Records that a request's connect to a server of the service failed.
+    pub(crate) fn record_connect_failure(&self, service: &str, server: ServerId) {
+        self.apply_failure(reach_key(service), server);
+        self.connect_failure.notify_one();
+    }
+
+    fn apply_connect(&self, service: ReachKey) {
+        let change = self.reach.borrow_mut().record_connect(self.now(), service);
+        if change == ReachChange::Regained {
+            log::info!(
+                "servers: service is in reach again. service={}",
+                self.name_service(service).unwrap_or_default()
+            );
+        }
+    }
+
+    fn apply_failure(&self, service: ReachKey, server: ServerId) {
+        let servers = self.servers.borrow();
+        let listed = servers.iter().filter(|known| !known.record.leaving);
+        let of_service = listed.filter(|known| reach_key(&known.record.service) == service);
+        let count = of_service.map(|known| known.server).collect::<BTreeSet<_>>().len();
+        drop(servers);
+        let mut reach = self.reach.borrow_mut();
+        let change = reach.record_failure(self.now(), service, server, count);
+        drop(reach);
+        if change == ReachChange::Lost {
+            log::warn!(
+                "servers: none of several servers can be connected to; service is out of reach. \
+                 service={} servers={count}",
+                self.name_service(service).unwrap_or_default()
+            );
+        }
+    }
+
+    /// The name of a service that has listed servers.
+    fn name_service(&self, service: ReachKey) -> Option<String> {
+        let servers = self.servers.borrow();
+        let found = servers.iter().find(|known| reach_key(&known.record.service) == service);
+        found.map(|known| known.record.service.clone())
+    }
+}
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
-use catkin_policy::{LimitTable, PauseTable};
+use catkin_policy::{LimitTable, PauseTable, ReachTable};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -106,6 +106,9 @@
     pub(crate) limits: RefCell<LimitTable>,
     /// Servers that asked this router for a pause.
     pub(crate) pauses: RefCell<PauseTable>,
+    pub(crate) reach: RefCell<ReachTable>,
+    /// Signals that a connect to a server failed.
+    pub(crate) connect_failure: Notify,
     pub(crate) demands: RefCell<DemandCounter>,
     pub(crate) crashes: RefCell<CrashBook>,
     /// Signals that quarantines are to be stored or removed from the store.
@@ -189,6 +192,8 @@
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
             pauses: RefCell::new(PauseTable::new(local_vm.0)),
+            reach: RefCell::default(),
+            connect_failure: Notify::new(),
             demands: RefCell::default(),
             crashes: RefCell::default(),
             crash_store_change: Notify::new(),
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -10,8 +10,8 @@
 //! Then `rank` and `plan` hold the entry router's side. The owner's side starts with `owner`;
 //! `decision`, `dispatch`, `release` and `handover` add its operations, and `ledger`, with `queue`,
 //! `health`, `warm`, `history` and `bound`, holds its state. `load` and `report` aggregate and send
-//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `server_pause`, `backoff` and
-//! `recent` stand alone.
+//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `server_pause`, `reach`, `backoff`
+//! and `recent` stand alone.
 //!
 //! ```
 //! use catkin_base::{ChatId, ServerId};
@@ -46,6 +46,7 @@
 mod plan;
 mod queue;
 mod rank;
+mod reach;
 mod recent;
 mod release;
 mod report;
@@ -70,6 +71,7 @@
 pub use owner::AdmissionOwner;
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_key_router, choose_owner, rank_servers};
+pub use reach::{ReachChange, ReachKey, ReachTable};
 pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
 pub use retry::{BudgetUsage, RetryBudget};
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
