--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -240,7 +240,8 @@
     metrics::counter!("catkin_entry_connections_total").increment(1);
     let deadline = answer_deadline.min(Instant::now() + CONNECT_TIMEOUT);
     let reserved = PooledConnection::reserve(state, server);
-    match HttpConnection::connect(assigned.address, deadline).await {
+    let source = state.settings().server_source;
+    match HttpConnection::connect_from(source, assigned.address, deadline).await {
         Ok(connection) => {
             state.record_connect(&call.service);
             Ok(reserved.with_connection(connection))
--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -81,7 +81,8 @@
         if state.is_paused(server) {
             continue;
         }
-        let listed = match fetch_list::<W>(addresses[&server]).await {
+        let listed = match fetch_list::<W>(state.settings().server_source, addresses[&server]).await
+        {
             Ok((notice, listed)) => {
                 let source = NoticeSource::Other(state.now());
                 state.record_notice(server, notice, source, "cache-list");
@@ -118,10 +119,11 @@
 
 /// Fetches a server's list of cached parts, and what the server states of itself in any answer.
 async fn fetch_list<W: EntryWire>(
+    source: Option<IpAddr>,
     address: SocketAddr,
 ) -> Result<(ServerNotice, ListResult), String> {
     let deadline = Instant::now() + LIST_TIMEOUT;
-    let opened = HttpConnection::connect(address, deadline).await;
+    let opened = HttpConnection::connect_from(source, address, deadline).await;
     let mut connection = opened.map_err(|error| error.to_string())?;
     let target = W::CACHE_LIST_TARGET;
     let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -1,7 +1,7 @@
 //! A persistent HTTP/1.1 client connection to a backend server or to the store.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,7 +12,7 @@
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv, sockopt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Maximum size of the head of an answer, in bytes.
@@ -93,7 +93,16 @@
 impl HttpConnection {
     /// Connects to `address`.
     pub async fn connect(address: SocketAddr, deadline: Instant) -> io::Result<Self> {
-        let connecting = TcpStream::connect(address);
+        Self::connect_from(None, address, deadline).await
+    }
+
+    /// Connects to `address` from the local address `source`, or one that the operating system chooses.
+    pub async fn connect_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> io::Result<Self> {
+        let connecting = open_stream(source, address);
         let stream = timeout_at(deadline, connecting).await.map_err(|_| timed_out())??;
         set_options(&stream);
         Ok(Self {
@@ -296,6 +305,13 @@
     }
 }
 
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 async fn next_bytes(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
--- a/crates/catkin-entry/src/crash_check.rs
+++ b/crates/catkin-entry/src/crash_check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,11 +57,12 @@
     address: SocketAddr,
 ) -> ServerCheck {
     let check = state.server_checks.borrow_mut().find_check(Instant::now(), server);
-    *check.get_or_init(|| connect_once(address)).await
+    let source = state.settings().server_source;
+    *check.get_or_init(|| connect_once(source, address)).await
 }
 
-async fn connect_once(address: SocketAddr) -> ServerCheck {
-    match HttpConnection::connect(address, Instant::now() + CHECK_TIMEOUT).await {
+async fn connect_once(source: Option<IpAddr>, address: SocketAddr) -> ServerCheck {
+    match HttpConnection::connect_from(source, address, Instant::now() + CHECK_TIMEOUT).await {
         Ok(_) => ServerCheck::Listening,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ServerCheck::Gone,
         Err(_) => ServerCheck::Silent,
--- a/crates/catkin-entry/src/reach_watch.rs
+++ b/crates/catkin-entry/src/reach_watch.rs
@@ -62,11 +62,13 @@
 
 /// Connects to servers at the same time, and records whether that succeeds.
 async fn check_servers<W: EntryWire>(state: &Rc<EntryState<W>>, checked: Vec<CheckedServer>) {
+    let source = state.settings().server_source;
     let mut connects = JoinSet::new();
     for server in checked {
         connects.spawn_local(async move {
             let deadline = Instant::now() + CONNECT_TIMEOUT;
-            (server, HttpConnection::connect(server.address, deadline).await.is_ok())
+            let connected = HttpConnection::connect_from(source, server.address, deadline).await;
+            (server, connected.is_ok())
         });
     }
     while let Some(Ok((checked, connected))) = connects.join_next().await {
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an entry router, as JSON with comments.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use json_comments::StripComments;
@@ -52,6 +52,10 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Local address of connections to backend servers, on a VM with several; the operating system
+    /// chooses it unless it is set.
+    #[serde(default)]
+    pub server_source: Option<IpAddr>,
     /// Grace period between a stop signal and the kill, in seconds.
     #[serde(default = "default_grace_seconds")]
     pub grace_seconds: f64,
