Pass requests on to other routers while this one reaches no server of their service

What callers saw: while two of seven routers were partitioned from all servers, 6 of 118 and 0 of 127 first tries at them were served, 427 of 430 and 352 of 357 at the others. Requests were refused after 1.6 s where connects hang, after 20 ms where they are refused.

Cause: a router had no way for a request but to a server (hypothesis 1), and did not know that it reached none (hypothesis 2). Class: a router takes what it can't reach for what is down, and is on its own with it.

A router that reaches no server of a service passes the request to the listener for callers of one that does: reports say which services a router does not reach, and the port of that listener. The request is unchanged but for its key and deadline; a statement, signed like the reports and bound to a hash of the request, stands in for the key and names the team, the version of the declarations, the attempts so far and the digest by which crashing requests are recognized. It is passed on once only. The other router serves it like a caller's and counts its load, limits, pauses and repeats; its answer is forwarded like a server's. A refusal of its own is marked: another router is tried if the cause is that router's, else the caller gets it. If no router reaches the service, requests are refused at once. A router that may be cut off reports no ejections, and blames no requests for broken connections; after a cut it forgets what failed.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -15,7 +15,7 @@
 use crate::connection::ExchangeFailure;
 use crate::origin_book::{SoftwareKey, StreamKey};
 use crate::record::RouteKind;
-use crate::state::EntryState;
+use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
 /// Maximum size of an answer that is read completely before it is forwarded, in bytes.
@@ -133,9 +133,9 @@
         if self.is_started() && !success {
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
         }
-        if !self.streaming && success {
-            answer.slot.record_start(&self.service);
-            answer.slot.record_pace(&self.service, answer.slot.elapsed());
+        if let Some(slot) = answer.slot.as_mut().filter(|_| !self.streaming && success) {
+            slot.record_start(&self.service);
+            slot.record_pace(&self.service, slot.elapsed());
         }
         if self.streaming && success {
             self.last_events = None;
@@ -176,10 +176,14 @@
             if let Some(events) = events {
                 awaits_first = false;
                 self.record_answered(state);
-                self.record_origin(state, answer.software);
-                answer.slot.record_start(&self.service);
-                self.measure_pace(&answer, &events);
-                answer.slot.mark_prefilled();
+                if let Some(software) = answer.software {
+                    self.record_origin(state, software);
+                }
+                if let Some(slot) = &mut answer.slot {
+                    slot.record_start(&self.service);
+                    self.measure_pace(slot, &events);
+                    slot.mark_prefilled();
+                }
                 self.write_events(&answer.head, &events, writer).await?;
             }
         }
@@ -207,7 +211,7 @@
 
     /// Measures the times between the events of a stream, and records their pace once there are
     /// enough of them.
-    fn measure_pace<W: EntryWire>(&mut self, answer: &StartedAnswer<W>, events: &[u8]) {
+    fn measure_pace<W: EntryWire>(&mut self, slot: &OpenSlot<W>, events: &[u8]) {
         let count = events.windows(2).filter(|bytes| bytes == b"\n\n").count();
         let now = Instant::now();
         if let Some(before) = self.last_events.replace(now) {
@@ -215,7 +219,7 @@
             self.event_gaps.extend(std::iter::repeat_n(gap, count));
         }
         if self.event_gaps.len() >= PACED_EVENTS {
-            answer.slot.record_pace(&self.service, drain_median(&mut self.event_gaps));
+            slot.record_pace(&self.service, drain_median(&mut self.event_gaps));
         }
     }
 
@@ -230,8 +234,8 @@
         let rest = self.splitter.take_remaining();
         if !rest.is_empty() && consists_of_events(&mut answer) {
             log::info!(
-                "server: stream ended inside an event; it counts as broken off. server={} bytes={}",
-                answer.slot.server,
+                "server: stream ended inside an event; it counts as broken off. server={:?} bytes={}",
+                answer.slot.as_ref().map(|slot| slot.server),
                 rest.len()
             );
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::call::{EntryCall, SendDetails, encode_call};
-use crate::connection::{ExchangeFailure, ExpectedAnswer, HttpConnection};
+use crate::connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
 use crate::connection_pool::{read_idle_timeout, share_connection_limit};
 use crate::crash_check::{ServerCheck, check_server};
 use crate::origin_book::SoftwareKey;
@@ -67,6 +67,7 @@
 
 impl AttemptError {
     pub(crate) const BROKEN: Self = Self::may_have_run(AttemptFailure::Broken);
+    pub(crate) const UNREACHABLE: Self = Self::not_run(AttemptFailure::Unreachable);
     pub(crate) const TIMED_OUT: Self = Self::may_have_run(AttemptFailure::TimedOut);
 
     const fn may_have_run(failure: AttemptFailure) -> Self {
@@ -91,6 +92,11 @@
         Self { failure: AttemptFailure::Answered, ran: RunVerdict::HasRun }
     }
 
+    /// The error for an exchange with another router.
+    pub(crate) const fn of_relay(error: ExchangeError) -> Self {
+        Self { failure: convert_failure(error.failure), ran: error.ran }
+    }
+
     /// The error for an answer that failed after its head had arrived.
     pub(crate) const fn of_answer(failure: ExchangeFailure) -> Self {
         Self::may_have_run(convert_failure(failure))
@@ -124,9 +130,10 @@
 pub(crate) struct StartedAnswer<W> {
     pub(crate) head: ResponseHead,
     pub(crate) connection: PooledConnection<W>,
-    pub(crate) slot: OpenSlot<W>,
-    /// Version of the server's software.
-    pub(crate) software: SoftwareKey,
+    /// Counts the request as open at the server; `None` if another router does.
+    pub(crate) slot: Option<OpenSlot<W>>,
+    /// Version of the server's software; `None` if another router forwards the answer.
+    pub(crate) software: Option<SoftwareKey>,
 }
 
 /// A guard of a connection that the pool counts; dropping it closes the connection, unless it was
@@ -137,13 +144,26 @@
     connection: Option<HttpConnection>,
     /// Whether the pool counts the connection until this guard is dropped.
     counted: bool,
+    /// Whether the connection is to a server, so that the pool takes it back.
+    pooled: bool,
 }
 
 impl<W> PooledConnection<W> {
     /// Creates the guard of a connection that the pool already counts, still without the
     /// connection.
     fn reserve(state: &Rc<EntryState<W>>, server: ServerId) -> Self {
-        Self { state: Rc::clone(state), server, connection: None, counted: true }
+        Self { state: Rc::clone(state), server, connection: None, counted: true, pooled: true }
+    }
+
+    /// Creates the guard of a connection to another router, which is used once.
+    pub(crate) fn to_router(state: &Rc<EntryState<W>>, connection: HttpConnection) -> Self {
+        Self {
+            state: Rc::clone(state),
+            server: ServerId(0),
+            connection: Some(connection),
+            counted: false,
+            pooled: false,
+        }
     }
 
     fn with_connection(mut self, connection: HttpConnection) -> Self {
@@ -158,7 +178,7 @@
     /// Returns the connection to the pool for another request, if it is reusable. `keep_alive` is
     /// the value of that header field in the answer.
     pub(crate) fn release(mut self, keep_alive: Option<&str>) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take().filter(|_| self.pooled) {
             self.counted = false;
             let idle = read_idle_timeout(keep_alive);
             self.state.pool.borrow_mut().release(self.server, connection, idle);
@@ -219,7 +239,8 @@
         }
     };
     let (head, connection) = check_head::<W>(state, call, &assigned, head, connection).await?;
-    Ok(StartedAnswer { head, connection, slot: assigned.slot, software: assigned.software })
+    let software = Some(assigned.software);
+    Ok(StartedAnswer { head, connection, slot: Some(assigned.slot), software })
 }
 
 /// Takes an idle connection from the pool or opens another one.
--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use catkin_base::{PartKey, RequestDigest, hash_parts};
 use catkin_http::{FieldList, RequestHead};
+use catkin_peer::messages::ForwardedCall;
 use tokio::time::Instant;
 
 use crate::cache_index::{PrefixPart, list_prefix_parts};
@@ -32,6 +33,9 @@
     "upgrade",
 ];
 
+/// Header field with the signed statement of the router that passes a request on to another one.
+pub(crate) const FORWARDED_FIELD: &str = "Catkin-Forwarded";
+
 /// Why a request was refused before a server was selected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CheckError {
@@ -43,6 +47,8 @@
     NoKey,
     /// The route has no service.
     NoService,
+    /// The router that passed the request on has newer declarations.
+    OutdatedTable,
 }
 
 /// A checked request of a caller.
@@ -77,19 +83,27 @@
     pub has_last_event: bool,
     /// Digest of target, API key and body, to recognize requests that crash servers.
     pub digest: RequestDigest,
+    /// Attempts at servers that may have run the request, made by the router that passed it on;
+    /// `None` if a caller sent it to this one.
+    pub forwarded_attempts: Option<u32>,
 }
 
 impl EntryCall {
-    /// Checks a request whose body has been read.
+    /// Checks a request whose body has been read. `forwarded` is the verified statement of the router
+    /// that passed it on, which has checked its key.
     pub fn check<W: EntryWire>(
         table: &RouteTable,
         head: RequestHead,
         body: Bytes,
         arrived: Instant,
+        forwarded: Option<&ForwardedCall>,
     ) -> Result<Self, CheckError> {
         check_fields::<W>(&head.fields)?;
         let names = &W::HEADERS;
-        let (route, team) = find_route(table, &head, names)?;
+        if forwarded.is_some_and(|forwarded| forwarded.declaration > table.version()) {
+            return Err(CheckError::OutdatedTable);
+        }
+        let (route, team) = find_route(table, &head, names, forwarded)?;
         let id = head.fields.values(names.request_id).next();
         let id = Bytes::copy_from_slice(id.ok_or(CheckError::BadField(names.request_id))?);
         let timeout = read_timeout(&head.fields, names)?;
@@ -98,7 +112,10 @@
         let seed =
             drop_last_prefix(&prefixes).last().map_or_else(|| hash_parts(&[&id]), |part| part.key);
         let service = choose_service(route, seed).ok_or(CheckError::NoService)?.to_owned();
-        let digest = digest_call(&head, &body, names);
+        let digest = match forwarded {
+            Some(forwarded) => RequestDigest(forwarded.digest),
+            None => digest_call(&head, &body, names),
+        };
         let has_last_event = head.fields.contains(names.last_event);
         let resumed_id = head.fields.text(names.resumes).map(str::to_owned);
         Ok(Self {
@@ -114,6 +131,7 @@
             resumed_id,
             has_last_event,
             digest,
+            forwarded_attempts: forwarded.map(|forwarded| forwarded.attempts),
             head,
             body,
         })
@@ -226,12 +244,16 @@
 }
 
 /// Whether a header field of the caller is forwarded to servers.
-fn is_forwarded<W: EntryWire>(fields: &FieldList, field: &catkin_http::HeaderField) -> bool {
+pub(crate) fn is_forwarded<W: EntryWire>(
+    fields: &FieldList,
+    field: &catkin_http::HeaderField,
+) -> bool {
     let names = &W::HEADERS;
     let router_fields =
         [names.deadline, names.key, names.team, names.expected_server, names.priority];
     !is_connection_field(fields, field)
         && !field.has_name("expect")
+        && !field.has_name(FORWARDED_FIELD)
         && !router_fields.iter().any(|name| field.has_name(name))
         && !W::ROUTER_ONLY.iter().any(|name| field.has_name(name))
 }
@@ -267,10 +289,15 @@
     table: &'a RouteTable,
     head: &RequestHead,
     names: &HeaderNames,
+    forwarded: Option<&ForwardedCall>,
 ) -> Result<(&'a RouteRecord, Option<&'a TeamRecord>), CheckError> {
     let host = head.fields.text("host").ok_or(CheckError::BadField("host"))?;
     let target = std::str::from_utf8(&head.target).map_err(|_| CheckError::BadField("target"))?;
-    match table.find_route(host, target, head.fields.text(names.key)) {
+    let found = match forwarded {
+        Some(forwarded) => table.find_route_of_team(host, target, &forwarded.team),
+        None => table.find_route(host, target, head.fields.text(names.key)),
+    };
+    match found {
         RouteMatch::Found(route, team) => Ok((route, team)),
         RouteMatch::NoRoute => Err(CheckError::NoRoute),
         RouteMatch::NoKey => Err(CheckError::NoKey),
--- /dev/null
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -0,0 +1,238 @@
+//! Passes a request on to another router, which reaches the servers that this one does not.
+//!
+//! The request goes to the other router's listener for callers, unchanged but for its key and its
+//! deadline, with a signed statement of this router in place of the key. The other router serves it like a
+//! caller's request, and its answer is forwarded like a server's.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catkin_base::VmId;
+use catkin_http::{FieldList, RequestHead, ResponseHead};
+use catkin_peer::messages::ForwardedCall;
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use crate::attempt::{AttemptError, PooledConnection, StartedAnswer};
+use crate::call::{EntryCall, FORWARDED_FIELD, is_connection_field, is_forwarded, write_field};
+use crate::connection::{ExpectedAnswer, HttpConnection};
+use crate::peer_service::CallHelper;
+use crate::reach_watch::reach_key;
+use crate::state::EntryState;
+use crate::wire::EntryWire;
+
+/// Header field with the cause of a refusal, if a router refuses a request of another router.
+pub(crate) const REFUSED_FIELD: &str = "Catkin-Refused";
+/// Causes of refusals after which another router may serve the request.
+const LOCAL_CAUSES: [&str; 5] =
+    ["out-of-reach", "stopping", "no-declarations", "no-key", "no-route"];
+/// Timeout for connecting to another router.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The answer of another router.
+pub(crate) struct RelayedAnswer<W> {
+    pub(crate) started: StartedAnswer<W>,
+    /// Whether the other router refused the request.
+    is_refusal: bool,
+}
+
+impl<W> RelayedAnswer<W> {
+    /// Whether the answer says that the request was not run and will not be.
+    pub(crate) fn promises_not_run(&self) -> bool {
+        self.is_refusal && matches!(self.started.head.status, 408 | 421 | 429 | 503)
+    }
+}
+
+/// How an attempt to pass a request on ended.
+pub(crate) enum RelayResult<W> {
+    /// No other router reaches the service.
+    NoHelper,
+    /// The other router did not run the request, for a cause of its own.
+    Refused,
+    /// The other router could not be reached, or its connection broke before the answer.
+    Failed(AttemptError),
+    /// The head of the answer has arrived.
+    Answered(VmId, Box<RelayedAnswer<W>>),
+}
+
+/// Sends a request to a router that was not tried yet, and waits for the head of the answer. `attempts` is the
+/// number of attempts at servers that may have run it.
+pub(crate) async fn send_relayed<W: EntryWire>(
+    state: &Rc<EntryState<W>>,
+    call: &EntryCall,
+    attempts: u32,
+    tried: &mut BTreeSet<VmId>,
+) -> RelayResult<W> {
+    let peers = state.peers.borrow().clone();
+    let service = reach_key(&call.service);
+    let helper = peers.as_ref().and_then(|peers| peers.choose_helper(state, service, tried));
+    let (Some(peers), Some(helper)) = (peers, helper) else { return RelayResult::NoHelper };
+    tried.insert(helper.vm);
+    let deadline = call.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let mut connection = match HttpConnection::connect(helper.address, deadline).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::info!(
+                "peers: connecting to pass a request on failed. request={} helper={} error={error}",
+                call.id_text(),
+                helper.vm
+            );
+            peers.record_failed_helper(helper.vm);
+            return RelayResult::Failed(AttemptError::UNREACHABLE);
+        }
+    };
+    log::info!(
+        "call: no server in reach; passing the request on. request={} helper={} attempts={attempts}",
+        call.id_text(),
+        helper.vm
+    );
+    metrics::counter!("catkin_entry_relayed_total").increment(1);
+    let request = encode_relayed::<W>(call, helper, attempts, |vm, forwarded| {
+        peers.sign_forwarded(vm, forwarded)
+    });
+    let expected = ExpectedAnswer { id_field: W::HEADERS.request_id, id: &call.id };
+    let exchanged =
+        connection.exchange(&request, Some(expected), call.is_head(), call.deadline).await;
+    match exchanged {
+        Ok(head) => check_relayed(state, call, helper, head, connection),
+        Err(error) => RelayResult::Failed(AttemptError::of_relay(error)),
+    }
+}
+
+/// Classifies the answer of another router. What it says of a server is that server's statement.
+fn check_relayed<W: EntryWire>(
+    state: &Rc<EntryState<W>>,
+    call: &EntryCall,
+    helper: CallHelper,
+    mut head: ResponseHead,
+    connection: HttpConnection,
+) -> RelayResult<W> {
+    let cause = head.fields.text(REFUSED_FIELD).map(str::to_owned);
+    if let Some(cause) = &cause {
+        log::info!(
+            "call: the other router refused the request. request={} helper={} cause={cause} status={}",
+            call.id_text(),
+            helper.vm,
+            head.status
+        );
+    }
+    let not_run = head.status != 502 && head.status != 504;
+    if not_run && cause.as_deref().is_some_and(|cause| LOCAL_CAUSES.contains(&cause)) {
+        return RelayResult::Refused;
+    }
+    let fields = std::mem::take(&mut head.fields);
+    for field in fields.iter().filter(|field| !field.has_name(REFUSED_FIELD)) {
+        head.fields.push(field.clone());
+    }
+    let connection = PooledConnection::to_router(state, connection);
+    let started = StartedAnswer { head, connection, slot: None, software: None };
+    let answer = RelayedAnswer { started, is_refusal: cause.is_some() };
+    RelayResult::Answered(helper.vm, Box::new(answer))
+}
+
+/// Encodes a request for another router. `sign` signs the statement on it.
+fn encode_relayed<W: EntryWire>(
+    call: &EntryCall,
+    helper: CallHelper,
+    attempts: u32,
+    sign: impl Fn(VmId, ForwardedCall) -> Vec<u8>,
+) -> Vec<u8> {
+    let names = &W::HEADERS;
+    let remaining = call.deadline.saturating_duration_since(Instant::now()).as_millis();
+    let remaining = remaining.to_string();
+    let passed = call.head.fields.iter();
+    let passed = passed.filter(|field| is_forwarded::<W>(&call.head.fields, field));
+    let fields = passed.map(|field| (&field.name[..], &field.value[..]));
+    let fields: Vec<(&[u8], &[u8])> =
+        fields.chain([(names.deadline.as_bytes(), remaining.as_bytes())]).collect();
+    let (method, target) = (&call.head.method[..], &call.head.target[..]);
+    let hash = hash_content(method, target, fields.iter().copied(), &call.body);
+    let forwarded = ForwardedCall {
+        content_hash: hash.to_vec(),
+        team: call.team.clone().unwrap_or_default(),
+        declaration: call.version,
+        attempts,
+        digest: call.digest.0,
+    };
+    let statement = encode_hex(&sign(helper.vm, forwarded));
+    let mut text = Vec::with_capacity(1_024 + call.body.len());
+    for bytes in [method, b" ", target, b" HTTP/1.1\r\n"] {
+        text.extend_from_slice(bytes);
+    }
+    for (name, value) in fields {
+        write_field(&mut text, name, value);
+    }
+    write_field(&mut text, FORWARDED_FIELD.as_bytes(), statement.as_bytes());
+    if !call.body.is_empty() || method == b"POST" {
+        write_field(&mut text, b"Content-Length", call.body.len().to_string().as_bytes());
+    }
+    text.extend_from_slice(b"\r\n");
+    text.extend_from_slice(&call.body);
+    text
+}
+
+/// Returns the statement of the router that passed a request on; `None` if there is none, or if it is not
+/// authentic or about another request.
+pub(crate) fn verify_forwarded<W: EntryWire>(
+    state: &EntryState<W>,
+    head: &RequestHead,
+    body: &Bytes,
+) -> Option<ForwardedCall> {
+    let statement = decode_hex(head.fields.text(FORWARDED_FIELD)?)?;
+    let peers = state.peers.borrow().clone()?;
+    let forwarded = peers.verify_forwarded(&statement);
+    let hash = hash_content(&head.method, &head.target, list_passed(&head.fields), body);
+    let authentic = forwarded.filter(|forwarded| forwarded.content_hash[..] == hash[..]);
+    if authentic.is_none() {
+        log::info!(
+            "caller: the statement of another router is not authentic; the request needs a key."
+        );
+    }
+    authentic
+}
+
+/// The fields of a request that the statement on it covers.
+fn list_passed(fields: &FieldList) -> impl Iterator<Item = (&[u8], &[u8])> {
+    let passed = fields
+        .iter()
+        .filter(|field| !is_connection_field(fields, field) && !field.has_name(FORWARDED_FIELD));
+    passed.map(|field| (&field.name[..], &field.value[..]))
+}
+
+/// Hashes what one router passes on to another. Each part is preceded by its length.
+fn hash_content<'a>(
+    method: &[u8],
+    target: &[u8],
+    fields: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+    body: &[u8],
+) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    let mut add = |bytes: &[u8]| {
+        hash.update((bytes.len() as u64).to_le_bytes());
+        hash.update(bytes);
+    };
+    add(method);
+    add(target);
+    for (name, value) in fields {
+        add(name);
+        add(value);
+    }
+    add(body);
+    hash.finalize().into()
+}
+
+fn encode_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Decodes hexadecimal digits; `None` if they are none.
+fn decode_hex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    if !digits.len().is_multiple_of(2) || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    let pairs = text.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).unwrap_or_default());
+    pairs.map(|pair| u8::from_str_radix(pair, 16).ok()).collect()
+}
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -10,13 +10,15 @@
     BodyDecoder, BodyFraming, BodyStep, HeadError, RequestHead, determine_request_framing,
     take_request_head,
 };
+use catkin_peer::messages::ForwardedCall;
 use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-use crate::call::{CheckError, EntryCall, write_field};
+use crate::call::{CheckError, EntryCall, FORWARDED_FIELD, write_field};
+use crate::call_relay::{REFUSED_FIELD, verify_forwarded};
 use crate::connection::set_options;
 use crate::record::CallerBounds;
 use crate::refusal::{Refusal, RefusalCause, reason_phrase};
@@ -55,6 +57,9 @@
     pub(crate) chunks: bool,
     /// Whether any byte of the current answer was written.
     pub(crate) started: bool,
+    /// Whether refusals state that they come from this router, since another one passed the request
+    /// on.
+    marks_refusals: bool,
 }
 
 impl CallerWriter {
@@ -118,7 +123,13 @@
     set_options(&stream);
     let (reader, writer) = stream.into_split();
     let mut connection = CallerConnection { reader, buffer: BytesMut::new(), served: false };
-    let mut writer = CallerWriter { writer, closing: false, chunks: true, started: false };
+    let mut writer = CallerWriter {
+        writer,
+        closing: false,
+        chunks: true,
+        started: false,
+        marks_refusals: false,
+    };
     loop {
         let end = match connection.read_head(&state).await {
             HeadRead::Closed => return,
@@ -206,7 +217,9 @@
             Err(None) => return None,
         };
         wait_for_declarations(state, arrived).await;
-        let call = match check_call(state, head, body, arrived) {
+        writer.marks_refusals = head.fields.contains(FORWARDED_FIELD);
+        let forwarded = verify_forwarded(state, &head, &body);
+        let call = match check_call(state, head, body, arrived, forwarded.as_ref()) {
             Ok(call) => call,
             Err(refusal) => {
                 let pause = refusal.retry_after(ASSUMED_TIME_LEFT, &mut rand::rng());
@@ -323,6 +336,7 @@
     head: RequestHead,
     body: Bytes,
     arrived: Instant,
+    forwarded: Option<&ForwardedCall>,
 ) -> Result<EntryCall, Refusal> {
     let id = head.fields.text(W::HEADERS.request_id).unwrap_or("-").to_owned();
     let Some(table) = state.route_table() else {
@@ -331,12 +345,13 @@
         );
         return Err(Refusal::not_run(RefusalCause::NoDeclarations));
     };
-    EntryCall::check::<W>(&table, head, body, arrived).map_err(|error| {
+    EntryCall::check::<W>(&table, head, body, arrived, forwarded).map_err(|error| {
         let cause = match error {
             CheckError::BadField(_) => RefusalCause::BadRequest,
             CheckError::NoRoute => RefusalCause::NoRoute,
             CheckError::NoKey => RefusalCause::NoKey,
             CheckError::NoService => RefusalCause::NoServer,
+            CheckError::OutdatedTable => RefusalCause::NoDeclarations,
         };
         let version = table.version();
         log::info!(
@@ -374,6 +389,9 @@
     let mut text = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status)).into_bytes();
     write_field(&mut text, b"Content-Type", b"application/json");
     write_field(&mut text, b"Content-Length", body.len().to_string().as_bytes());
+    if writer.marks_refusals {
+        write_field(&mut text, REFUSED_FIELD.as_bytes(), refusal.as_word().as_bytes());
+    }
     if let Some(pause) = retry_after {
         write_field(&mut text, b"Retry-After", format!("{:.3}", pause.as_secs_f64()).as_bytes());
     }
--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -66,7 +66,10 @@
             Ok(record) if vm != state.local_vm => {
                 let domain = record.domain.as_deref().map(DomainId::from_name);
                 let RouterRecord { address, strength, .. } = record;
-                routers.insert(vm, KnownRouter { address, last_heard: now, domain, strength });
+                routers.insert(
+                    vm,
+                    KnownRouter { address, last_heard: now, domain, strength, callers_port: 0 },
+                );
             }
             Ok(_) => {}
             Err(error) => log::warn!(
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod cache_loader;
 mod cache_sync;
 mod call;
+mod call_relay;
 mod caller;
 mod connection;
 mod connection_pool;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -10,10 +10,12 @@
 use catkin_base::{ClockTime, DomainId, PartKey, RequestDigest, ServerId, VmId};
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
-    DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, PeerMessage, ServerListAsk,
-    ServerListCopy,
+    DeclarationAsk, DeclarationCopy, EntryReport, EntryScope, ForwardedCall, PeerMessage,
+    ServerListAsk, ServerListCopy,
 };
 use catkin_peer::{DropReason, MessageSource, PeerLink, UdpLink};
+use catkin_policy::ReachKey;
+use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cache_index::CachedPart;
@@ -71,6 +73,8 @@
 const MAX_JOIN_LEAVES: usize = 32;
 /// Maximum number of reports of one kind to a router that starts.
 const MAX_JOIN_REPORTS: usize = 8;
+/// Time for which a router that could not be connected to gets no requests.
+const FAILED_HELPER_TIME: Duration = Duration::from_millis(1_000);
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -84,6 +88,16 @@
     pub(crate) domain: Option<DomainId>,
     /// Its relative capacity for relaying: link bandwidth times CPU share.
     pub(crate) strength: u32,
+    /// Port of its listener for callers; 0 if it takes no requests of other routers, or until known.
+    pub(crate) callers_port: u16,
+}
+
+/// A router that requests are passed on to.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallHelper {
+    pub(crate) vm: VmId,
+    /// Address of its listener for callers.
+    pub(crate) address: SocketAddr,
 }
 
 /// The link to the other routers, and their state as last reported.
@@ -103,6 +117,10 @@
     requested_at: Cell<Option<Instant>>,
     /// Since when other routers have had newer declarations than this one.
     outdated_since: Cell<Option<Instant>>,
+    /// Services that other routers don't reach, as reported.
+    lost_services: RefCell<BTreeMap<VmId, BTreeSet<ReachKey>>>,
+    /// Routers that could not be connected to, and until when they get no requests.
+    failed_helpers: RefCell<BTreeMap<VmId, Instant>>,
     /// Number of received messages that were dropped because of an incarnation, as last logged.
     logged_drops: Cell<u64>,
 }
@@ -121,6 +139,8 @@
             is_relay: Cell::new(false),
             requested_at: Cell::new(None),
             outdated_since: Cell::new(None),
+            lost_services: RefCell::default(),
+            failed_helpers: RefCell::default(),
             logged_drops: Cell::new(0),
         }
     }
@@ -195,7 +215,10 @@
             last_heard: now,
             domain: Some(domain),
             strength: report.strength,
+            callers_port: u16::try_from(report.callers_port).unwrap_or(0),
         };
+        let lost = report.lost_services.iter().copied().map(ReachKey).collect();
+        self.lost_services.borrow_mut().insert(source.vm, lost);
         if report.scope() == EntryScope::Domain {
             self.relays.borrow_mut().record_relay(now, domain, source.vm);
         }
@@ -218,6 +241,7 @@
                 source.vm
             );
             self.routers.borrow_mut().remove(&source.vm);
+            self.lost_services.borrow_mut().remove(&source.vm);
             return state.loads.borrow_mut().remove_router(source.vm);
         }
         self.record_loads(state, source, report);
@@ -611,6 +635,58 @@
         self.routers.borrow().len() >= MAX_SMALL_FLEET && is_remote(domain, state.local_domain)
     }
 
+    /// Chooses a router that reaches the service, in the own failure domain if at least half of it
+    /// does.
+    pub(crate) fn choose_helper<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        service: ReachKey,
+        tried: &BTreeSet<VmId>,
+    ) -> Option<CallHelper> {
+        let now = state.now();
+        let routers = self.routers.borrow();
+        let lost = self.lost_services.borrow();
+        let failed = self.failed_helpers.borrow();
+        let large = routers.len() >= MAX_SMALL_FLEET;
+        let helps = |vm: &VmId, router: &KnownRouter| {
+            let remote = large && is_remote(router.domain, state.local_domain);
+            let silent_millis = if remote { REMOVAL_MILLIS } else { ALIVE_MILLIS };
+            router.callers_port != 0
+                && now.millis_since(router.last_heard) < silent_millis
+                && lost.get(vm).is_none_or(|services| !services.contains(&service))
+                && failed.get(vm).is_none_or(|until| *until <= Instant::now())
+                && !tried.contains(vm)
+        };
+        let helpers: Vec<_> = routers.iter().filter(|(vm, router)| helps(vm, router)).collect();
+        let is_near = |router: &KnownRouter| router.domain == Some(state.local_domain);
+        let near = helpers.iter().copied().filter(|(_, router)| is_near(router));
+        let near: Vec<_> = near.collect();
+        let near_routers = routers.values().filter(|router| is_near(router)).count();
+        let chosen =
+            if !near.is_empty() && near.len() * 2 >= near_routers { near } else { helpers };
+        let (vm, router) = chosen.into_iter().choose(&mut rand::rng())?;
+        let address = SocketAddr::new(router.address.ip(), router.callers_port);
+        Some(CallHelper { vm: *vm, address })
+    }
+
+    /// Records that a router could not be connected to.
+    pub(crate) fn record_failed_helper(&self, vm: VmId) {
+        self.failed_helpers.borrow_mut().insert(vm, Instant::now() + FAILED_HELPER_TIME);
+    }
+
+    /// Signs the statement that accompanies a request to another router.
+    pub(crate) fn sign_forwarded(&self, vm: VmId, forwarded: ForwardedCall) -> Vec<u8> {
+        self.link.sign_message(vm, &wrap_message(Kind::ForwardedCall(forwarded)))
+    }
+
+    /// Verifies such a statement.
+    pub(crate) fn verify_forwarded(&self, frame: &[u8]) -> Option<ForwardedCall> {
+        match self.link.verify_message(frame)?.kind {
+            Some(Kind::ForwardedCall(forwarded)) => Some(forwarded),
+            _ => None,
+        }
+    }
+
     fn send_to(&self, vms: &[VmId], report: EntryReport) {
         let message = wrap_message(Kind::EntryReport(report));
         let routers = self.routers.borrow();
@@ -664,6 +740,8 @@
             let now = state.now();
             let mut routers = self.routers.borrow_mut();
             routers.retain(|_, router| now.millis_since(router.last_heard) < REMOVAL_MILLIS);
+            self.lost_services.borrow_mut().retain(|vm, _| routers.contains_key(vm));
+            self.failed_helpers.borrow_mut().retain(|_, until| Instant::now() < *until);
             let mut report = build_status(state);
             report.joining = true;
             let message = wrap_message(Kind::EntryReport(report));
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -262,7 +262,8 @@
 }
 
 async fn run_peers<W: EntryWire>(state: Rc<EntryState<W>>) {
-    let service = join_fleet(&state).await;
+    let service = Rc::new(join_fleet(&state).await);
+    *state.peers.borrow_mut() = Some(Rc::clone(&service));
     state.joined.set(true);
     let exchange = async {
         tokio::join!(
--- a/crates/catkin-entry/src/reach_watch.rs
+++ b/crates/catkin-entry/src/reach_watch.rs
@@ -3,7 +3,7 @@
 //! A router without requests must know before its next caller that it is cut off. So it connects to some
 //! server now and then, and to several as soon as a connect has failed.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -136,6 +136,12 @@
     fn apply_connect(&self, service: ReachKey) {
         let change = self.reach.borrow_mut().record_connect(self.now(), service);
         if change == ReachChange::Regained {
+            // What failed while the service was out of reach says nothing of its servers.
+            for server in self.list_service(service) {
+                self.outcomes.borrow_mut().remove_server(server);
+            }
+            self.updates.borrow_mut().send_now = true;
+            self.selection_input_change.notify_waiters();
             log::info!(
                 "servers: service is in reach again. service={}",
                 self.name_service(service).unwrap_or_default()
@@ -144,15 +150,15 @@
     }
 
     fn apply_failure(&self, service: ReachKey, server: ServerId) {
-        let servers = self.servers.borrow();
-        let listed = servers.iter().filter(|known| !known.record.leaving);
-        let of_service = listed.filter(|known| reach_key(&known.record.service) == service);
-        let count = of_service.map(|known| known.server).collect::<BTreeSet<_>>().len();
-        drop(servers);
-        let mut reach = self.reach.borrow_mut();
-        let change = reach.record_failure(self.now(), service, server, count);
-        drop(reach);
+        let servers = self.list_service(service);
+        let count = servers.len();
+        let change = self.reach.borrow_mut().record_failure(self.now(), service, server, count);
         if change == ReachChange::Lost {
+            for server in servers {
+                self.pool.borrow_mut().drop_idle_to(server);
+            }
+            self.updates.borrow_mut().send_now = true;
+            self.selection_input_change.notify_waiters();
             log::warn!(
                 "servers: none of several servers can be connected to; service is out of reach. \
                  service={} servers={count}",
@@ -161,6 +167,19 @@
         }
     }
 
+    /// The servers of a service that may get requests.
+    fn list_service(&self, service: ReachKey) -> Vec<ServerId> {
+        let servers = self.servers.borrow();
+        let listed = servers.iter().filter(|known| !known.record.leaving);
+        let of_service = listed.filter(|known| reach_key(&known.record.service) == service);
+        of_service.map(|known| known.server).collect()
+    }
+
+    /// Whether this router reaches no server of the service.
+    pub(crate) fn is_out_of_reach(&self, service: &str) -> bool {
+        self.reach.borrow().is_lost(reach_key(service))
+    }
+
     /// The name of a service that has listed servers.
     fn name_service(&self, service: ReachKey) -> Option<String> {
         let servers = self.servers.borrow();
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -38,6 +38,8 @@
     Limited,
     /// All servers asked for a pause; the first one ends after this time.
     Paused(Duration),
+    /// This router reaches no server of the service, and no other router could be asked.
+    OutOfReach,
     /// Attempts failed and no further one is allowed.
     ServerFailed,
     /// The deadline of the request has passed.
@@ -81,6 +83,7 @@
             RefusalCause::Full => "full",
             RefusalCause::Limited => "limited",
             RefusalCause::Paused(_) => "paused",
+            RefusalCause::OutOfReach => "out-of-reach",
             RefusalCause::ServerFailed => "server-failed",
             RefusalCause::TimeOver => "time-over",
             RefusalCause::Quarantined => "quarantined",
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -14,6 +14,7 @@
 use crate::departure_table::ServerDeparture;
 use crate::limit_exchange::encode_demand;
 use crate::load_table::{OpenLoad, ServiceKey};
+use crate::reach_watch::reach_key;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
 
@@ -57,13 +58,24 @@
     let leaving = servers.departures();
     let leaving = leaving.map(encode_departure);
     let outcomes = state.outcomes.borrow();
-    let ejected = outcomes.local_ejections(state.now());
+    // A router that may be cut off knows nothing of the servers that it can't connect to.
+    let now = state.now();
+    let reach = state.reach.borrow();
+    let is_known = |server: &ServerId| {
+        let known = servers.get(*server);
+        known.is_none_or(|known| !reach.is_doubtful(now, reach_key(&known.record.service)))
+    };
+    let ejected = outcomes.local_ejections(now).filter(is_known);
     let ejected = ejected.map(ejected_count);
+    let settings = state.settings();
+    let callers_port = if state.is_stopping() { 0 } else { settings.callers.port() };
     EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
         directory: servers.latest_change().as_number(),
         domain: state.local_domain.0,
-        strength: state.settings().strength(),
+        strength: settings.strength(),
+        callers_port: callers_port.into(),
+        lost_services: reach.lost_services().map(|service| service.0).collect(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
         ..EntryReport::default()
--- a/crates/catkin-entry/src/route_table.rs
+++ b/crates/catkin-entry/src/route_table.rs
@@ -57,6 +57,22 @@
     /// Finds the route and team of a request for `target` at `host` with `key`. The longest
     /// matching path prefix wins.
     pub fn find_route(&self, host: &str, target: &str, key: Option<&str>) -> RouteMatch<'_> {
+        self.match_route(host, target, key.and_then(|key| self.find_team(key)))
+    }
+
+    /// Finds the route of a request whose key another router has checked. `team` is the name of the
+    /// team, empty if the request had no key.
+    pub fn find_route_of_team(&self, host: &str, target: &str, team: &str) -> RouteMatch<'_> {
+        let mut teams = self.declarations.teams.iter().flatten();
+        self.match_route(host, target, teams.find(|known| known.name == team))
+    }
+
+    fn match_route<'a>(
+        &'a self,
+        host: &str,
+        target: &str,
+        team: Option<&'a TeamRecord>,
+    ) -> RouteMatch<'a> {
         let host = strip_port(host).to_ascii_lowercase();
         let path = target.split(['?', '#']).next().unwrap_or_default();
         let mut indices = self.hosts.get(&host).into_iter().flatten();
@@ -65,7 +81,6 @@
             return RouteMatch::NoRoute;
         };
         let route = &routes[*index];
-        let team = key.and_then(|key| self.find_team(key));
         if team.is_none() && !route.public && self.declarations.teams.is_some() {
             return RouteMatch::NoKey;
         }
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{RunVerdict, ServerId};
+use catkin_base::{RunVerdict, ServerId, VmId};
 use catkin_policy::CrashEvidence;
 use tokio::time::{Instant, timeout_at};
 
@@ -14,6 +14,7 @@
 use crate::assign::assign_server;
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer, send_attempt};
 use crate::call::EntryCall;
+use crate::call_relay::{RelayResult, send_relayed};
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
 use crate::crash_book::CrashSource;
 use crate::crash_check::{ServerCheck, check_server};
@@ -34,6 +35,8 @@
 /// Minimum of this timeout.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of other routers that a request is passed on to, one after the other.
+const MAX_HELPERS: u32 = 3;
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 16;
 /// Maximum wait for other routers to tell where a stream began.
@@ -63,8 +66,12 @@
     let _open = OpenCall::new(state);
     let now = state.now();
     let routers = state.budget_routers();
-    state.budgets.borrow_mut().record_request(now, &call.service, routers);
-    state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
+    if call.forwarded_attempts.is_none() {
+        state.budgets.borrow_mut().record_request(now, &call.service, routers);
+    }
+    if !state.is_out_of_reach(&call.service) {
+        state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
+    }
     let served = run_call(state, call, writer).await;
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
@@ -81,6 +88,16 @@
             let last = writer.closing;
             Ok(if last { CallEnd::AnsweredLast } else { CallEnd::Answered })
         }
+        Ok(ServedCall::Relayed { status, helper }) => {
+            log::info!(
+                "call: answered through another router. request={} route={route} status={status} \
+                 millis={millis} helper={helper}",
+                call.id_text()
+            );
+            record_answer(call, status);
+            let last = writer.closing;
+            Ok(if last { CallEnd::AnsweredLast } else { CallEnd::Answered })
+        }
         Ok(ServedCall::Truncated(error)) => {
             log::warn!(
                 "call: answer broke off after the caller had a part; closing the connection. \
@@ -136,6 +153,8 @@
         /// The limit that the server named, as received.
         stated_limit: Option<String>,
     },
+    /// The caller has the complete answer, which another router forwarded.
+    Relayed { status: u16, helper: VmId },
     /// The answer broke off after the caller had a part of it.
     Truncated(AttemptError),
     /// The caller gets a refusal instead of an answer.
@@ -156,16 +175,22 @@
     }
     let mut progress = CallProgress {
         tried: BTreeSet::new(),
-        possibly_run_attempts: 0,
+        possibly_run_attempts: call.forwarded_attempts.unwrap_or(0),
         not_run_attempts: 0,
         ran: RunVerdict::NotRun,
     };
+    let mut forwarder = AnswerForwarder::new(call);
+    if state.is_out_of_reach(&call.service) {
+        return relay_call(state, call, &progress, &mut forwarder, writer).await;
+    }
     let resumed_software = match find_resumed_software(state, call).await {
         Ok(software) => software,
         Err(cause) => return Ok(ServedCall::Refused(Refusal::not_run(cause))),
     };
-    let mut forwarder = AnswerForwarder::new(call);
     loop {
+        if state.is_out_of_reach(&call.service) && !forwarder.is_started() {
+            return relay_call(state, call, &progress, &mut forwarder, writer).await;
+        }
         let software = forwarder.software().or(resumed_software);
         let assigned = match assign_server(state, call, &progress.tried, software).await {
             Ok(assigned) => assigned,
@@ -241,7 +266,10 @@
                 }
             }
         };
-        if error.may_have_crashed() && !call.prefixes.is_empty() && !forwarder.is_answered() {
+        // A router that is cut off sees connections break as if their servers had crashed.
+        let is_in_reach = !state.is_out_of_reach(&call.service);
+        let may_blame = error.may_have_crashed() && is_in_reach;
+        if may_blame && !call.prefixes.is_empty() && !forwarder.is_answered() {
             let check = check_server(state, server, address).await;
             log_possible_crash(call, server, forwarder.first_events(), check);
             if let Some(evidence) = assess_crash(error.failure, check) {
@@ -269,6 +297,59 @@
     }
 }
 
+/// Passes a request on to other routers, since this one reaches no server of its service.
+async fn relay_call<W: EntryWire>(
+    state: &Rc<EntryState<W>>,
+    call: &EntryCall,
+    progress: &CallProgress,
+    forwarder: &mut AnswerForwarder,
+    writer: &mut CallerWriter,
+) -> io::Result<ServedCall> {
+    let refuse = |cause, ran| Ok(ServedCall::Refused(Refusal { cause, ran }));
+    // A request is passed on once only, so that no two routers pass it to one another.
+    if call.forwarded_attempts.is_some() {
+        return refuse(RefusalCause::OutOfReach, progress.ran);
+    }
+    let mut attempts = progress.possibly_run_attempts;
+    let mut ran = progress.ran;
+    let mut tried = BTreeSet::new();
+    for _ in 0..MAX_HELPERS {
+        let relayed = send_relayed(state, call, attempts, &mut tried).await;
+        let (helper, answer) = match relayed {
+            RelayResult::NoHelper => break,
+            RelayResult::Refused => continue,
+            RelayResult::Failed(error) => {
+                ran = ran.combine(error.ran);
+                attempts += u32::from(error.ran != RunVerdict::NotRun);
+                let allowed = ran == RunVerdict::NotRun || call.may_repeat();
+                let paid = error.ran == RunVerdict::NotRun || spend_retry(state, call);
+                if Instant::now() >= call.deadline {
+                    return refuse(RefusalCause::TimeOver, ran);
+                }
+                if !allowed || !paid || attempts >= call.route.max_attempts {
+                    return refuse(RefusalCause::ServerFailed, ran);
+                }
+                continue;
+            }
+            RelayResult::Answered(helper, answer) => (helper, answer),
+        };
+        // Only this router knows of its own attempts.
+        if ran != RunVerdict::NotRun && answer.promises_not_run() {
+            return refuse(RefusalCause::ServerFailed, ran);
+        }
+        let deadline = call.deadline;
+        return match forward_answer(state, call, answer.started, forwarder, writer, deadline)
+            .await?
+        {
+            ForwardEnd::Complete { status } => Ok(ServedCall::Relayed { status, helper }),
+            ForwardEnd::Failed(error) if forwarder.is_started() => Ok(ServedCall::Truncated(error)),
+            ForwardEnd::Failed(error) => refuse(RefusalCause::ServerFailed, ran.combine(error.ran)),
+        };
+    }
+    let over = Instant::now() >= call.deadline;
+    refuse(if over { RefusalCause::TimeOver } else { RefusalCause::OutOfReach }, ran)
+}
+
 /// Ends a request whose content was quarantined while it waited for a server.
 fn end_quarantined(progress: &CallProgress, forwarder: &AnswerForwarder) -> ServedCall {
     if forwarder.is_started() {
@@ -479,6 +560,7 @@
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
     if broke
         && error.may_have_crashed()
+        && !state.is_out_of_reach(&call.service)
         && state.record_strike(call.digest, server, CrashSource::Local)
     {
         state.updates.borrow_mut().crashes.strikes.push((call.digest, server));
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -23,6 +23,7 @@
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
+use crate::peer_service::PeerService;
 use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
 use crate::server_book::{ServerBook, ServerChange};
@@ -125,6 +126,8 @@
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) server_checks: RefCell<CheckTable>,
     pub(crate) updates: RefCell<PeerUpdates>,
+    /// The other routers, once this one has joined the fleet.
+    pub(crate) peers: RefCell<Option<Rc<PeerService>>>,
     /// Pending updates to other domains, if this router is a relay.
     pub(crate) to_other_domains: RefCell<RelayUpdates>,
     /// Pending updates to the own domain, if this router is a relay.
@@ -205,6 +208,7 @@
             pool: RefCell::default(),
             server_checks: RefCell::default(),
             updates: RefCell::default(),
+            peers: RefCell::default(),
             to_other_domains: RefCell::default(),
             to_own_domain: RefCell::default(),
             selection_input_change: Notify::new(),
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -32,7 +32,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PeerMessage {
-    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28")]
+    #[prost(oneof = "peer_message::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29")]
     pub kind: ::core::option::Option<peer_message::Kind>,
 }
 /// Nested message and enum types in `PeerMessage`.
@@ -93,6 +93,8 @@
         StreamOrigins(super::StreamOrigins),
         #[prost(message, tag = "28")]
         StreamOriginAsk(super::StreamOriginAsk),
+        #[prost(message, tag = "29")]
+        ForwardedCall(super::ForwardedCall),
     }
 }
 /// Membership. Of several updates about a member, the highest incarnation takes precedence, then the
@@ -468,6 +470,31 @@
     /// of services whose servers name limits, in the scope
     #[prost(message, repeated, tag = "25")]
     pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
+    /// of the sender's listener for callers; 0 if it takes no requests of other routers
+    #[prost(uint32, tag = "26")]
+    pub callers_port: u32,
+    /// hashes of the names of services that the sender does not reach
+    #[prost(fixed64, repeated, tag = "27")]
+    pub lost_services: ::prost::alloc::vec::Vec<u64>,
+}
+/// States that the sender checked a caller's request that it passes on. Sent with the request, not over the link.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ForwardedCall {
+    /// of the request as passed on
+    #[prost(bytes = "vec", tag = "1")]
+    pub content_hash: ::prost::alloc::vec::Vec<u8>,
+    /// whose key the request had; empty if it had none
+    #[prost(string, tag = "2")]
+    pub team: ::prost::alloc::string::String,
+    /// version of the declarations that it was checked against
+    #[prost(uint64, tag = "3")]
+    pub declaration: u64,
+    /// at servers that may have run it
+    #[prost(uint32, tag = "4")]
+    pub attempts: u32,
+    /// of target, key and body, by which requests that crash servers are recognized
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
 }
 /// A limit on the requests of all routers that a server named, or its end.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/catkin-peer/src/udp.rs
+++ b/crates/catkin-peer/src/udp.rs
@@ -123,6 +123,23 @@
         self.state.lock_verifier().incarnation_of(vm)
     }
 
+    /// Signs a message that is sent to `vm` by another way.
+    pub fn sign_message(&self, vm: VmId, message: &PeerMessage) -> Vec<u8> {
+        self.state.signer.sign_message(vm, self.known_incarnation(vm), message)
+    }
+
+    /// Verifies a message that arrived by another way, and counts it if it is dropped.
+    pub fn verify_message(&self, frame: &[u8]) -> Option<PeerMessage> {
+        let verified = self.state.lock_verifier().verify_frame(frame);
+        match verified {
+            Ok(frame) => Some(frame.message),
+            Err(dropped) => {
+                self.state.dropped.add(dropped.reason);
+                None
+            }
+        }
+    }
+
     /// Counts of received frames that were dropped.
     pub fn dropped(&self) -> &DropCounts {
         &self.state.dropped
--- a/crates/catkin-router/src/peers.rs
+++ b/crates/catkin-router/src/peers.rs
@@ -88,7 +88,8 @@
         | Kind::ServerListAsk(_)
         | Kind::ServerListCopy(_)
         | Kind::StreamOrigins(_)
-        | Kind::StreamOriginAsk(_) => {}
+        | Kind::StreamOriginAsk(_)
+        | Kind::ForwardedCall(_) => {}
         // Membership messages are handled by `handle_message`.
         Kind::Ping(_) | Kind::PingAck(_) | Kind::PingRequest(_) => {}
     }
--- a/crates/catkin-router/src/traffic.rs
+++ b/crates/catkin-router/src/traffic.rs
@@ -81,5 +81,6 @@
         Kind::ServerListCopy(_) => "server-list-copy",
         Kind::StreamOrigins(_) => "stream-origins",
         Kind::StreamOriginAsk(_) => "stream-origin-ask",
+        Kind::ForwardedCall(_) => "forwarded-call",
     }
 }
