Try another router after a refusal that is one router's own

By reading: a router with smaller bounds, or without the team yet, answers 4xx to a request that its first router found right; callers would have got it. Such a refusal counts as that router's own now, and a router that refused for a cause of its own gets no request for a second, so that callers don't meet routers that are cut off as well one after the other.

--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -25,9 +25,8 @@
 
 /// Header field with the cause of a refusal, if a router refuses a request of another router.
 pub(crate) const REFUSED_FIELD: &str = "Catkin-Refused";
-/// Causes of refusals after which another router may serve the request.
-const LOCAL_CAUSES: [&str; 5] =
-    ["out-of-reach", "stopping", "no-declarations", "no-key", "no-route"];
+/// Causes of refusals with status 503 after which another router may serve the request.
+const LOCAL_CAUSES: [&str; 3] = ["out-of-reach", "stopping", "no-declarations"];
 /// Timeout for connecting to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -95,9 +94,23 @@
     let expected = ExpectedAnswer { id_field: W::HEADERS.request_id, id: &call.id };
     let exchanged =
         connection.exchange(&request, Some(expected), call.is_head(), call.deadline).await;
-    match exchanged {
+    let result = match exchanged {
         Ok(head) => check_relayed(state, call, helper, head, connection),
         Err(error) => RelayResult::Failed(AttemptError::of_relay(error)),
+    };
+    if matches!(result, RelayResult::Refused) {
+        peers.record_failed_helper(helper.vm);
+    }
+    result
+}
+
+/// Whether a refusal is for a cause of the router that refuses. This one has found the request correct,
+/// so a status that says otherwise is the other one's error.
+fn is_local_refusal(cause: &str, status: u16) -> bool {
+    match status {
+        503 => LOCAL_CAUSES.contains(&cause),
+        408 | 421 | 429 => false,
+        status => (400..500).contains(&status),
     }
 }
 
@@ -118,8 +131,7 @@
             head.status
         );
     }
-    let not_run = head.status != 502 && head.status != 504;
-    if not_run && cause.as_deref().is_some_and(|cause| LOCAL_CAUSES.contains(&cause)) {
+    if cause.as_deref().is_some_and(|cause| is_local_refusal(cause, head.status)) {
         return RelayResult::Refused;
     }
     let fields = std::mem::take(&mut head.fields);
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -73,7 +73,7 @@
 const MAX_JOIN_LEAVES: usize = 32;
 /// Maximum number of reports of one kind to a router that starts.
 const MAX_JOIN_REPORTS: usize = 8;
-/// Time for which a router that could not be connected to gets no requests.
+/// Time for which a router that could not be connected to, or took no request, gets none.
 const FAILED_HELPER_TIME: Duration = Duration::from_millis(1_000);
 /// Maximum wait for the tasks of the link when the router leaves.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -119,7 +119,7 @@
     outdated_since: Cell<Option<Instant>>,
     /// Services that other routers don't reach, as reported.
     lost_services: RefCell<BTreeMap<VmId, BTreeSet<ReachKey>>>,
-    /// Routers that could not be connected to, and until when they get no requests.
+    /// Routers that could not be connected to or take no requests, and until when they get none.
     failed_helpers: RefCell<BTreeMap<VmId, Instant>>,
     /// Number of received messages that were dropped because of an incarnation, as last logged.
     logged_drops: Cell<u64>,
@@ -669,7 +669,7 @@
         Some(CallHelper { vm: *vm, address })
     }
 
-    /// Records that a router could not be connected to.
+    /// Records that a router could not be connected to, or can't take requests.
     pub(crate) fn record_failed_helper(&self, vm: VmId) {
         self.failed_helpers.borrow_mut().insert(vm, Instant::now() + FAILED_HELPER_TIME);
     }
