--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -3,6 +3,10 @@
 //! The request goes to the other router's listener for callers, unchanged but for its key and its
 //! deadline, with a signed statement of this router in place of the key. The other router serves it like a
 //! caller's request, and its answer is forwarded like a server's.
+//!
+//! The other router is called the helper. It has nothing to do with the relays of `relay_plan`, which
+//! pass reports on between failure domains. Begin with `relay_call` of `serve`, which tries one helper
+//! after the other with [`send_relayed`]; on the helper's side, `caller` calls [`verify_forwarded`].
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -48,7 +52,7 @@
 pub(crate) enum RelayResult<W> {
     /// No other router reaches the service.
     NoHelper,
-    /// The other router did not run the request, for a cause of its own.
+    /// The other router did not run the request, for a cause of its own: the next one may.
     Refused,
     /// The other router could not be reached, or its connection broke before the answer.
     Failed(AttemptError),
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -297,7 +297,8 @@
     }
 }
 
-/// Passes a request on to other routers, since this one reaches no server of its service.
+/// Passes a request on to other routers, since this one reaches no server of its service. `progress` has
+/// the attempts that this router made itself before it knew that.
 async fn relay_call<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
--- a/crates/catkin-policy/src/reach.rs
+++ b/crates/catkin-policy/src/reach.rs
@@ -18,7 +18,7 @@
 const FAILURE_MILLIS: u64 = 1_500;
 
 copy_type! {
-    /// A service of this router, by a hash of its name.
+    /// A service of this router, by a hash of its name. `ServiceKey` of `catkin-entry` has the same value.
     pub struct ReachKey(pub u64);
 }
 
