Read cold servers, evacuations and the platform's terms; fields of reports for them

Interfaces for the parts on evacuated failure domains, cold servers, stated speeds and shares of teams: fields of declarations, entries of servers, settings and reports, without any decision that uses them. Older routers ignore the new fields of reports.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -93,7 +93,7 @@
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
 pub use process::{read_settings, run_entry};
 pub use record::{
-    CallerBounds, DeclarationRecord, EngineRecord, PromptPart, RouteKind, RouteRecord,
+    CallerBounds, ColdRecord, DeclarationRecord, EngineRecord, PromptPart, RouteKind, RouteRecord,
     ServerRecord, ServiceRecord, ServiceShare, TeamRecord,
 };
 pub use refusal::{Refusal, RefusalCause};
--- a/crates/catkin-entry/src/record.rs
+++ b/crates/catkin-entry/src/record.rs
@@ -64,6 +64,17 @@
     }
 }
 
+value_type! {
+    /// What the servers of a service take while they are cold.
+    #[derive(Copy)]
+    pub struct ColdRecord {
+        /// Time for which a server is cold after its start.
+        pub start: Duration,
+        /// Requests that a cold server takes from all routers together, in a thousand seconds.
+        pub per_thousand_seconds: u32,
+    }
+}
+
 value_type! {
     /// A service and the limits of its servers.
     pub struct ServiceRecord {
@@ -71,6 +82,8 @@
         pub max_connections: u32,
         /// Properties of engines; `None` if the servers are no engines.
         pub engine: Option<EngineRecord>,
+        /// What a server takes just after its start; `None` if it takes as much as later.
+        pub cold: Option<ColdRecord>,
     }
 }
 
@@ -137,6 +150,8 @@
         /// Start time of the process, in milliseconds since the Unix epoch. Distinguishes two
         /// starts under one name.
         pub started_unix_millis: u64,
+        /// How much longer the server is cold, in milliseconds, as of the entry.
+        pub cold_millis: u32,
     }
 }
 
--- a/crates/catkin-entry/src/server_copy.rs
+++ b/crates/catkin-entry/src/server_copy.rs
@@ -88,6 +88,7 @@
         port: record.address.port().into(),
         ipv6,
         software: Some(software.find_index(&record.software)),
+        cold_millis: record.cold_millis,
     }
 }
 
@@ -109,5 +110,6 @@
         leaving: row.leaving,
         software,
         started_unix_millis: row.started_unix_millis,
+        cold_millis: row.cold_millis,
     })
 }
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry router, as JSON with comments.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -68,6 +69,19 @@
     /// Maximum number of open requests at one server, relative to the mean of its service.
     #[serde(default = "default_load_factor")]
     pub load_factor: f64,
+    /// Requests that all routers together may send to a cold server in a second, relative to what its
+    /// service declares.
+    #[serde(default = "default_cold_overshoot")]
+    pub cold_overshoot: f64,
+    /// Requests allowed beyond that.
+    #[serde(default)]
+    pub cold_slack: f64,
+    /// Time from the start of an evacuation within which all routers must obey it, in milliseconds.
+    #[serde(default = "default_evacuation_millis")]
+    pub evacuation_millis: u64,
+    /// Terms of the platform that are in force.
+    #[serde(default)]
+    pub contracts: BTreeSet<String>,
     /// Whether the whole fleet starts for the first time, so that no server has cached anything.
     #[serde(default)]
     pub first_start: bool,
@@ -102,6 +116,15 @@
     3.0
 }
 
+fn default_cold_overshoot() -> f64 {
+    1.0
+}
+
+/// The default of the platform.
+fn default_evacuation_millis() -> u64 {
+    5_000
+}
+
 fn default_log_lines() -> u32 {
     400
 }
@@ -144,6 +167,10 @@
     check_range("retry_extra", settings.retry_extra, 0.0..=1e9, "0 or more")?;
     check_range("link_megabits", settings.link_megabits, 0.001..=1e6, "above 0 to 1000000")?;
     check_range("cpu_share", settings.cpu_share, 0.001..=1_000.0, "above 0 to 1000 cores")?;
+    check_range("cold_overshoot", settings.cold_overshoot, 1.0..=100.0, "1 to 100")?;
+    check_range("cold_slack", settings.cold_slack, 0.0..=1e6, "0 to 1000000")?;
+    let evacuation_millis = settings.evacuation_millis as f64;
+    check_range("evacuation_millis", evacuation_millis, 1.0..=6e5, "1 to 600000 milliseconds")?;
     check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
     Ok(settings)
 }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -37,8 +37,11 @@
     pub leaving: &'static str,
     /// Requests per second that a server takes from all routers together, a decimal number.
     pub limit: &'static str,
-    /// The load of a server.
+    /// The load of a server: running requests, waiting requests, slots and, where it is stated, how
+    /// long work takes there now in percent of the usual time.
     pub load: &'static str,
+    /// How much longer a server is cold, in milliseconds; on its health answers.
+    pub cold: &'static str,
     /// Era of the store, on its answers. It rises by one whenever the store is restored from a
     /// copy.
     pub store_era: &'static str,
@@ -63,6 +66,9 @@
         PeerKeys,
         /// Content of requests that crashed servers.
         Strikes,
+        /// Failure domains whose servers are to get no requests, one object each, with the name of the
+        /// failure domain.
+        Evacuations,
     }
 }
 
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -94,6 +94,7 @@
         leaving: false,
         software: "v1".to_owned(),
         started_unix_millis: started,
+        cold_millis: 0,
     };
     let mut book = ServerBook::default();
 
--- a/crates/catkin-entry/tests/list_plan.rs
+++ b/crates/catkin-entry/tests/list_plan.rs
@@ -57,6 +57,7 @@
         leaving: index == 3,
         software: format!("v{}", index % 3),
         started_unix_millis: 1_700_000_000_000 + index,
+        cold_millis: index as u32,
     }
 }
 
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -19,6 +19,7 @@
         leaving: false,
         software: "v1".to_owned(),
         started_unix_millis,
+        cold_millis: 0,
     }
 }
 
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -476,6 +476,22 @@
     /// hashes of the names of services that the sender does not reach
     #[prost(fixed64, repeated, tag = "27")]
     pub lost_services: ::prost::alloc::vec::Vec<u64>,
+    /// hashes of the names of the evacuated failure domains
+    #[prost(fixed64, repeated, tag = "28")]
+    pub evacuated: ::prost::alloc::vec::Vec<u64>,
+    /// of the store that `evacuated` reflects; 0 if it is unknown
+    #[prost(uint64, tag = "29")]
+    pub evacuation_point: u64,
+    /// time since the store confirmed `evacuated`
+    #[prost(uint32, tag = "30")]
+    pub evacuation_age_millis: u32,
+    #[prost(message, repeated, tag = "31")]
+    pub cold: ::prost::alloc::vec::Vec<ColdServer>,
+    #[prost(message, repeated, tag = "32")]
+    pub stated_speeds: ::prost::alloc::vec::Vec<StatedSpeed>,
+    /// in the scope, of services without enough room
+    #[prost(message, repeated, tag = "33")]
+    pub team_demands: ::prost::alloc::vec::Vec<TeamDemand>,
 }
 /// States that the sender checked a caller's request that it passes on. Sent with the request, not over the link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -667,6 +683,42 @@
     /// version of the server's software, absent if unknown
     #[prost(uint32, optional, tag = "11")]
     pub software: ::core::option::Option<u32>,
+    /// how much longer the server is cold
+    #[prost(uint32, tag = "12")]
+    pub cold_millis: u32,
+}
+/// A server that takes few requests for a while after its start.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ColdServer {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub remaining_millis: u32,
+}
+/// How long work takes at a server, as it stated.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StatedSpeed {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// of the usual time
+    #[prost(uint32, tag = "2")]
+    pub percent: u32,
+    /// time since the server said so
+    #[prost(uint32, tag = "3")]
+    pub age_millis: u32,
+}
+/// Recent requests of a team for a service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TeamDemand {
+    /// hash of the name
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// hash of the name
+    #[prost(fixed64, tag = "2")]
+    pub team: u64,
+    /// in hundredths, each weighted by its age
+    #[prost(uint32, tag = "3")]
+    pub requests: u32,
 }
 /// Software versions at which streams began, for routers at which callers resume them.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/catkin-soak/src/run.rs
+++ b/crates/catkin-soak/src/run.rs
@@ -340,6 +340,7 @@
         leaving,
         software: "v1".to_owned(),
         started_unix_millis: 1,
+        cold_millis: 0,
     })
 }
 
@@ -363,7 +364,7 @@
         public: false,
         resumable: kind == CallKind::Resumable,
     });
-    let plain = ServiceRecord { max_connections: 200, engine: None };
+    let plain = ServiceRecord { max_connections: 200, engine: None, cold: None };
     let engine =
         ServiceRecord { engine: Some(EngineRecord { kv_capacity_tokens: 100_000 }), ..plain };
     let team =
