Send no requests to servers in evacuated failure domains

Change: few routers follow the kind, all report the set, its point and when the store confirmed it to them; a router that no other one confirms it to reads the store. Selection, the check after a connect, lists of cached parts, checks of reach and of crashes leave such servers out; a service with no other server is refused at once as evacuated.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -11,6 +11,7 @@
 use crate::attempt::AssignedCall;
 use crate::cache_index::CachedPart;
 use crate::call::EntryCall;
+use crate::evacuation_exchange::EVACUATIONS_WAIT;
 use crate::origin_book::SoftwareKey;
 use crate::refusal::RefusalCause;
 use crate::server_book::KnownServer;
@@ -46,6 +47,7 @@
     tried: &BTreeSet<ServerId>,
     software: Option<SoftwareKey>,
 ) -> Result<AssignedCall<W>, RefusalCause> {
+    wait_for_evacuations(state, call.deadline).await;
     if call.shared_prefix().is_some() {
         wait_for_cache_index(state, call.deadline).await;
     }
@@ -55,8 +57,19 @@
         (Instant::now() + call.route.target_latency / PAUSE_WAIT_DIVISOR).min(call.deadline);
     loop {
         let freed = state.selection_input_change.notified();
-        if software.is_some_and(|software| !has_version(state, call, software)) {
-            return Err(RefusalCause::VersionGone);
+        if state.is_service_evacuated(&call.service) {
+            state.record_kept_away(&call.service, call.id_text());
+            return Err(RefusalCause::Evacuated);
+        }
+        if let Some(software) = software
+            && !has_version(state, call, software)
+        {
+            let evacuated = has_evacuated_version(state, call, software);
+            return Err(if evacuated {
+                RefusalCause::Evacuated
+            } else {
+                RefusalCause::VersionGone
+            });
         }
         let cause = match try_assign(state, call, tried, software) {
             Ok(assigned) => return Ok(assigned),
@@ -93,7 +106,9 @@
     let pauses = state.pauses.borrow();
     let now = state.now();
     let servers = state.servers.borrow();
-    let rests = servers.usable(&call.service).map(|known| pauses.wait_millis(now, known.server));
+    let rests = state
+        .usable_servers(&servers, &call.service)
+        .map(|known| pauses.wait_millis(now, known.server));
     let first = rests.min().filter(|millis| *millis > 0)?;
     Some(RefusalCause::Paused(Duration::from_millis(first)))
 }
@@ -113,7 +128,9 @@
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
     let servers = state.servers.borrow();
-    let untried = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
+    let untried = state
+        .usable_servers(&servers, &call.service)
+        .filter(|known| !tried.contains(&known.server));
     let waits = untried.map(|known| {
         let credit = limits.wait_millis(now, known.server, share(known.server));
         credit.max(pauses.wait_millis(now, known.server))
@@ -122,6 +139,17 @@
     Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_OPENING_WAIT, MAX_OPENING_WAIT))
 }
 
+/// Waits, just after the start of the router, until it is known which failure domains are evacuated.
+async fn wait_for_evacuations<W: EntryWire>(state: &EntryState<W>, deadline: Instant) {
+    while !state.knows_evacuations() {
+        let changed = state.selection_input_change.notified();
+        let until = (state.started + EVACUATIONS_WAIT).min(deadline);
+        if timeout_at(until, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Waits, just after the start of the router, until it is known which parts servers cache: the
 /// wait costs less than a prompt that is prefilled a second time.
 async fn wait_for_cache_index<W: EntryWire>(state: &EntryState<W>, deadline: Instant) {
@@ -165,6 +193,7 @@
     let unread_tokens = u64::from(prompt.saturating_sub(selection.cached_tokens.max(fetched)));
     let tokens_ahead = selection.unread_tokens + unread_tokens;
     log_selection(state, call, &selection, tokens_ahead);
+    state.record_kept_away(&call.service, call.id_text());
     // How long fetching takes is not known, so such answers are not compared.
     let measured_tokens = selection.fetch_from.is_none().then_some(tokens_ahead);
     for prefix in call.shared_prefixes() {
@@ -179,14 +208,14 @@
     state.limits.borrow_mut().record_send(now, selection.server, share);
     state.pauses.borrow_mut().record_send(now, selection.server);
     let servers = state.servers.borrow();
-    let address = |server| servers.get(server).map(|known| known.record.address);
+    let source = |server| servers.get(server).map(|known| (server, known.record.address));
     let known = servers.get(selection.server).ok_or(SelectionError::NoServer)?;
     Ok(AssignedCall {
         slot: OpenSlot::acquire(state, selection.server, unread_tokens, measured_tokens),
         name: known.name.clone(),
         address: known.record.address,
         software: known.software,
-        fetch_from: selection.fetch_from.and_then(address),
+        fetch_from: selection.fetch_from.and_then(source),
     })
 }
 
@@ -197,7 +226,19 @@
     software: SoftwareKey,
 ) -> bool {
     let servers = state.servers.borrow();
-    servers.usable(&call.service).any(|known| known.software == software)
+    state.usable_servers(&servers, &call.service).any(|known| known.software == software)
+}
+
+/// Whether a server in an evacuated failure domain has this software version.
+fn has_evacuated_version<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    software: SoftwareKey,
+) -> bool {
+    let servers = state.servers.borrow();
+    servers
+        .usable(&call.service)
+        .any(|known| known.software == software && state.is_evacuated(known.server))
 }
 
 /// Whether the servers of the call's service are model engines.
@@ -238,7 +279,9 @@
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
-    let usable = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
+    let usable = state
+        .usable_servers(&servers, &call.service)
+        .filter(|known| !tried.contains(&known.server));
     let cached_by_server = index.cached_tokens(now, call.shared_prefixes());
     let capacity = capacity.max(1) as f64;
     let candidate = |known: &KnownServer| {
@@ -276,7 +319,10 @@
         }
     };
     let sources = servers.leaving(&call.service);
-    let sources = sources.filter(|known| !outcomes.is_unreachable(now, known.server));
+    let evacuations = state.evacuations.borrow();
+    let sources = sources.filter(|known| {
+        !outcomes.is_unreachable(now, known.server) && !evacuations.contains(known.domain)
+    });
     usable.chain(sources).map(candidate).collect()
 }
 
@@ -296,7 +342,7 @@
         "call: assigned to a server; sending. request={} server={} load={} mean={:.1} servers={} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
          slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={} software={} \
-         resumes={}",
+         resumes={} evacuated={}",
         call.id_text(),
         selection.server,
         selection.load,
@@ -313,6 +359,7 @@
         call.deadline.saturating_duration_since(Instant::now()).as_millis(),
         call.version,
         servers.get(selection.server).map_or("?", |known| known.record.software.as_str()),
-        call.resumed_id.as_deref().unwrap_or("-")
+        call.resumed_id.as_deref().unwrap_or("-"),
+        state.count_evacuated(&call.service)
     );
 }
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -36,6 +36,8 @@
         NoChannel,
         /// The server asked for a pause while the router connected to it.
         Withdrawn,
+        /// The failure domain of the server was evacuated while the router connected to it.
+        Evacuated,
         /// A reused connection broke before the first byte of an answer, and the server listens.
         StaleChannel,
         /// A reused connection broke before the first byte of an answer, and the server no longer
@@ -123,7 +125,7 @@
     /// Version of the server's software.
     pub(crate) software: SoftwareKey,
     /// A server that caches the part of the prompt that this one lacks.
-    pub(crate) fetch_from: Option<SocketAddr>,
+    pub(crate) fetch_from: Option<(ServerId, SocketAddr)>,
 }
 
 /// An answer whose head has arrived and whose body is still to be read.
@@ -178,7 +180,8 @@
     /// Returns the connection to the pool for another request, if it is reusable. `keep_alive` is
     /// the value of that header field in the answer.
     pub(crate) fn release(mut self, keep_alive: Option<&str>) {
-        if let Some(connection) = self.connection.take().filter(|_| self.pooled) {
+        let pooled = self.pooled && !self.state.is_evacuated(self.server);
+        if let Some(connection) = self.connection.take().filter(|_| pooled) {
             self.counted = false;
             let idle = read_idle_timeout(keep_alive);
             self.state.pool.borrow_mut().release(self.server, connection, idle);
@@ -207,7 +210,11 @@
     if state.is_paused(assigned.slot.server) {
         return Err(AttemptError::not_run(AttemptFailure::Withdrawn));
     }
-    let fetch_from = assigned.fetch_from.map(|address| address.to_string());
+    if state.is_evacuated(assigned.slot.server) {
+        return Err(AttemptError::not_run(AttemptFailure::Evacuated));
+    }
+    let source = assigned.fetch_from.filter(|(server, _)| !state.is_evacuated(*server));
+    let fetch_from = source.map(|(_, address)| address.to_string());
     let details = SendDetails {
         expected_server: &assigned.name,
         remaining: call.deadline.saturating_duration_since(Instant::now()),
@@ -267,6 +274,9 @@
             state.record_connect(&call.service);
             Ok(reserved.with_connection(connection))
         }
+        Err(_) if state.is_evacuated(server) => {
+            Err(AttemptError::not_run(AttemptFailure::Evacuated))
+        }
         Err(error) => {
             state.record_connect_failure(&call.service, server);
             log::info!(
--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -78,7 +78,7 @@
     let mut loaded = Vec::new();
     for server in &engines {
         let server = *server;
-        if state.is_paused(server) {
+        if state.is_paused(server) || state.is_evacuated(server) {
             continue;
         }
         let listed = match fetch_list::<W>(state.settings().server_source, addresses[&server]).await
--- a/crates/catkin-entry/src/crash_check.rs
+++ b/crates/catkin-entry/src/crash_check.rs
@@ -56,6 +56,10 @@
     server: ServerId,
     address: SocketAddr,
 ) -> ServerCheck {
+    // An emptied server may end without having crashed.
+    if state.is_evacuated(server) {
+        return ServerCheck::Silent;
+    }
     let check = state.server_checks.borrow_mut().find_check(Instant::now(), server);
     let source = state.settings().server_source;
     *check.get_or_init(|| connect_once(source, address)).await
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -12,17 +12,18 @@
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
-//!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined. `list_plan` decides which
+//!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined, `evacuation_follower` reads which failure domains are evacuated, which
+//!    `evacuation_table` holds. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
-//!    where streams began, `limit_exchange` the limits that servers name.
+//!    where streams began, `limit_exchange` the limits that servers name, `evacuation_exchange` the evacuated domains.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -42,6 +43,9 @@
 mod crash_check;
 mod crash_reports;
 mod departure_table;
+mod evacuation_exchange;
+mod evacuation_follower;
+mod evacuation_table;
 mod join;
 mod limit_exchange;
 mod list_plan;
@@ -84,6 +88,10 @@
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
 pub use departure_table::{DepartureTable, ServerDeparture};
+pub use evacuation_table::{
+    EvacuationChange, EvacuationReport, EvacuationTable, EvacuationTimes, MAX_REPORTED_DOMAINS,
+    ReadDecision,
+};
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -244,6 +244,7 @@
             self.lost_services.borrow_mut().remove(&source.vm);
             return state.loads.borrow_mut().remove_router(source.vm);
         }
+        state.apply_evacuation_report(report, source.vm);
         self.record_loads(state, source, report);
         let relayed = self.choose_relay_updates(state, report);
         for row in &report.kept {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -20,6 +20,7 @@
 use crate::admin_listener::{AdminAnswer, bind, log_failed_task, serve_admin};
 use crate::cache_loader::load_cache_index;
 use crate::caller::serve_connection;
+use crate::evacuation_follower::follow_evacuations;
 use crate::join::{join_fleet, leave_fleet};
 use crate::logging::start_logging;
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
@@ -127,6 +128,7 @@
     tasks.spawn_local(serve_metrics(metrics, handle, Rc::clone(&state)));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Declarations));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Servers));
+    tasks.spawn_local(follow_evacuations(Rc::clone(&state)));
     tasks.spawn_local(follow_strikes(Rc::clone(&state)));
     tasks.spawn_local(run_peers(Rc::clone(&state)));
     tasks.spawn_local(maintain_state(Rc::clone(&state)));
@@ -251,6 +253,8 @@
     metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
     let paused = state.pauses.borrow().count(state.now());
     metrics::gauge!("catkin_entry_paused_servers").set(paused as f64);
+    let evacuated = state.evacuations.borrow().len();
+    metrics::gauge!("catkin_entry_evacuated_domains").set(evacuated as f64);
     let lost = state.reach.borrow().lost_services().count();
     metrics::gauge!("catkin_entry_lost_services").set(lost as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
--- a/crates/catkin-entry/src/reach_watch.rs
+++ b/crates/catkin-entry/src/reach_watch.rs
@@ -16,6 +16,7 @@
 
 use crate::connection::HttpConnection;
 use crate::load_table::ServiceKey;
+use crate::server_book::KnownServer;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -83,7 +84,10 @@
 /// Lists the servers that may get requests, by service.
 fn list_servers<W>(state: &EntryState<W>) -> BTreeMap<ReachKey, Vec<CheckedServer>> {
     let mut services: BTreeMap<ReachKey, Vec<CheckedServer>> = BTreeMap::new();
-    for known in state.servers.borrow().iter().filter(|known| !known.record.leaving) {
+    let evacuations = state.evacuations.borrow();
+    let may_get_requests =
+        |known: &&KnownServer| !known.record.leaving && !evacuations.contains(known.domain);
+    for known in state.servers.borrow().iter().filter(may_get_requests) {
         let service = reach_key(&known.record.service);
         let checked =
             CheckedServer { service, server: known.server, address: known.record.address };
@@ -170,7 +174,9 @@
     /// The servers of a service that may get requests.
     fn list_service(&self, service: ReachKey) -> Vec<ServerId> {
         let servers = self.servers.borrow();
+        let evacuations = self.evacuations.borrow();
         let listed = servers.iter().filter(|known| !known.record.leaving);
+        let listed = listed.filter(|known| !evacuations.contains(known.domain));
         let of_service = listed.filter(|known| reach_key(&known.record.service) == service);
         of_service.map(|known| known.server).collect()
     }
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -34,6 +34,8 @@
     NoServer,
     /// No server has both a free slot and a load that stays within its bound.
     Full,
+    /// All servers are in evacuated failure domains.
+    Evacuated,
     /// All servers name limits that are used up.
     Limited,
     /// All servers asked for a pause; the first one ends after this time.
@@ -81,6 +83,7 @@
             RefusalCause::NoDeclarations => "no-declarations",
             RefusalCause::NoServer => "no-server",
             RefusalCause::Full => "full",
+            RefusalCause::Evacuated => "evacuated",
             RefusalCause::Limited => "limited",
             RefusalCause::Paused(_) => "paused",
             RefusalCause::OutOfReach => "out-of-reach",
@@ -134,6 +137,8 @@
     match cause {
         RefusalCause::Stopping => MIN_RETRY_AFTER,
         RefusalCause::Full => Duration::from_millis(1_000),
+        // Evacuations last seconds at least.
+        RefusalCause::Evacuated => Duration::from_millis(3_000),
         RefusalCause::Paused(rest) => rest.saturating_add(PAUSE_SPREAD),
         _ => Duration::from_millis(1_500),
     }
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -69,7 +69,7 @@
     let ejected = ejected.map(ejected_count);
     let settings = state.settings();
     let callers_port = if state.is_stopping() { 0 } else { settings.callers.port() };
-    EntryReport {
+    let mut report = EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
         directory: servers.latest_change().as_number(),
         domain: state.local_domain.0,
@@ -79,7 +79,9 @@
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
         ..EntryReport::default()
-    }
+    };
+    state.fill_evacuations(&mut report);
+    report
 }
 
 /// Builds a report with the status, the open requests of this router and the servers that it found
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -279,7 +279,7 @@
         record_failure(state, call, server, error);
         match (error.failure, error.ran) {
             // Nothing was tried at this server.
-            (AttemptFailure::Withdrawn, _) => {}
+            (AttemptFailure::Withdrawn | AttemptFailure::Evacuated, _) => {}
             (_, RunVerdict::NotRun) => progress.not_run_attempts += 1,
             _ => progress.possibly_run_attempts += 1,
         }
@@ -441,7 +441,10 @@
         return Some(end);
     }
     // An attempt that reached no server adds no load to the service, so it spends no retry.
-    let reached = !matches!(error.failure, AttemptFailure::Unreachable | AttemptFailure::Withdrawn);
+    let reached = !matches!(
+        error.failure,
+        AttemptFailure::Unreachable | AttemptFailure::Withdrawn | AttemptFailure::Evacuated
+    );
     let paid = error.failure == AttemptFailure::Answered || !reached || spend_retry(state, call);
     (!paid).then_some(end)
 }
@@ -555,7 +558,9 @@
         AttemptFailure::Unreachable | AttemptFailure::Misdirected | AttemptFailure::Crashed => {
             AttemptOutcome::Unreachable
         }
-        AttemptFailure::StaleChannel | AttemptFailure::Withdrawn => return,
+        AttemptFailure::StaleChannel | AttemptFailure::Withdrawn | AttemptFailure::Evacuated => {
+            return;
+        }
         _ => AttemptOutcome::Failed,
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
@@ -578,7 +583,7 @@
     outcome: AttemptOutcome,
 ) {
     let servers = state.servers.borrow();
-    let service_servers = servers.usable(&call.service).map(|known| known.server);
+    let service_servers = state.usable_servers(&servers, &call.service).map(|known| known.server);
     let now = state.now();
     let failed = outcome == AttemptOutcome::Failed;
     if failed && state.is_paused(server) {
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, ServerId, hash_parts};
+use catkin_base::{ClockTime, DomainId, ServerId, hash_parts};
 
 use crate::departure_table::{DepartureTable, ServerDeparture};
 use crate::origin_book::SoftwareKey;
@@ -22,6 +22,8 @@
     pub server: ServerId,
     /// Content of its entry.
     pub record: ServerRecord,
+    /// Its failure domain.
+    pub domain: DomainId,
     /// Key of its software version.
     pub software: SoftwareKey,
     /// Point of the last change of its entry.
@@ -120,6 +122,7 @@
         record.leaving = self.departures.apply_entry(now, server, point, record.leaving);
         if let Some(known) = known.filter(|known| known.server == server) {
             let left = record.leaving && !known.record.leaving;
+            known.domain = DomainId::from_name(&record.domain);
             known.software = SoftwareKey::from_name(&record.software);
             known.record = record;
             known.point = point;
@@ -137,6 +140,7 @@
         let known = KnownServer {
             name: name.clone(),
             server,
+            domain: DomainId::from_name(&record.domain),
             record,
             software,
             point,
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -139,6 +139,11 @@
 }
 
 impl EntrySettings {
+    /// Time from the start of an evacuation within which all routers must obey it.
+    pub fn evacuation_bound(&self) -> Duration {
+        Duration::from_millis(self.evacuation_millis)
+    }
+
     /// Returns the grace period between a stop signal and the kill.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_seconds)
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -19,6 +19,7 @@
 use crate::crash_book::CrashBook;
 use crate::crash_check::CheckTable;
 use crate::crash_reports::CrashUpdates;
+use crate::evacuation_table::EvacuationTable;
 use crate::limit_exchange::{DemandCounter, LimitUpdates};
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
@@ -99,6 +100,8 @@
     /// Point and stored text of the declarations in force, to be sent to other routers.
     pub(crate) stored_declarations: RefCell<Option<(StorePoint, Rc<str>)>>,
     pub(crate) servers: RefCell<ServerBook>,
+    /// Failure domains whose servers get no requests.
+    pub(crate) evacuations: RefCell<EvacuationTable>,
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) cache_index: RefCell<CacheIndex>,
     pub(crate) outcomes: RefCell<OutcomeBook>,
@@ -188,6 +191,7 @@
             route_table: RefCell::default(),
             stored_declarations: RefCell::default(),
             servers: RefCell::default(),
+            evacuations: RefCell::default(),
             loads: RefCell::default(),
             cache_index: RefCell::default(),
             outcomes: RefCell::default(),
@@ -276,7 +280,7 @@
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.route_table.borrow().is_some() && !self.servers.borrow().is_empty();
-        known && self.joined.get() && !self.is_stopping()
+        known && self.knows_evacuations() && self.joined.get() && !self.is_stopping()
     }
 
     pub(crate) fn load_bounds(&self) -> LoadBounds {
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -482,7 +482,7 @@
     /// of the store that `evacuated` reflects; 0 if it is unknown
     #[prost(uint64, tag = "29")]
     pub evacuation_point: u64,
-    /// time since the store confirmed `evacuated`
+    /// time since the store confirmed `evacuated` to the sender; the maximum if it only heard of it
     #[prost(uint32, tag = "30")]
     pub evacuation_age_millis: u32,
     #[prost(message, repeated, tag = "31")]
