Read evacuations only where the settings bound them

Following the kind costs calls to the store, and waiting for it at a start costs time; deployments without a bound for evacuations (`evacuation_millis`) now do neither, and are served as before.

--- a/crates/catkin-entry/src/evacuation_exchange.rs
+++ b/crates/catkin-entry/src/evacuation_exchange.rs
@@ -150,7 +150,9 @@
 
     /// Whether it is known which domains are evacuated, or was waited for long enough.
     pub(crate) fn knows_evacuations(&self) -> bool {
-        self.evacuations.borrow().point().is_some() || self.started.elapsed() >= EVACUATIONS_WAIT
+        self.evacuations.borrow().point().is_some()
+            || self.settings().evacuation_bound().is_none()
+            || self.started.elapsed() >= EVACUATIONS_WAIT
     }
 
     /// Expects that the servers of a domain whose evacuation ended have become cold.
--- a/crates/catkin-entry/src/evacuation_follower.rs
+++ b/crates/catkin-entry/src/evacuation_follower.rs
@@ -1,5 +1,6 @@
 //! Follows the evacuations of failure domains in the store, at the routers that others rely on for that,
-//! and at any other one that no report has told of them for a while.
+//! and at any other one that no report has told of them for a while. Where the settings have no bound for
+//! evacuations, nothing is read.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(60);
 /// An answer within this time shows that the store is not slow.
 const FAST_ANSWER: Duration = Duration::from_millis(150);
+/// Interval of checks whether failure domains may be evacuated.
+const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 const KIND: StoreKind = StoreKind::Evacuations;
 
 /// Follows evacuations until dropped.
@@ -30,7 +33,11 @@
         state: Rc::clone(&state),
     };
     loop {
-        let times = EvacuationTimes::choose(state.settings().evacuation_bound(), state.local_vm);
+        let Some(bound) = state.settings().evacuation_bound() else {
+            sleep(SETTINGS_CHECK_INTERVAL).await;
+            continue;
+        };
+        let times = EvacuationTimes::choose(bound, state.local_vm);
         let follows = state.short_watches.get();
         let decision = state.evacuations.borrow().choose_read(state.now(), follows, times);
         match decision {
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -76,9 +76,10 @@
     /// Requests allowed beyond that.
     #[serde(default)]
     pub cold_slack: f64,
-    /// Time from the start of an evacuation within which all routers must obey it, in milliseconds.
-    #[serde(default = "default_evacuation_millis")]
-    pub evacuation_millis: u64,
+    /// Time from the start of an evacuation within which all routers must obey it, in milliseconds;
+    /// `None` if failure domains are not evacuated.
+    #[serde(default)]
+    pub evacuation_millis: Option<u64>,
     /// Terms of the platform that are in force.
     #[serde(default)]
     pub contracts: BTreeSet<String>,
@@ -120,11 +121,6 @@
     1.0
 }
 
-/// The default of the platform.
-fn default_evacuation_millis() -> u64 {
-    5_000
-}
-
 fn default_log_lines() -> u32 {
     400
 }
@@ -139,9 +135,10 @@
 }
 
 impl EntrySettings {
-    /// Time from the start of an evacuation within which all routers must obey it.
-    pub fn evacuation_bound(&self) -> Duration {
-        Duration::from_millis(self.evacuation_millis)
+    /// Time from the start of an evacuation within which all routers must obey it; `None` if failure
+    /// domains are not evacuated.
+    pub fn evacuation_bound(&self) -> Option<Duration> {
+        self.evacuation_millis.map(Duration::from_millis)
     }
 
     /// Returns the grace period between a stop signal and the kill.
@@ -174,8 +171,10 @@
     check_range("cpu_share", settings.cpu_share, 0.001..=1_000.0, "above 0 to 1000 cores")?;
     check_range("cold_overshoot", settings.cold_overshoot, 1.0..=100.0, "1 to 100")?;
     check_range("cold_slack", settings.cold_slack, 0.0..=1e6, "0 to 1000000")?;
-    let evacuation_millis = settings.evacuation_millis as f64;
-    check_range("evacuation_millis", evacuation_millis, 1.0..=6e5, "1 to 600000 milliseconds")?;
+    if let Some(millis) = settings.evacuation_millis {
+        let allowed = "1 to 600000 milliseconds";
+        check_range("evacuation_millis", millis as f64, 1.0..=6e5, allowed)?;
+    }
     check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
     Ok(settings)
 }
