Spread requests over servers by what the age of loads leaves uncertain

Cause: routers take the least cost from loads that are tens of milliseconds old and that all of them share, so that the same server is overrun until the next report. In a fleet of 27 routers without a network, 4 servers of short requests at three quarters of their slots have 1.64 times the mean at the busiest in the worst second, and requests wait 204 ms (p99).

Change: where the platform's terms ask for it (EVEN_LOAD_TERM among the contracts), a request fills the cheapest servers evenly with the requests that the other routers are expected to have sent since the reports, and goes to one of them with the probability of its part. Positions follow an even sequence for each router and service. Requests with a cached part choose among the servers that cache as much of it; a part that no server caches is ranked as before. For prompts with shared parts each request above 1.1 times the mean costs 20 ms. Without the term selection is as before. A gauge shows the busiest over the mean for each service.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -11,6 +11,8 @@
 use crate::attempt::AssignedCall;
 use crate::cache_index::CachedPart;
 use crate::call::EntryCall;
+use crate::load_spread::{SpreadQuery, UnseenInput, estimate_unseen};
+use crate::load_table::ServiceKey;
 use crate::origin_book::SoftwareKey;
 use crate::refusal::RefusalCause;
 use crate::server_book::KnownServer;
@@ -159,6 +161,7 @@
         token_millis: 1.0 / state.speeds.borrow().tokens_per_milli(&call.service),
         answer_millis: state.speeds.borrow().expected_millis(&call.service, own_tokens),
         queue_millis,
+        spread: plan_spread(state, call, own_tokens),
     };
     let selection = select_server(query, &candidates, &state.load_bounds())?;
     let fetched = selection.fetch_from.map_or(0, |_| query.shared_tokens);
@@ -190,6 +193,31 @@
     })
 }
 
+/// How the request is spread over the servers, if the platform's terms ask for even load.
+fn plan_spread<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    own_tokens: u64,
+) -> Option<SpreadQuery> {
+    if !state.settings().contracts.contains(W::EVEN_LOAD_TERM) {
+        return None;
+    }
+    let now = state.now();
+    let service = ServiceKey::from_name(&call.service);
+    let loads = state.loads.borrow();
+    let input = UnseenInput {
+        own_rate: state.demands.borrow().rate(now, service),
+        routers: loads.live_routers(now),
+        servers: state.servers.borrow().usable(&call.service).count(),
+        age_millis: loads.mean_report_millis(now),
+    };
+    Some(SpreadQuery {
+        lot: state.lots.borrow_mut().next_lot(state.local_vm.0, service),
+        unseen_requests: estimate_unseen(&input),
+        own_millis: own_tokens as f64 / state.speeds.borrow().tokens_per_milli(&call.service),
+    })
+}
+
 /// Whether a server of the call's service that may get requests has this software version.
 fn has_version<W: EntryWire>(
     state: &EntryState<W>,
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -22,7 +22,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`choose_by_fill`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -45,6 +45,7 @@
 mod join;
 mod limit_exchange;
 mod list_plan;
+mod load_spread;
 mod load_table;
 mod logging;
 mod origin_book;
@@ -85,6 +86,9 @@
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
 pub use departure_table::{DepartureTable, ServerDeparture};
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
+pub use load_spread::{
+    FillCost, LotTable, SpreadQuery, UnseenInput, choose_by_fill, estimate_unseen,
+};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
 pub use origin_book::{
--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// The requests for a service in a second.
+    pub(crate) fn rate(&self, now: ClockTime, service: ServiceKey) -> f64 {
+        self.demand(now, service) / DEMAND_SECONDS
+    }
+
     /// Forgets services without recent requests.
     pub(crate) fn remove_expired(&mut self, now: ClockTime) {
         let services: Vec<ServiceKey> = self.services.keys().copied().collect();
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -325,6 +325,22 @@
     pub fn oldest_report_millis(&self, now: ClockTime) -> u64 {
         self.peers.values().map(|peer| now.millis_since(peer.received)).max().unwrap_or(0)
     }
+
+    /// Returns the mean age of what the reports of the other routers say, in milliseconds. Those of a
+    /// relay were on their way about as long again before it sent them.
+    pub fn mean_report_millis(&self, now: ClockTime) -> f64 {
+        let first = self.peers.iter().filter(|((_, fragment), _)| *fragment == 0);
+        let live = first.filter(|(_, peer)| now.millis_since(peer.received) < ALIVE_MILLIS);
+        let mut routers = 0.0;
+        let mut sum = 0.0;
+        for ((source, _), peer) in live {
+            let hops = if matches!(source, LoadSource::Router(_)) { 1.0 } else { 2.0 };
+            let weight = f64::from(peer.loads.routers);
+            routers += weight;
+            sum += weight * hops * now.millis_since(peer.received) as f64;
+        }
+        sum / f64::max(routers, 1.0)
+    }
 }
 
 fn add_loads(totals: &mut BTreeMap<ServerId, OpenLoad>, loads: &BTreeMap<ServerId, OpenLoad>) {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -1,6 +1,6 @@
 //! Process of an entry router: start, background tasks, settings reload, stop.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -21,6 +21,7 @@
 use crate::cache_loader::load_cache_index;
 use crate::caller::serve_connection;
 use crate::join::{join_fleet, leave_fleet};
+use crate::load_table::ServiceKey;
 use crate::logging::start_logging;
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
 use crate::peer_service::{PeerService, close_service};
@@ -254,6 +255,7 @@
     let lost = state.reach.borrow().lost_services().count();
     metrics::gauge!("catkin_entry_lost_services").set(lost as f64);
     metrics::gauge!("catkin_entry_routers").set(f64::from(state.live_routers()));
+    write_load_gauges(state);
     for (kind, answered) in state.store_answered.borrow().iter() {
         let kind = format!("{kind:?}");
         metrics::gauge!("catkin_entry_store_answer_age_seconds", "kind" => kind)
@@ -336,11 +338,32 @@
     state.pauses.borrow_mut().remove_expired(now);
     let listed: BTreeSet<ReachKey> =
         servers.iter().map(|known| reach_key(&known.record.service)).collect();
+    let services: BTreeSet<ServiceKey> =
+        servers.iter().map(|known| ServiceKey::from_name(&known.record.service)).collect();
+    state.lots.borrow_mut().retain_services(|service| services.contains(&service));
     state.reach.borrow_mut().retain_services(|service| listed.contains(&service));
     state.demands.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
 
+/// Writes for each service the load of its busiest server relative to the mean, as this router knows it.
+fn write_load_gauges<W>(state: &EntryState<W>) {
+    let servers = state.servers.borrow();
+    let loads = state.loads.borrow();
+    let mut services: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
+    for known in servers.iter().filter(|known| !known.record.leaving) {
+        let open = loads.total_load(known.server).open;
+        let (count, sum, most) = services.entry(&known.record.service).or_default();
+        (*count, *sum, *most) = (*count + 1, *sum + open, open.max(*most));
+    }
+    for (service, (count, sum, most)) in services {
+        let mean = f64::from(sum) / f64::from(count);
+        let ratio = if sum > 0 { f64::from(most) / mean } else { 1.0 };
+        let service = service.to_owned();
+        metrics::gauge!("catkin_entry_busiest_over_mean", "service" => service).set(ratio);
+    }
+}
+
 async fn follow_settings<W: EntryWire>(
     state: Rc<EntryState<W>>,
     mut file: SettingsFile,
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -7,6 +7,7 @@
 
 use catkin_base::{ServerId, copy_type, hash_parts};
 
+use crate::load_spread::{FillCost, SpreadQuery, choose_by_fill};
 use crate::origin_book::SoftwareKey;
 
 /// Cost of each request already open on a server, in milliseconds, for requests with a shared
@@ -38,6 +39,15 @@
 /// For a part that no server caches, servers whose cost is within this many milliseconds of the
 /// lowest are ranked by hash, so that routers select the same one without communicating.
 const HASH_RANKING_MILLIS: f64 = 40.0;
+/// Cost of each request already open on a server if loads are to be even, in milliseconds, for requests
+/// with a shared prefix.
+const EVEN_REQUEST_MILLIS: f64 = 2.0;
+/// Multiple of the mean load above which each request adds to the cost of a server if loads are to be
+/// even.
+const EVEN_FACTOR: f64 = 1.1;
+/// Cost of each request above that, in milliseconds. Short parts are then fetched by other servers;
+/// prompts of thousands of tokens stay where they are cached up to a few requests more.
+const OVER_EVEN_MILLIS: f64 = 20.0;
 
 copy_type! {
     /// What a candidate may be used for.
@@ -132,6 +142,16 @@
     /// Time for which the request may wait in the queue of a server whose slots are in use, in
     /// milliseconds; zero if it must not wait there.
     pub queue_millis: f64,
+    /// How the request is spread over servers whose loads are known late. `None` if the server of the
+    /// lowest cost gets it.
+    pub spread: Option<SpreadQuery>,
+}
+
+/// Loads above which each request adds to the cost of a server.
+#[derive(Debug, Clone, Copy)]
+struct CostBounds {
+    soft: f64,
+    even: f64,
 }
 
 /// The selected server, and the figures that the selection is based on.
@@ -180,6 +200,10 @@
     let (mean, count) = average_load(not_leaving);
     let hard = mean * bounds.hard_factor + bounds.hard_extra;
     let soft = (mean * bounds.soft_factor + bounds.soft_extra).min(hard);
+    // Without shared prefixes the slots in use already make loads even.
+    let is_even = query.spread.is_some() && query.shared_tokens > 0;
+    let even = if is_even { mean * EVEN_FACTOR } else { f64::INFINITY };
+    let limits = CostBounds { soft, even };
     let fits = |candidate: &&ServerCandidate| {
         !candidate.is_withheld()
             && f64::from(candidate.load) + 1.0 <= hard
@@ -192,8 +216,8 @@
     if selectable().all(ServerCandidate::is_withheld) {
         return Err(SelectionError::Restricted);
     }
-    let selected = select_candidate(query, available, &caching_servers, soft)
-        .or_else(|| select_candidate(query, selectable().filter(fits), &caching_servers, soft))
+    let selected = select_candidate(query, available, &caching_servers, limits)
+        .or_else(|| select_candidate(query, selectable().filter(fits), &caching_servers, limits))
         .ok_or(SelectionError::Full)?;
     Ok(ServerSelection {
         server: selected.server,
@@ -230,18 +254,23 @@
     slots + (slots * query.queue_millis / answer_millis).floor()
 }
 
-/// Selects the candidate with the lowest cost.
+/// Selects the candidate with the lowest cost, or one near it if requests are spread.
 fn select_candidate<'a>(
     query: SelectionQuery,
     candidates: impl Iterator<Item = &'a ServerCandidate>,
     caching_servers: &[ServerCandidate],
-    soft: f64,
+    bounds: CostBounds,
 ) -> Option<ServerCandidate> {
     let costs = candidates
-        .map(|candidate| (estimate_cost(query, candidate, caching_servers, soft), *candidate));
+        .map(|candidate| (estimate_cost(query, candidate, caching_servers, bounds), *candidate));
     let costs: Vec<(f64, ServerCandidate)> = costs.collect();
     let least = costs.iter().map(|(millis, _)| *millis).min_by(f64::total_cmp)?;
     let cached = costs.iter().any(|(_, candidate)| candidate.cached_tokens > 0);
+    let spread = query.spread.filter(|_| query.shared_tokens == 0 || cached);
+    let chosen = spread.and_then(|spread| spread_request(query, &spread, &costs, bounds));
+    if chosen.is_some() {
+        return chosen;
+    }
     // All routers must send a part that no server caches to the same server, though the loads that
     // they know differ a little. Other requests go to the lowest cost.
     let slack = if query.shared_tokens > 0 && !cached { HASH_RANKING_MILLIS } else { 0.0 };
@@ -250,30 +279,72 @@
     best.map(|(_, candidate)| *candidate)
 }
 
+/// Selects a candidate near the lowest cost, so that routers with the same loads select different ones.
+/// `None` if no requests are unseen.
+fn spread_request(
+    query: SelectionQuery,
+    spread: &SpreadQuery,
+    costs: &[(f64, ServerCandidate)],
+    bounds: CostBounds,
+) -> Option<ServerCandidate> {
+    let least = costs.iter().min_by(|one, other| one.0.total_cmp(&other.0))?;
+    // Requests with this part go to the servers that cache it, and those are a part of all requests.
+    let alike = costs.iter().filter(|(_, other)| other.cached_tokens == least.1.cached_tokens);
+    let alike: Vec<&(f64, ServerCandidate)> = alike.collect();
+    let unseen = spread.unseen_requests * alike.len() as f64;
+    let fill_cost = |(millis, candidate): &&(f64, ServerCandidate)| FillCost {
+        millis: *millis,
+        request_millis: estimate_request_cost(query, spread, candidate, bounds),
+    };
+    let fill_costs: Vec<FillCost> = alike.iter().map(fill_cost).collect();
+    let index = choose_by_fill(&fill_costs, unseen, spread.lot);
+    index.map(|index| alike[index].1)
+}
+
+/// Estimates what one more request would add to the cost of a server, in milliseconds.
+fn estimate_request_cost(
+    query: SelectionQuery,
+    spread: &SpreadQuery,
+    candidate: &ServerCandidate,
+    bounds: CostBounds,
+) -> f64 {
+    let next = f64::from(candidate.load) + 1.0;
+    let over = if next >= bounds.soft { OVER_SOFT_MILLIS } else { 0.0 };
+    let uneven = if next >= bounds.even { OVER_EVEN_MILLIS } else { 0.0 };
+    let occupancy = occupancy_cost(query, candidate, 1.0);
+    over + uneven + (occupancy + spread.own_millis) * candidate.slow_factor
+}
+
+/// Estimates the time that a request loses by `load` requests that are open on the server.
+fn occupancy_cost(query: SelectionQuery, candidate: &ServerCandidate, load: f64) -> f64 {
+    // Servers of services without shared prompts run few requests at once, so that each slot in
+    // use is likely to mean a wait.
+    if query.shared_tokens == 0 {
+        load / f64::from(candidate.slots.max(1)) * OVER_SOFT_MILLIS
+    } else {
+        load * query.spread.map_or(OPEN_REQUEST_MILLIS, |_| EVEN_REQUEST_MILLIS)
+    }
+}
+
 /// Estimates the time that a request would lose at a server, in milliseconds.
 fn estimate_cost(
     query: SelectionQuery,
     candidate: &ServerCandidate,
     caching_servers: &[ServerCandidate],
-    soft: f64,
+    bounds: CostBounds,
 ) -> f64 {
     let queueing = candidate.unread_tokens as f64 * query.token_millis;
     let load = f64::from(candidate.load);
-    let over = (load + 1.0 - soft).max(0.0) * OVER_SOFT_MILLIS;
+    let over = (load + 1.0 - bounds.soft).max(0.0) * OVER_SOFT_MILLIS;
+    let uneven = (load + 1.0 - bounds.even).max(0.0) * OVER_EVEN_MILLIS;
     let distance = if candidate.same_domain { 0.0 } else { REMOTE_DOMAIN_MILLIS };
-    // Servers of services without shared prompts run few requests at once, so that each slot in
-    // use is likely to mean a wait.
-    let occupancy = if query.shared_tokens == 0 {
-        load / f64::from(candidate.slots.max(1)) * OVER_SOFT_MILLIS
-    } else {
-        load * OPEN_REQUEST_MILLIS
-    };
+    let occupancy = occupancy_cost(query, candidate, load);
     let slowness = (candidate.slow_factor - 1.0) * (queueing + occupancy + query.answer_millis);
     let prompt = estimate_prompt_cost(query, candidate, caching_servers);
     // The few requests that a server with a limit takes are best those whose parts it caches.
     let lacks = candidate.cached_tokens < query.shared_tokens;
     let scarcity = if candidate.is_restricted && lacks { LIMITED_MILLIS } else { 0.0 };
-    queueing + over + distance + occupancy + slowness + prompt + scarcity
+    queueing + over + uneven + distance + occupancy + slowness + prompt + scarcity
 }
 
 /// Estimates the cost of prefilling or fetching the missing part of the shared prefix, in
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::crash_check::CheckTable;
 use crate::crash_reports::CrashUpdates;
 use crate::limit_exchange::{DemandCounter, LimitUpdates};
+use crate::load_spread::LotTable;
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
@@ -103,6 +104,8 @@
     pub(crate) cache_index: RefCell<CacheIndex>,
     pub(crate) outcomes: RefCell<OutcomeBook>,
     pub(crate) speeds: RefCell<SpeedBook>,
+    /// Positions that requests were spread with.
+    pub(crate) lots: RefCell<LotTable>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) limits: RefCell<LimitTable>,
     /// Servers that asked this router for a pause.
@@ -192,6 +195,7 @@
             cache_index: RefCell::default(),
             outcomes: RefCell::default(),
             speeds: RefCell::default(),
+            lots: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
             pauses: RefCell::new(PauseTable::new(local_vm.0)),
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -178,6 +178,8 @@
     const READY_PATH: &'static str;
     /// Name of the object that holds the declarations.
     const DECLARATIONS_NAME: &'static str;
+    /// Term of the platform that asks for even load of servers.
+    const EVEN_LOAD_TERM: &'static str;
 
     /// Returns the target of a list of a kind. With `after`, the list continues after that name.
     fn list_target(kind: StoreKind, after: Option<&str>) -> String;
--- a/crates/catkin-entry/tests/named_limits.rs
+++ b/crates/catkin-entry/tests/named_limits.rs
@@ -39,6 +39,7 @@
         token_millis: 0.02,
         answer_millis: 30.0,
         queue_millis: 0.0,
+        spread: None,
     }
 }
 
--- a/crates/catkin-entry/tests/server_selection.rs
+++ b/crates/catkin-entry/tests/server_selection.rs
@@ -59,6 +59,7 @@
         token_millis: 1.0 / 60.0,
         answer_millis: 20.0,
         queue_millis: 0.0,
+        spread: None,
     }
 }
 
--- a/crates/catkin-entry/tests/speed_book.rs
+++ b/crates/catkin-entry/tests/speed_book.rs
@@ -175,6 +175,7 @@
         token_millis: 1.0 / 60.0,
         answer_millis: 30.0,
         queue_millis: 0.0,
+        spread: None,
     };
     let factor = |server: u64| if server < 4 { 4.0 } else { 1.0 };
 
