Read how long work takes at servers from the load that they state

Cause: servers share machines, and which of them are slow changes many times a second. The pace of their answers shows it seconds later; the fourth figure of the load header, which says it with each answer, was read nowhere.

Change: each answer's figure goes to a table with its time. The selection line has the percentage and its age.

Conclusion: without a fourth figure nothing changes.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::ServerId;
+use catkin_base::{ClockTime, ServerId};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::AssignedCall;
@@ -19,6 +19,8 @@
 use crate::server_selection::{
     CandidateState, SelectionError, SelectionQuery, ServerCandidate, ServerSelection, select_server,
 };
+use crate::speed_book::SpeedBook;
+use crate::speed_table::{SpeedTable, combine_factors};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -263,6 +265,9 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
+    let stated_speeds = state.stated_speeds.borrow();
+    let of_service = servers.usable(&call.service).map(|known| known.server);
+    let median = stated_speeds.find_median(now, of_service);
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -282,7 +287,7 @@
             slots: known.record.slots,
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
-            slow_factor: speeds.slow_factor(now, server),
+            slow_factor: find_slow_factor(now, server, &speeds, &stated_speeds, median),
             software: known.software,
             is_restricted: names_limit || is_paused,
             cache_fill: index.tokens_on(server) as f64 / capacity,
@@ -308,6 +313,22 @@
     usable.chain(sources).map(candidate).collect()
 }
 
+/// The factor by which a server takes longer than its service, by its pace and by what it states.
+/// `median` is that of what the servers of its service state.
+fn find_slow_factor(
+    now: ClockTime,
+    server: ServerId,
+    speeds: &SpeedBook,
+    stated_speeds: &SpeedTable,
+    median: Option<f64>,
+) -> f64 {
+    let slow_factor = speeds.slow_factor(now, server);
+    median.map_or(slow_factor, |median| {
+        let stated = stated_speeds.stated_factor(now, server, median);
+        combine_factors(stated, slow_factor, speeds.measured_pace(now, server))
+    })
+}
+
 /// Logs a selection with the figures that it is based on.
 fn log_selection<W>(
     state: &EntryState<W>,
@@ -318,12 +339,16 @@
     let now = state.now();
     let servers = state.servers.borrow();
     let speeds = state.speeds.borrow();
-    let slow_factor = speeds.slow_factor(now, selection.server);
+    let stated_speeds = state.stated_speeds.borrow();
+    let of_service = servers.usable(&call.service).map(|known| known.server);
+    let median = stated_speeds.find_median(now, of_service);
+    let slow_factor = find_slow_factor(now, selection.server, &speeds, &stated_speeds, median);
+    let stated = stated_speeds.statement(now, selection.server);
     let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
         "call: assigned to a server; sending. request={} server={} load={} mean={:.1} servers={} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
-         slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={} software={} \
+         slow_factor={:.1} stated_percent={} stated_age_millis={} expected_millis={:.0} left_millis={} declarations={} software={} \
          resumes={}",
         call.id_text(),
         selection.server,
@@ -337,6 +362,8 @@
         selection.fetch_from.map_or_else(|| "-".to_owned(), |server| server.to_string()),
         state.loads.borrow().oldest_report_millis(now),
         slow_factor,
+        stated.map_or_else(|| "-".to_owned(), |stated| stated.percent.to_string()),
+        stated.map_or(0, |stated| now.millis_since(stated.stated)),
         expected * slow_factor,
         call.deadline.saturating_duration_since(Instant::now()).as_millis(),
         call.version,
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,12 +17,13 @@
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
-//!    where streams began, `limit_exchange` the limits that servers name.
+//!    where streams began, `limit_exchange` the limits that servers name,
+//!    `speed_exchange` how slow they state to be.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`choose_by_fill`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -69,6 +70,8 @@
 mod server_selection;
 mod settings;
 mod speed_book;
+mod speed_exchange;
+mod speed_table;
 mod state;
 mod store_client;
 mod store_follower;
@@ -116,6 +119,7 @@
 };
 pub use settings::{EntrySettings, SettingsError, parse_settings};
 pub use speed_book::{SpeedBook, StartedSample};
+pub use speed_table::{SpeedStatement, SpeedTable, combine_factors, read_stated_speed};
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -288,6 +288,7 @@
                 updates.borrow_mut().slow.insert(server, (factor, until));
             }
         }
+        state.apply_stated_speeds(report, relayed);
         for statement in report.limits.iter().map(|row| decode_limit(now, row)) {
             let is_new = state.record_limit(statement, &source.vm.to_string());
             if let Some(updates) = relayed.filter(|_| is_new) {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -333,6 +333,7 @@
     state.cache_index.borrow_mut().remove_expired(now);
     state.crashes.borrow_mut().remove_expired();
     state.speeds.borrow_mut().remove_expired(now);
+    state.stated_speeds.borrow_mut().remove_expired(now);
     let servers = state.servers.borrow();
     state.limits.borrow_mut().remove_expired(now, |server| servers.get(server).is_some());
     state.pauses.borrow_mut().remove_expired(now);
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -16,6 +16,7 @@
 use crate::load_table::{OpenLoad, ServiceKey};
 use crate::reach_watch::reach_key;
 use crate::speed_book::PEER_FACTOR_MILLIS;
+use crate::speed_exchange::{encode_statement, fill_relayed_speeds};
 use crate::state::{EntryState, RelayUpdates};
 
 /// Maximum number of cached parts in one report, so that it fits a datagram.
@@ -104,6 +105,9 @@
     let mut updates = state.updates.borrow_mut();
     updates.loads_changed = false;
     updates.send_now = false;
+    let statements = state.collect_slow_statements(std::mem::take(&mut updates.stated_speeds));
+    let now = state.now();
+    report.stated_speeds = statements.iter().map(|row| encode_statement(now, row)).collect();
     let repeated = std::mem::take(&mut updates.parts_to_repeat);
     let capacity = MAX_PARTS.saturating_sub(repeated.len().min(MAX_PARTS / 2));
     let fresh: Vec<_> = updates.cached_parts.iter().take(capacity).copied().collect();
@@ -113,6 +117,7 @@
     updates.parts_to_repeat = fresh;
     let mut relayed = state.to_other_domains.borrow_mut();
     relayed.cached_parts.extend(&updates.parts_to_repeat);
+    relayed.stated_speeds.extend(statements.iter().map(|row| (row.server, *row)));
     updates.crashes.fill_report(state.now(), &mut report, Some(&mut relayed.crashes));
     updates.limits.fill_report(state.now(), &mut report, Some(&mut relayed.limits));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
@@ -199,6 +204,7 @@
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
     updates.crashes.fill_report(now, first, None);
     updates.limits.fill_report(now, first, None);
+    fill_relayed_speeds(now, updates, first);
     reports
 }
 
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -6,6 +6,7 @@
 use catkin_http::ResponseHead;
 use catkin_policy::{LimitStatement, RequestRate};
 
+use crate::speed_table::{SpeedStatement, read_stated_speed};
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -53,6 +54,8 @@
         pub(crate) leaving: bool,
         pub(crate) limit: LimitNotice,
         pub(crate) pause: PauseNotice,
+        /// How long work takes there, in percent of the usual time.
+        pub(crate) speed_percent: Option<u32>,
     }
 }
 
@@ -77,6 +80,7 @@
         leaving,
         limit: limit.map_or(LimitNotice::Absent, read_limit),
         pause: pause.map_or(PauseNotice::Absent, read_pause),
+        speed_percent: head.fields.values(names.load).next().and_then(read_stated_speed),
     }
 }
 
@@ -117,6 +121,9 @@
             self.record_leave_statement(server, request);
         }
         self.record_pause(server, notice.pause, source, request);
+        if let Some(percent) = notice.speed_percent {
+            self.record_stated_speed(server, percent, source);
+        }
         let (rate, stated) = match (notice.limit, source) {
             (LimitNotice::Named(rate), NoticeSource::Answer(_)) => (Some(rate), self.now()),
             (LimitNotice::Named(rate), NoticeSource::Other(sent)) => (Some(rate), sent),
@@ -169,6 +176,19 @@
         }
     }
 
+    /// Records how long work takes at a server, as it stated.
+    fn record_stated_speed(&self, server: ServerId, percent: u32, source: NoticeSource) {
+        let now = self.now();
+        let stated = match source {
+            NoticeSource::Answer(_) => now,
+            NoticeSource::Other(sent) => sent,
+        };
+        let statement = SpeedStatement { server, percent, stated };
+        if self.stated_speeds.borrow_mut().record_statement(now, statement) {
+            self.updates.borrow_mut().stated_speeds.insert(server, statement);
+        }
+    }
+
     /// Whether a pause that a server asked for is in force.
     pub(crate) fn is_paused(&self, server: ServerId) -> bool {
         self.pauses.borrow().is_paused(self.now(), server)
--- a/crates/catkin-entry/src/speed_book.rs
+++ b/crates/catkin-entry/src/speed_book.rs
@@ -229,6 +229,14 @@
         local.max(reported)
     }
 
+    /// Returns the measured pace of `server` relative to its service, also if it is not slow; `None` with
+    /// few recent answers.
+    pub fn measured_pace(&self, now: ClockTime, server: ServerId) -> Option<f64> {
+        let mut pace = *self.servers.get(&server)?;
+        pace.decay(now);
+        (pace.weight >= FULL_WEIGHT).then(|| (pace.log_ratios / pace.weight).exp())
+    }
+
     /// Slow servers that this router measured itself, with their factors, for its reports to other
     /// routers.
     pub fn local_slow(&self, now: ClockTime) -> impl Iterator<Item = (ServerId, f64)> {
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -32,6 +32,7 @@
 use crate::server_selection::LoadBounds;
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
+use crate::speed_table::{SpeedStatement, SpeedTable};
 use crate::store_point::StorePoint;
 use crate::wire::StoreKind;
 
@@ -57,6 +58,8 @@
     pub(crate) parts_to_repeat: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
     pub(crate) limits: LimitUpdates,
+    /// What servers stated of their speed to this router since its last report.
+    pub(crate) stated_speeds: BTreeMap<ServerId, SpeedStatement>,
     /// Whether open requests changed since the last report.
     pub(crate) loads_changed: bool,
     /// Whether a report must be sent at the next check, also without other updates.
@@ -73,6 +76,7 @@
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
     /// Factors of slow servers, and until when they count.
     pub(crate) slow: BTreeMap<ServerId, (f64, ClockTime)>,
+    pub(crate) stated_speeds: BTreeMap<ServerId, SpeedStatement>,
 }
 
 /// Progress of getting the first list of servers from another router.
@@ -104,6 +108,7 @@
     pub(crate) cache_index: RefCell<CacheIndex>,
     pub(crate) outcomes: RefCell<OutcomeBook>,
     pub(crate) speeds: RefCell<SpeedBook>,
+    pub(crate) stated_speeds: RefCell<SpeedTable>,
     /// Positions that requests were spread with.
     pub(crate) lots: RefCell<LotTable>,
     pub(crate) budgets: RefCell<BudgetBook>,
@@ -195,6 +200,7 @@
             cache_index: RefCell::default(),
             outcomes: RefCell::default(),
             speeds: RefCell::default(),
+            stated_speeds: RefCell::default(),
             lots: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
@@ -320,6 +326,7 @@
         self.cache_index.borrow_mut().remove_server(server);
         self.outcomes.borrow_mut().remove_server(server);
         self.speeds.borrow_mut().remove_server(server);
+        self.stated_speeds.borrow_mut().remove_server(server);
         self.limits.borrow_mut().remove_server(server);
         self.pauses.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
