--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -5,19 +5,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::ServerId;
+use catkin_base::{ClockTime, ServerId};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::AssignedCall;
 use crate::cache_index::CachedPart;
 use crate::call::EntryCall;
 use crate::evacuation_exchange::EVACUATIONS_WAIT;
+use crate::load_spread::{SpreadQuery, UnseenInput, estimate_unseen};
+use crate::load_table::ServiceKey;
 use crate::origin_book::SoftwareKey;
 use crate::refusal::RefusalCause;
 use crate::server_book::KnownServer;
 use crate::server_selection::{
     CandidateState, SelectionError, SelectionQuery, ServerCandidate, ServerSelection, select_server,
 };
+use crate::speed_book::SpeedBook;
+use crate::speed_table::{SpeedTable, combine_factors};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -187,6 +191,7 @@
         token_millis: 1.0 / state.speeds.borrow().tokens_per_milli(&call.service),
         answer_millis: state.speeds.borrow().expected_millis(&call.service, own_tokens),
         queue_millis,
+        spread: plan_spread(state, call, own_tokens),
     };
     let selection = select_server(query, &candidates, &state.load_bounds())?;
     let fetched = selection.fetch_from.map_or(0, |_| query.shared_tokens);
@@ -219,6 +224,31 @@
     })
 }
 
+/// How the request is spread over the servers, if the platform's terms ask for even load.
+fn plan_spread<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    own_tokens: u64,
+) -> Option<SpreadQuery> {
+    if !state.settings().contracts.contains(W::EVEN_LOAD_TERM) {
+        return None;
+    }
+    let now = state.now();
+    let service = ServiceKey::from_name(&call.service);
+    let loads = state.loads.borrow();
+    let input = UnseenInput {
+        own_rate: state.demands.borrow().rate(now, service),
+        routers: loads.live_routers(now),
+        servers: state.servers.borrow().usable(&call.service).count(),
+        age_millis: loads.mean_report_millis(now),
+    };
+    Some(SpreadQuery {
+        lot: state.lots.borrow_mut().next_lot(state.local_vm.0, service),
+        unseen_requests: estimate_unseen(&input),
+        own_millis: own_tokens as f64 / state.speeds.borrow().tokens_per_milli(&call.service),
+    })
+}
+
 /// Whether a server of the call's service that may get requests has this software version.
 fn has_version<W: EntryWire>(
     state: &EntryState<W>,
@@ -276,6 +306,9 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
+    let stated_speeds = state.stated_speeds.borrow();
+    let of_service = servers.usable(&call.service).map(|known| known.server);
+    let median = stated_speeds.find_median(now, of_service);
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -297,7 +330,7 @@
             slots: known.record.slots,
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
-            slow_factor: speeds.slow_factor(now, server),
+            slow_factor: find_slow_factor(now, server, &speeds, &stated_speeds, median),
             software: known.software,
             is_restricted: names_limit || is_paused,
             cache_fill: index.tokens_on(server) as f64 / capacity,
@@ -326,6 +359,22 @@
     usable.chain(sources).map(candidate).collect()
 }
 
+/// The factor by which a server takes longer than its service, by its pace and by what it states.
+/// `median` is that of what the servers of its service state.
+fn find_slow_factor(
+    now: ClockTime,
+    server: ServerId,
+    speeds: &SpeedBook,
+    stated_speeds: &SpeedTable,
+    median: Option<f64>,
+) -> f64 {
+    let slow_factor = speeds.slow_factor(now, server);
+    median.map_or(slow_factor, |median| {
+        let stated = stated_speeds.stated_factor(now, server, median);
+        combine_factors(stated, slow_factor, speeds.measured_pace(now, server))
+    })
+}
+
 /// Logs a selection with the figures that it is based on.
 fn log_selection<W>(
     state: &EntryState<W>,
@@ -336,12 +385,17 @@
     let now = state.now();
     let servers = state.servers.borrow();
     let speeds = state.speeds.borrow();
-    let slow_factor = speeds.slow_factor(now, selection.server);
+    let stated_speeds = state.stated_speeds.borrow();
+    let of_service = servers.usable(&call.service).map(|known| known.server);
+    let median = stated_speeds.find_median(now, of_service);
+    let slow_factor = find_slow_factor(now, selection.server, &speeds, &stated_speeds, median);
+    let stated = stated_speeds.statement(now, selection.server);
     let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
         "call: assigned to a server; sending. request={} server={} load={} mean={:.1} servers={} \
          part={:016x} shared={} kept={} unread={} fetch_from={} loads_age_millis={} \
-         slow_factor={:.1} expected_millis={:.0} left_millis={} declarations={} software={} \
+         slow_factor={:.1} stated_percent={} stated_age_millis={} \
+         expected_millis={:.0} left_millis={} declarations={} software={} \
          resumes={} evacuated={}",
         call.id_text(),
         selection.server,
@@ -355,6 +409,8 @@
         selection.fetch_from.map_or_else(|| "-".to_owned(), |server| server.to_string()),
         state.loads.borrow().oldest_report_millis(now),
         slow_factor,
+        stated.map_or_else(|| "-".to_owned(), |stated| stated.percent.to_string()),
+        stated.map_or(0, |stated| now.millis_since(stated.stated)),
         expected * slow_factor,
         call.deadline.saturating_duration_since(Instant::now()).as_millis(),
         call.version,
