Evacuated servers are asked for no lists and not blamed for ending

Cause: a router that starts could ask for lists of cached parts before it knew of evacuations, and the servers of a domain that is emptied end while streams run, which counted as crashes of what they ran. Change: lists wait until evacuations are known; breaks of evacuated servers' connections are no strikes; reports that are not newer are dismissed before their set is built.

--- a/crates/catkin-entry/src/cache_loader.rs
+++ b/crates/catkin-entry/src/cache_loader.rs
@@ -70,6 +70,9 @@
     state: &Rc<EntryState<W>>,
     routers: &[VmId],
 ) -> Vec<CachedPart> {
+    if !state.knows_evacuations() {
+        return Vec::new();
+    }
     let addresses = list_engines(state);
     let max_parts = MAX_LISTED_PARTS / addresses.len().max(1);
     let engines = addresses.keys().copied();
--- a/crates/catkin-entry/src/evacuation_exchange.rs
+++ b/crates/catkin-entry/src/evacuation_exchange.rs
@@ -119,8 +119,9 @@
 
     /// Whether a service has servers that could get requests, all of them in evacuated domains.
     pub(crate) fn is_service_evacuated(&self, service: &str) -> bool {
-        self.count_evacuated(service) > 0
+        !self.evacuations.borrow().is_empty()
             && self.usable_servers(&self.servers.borrow(), service).next().is_none()
+            && self.count_evacuated(service) > 0
     }
 
     /// Records that a request was kept away from the evacuated servers of its service.
--- a/crates/catkin-entry/src/evacuation_table.rs
+++ b/crates/catkin-entry/src/evacuation_table.rs
@@ -157,10 +157,18 @@
         let confirmed = report.age_millis.map(|millis| now.minus_millis(millis));
         // A set as of an earlier point counts as well: the store had nothing later then.
         self.confirmed_elsewhere = self.confirmed_elsewhere.max(confirmed);
+        if self.is_known(report.point) {
+            return Vec::new();
+        }
         let domains = report.domains.iter().map(|domain| (*domain, None));
         self.replace(now, report.point, domains.collect())
     }
 
+    /// Whether the set reflects this point, or a later one.
+    fn is_known(&self, point: StorePoint) -> bool {
+        self.point.is_some_and(|known| known >= point)
+    }
+
     /// Replaces the set if `point` is later than its own.
     fn replace(
         &mut self,
@@ -168,7 +176,7 @@
         point: StorePoint,
         next: BTreeMap<DomainId, Option<&str>>,
     ) -> Vec<EvacuationChange> {
-        if self.point.is_some_and(|known| known >= point) {
+        if self.is_known(point) {
             return Vec::new();
         }
         self.point = Some(point);
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -268,7 +268,8 @@
         };
         // A router that is cut off sees connections break as if their servers had crashed.
         let is_in_reach = !state.is_out_of_reach(&call.service);
-        let may_blame = error.may_have_crashed() && is_in_reach;
+        // The servers of a domain that is emptied end without having crashed.
+        let may_blame = error.may_have_crashed() && is_in_reach && !state.is_evacuated(server);
         if may_blame && !call.prefixes.is_empty() && !forwarder.is_answered() {
             let check = check_server(state, server, address).await;
             log_possible_crash(call, server, forwarder.first_events(), check);
@@ -567,6 +568,7 @@
     if broke
         && error.may_have_crashed()
         && !state.is_out_of_reach(&call.service)
+        && !state.is_evacuated(server)
         && state.record_strike(call.digest, server, CrashSource::Local)
     {
         state.updates.borrow_mut().crashes.strikes.push((call.digest, server));
