Pace requests to cold servers over all routers

Cause: nothing bounded what a cold server gets within one second; the limits that servers name hold over 4 s only.

Change: ColdTable, a share of the rate at each router by its part of the requests, in permits that lapse unless they are used.

--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -10,8 +10,8 @@
 //! Then `rank` and `plan` hold the entry router's side. The owner's side starts with `owner`;
 //! `decision`, `dispatch`, `release` and `handover` add its operations, and `ledger`, with `queue`,
 //! `health`, `warm`, `history` and `bound`, holds its state. `load` and `report` aggregate and send
-//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `server_pause`, `reach`, `backoff`
-//! and `recent` stand alone.
+//! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `cold_server`, `server_pause`,
+//! `reach`, `backoff` and `recent` stand alone.
 //!
 //! ```
 //! use catkin_base::{ChatId, ServerId};
@@ -34,6 +34,7 @@
 
 mod backoff;
 mod bound;
+mod cold_server;
 mod decision;
 mod dispatch;
 mod grant;
@@ -62,6 +63,7 @@
 
 pub use backoff::BackoffPlan;
 pub use bound::admission_bound;
+pub use cold_server::{ColdShare, ColdTable};
 pub use grant::{
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRefusal, GrantRelease, GrantResult,
     OpenGrant, OverflowCause, ReleaseOutcome, WarmChat,
