Keep the rate of cold servers at entry routers

Cause: the cold time in entries of servers, its header and ColdStartS were read and used nowhere.

Change: cold_exchange records cold servers from entries, headers, reports, starts seen in the list, failed attempts and pauses of the process; the assignment counts them as limited while the share is used up. Reports carry cold servers three times, to joining routers and between domains; recent sends and demands are reported as for limits. Nothing changes for services that declare no cold time.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -105,10 +105,13 @@
     call: &EntryCall,
     tried: &BTreeSet<ServerId>,
 ) -> Option<Instant> {
-    if state.limits.borrow().is_empty() && state.pauses.borrow().is_empty() {
+    let is_unlimited = state.limits.borrow().is_empty() && state.cold.borrow().table.is_empty();
+    if is_unlimited && state.pauses.borrow().is_empty() {
         return None;
     }
     let now = state.now();
+    let cold_share = state.compute_cold_share(&call.service);
+    let mut cold = state.cold.borrow_mut();
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -116,7 +119,10 @@
     let untried = servers.usable(&call.service).filter(|known| !tried.contains(&known.server));
     let waits = untried.map(|known| {
         let credit = limits.wait_millis(now, known.server, share(known.server));
-        credit.max(pauses.wait_millis(now, known.server))
+        let cold = cold_share
+            .as_ref()
+            .map_or(0, |share| cold.table.wait_millis(now, known.server, &share(known.server)));
+        credit.max(cold).max(pauses.wait_millis(now, known.server))
     });
     let wait = waits.filter(|millis| *millis > 0).min()?;
     Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_OPENING_WAIT, MAX_OPENING_WAIT))
@@ -143,6 +149,7 @@
 ) -> Result<AssignedCall<W>, SelectionError> {
     let now = state.now();
     let capacity = shared_capacity(state, call);
+    state.check_cold_pause(false);
     let candidates = list_candidates(state, call, tried, software, capacity);
     let shared = call.shared_prefix();
     let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
@@ -177,6 +184,10 @@
     state.cache_index.borrow_mut().evict_beyond(selection.server, capacity);
     let share = state.compute_limit_share(&call.service)(selection.server);
     state.limits.borrow_mut().record_send(now, selection.server, share);
+    if let Some(share) = state.compute_cold_share(&call.service) {
+        let mut cold = state.cold.borrow_mut();
+        cold.table.record_send(now, selection.server, &share(selection.server));
+    }
     state.pauses.borrow_mut().record_send(now, selection.server);
     let servers = state.servers.borrow();
     let address = |server| servers.get(server).map(|known| known.record.address);
@@ -235,6 +246,9 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
+    let cold_share = state.compute_cold_share(&call.service);
+    let mut cold = state.cold.borrow_mut();
+    let mut kept_away = false;
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -246,6 +260,11 @@
         let names_limit = limits.rate(server).is_some();
         let is_used_up = names_limit && limits.wait_millis(now, server, share(server)) > 0;
         let is_paused = pauses.wait_millis(now, server) > 0;
+        let is_cold = cold_share.is_some() && cold.table.is_cold(now, server);
+        let is_too_cold = cold_share
+            .as_ref()
+            .is_some_and(|share| cold.table.wait_millis(now, server, &share(server)) > 0);
+        kept_away |= is_too_cold;
         let load = loads.total_load(server);
         ServerCandidate {
             server,
@@ -256,7 +275,7 @@
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
             software: known.software,
-            is_restricted: names_limit || is_paused,
+            is_restricted: names_limit || is_cold || is_paused,
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
@@ -264,7 +283,7 @@
                 CandidateState::OtherVersion
             } else if is_paused {
                 CandidateState::Paused
-            } else if is_used_up {
+            } else if is_used_up || is_too_cold {
                 CandidateState::Limited
             } else if outcomes.is_unreachable(now, server) {
                 CandidateState::Unreachable
@@ -277,7 +296,11 @@
     };
     let sources = servers.leaving(&call.service);
     let sources = sources.filter(|known| !outcomes.is_unreachable(now, known.server));
-    usable.chain(sources).map(candidate).collect()
+    let candidates = usable.chain(sources).map(candidate).collect();
+    if kept_away {
+        metrics::counter!("catkin_entry_cold_kept_away_total").increment(1);
+    }
+    candidates
 }
 
 /// Logs a selection with the figures that it is based on.
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -17,7 +17,7 @@
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
-//!    where streams began, `limit_exchange` the limits that servers name.
+//!    where streams began, `limit_exchange` the limits that servers name, `cold_exchange` which servers are cold.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
@@ -36,6 +36,7 @@
 mod call;
 mod call_relay;
 mod caller;
+mod cold_exchange;
 mod connection;
 mod connection_pool;
 mod crash_book;
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cache_index::CachedPart;
+use crate::cold_exchange::{MAX_COLD, encode_cold};
 use crate::crash_book::CrashSource;
 use crate::crash_reports::{decode_crash, decode_quarantine, encode_quarantine, encode_strike};
 use crate::limit_exchange::{MAX_LIMITS, decode_limit, encode_limit};
@@ -294,6 +295,11 @@
                 updates.borrow_mut().limits.push(statement);
             }
         }
+        for (server, until) in state.apply_cold_report(report, &source.vm.to_string()) {
+            if let Some(updates) = relayed {
+                updates.borrow_mut().cold.push(server, until);
+            }
+        }
         for row in &report.leaving {
             let server = ServerId(row.server);
             let point = StorePoint::from_number(row.revision);
@@ -327,6 +333,7 @@
                 self.send_strikes(state, source);
                 self.send_leave_statements(state, source);
                 self.send_limits(state, source);
+                self.send_cold_servers(state, source);
             }
         }
         if report.tells_kept && (report.knows_kept || !report.kept.is_empty()) {
@@ -379,6 +386,17 @@
         }
     }
 
+    /// Sends the servers that are cold to a router that starts, or that was silent.
+    fn send_cold_servers<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let now = state.now();
+        let cold: Vec<_> = state.cold.borrow().table.stated(now).collect();
+        for batch in cold.chunks(MAX_COLD).take(MAX_JOIN_REPORTS) {
+            let mut report = build_status(state);
+            report.cold = batch.iter().map(|cold| encode_cold(now, *cold)).collect();
+            self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
+        }
+    }
+
     /// Records the open requests of a report, unless they are for a relay and this router is not
     /// one.
     fn record_loads<W: EntryWire>(
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -249,6 +249,8 @@
     metrics::gauge!("catkin_entry_quarantined_parts").set(quarantined as f64);
     let limited = state.limits.borrow().statements().count();
     metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
+    let cold = state.cold.borrow().table.count(state.now());
+    metrics::gauge!("catkin_entry_cold_servers").set(cold as f64);
     let paused = state.pauses.borrow().count(state.now());
     metrics::gauge!("catkin_entry_paused_servers").set(paused as f64);
     let lost = state.reach.borrow().lost_services().count();
@@ -305,7 +307,10 @@
                 pause.as_millis()
             );
             discard_stale_state(&state);
+            state.check_cold_pause(true);
         }
+        state.check_cold_pause(false);
+        state.remove_warm_servers();
         let dropped = state.servers.borrow_mut().remove_missing(state.now());
         state.record_versions();
         for server in dropped {
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -34,6 +34,7 @@
     updates.loads_changed
         || updates.send_now
         || !updates.limits.is_empty()
+        || !updates.cold.is_empty()
         || !updates.cached_parts.is_empty()
         || !updates.crashes.is_empty()
 }
@@ -115,6 +116,7 @@
     relayed.cached_parts.extend(&updates.parts_to_repeat);
     updates.crashes.fill_report(state.now(), &mut report, Some(&mut relayed.crashes));
     updates.limits.fill_report(state.now(), &mut report, Some(&mut relayed.limits));
+    updates.cold.fill_report(state.now(), &mut report, Some(&mut relayed.cold));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
         relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
@@ -199,6 +201,7 @@
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
     updates.crashes.fill_report(now, first, None);
     updates.limits.fill_report(now, first, None);
+    updates.cold.fill_report(now, first, None);
     reports
 }
 
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -559,6 +559,9 @@
         _ => AttemptOutcome::Failed,
     };
     let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
+    if broke && error.may_have_crashed() {
+        state.record_cold_failure(server);
+    }
     if broke
         && error.may_have_crashed()
         && !state.is_out_of_reach(&call.service)
@@ -584,6 +587,11 @@
     if failed && state.is_paused(server) {
         return;
     }
+    match outcome {
+        AttemptOutcome::Unreachable => state.record_cold_failure(server),
+        AttemptOutcome::Served => state.record_cold_answer(server),
+        AttemptOutcome::Failed => {}
+    }
     if state.outcomes.borrow_mut().record(now, server, outcome, service_servers) {
         log::info!(
             "servers: server ejected for failed attempts; used only if no available server has free \
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -53,6 +53,8 @@
         pub(crate) leaving: bool,
         pub(crate) limit: LimitNotice,
         pub(crate) pause: PauseNotice,
+        /// For how long it is still cold, in milliseconds; 0 if it doesn't say so.
+        pub(crate) cold_millis: u32,
     }
 }
 
@@ -73,10 +75,12 @@
     let leaving = head.fields.values(names.leaving).any(|value| value.trim_ascii() == b"1");
     let limit = head.fields.values(names.limit).next();
     let pause = head.fields.values(RETRY_AFTER).next().filter(|_| head.status == UNAVAILABLE);
+    let cold = head.fields.values(names.cold).next();
     ServerNotice {
         leaving,
         limit: limit.map_or(LimitNotice::Absent, read_limit),
         pause: pause.map_or(PauseNotice::Absent, read_pause),
+        cold_millis: cold.and_then(read_decimal).map_or(0, |millis| millis as u32),
     }
 }
 
@@ -117,6 +121,9 @@
             self.record_leave_statement(server, request);
         }
         self.record_pause(server, notice.pause, source, request);
+        if notice.cold_millis > 0 {
+            self.record_cold(server, notice.cold_millis.into(), request);
+        }
         let (rate, stated) = match (notice.limit, source) {
             (LimitNotice::Named(rate), NoticeSource::Answer(_)) => (Some(rate), self.now()),
             (LimitNotice::Named(rate), NoticeSource::Other(sent)) => (Some(rate), sent),
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -15,6 +15,7 @@
 use crate::budget_book::BudgetBook;
 use crate::cache_index::{CacheIndex, CachedPart};
 use crate::cache_sync::CacheSync;
+use crate::cold_exchange::{ColdUpdates, ColdWatch};
 use crate::connection_pool::ConnectionPool;
 use crate::crash_book::CrashBook;
 use crate::crash_check::CheckTable;
@@ -56,6 +57,7 @@
     pub(crate) parts_to_repeat: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
     pub(crate) limits: LimitUpdates,
+    pub(crate) cold: ColdUpdates,
     /// Whether open requests changed since the last report.
     pub(crate) loads_changed: bool,
     /// Whether a report must be sent at the next check, also without other updates.
@@ -68,6 +70,7 @@
     pub(crate) cached_parts: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
     pub(crate) limits: LimitUpdates,
+    pub(crate) cold: ColdUpdates,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
     /// Factors of slow servers, and until when they count.
@@ -105,6 +108,8 @@
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) limits: RefCell<LimitTable>,
+    /// Servers that are cold or may be.
+    pub(crate) cold: RefCell<ColdWatch>,
     /// Servers that asked this router for a pause.
     pub(crate) pauses: RefCell<PauseTable>,
     pub(crate) reach: RefCell<ReachTable>,
@@ -194,6 +199,7 @@
             speeds: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
+            cold: RefCell::new(ColdWatch::new(local_vm.0)),
             pauses: RefCell::new(PauseTable::new(local_vm.0)),
             reach: RefCell::default(),
             connect_failure: Notify::new(),
@@ -317,6 +323,7 @@
         self.outcomes.borrow_mut().remove_server(server);
         self.speeds.borrow_mut().remove_server(server);
         self.limits.borrow_mut().remove_server(server);
+        self.cold.borrow_mut().remove_server(server);
         self.pauses.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
     }
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -301,13 +301,14 @@
         let now = self.state.now();
         let recovered = self.is_recovered();
         let mut servers = self.state.servers.borrow_mut();
+        let is_first = !servers.is_listed();
         let changes = servers.apply_list(now, point, entries, recovered);
         drop(servers);
         log::info!(
             "store: servers listed. point={point} changes={} settled={recovered}",
             changes.len()
         );
-        self.apply_server_changes(&changes);
+        self.apply_server_changes(&changes, is_first);
         self.state.list_copy_change.notify_waiters();
     }
 
@@ -334,15 +335,20 @@
         }
         servers.advance_point(page.point());
         drop(servers);
-        self.apply_server_changes(&changes);
+        self.apply_server_changes(&changes, false);
     }
 
-    fn apply_server_changes(&self, changes: &[ServerChange]) {
+    fn apply_server_changes(&self, changes: &[ServerChange], is_first: bool) {
         // The lines of a long list would use up the budget of the log.
         let log_each = changes.len() <= MAX_LOGGED_CHANGES;
         for change in changes {
             self.state.apply_change(*change, log_each);
         }
+        let appeared = changes.iter().filter_map(|change| match change {
+            ServerChange::Appeared(server) => Some(*server),
+            _ => None,
+        });
+        self.state.record_cold_entries(&appeared.collect(), is_first);
     }
 
     fn apply_declarations(&self, page: &StorePage) {
