--- a/crates/catkin-entry/src/evacuation_exchange.rs
+++ b/crates/catkin-entry/src/evacuation_exchange.rs
@@ -155,9 +155,6 @@
             || self.settings().evacuation_bound().is_none()
             || self.started.elapsed() >= EVACUATIONS_WAIT
     }
-
-    /// Expects that the servers of a domain whose evacuation ended have become cold.
-    pub(crate) fn expect_cold_servers(&self, _domain: DomainId) {}
 }
 
 fn log_change(change: &EvacuationChange, found: Option<&(String, Vec<ServerId>)>, source: &str) {
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -19,7 +19,7 @@
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
 //!    where streams began, `limit_exchange` the limits that servers name, `evacuation_exchange` the evacuated domains,
-//!    `speed_exchange` how slow servers state to be.
+//!    `speed_exchange` how slow servers state to be, `cold_exchange` which of them are cold.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
@@ -38,6 +38,7 @@
 mod call;
 mod call_relay;
 mod caller;
+mod cold_exchange;
 mod connection;
 mod connection_pool;
 mod crash_book;
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -35,6 +35,7 @@
     updates.loads_changed
         || updates.send_now
         || !updates.limits.is_empty()
+        || !updates.cold.is_empty()
         || !updates.cached_parts.is_empty()
         || !updates.crashes.is_empty()
 }
@@ -122,6 +123,7 @@
     relayed.stated_speeds.extend(statements.iter().map(|row| (row.server, *row)));
     updates.crashes.fill_report(state.now(), &mut report, Some(&mut relayed.crashes));
     updates.limits.fill_report(state.now(), &mut report, Some(&mut relayed.limits));
+    updates.cold.fill_report(state.now(), &mut report, Some(&mut relayed.cold));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
         relayed.slow.insert(ServerId(row.server), (decode_factor(*row), until));
@@ -207,6 +209,7 @@
     updates.crashes.fill_report(now, first, None);
     updates.limits.fill_report(now, first, None);
     fill_relayed_speeds(now, updates, first);
+    updates.cold.fill_report(now, first, None);
     reports
 }
 
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -56,6 +56,8 @@
         pub(crate) pause: PauseNotice,
         /// How long work takes there, in percent of the usual time.
         pub(crate) speed_percent: Option<u32>,
+        /// For how long it is still cold, in milliseconds; 0 if it doesn't say so.
+        pub(crate) cold_millis: u32,
     }
 }
 
@@ -76,11 +78,13 @@
     let leaving = head.fields.values(names.leaving).any(|value| value.trim_ascii() == b"1");
     let limit = head.fields.values(names.limit).next();
     let pause = head.fields.values(RETRY_AFTER).next().filter(|_| head.status == UNAVAILABLE);
+    let cold = head.fields.values(names.cold).next();
     ServerNotice {
         leaving,
         limit: limit.map_or(LimitNotice::Absent, read_limit),
         pause: pause.map_or(PauseNotice::Absent, read_pause),
         speed_percent: head.fields.values(names.load).next().and_then(read_stated_speed),
+        cold_millis: cold.and_then(read_decimal).map_or(0, |millis| millis as u32),
     }
 }
 
@@ -124,6 +128,9 @@
         if let Some(percent) = notice.speed_percent {
             self.record_stated_speed(server, percent, source);
         }
+        if notice.cold_millis > 0 {
+            self.record_cold(server, notice.cold_millis.into(), request);
+        }
         let (rate, stated) = match (notice.limit, source) {
             (LimitNotice::Named(rate), NoticeSource::Answer(_)) => (Some(rate), self.now()),
             (LimitNotice::Named(rate), NoticeSource::Other(sent)) => (Some(rate), sent),
