Set, end and list evacuations by a command, and show which routers obey

Change: catkin-evacuate works over catkin-entry's client of the store. It repeats calls without an answer, counts an entry that exists or is gone already as done, and refuses a failure domain that has no server unless told otherwise. `list` reads from the metrics listeners of routers since when they obey. The gauge catkin_entry_evacuation_obeyed_unix_millis{domain} is set by record_evacuation_obeyed, which the routers' side is to call.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -42,6 +42,7 @@
 mod crash_check;
 mod crash_reports;
 mod departure_table;
+mod evacuation_client;
 mod join;
 mod limit_exchange;
 mod list_plan;
@@ -84,6 +85,10 @@
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
 pub use departure_table::{DepartureTable, ServerDeparture};
+pub use evacuation_client::{
+    EvacuationChange, EvacuationClient, parse_obeyed_evacuations, read_obeyed_evacuations,
+    record_evacuation_obeyed,
+};
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
