Give up a request whose body comes in single bytes at its deadline

Cause: the pause between two reads of a request's body was bounded (HeaderTimeoutMs), but not the time of the whole body. A caller that sent a byte now and then was never answered and held its connection: a test with a deadline of 1.5 s gave up waiting after 7 s.

Change: the body must be complete within the time that the request states or its route's timeout, whichever is shorter, or within the idle timeout if neither is known. The answer is 408; the request has not run.

Tests of streams and answers of single bytes, of a stream whose first event never becomes complete, and of heads of single bytes passed before; so did the one of a sound stream with 0.9 s between events.

--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -304,6 +304,17 @@
     }
 }
 
+/// Time in which a request must be complete: that which it states or that of its route, whichever is
+/// shorter; `None` if neither is known.
+pub(crate) fn read_time_limit<W: EntryWire>(
+    table: Option<&RouteTable>,
+    head: &RequestHead,
+) -> Option<Duration> {
+    let stated = read_timeout(&head.fields, &W::HEADERS).ok().flatten();
+    let route = table.and_then(|table| find_route(table, head, &W::HEADERS, None).ok());
+    stated.into_iter().chain(route.map(|(route, _)| route.timeout)).min()
+}
+
 /// Reads the time until the caller's deadline, if the request states it.
 fn read_timeout(fields: &FieldList, names: &HeaderNames) -> Result<Option<Duration>, CheckError> {
     if !fields.contains(names.deadline) {
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -17,7 +17,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-use crate::call::{CheckError, EntryCall, FORWARDED_FIELD, write_field};
+use crate::call::{CheckError, EntryCall, FORWARDED_FIELD, read_time_limit, write_field};
 use crate::call_relay::{REFUSED_FIELD, verify_forwarded};
 use crate::connection::set_options;
 use crate::record::CallerBounds;
@@ -208,7 +208,7 @@
         writer.closing = !head.is_keep_alive() || state.is_stopping();
         writer.chunks = head.minor_version >= 1;
         writer.started = false;
-        let body = match self.read_request_body(state, &head, writer).await {
+        let body = match self.read_request_body(state, &head, arrived, writer).await {
             Ok(body) => body,
             Err(Some(cause)) => {
                 self.refuse(writer, cause).await;
@@ -248,9 +248,12 @@
         &mut self,
         state: &EntryState<W>,
         head: &RequestHead,
+        arrived: Instant,
         writer: &mut CallerWriter,
     ) -> Result<Bytes, Option<RefusalCause>> {
         let bounds = read_bounds(state);
+        let limit = read_time_limit::<W>(state.route_table().as_deref(), head);
+        let deadline = arrived + limit.unwrap_or(bounds.idle_timeout);
         let framing =
             determine_request_framing(head).map_err(|_| Some(RefusalCause::BadRequest))?;
         if matches!(framing, BodyFraming::Length(length) if length > bounds.body_bytes as u64) {
@@ -269,7 +272,8 @@
                 }
                 BodyStep::Data(bytes) => body.extend_from_slice(&bytes),
                 BodyStep::NeedMore => {
-                    match self.read_until(Instant::now() + bounds.header_timeout).await {
+                    let until = deadline.min(Instant::now() + bounds.header_timeout);
+                    match self.read_until(until).await {
                         Some(true) => {}
                         Some(false) => return Err(None),
                         None => return Err(Some(RefusalCause::TooSlow)),
