Read the sound objects of a list of the store beside malformed ones

Cause: a list or a set of changes was decoded as a whole. One object with a malformed name, or one byte that is no text, hid all others: with such objects in the store, new declarations were not in force after 30 s (servers, routers, config), and a router that started had no servers.

Malformed ones are counted, logged in one line and left out; after changes with malformed ones the kind is listed again.

--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -165,7 +165,9 @@
         let target = W::list_target(kind, after);
         let answer = self.call("GET", &target, None, timeout).await?;
         check_status(answer.status)?;
-        Ok(StorePage { era: answer.era, ..W::decode_list(&answer.body)? })
+        let page = W::decode_list(&answer.body)?;
+        log_unreadable(kind, &page);
+        Ok(StorePage { era: answer.era, ..page })
     }
 
     /// Waits until an object of a kind changes after `revision`, at most `wait`. The answer fails if
@@ -182,7 +184,9 @@
         let target = W::watch_target(kind, revision, wait.as_millis() as u64, allow_stale);
         let answer = self.call("GET", &target, None, wait + timeout + WATCH_GRACE).await?;
         check_status(answer.status)?;
-        Ok(StorePage { era: answer.era, ..W::decode_changes(&answer.body)? })
+        let page = W::decode_changes(&answer.body)?;
+        log_unreadable(kind, &page);
+        Ok(StorePage { era: answer.era, ..page })
     }
 
     /// Reads one object. With `allow_stale`, which costs the store less, the object may be seconds
@@ -299,6 +303,16 @@
     }
 }
 
+fn log_unreadable(kind: StoreKind, page: &StorePage) {
+    if page.unreadable > 0 {
+        log::warn!(
+            "store: objects cannot be read; ignoring them. kind={kind:?} objects={} read={}",
+            page.unreadable,
+            page.entries.len()
+        );
+    }
+}
+
 fn encode_request(method: &str, target: &str, host: SocketAddr, body: Option<&str>) -> Vec<u8> {
     let mut text = format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\n");
     if let Some(body) = body {
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -123,6 +123,10 @@
                 self.record_answer();
                 let changed = !page.entries.is_empty();
                 self.apply_changes(&page);
+                if page.unreadable > 0 {
+                    // The list shows what became of the objects.
+                    self.point = None;
+                }
                 if changed {
                     sleep(self.batch_delay()).await;
                 }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -91,6 +91,8 @@
     pub struct StorePage {
         /// Objects, or changes in their order.
         pub entries: Vec<StoredEntry>,
+        /// Number of further objects or changes that cannot be read.
+        pub unreadable: usize,
         /// Whether the list continues after the last entry.
         pub has_more: bool,
         /// Revision of the store.
