--- a/crates/catkin-entry/src/evacuation_exchange.rs
+++ b/crates/catkin-entry/src/evacuation_exchange.rs
@@ -1,11 +1,12 @@
 //! Applies evacuations of failure domains to the shared state, and exchanges them with the other routers.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use catkin_base::{DomainId, ServerId, VmId};
 use catkin_peer::messages::EntryReport;
 
+use crate::evacuation_client::record_evacuation_obeyed;
 use crate::evacuation_table::{EvacuationChange, EvacuationReport, MAX_REPORTED_DOMAINS};
 use crate::server_book::{KnownServer, ServerBook};
 use crate::state::EntryState;
@@ -59,6 +60,10 @@
             if number < MAX_LOGGED_CHANGES {
                 log_change(change, found, source);
             }
+            if let Some((name, _)) = found {
+                let obeyed = change.begins.then(unix_millis);
+                record_evacuation_obeyed(name, obeyed);
+            }
             if change.begins {
                 let affected = found.map_or(&[][..], |(_, servers)| servers);
                 affected.iter().for_each(|server| self.pool.borrow_mut().drop_idle_to(*server));
@@ -157,6 +162,11 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn log_change(change: &EvacuationChange, found: Option<&(String, Vec<ServerId>)>, source: &str) {
     let listed = found.map(|(name, _)| name.as_str());
     let name = change.name.as_deref().or(listed);
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod crash_check;
 mod crash_reports;
 mod departure_table;
+mod evacuation_client;
 mod evacuation_exchange;
 mod evacuation_follower;
 mod evacuation_table;
@@ -93,6 +94,10 @@
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
 pub use departure_table::{DepartureTable, ServerDeparture};
+pub use evacuation_client::{
+    EvacuationClient, EvacuationWrite, parse_obeyed_evacuations, read_obeyed_evacuations,
+    record_evacuation_obeyed,
+};
 pub use evacuation_table::{
     EvacuationChange, EvacuationReport, EvacuationTable, EvacuationTimes, MAX_REPORTED_DOMAINS,
     ReadDecision,
