--- a/crates/catkin-entry/src/cold_exchange.rs
+++ b/crates/catkin-entry/src/cold_exchange.rs
@@ -272,7 +272,6 @@
     }
 
     /// Treats all servers of a failure domain as if they had just started.
-    #[allow(dead_code, reason = "called when an evacuation ends")]
     pub(crate) fn expect_cold_servers(&self, domain: DomainId) {
         let listed = self.list_cold_servers(|name| DomainId::from_name(name) == domain);
         for (server, record) in listed {
