Compare servers that are all slow by their pace with one another where speeds are stated

Change: where servers of the service state their speed, the factors by pace are taken relative to their median. Selections carry the factor that they used, which the log shows. Services without statements as before.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -19,8 +19,7 @@
 use crate::server_selection::{
     CandidateState, SelectionError, SelectionQuery, ServerCandidate, ServerSelection, select_server,
 };
-use crate::speed_book::SpeedBook;
-use crate::speed_table::{SpeedTable, combine_factors};
+use crate::speed_table::{combine_factors, find_typical_factor};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
 
@@ -265,9 +264,6 @@
     let index = state.cache_index.borrow();
     let outcomes = state.outcomes.borrow();
     let speeds = state.speeds.borrow();
-    let stated_speeds = state.stated_speeds.borrow();
-    let of_service = servers.usable(&call.service).map(|known| known.server);
-    let median = stated_speeds.find_median(now, of_service);
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -287,7 +283,7 @@
             slots: known.record.slots,
             same_domain: known.record.domain == settings.domain,
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
-            slow_factor: find_slow_factor(now, server, &speeds, &stated_speeds, median),
+            slow_factor: speeds.slow_factor(now, server),
             software: known.software,
             is_restricted: names_limit || is_paused,
             cache_fill: index.tokens_on(server) as f64 / capacity,
@@ -310,23 +306,31 @@
     };
     let sources = servers.leaving(&call.service);
     let sources = sources.filter(|known| !outcomes.is_unreachable(now, known.server));
-    usable.chain(sources).map(candidate).collect()
+    let mut candidates: Vec<ServerCandidate> = usable.chain(sources).map(candidate).collect();
+    apply_statements(state, now, &call.service, &mut candidates);
+    candidates
 }
 
-/// The factor by which a server takes longer than its service, by its pace and by what it states.
-/// `median` is that of what the servers of its service state.
-fn find_slow_factor(
+/// Corrects the factors by which servers are slow by their measured pace with what they state, if servers
+/// of their service state their speed.
+fn apply_statements<W>(
+    state: &EntryState<W>,
     now: ClockTime,
-    server: ServerId,
-    speeds: &SpeedBook,
-    stated_speeds: &SpeedTable,
-    median: Option<f64>,
-) -> f64 {
-    let slow_factor = speeds.slow_factor(now, server);
-    median.map_or(slow_factor, |median| {
-        let stated = stated_speeds.stated_factor(now, server, median);
-        combine_factors(stated, slow_factor, speeds.measured_pace(now, server))
-    })
+    service: &str,
+    candidates: &mut [ServerCandidate],
+) {
+    let speeds = state.speeds.borrow();
+    let stated_speeds = state.stated_speeds.borrow();
+    let servers = state.servers.borrow();
+    let of_service = servers.usable(service).map(|known| known.server);
+    let Some(median) = stated_speeds.find_median(now, of_service) else { return };
+    let typical = find_typical_factor(candidates.iter().map(|candidate| candidate.slow_factor));
+    for candidate in candidates {
+        let stated = stated_speeds.stated_factor(now, candidate.server, median);
+        let measured = speeds.measured_pace(now, candidate.server);
+        let slow_factor = (candidate.slow_factor / typical).max(1.0);
+        candidate.slow_factor = combine_factors(stated, slow_factor, measured);
+    }
 }
 
 /// Logs a selection with the figures that it is based on.
@@ -340,9 +344,7 @@
     let servers = state.servers.borrow();
     let speeds = state.speeds.borrow();
     let stated_speeds = state.stated_speeds.borrow();
-    let of_service = servers.usable(&call.service).map(|known| known.server);
-    let median = stated_speeds.find_median(now, of_service);
-    let slow_factor = find_slow_factor(now, selection.server, &speeds, &stated_speeds, median);
+    let slow_factor = selection.slow_factor;
     let stated = stated_speeds.statement(now, selection.server);
     let expected = speeds.expected_millis(&call.service, tokens_ahead);
     log::info!(
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -119,7 +119,9 @@
 };
 pub use settings::{EntrySettings, SettingsError, parse_settings};
 pub use speed_book::{SpeedBook, StartedSample};
-pub use speed_table::{SpeedStatement, SpeedTable, combine_factors, read_stated_speed};
+pub use speed_table::{
+    SpeedStatement, SpeedTable, combine_factors, find_typical_factor, read_stated_speed,
+};
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -171,6 +171,8 @@
     pub cached_tokens: u32,
     /// Prompt tokens that the selected server has yet to prefill, without those of this request.
     pub unread_tokens: u64,
+    /// Factor by which the selected server takes longer than its service.
+    pub slow_factor: f64,
 }
 
 /// Why no server was selected.
@@ -227,6 +229,7 @@
         servers: count,
         cached_tokens: selected.cached_tokens,
         unread_tokens: selected.unread_tokens,
+        slow_factor: selected.slow_factor,
     })
 }
 
--- a/crates/catkin-entry/src/speed_table.rs
+++ b/crates/catkin-entry/src/speed_table.rs
@@ -125,8 +125,16 @@
     f64::from(percent) >= median * REPORTED_FACTOR
 }
 
+/// Returns the median of the factors by which the servers of a service are slow by their pace. If most are,
+/// as with few requests of varying length, none is slow beside the others.
+pub fn find_typical_factor(factors: impl Iterator<Item = f64>) -> f64 {
+    let mut factors: Vec<f64> = factors.collect();
+    let Some(middle) = factors.len().checked_sub(1).map(|last| last / 2) else { return 1.0 };
+    factors.select_nth_unstable_by(middle, f64::total_cmp).1.max(1.0)
+}
+
 /// Combines the factor that a server states with those that were measured. `slow_factor` is what
-/// servers are charged with by their measured pace, 1 unless they are slow; `measured` is their pace
+/// servers are charged with by their measured pace, relative to the typical one of their service; `measured` is their pace
 /// relative to their service, if enough of their answers were measured.
 pub fn combine_factors(stated: f64, slow_factor: f64, measured: Option<f64>) -> f64 {
     let most = measured.map_or(MAX_UNMEASURED_FACTOR, |pace| pace.max(1.0) * MAX_MEASURED_FACTOR);
--- a/crates/catkin-entry/tests/speed_table.rs
+++ b/crates/catkin-entry/tests/speed_table.rs
@@ -2,7 +2,9 @@
 //! or, if it is false, keeps them from sound ones.
 
 use catkin_base::{ClockTime, ServerId};
-use catkin_entry::{SpeedBook, SpeedStatement, SpeedTable, combine_factors, read_stated_speed};
+use catkin_entry::{
+    SpeedBook, SpeedStatement, SpeedTable, combine_factors, find_typical_factor, read_stated_speed,
+};
 use proptest::prelude::*;
 
 fn at(millis: u64) -> ClockTime {
@@ -147,3 +149,10 @@
     assert_eq!(SpeedTable::default().find_median(at(0), servers()), None);
     assert_eq!(combine_factors(1.0, 4.0, Some(4.0)), 4.0);
 }
+
+#[test]
+fn servers_that_are_all_slow_by_their_pace_are_compared_with_one_another() {
+    assert_eq!(find_typical_factor([2.2, 2.0, 2.4, 2.2].into_iter()), 2.2);
+    assert_eq!(find_typical_factor([1.0, 1.0, 1.0, 4.0].into_iter()), 1.0);
+    assert_eq!(find_typical_factor(std::iter::empty()), 1.0);
+}
