Find the level of the filling without sorting or copies

Cause: a selection among 300 servers without shared prompts took 23 us with even load and 11.5 us without it (release, busy machine).

Change: the servers above the level are left out until none is, instead of sorting a copy.

--- a/crates/catkin-entry/src/load_spread.rs
+++ b/crates/catkin-entry/src/load_spread.rs
@@ -79,22 +79,26 @@
     last
 }
 
-/// Finds the cost up to which `unseen` requests raise the cheapest servers.
+/// Finds the cost up to which `unseen` requests raise the cheapest servers: fills all servers, then
+/// leaves out those above the level until none is.
 fn find_level(costs: &[FillCost], unseen: f64) -> Option<f64> {
-    let mut sorted: Vec<FillCost> = costs.to_vec();
-    sorted.sort_unstable_by(|one, other| one.millis.total_cmp(&other.millis));
-    let mut rates = 0.0;
-    let mut filled = 0.0;
-    let mut level = sorted.first()?.millis;
-    for cost in sorted {
-        if rates > 0.0 && cost.millis >= level {
-            break;
+    let mut level = f64::INFINITY;
+    let mut count = usize::MAX;
+    loop {
+        let filled = costs.iter().filter(|cost| cost.millis <= level);
+        let (mut rates, mut sum, mut filled_count) = (0.0, 0.0, 0);
+        for cost in filled {
+            let rate = 1.0 / cost.request_millis;
+            rates += rate;
+            sum += cost.millis * rate;
+            filled_count += 1;
+        }
+        if filled_count == count || filled_count == 0 {
+            return level.is_finite().then_some(level);
         }
-        rates += 1.0 / cost.request_millis;
-        filled += cost.millis / cost.request_millis;
-        level = (unseen + filled) / rates;
+        count = filled_count;
+        level = (unseen + sum) / rates;
     }
-    Some(level)
 }
 
 /// The positions that a router has used, by service.
