Select servers without copying the candidates

Cause: each selection copied all candidates beside their costs.

Change: costs refer to the candidates. What is selected is unchanged.

--- a/crates/catkin-entry/src/server_selection.rs
+++ b/crates/catkin-entry/src/server_selection.rs
@@ -265,8 +265,8 @@
     bounds: CostBounds,
 ) -> Option<ServerCandidate> {
     let costs = candidates
-        .map(|candidate| (estimate_cost(query, candidate, caching_servers, bounds), *candidate));
-    let costs: Vec<(f64, ServerCandidate)> = costs.collect();
+        .map(|candidate| (estimate_cost(query, candidate, caching_servers, bounds), candidate));
+    let costs: Vec<(f64, &ServerCandidate)> = costs.collect();
     let least = costs.iter().map(|(millis, _)| *millis).min_by(f64::total_cmp)?;
     let cached = costs.iter().any(|(_, candidate)| candidate.cached_tokens > 0);
     let spread = query.spread.filter(|_| query.shared_tokens == 0 || cached);
@@ -279,7 +279,7 @@
     let slack = if query.shared_tokens > 0 && !cached { HASH_RANKING_MILLIS } else { 0.0 };
     let tied = costs.iter().filter(|(millis, _)| *millis <= least + slack);
     let best = tied.max_by_key(|(_, candidate)| rank_server(query.affinity, candidate.server));
-    best.map(|(_, candidate)| *candidate)
+    best.map(|(_, candidate)| **candidate)
 }
 
 /// Selects a candidate near the lowest cost, so that routers with the same loads select different ones.
@@ -287,21 +287,21 @@
 fn spread_request(
     query: SelectionQuery,
     spread: &SpreadQuery,
-    costs: &[(f64, ServerCandidate)],
+    costs: &[(f64, &ServerCandidate)],
     bounds: CostBounds,
 ) -> Option<ServerCandidate> {
     let least = costs.iter().min_by(|one, other| one.0.total_cmp(&other.0))?;
     // Requests with this part go to the servers that cache it, and those are a part of all requests.
     let alike = costs.iter().filter(|(_, other)| other.cached_tokens == least.1.cached_tokens);
-    let alike: Vec<&(f64, ServerCandidate)> = alike.collect();
+    let alike: Vec<&(f64, &ServerCandidate)> = alike.collect();
     let unseen = spread.unseen_requests * alike.len() as f64;
-    let fill_cost = |(millis, candidate): &&(f64, ServerCandidate)| FillCost {
+    let fill_cost = |(millis, candidate): &&(f64, &ServerCandidate)| FillCost {
         millis: *millis,
         request_millis: estimate_request_cost(query, spread, candidate, bounds),
     };
     let fill_costs: Vec<FillCost> = alike.iter().map(fill_cost).collect();
     let index = choose_by_fill(&fill_costs, unseen, spread.lot);
-    index.map(|index| alike[index].1)
+    index.map(|index| *alike[index].1)
 }
 
 /// Estimates what one more request would add to the cost of a server, in milliseconds.
