Decide who uses the room of a service that has too little

Cause: when all servers are full, every request waits half its target latency, whoever sent it, woken in no order; many routers fill the same free slots of a short work's servers at once. Change: ServiceRoom with the ordered line, the prediction of the start, a router's credit and the shares of teams, without I/O; nothing uses it yet.

--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -11,7 +11,8 @@
 //! `decision`, `dispatch`, `release` and `handover` add its operations, and `ledger`, with `queue`,
 //! `health`, `warm`, `history` and `bound`, holds its state. `load` and `report` aggregate and send
 //! the load of pools. `retry`, `strike`, `suspect`, `server_limit`, `server_pause`, `reach`, `backoff`
-//! and `recent` stand alone.
+//! and `recent` stand alone. `admission`, with `waiting_line`, `room_credit` and `team_share`, decides who
+//! uses the room of a service that has too little.
 //!
 //! ```
 //! use catkin_base::{ChatId, ServerId};
@@ -32,6 +33,7 @@
 //! assert_eq!(plan.next_ask().map(|ask| ask.server), ranked.first().copied());
 //! ```
 
+mod admission;
 mod backoff;
 mod bound;
 mod decision;
@@ -51,6 +53,7 @@
 mod release;
 mod report;
 mod retry;
+mod room_credit;
 mod rules;
 mod server_limit;
 mod server_pause;
@@ -58,8 +61,11 @@
 mod state;
 mod strike;
 mod suspect;
+mod team_share;
+mod waiting_line;
 mod warm;
 
+pub use admission::{RoomCause, RoomRefusal, RoomRequest, RoomVerdict, ServiceRoom};
 pub use backoff::BackoffPlan;
 pub use bound::admission_bound;
 pub use grant::{
@@ -74,6 +80,7 @@
 pub use reach::{ReachChange, ReachKey, ReachTable};
 pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
 pub use retry::{BudgetUsage, RetryBudget};
+pub use room_credit::{RoomCredit, RoomInput};
 pub use rules::{ClassPolicy, PolicyRules, TeamPolicy};
 pub use server_limit::{LimitShare, LimitStatement, LimitTable, RequestRate, compute_fraction};
 pub use server_pause::PauseTable;
@@ -84,3 +91,7 @@
     CrashEvidence, CrashObservation, PartVerdict, QuarantinedPart, SuspectChange, SuspectTable,
     choose_trial_delay,
 };
+pub use team_share::{
+    MAX_REPORTED_TEAMS, SurplusMarker, TEAM_SECONDS, TeamCounter, compute_share_level, keep_largest,
+};
+pub use waiting_line::{LineTicket, StartForecast, WaitingLine, WaitingRank};
