Wait for scarce room in the order of ranks, where the terms ask for it

Change: with the term that EntryWire::SCARCE_ROOM_TERM names, requests join the line of their service before a server is selected, are refused at once when room comes too late, and say when it comes. Demand by team is reported for services short of room, summed by relays. Without the term nothing joins a line and no row is reported.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use catkin_base::ServerId;
+use catkin_policy::RoomVerdict;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::AssignedCall;
@@ -18,6 +19,7 @@
     CandidateState, SelectionError, SelectionQuery, ServerCandidate, ServerSelection, select_server,
 };
 use crate::state::{EntryState, OpenSlot};
+use crate::waiting_room::LinePlace;
 use crate::wire::EntryWire;
 
 /// The maximum wait for free capacity is the target latency of the route divided by this.
@@ -49,6 +51,12 @@
     if call.shared_prefix().is_some() {
         wait_for_cache_index(state, call.deadline).await;
     }
+    if state.orders_requests()
+        && software.is_none()
+        && let Some(result) = assign_in_line(state, call, tried).await
+    {
+        return result;
+    }
     let wait_until =
         (Instant::now() + call.route.target_latency / CAPACITY_WAIT_DIVISOR).min(call.deadline);
     let pause_until =
@@ -87,6 +95,39 @@
     }
 }
 
+/// Assigns a request in the order of the line of its service, or refuses it. `None` if no server takes it
+/// for another reason than a lack of room: it must not hold up those behind it.
+async fn assign_in_line<W: EntryWire>(
+    state: &Rc<EntryState<W>>,
+    call: &EntryCall,
+    tried: &BTreeSet<ServerId>,
+) -> Option<Result<AssignedCall<W>, RefusalCause>> {
+    let place = LinePlace::join(state, call, !tried.is_empty());
+    loop {
+        let refusal = match place.decide() {
+            RoomVerdict::Wait(until) => {
+                place.wait(until).await;
+                continue;
+            }
+            RoomVerdict::Refuse(refusal) => refusal,
+            RoomVerdict::Go => match try_assign(state, call, tried, None) {
+                Ok(assigned) => {
+                    place.record_grant();
+                    return Some(Ok(assigned));
+                }
+                Err(SelectionError::Full) if tried.is_empty() => {
+                    match place.wait_for_server().await {
+                        Ok(()) => continue,
+                        Err(refusal) => refusal,
+                    }
+                }
+                Err(_) => return None,
+            },
+        };
+        return Some(Err(place.describe_refusal(refusal)));
+    }
+}
+
 /// The pause that ends first, if all servers of the call's service asked for one, those that the request
 /// was sent to included.
 fn find_pause<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> Option<RefusalCause> {
@@ -147,7 +188,7 @@
     let shared = call.shared_prefix();
     let prompt = call.prefixes.last().map_or(0, |prefix| prefix.tokens);
     let own_tokens = u64::from(prompt - shared.map_or(0, |shared| shared.tokens.min(prompt)));
-    let queue_millis = if is_engine(state, call) {
+    let queue_millis = if state.runs_engines(&call.service) {
         0.0
     } else {
         (call.route.target_latency / CAPACITY_WAIT_DIVISOR).as_secs_f64() * 1_000.0
@@ -200,14 +241,6 @@
     servers.usable(&call.service).any(|known| known.software == software)
 }
 
-/// Whether the servers of the call's service are model engines.
-fn is_engine<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
-    let table = state.route_table.borrow();
-    let services = table.as_ref().map(|table| &table.declarations().services);
-    let record = services.and_then(|services| services.get(&call.service));
-    record.is_some_and(|record| record.engine.is_some())
-}
-
 /// Tokens of shared parts that one server of the call's service can cache without evicting them.
 fn shared_capacity<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> u64 {
     let table = state.route_table.borrow();
--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -72,6 +72,8 @@
     pub service: String,
     /// Name of the team whose key the request has.
     pub team: Option<String>,
+    /// Priority of the team; 0 is the highest.
+    pub team_priority: u8,
     /// Priority at servers, 0 to 9; 0 is the highest.
     pub priority: u8,
     /// Prefixes of the prompt, shortest first.
@@ -126,6 +128,7 @@
             route: route.clone(),
             service,
             team: team.map(|team| team.name.clone()),
+            team_priority: team.and_then(|team| team.priority).unwrap_or(DEFAULT_TEAM_PRIORITY),
             priority: combine_priority(team, route),
             prefixes,
             resumed_id,
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -74,6 +74,7 @@
 mod store_pace;
 mod store_point;
 mod strike_store;
+mod waiting_room;
 mod wire;
 
 pub use budget_book::BudgetBook;
--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -12,7 +12,7 @@
 
 /// Time constant with which requests for a service lose their weight, in seconds. Reports of other
 /// routers are late; with a shorter one, each router would see its own part of a sudden crowd first.
-const DEMAND_SECONDS: f64 = 5.0;
+pub(crate) const DEMAND_SECONDS: f64 = 5.0;
 /// Weight below which requests for a service are forgotten.
 const MIN_DEMAND: f64 = 0.01;
 /// Number of reports that each limit is sent in. Reports are datagrams, which may be lost.
@@ -128,18 +128,23 @@
         }
     }
 
-    /// Updates what this router reports of its requests to servers that name limits.
+    /// Updates what this router reports of its requests to servers that name limits, and for services that
+    /// are short of room.
     pub(crate) fn update_local_rates(&self) {
         let now = self.now();
         let limits = self.limits.borrow();
-        if limits.is_empty() {
+        let rooms = self.rooms.borrow();
+        let short: BTreeSet<&str> = rooms.short_services(now).collect();
+        if limits.is_empty() && short.is_empty() {
             return self.loads.borrow_mut().set_local_rates(BTreeMap::new(), BTreeMap::new());
         }
         let sends = limits.recent_sends(now).map(|(server, sends)| (server, encode_count(sends)));
         let sends = sends.filter(|(_, sends)| *sends > 0).collect();
         let servers = self.servers.borrow();
         let limited = limits.statements().filter_map(|statement| servers.get(statement.server));
-        let services: BTreeSet<&str> = limited.map(|known| known.record.service.as_str()).collect();
+        let mut services: BTreeSet<&str> =
+            limited.map(|known| known.record.service.as_str()).collect();
+        services.extend(short);
         let demands = self.demands.borrow();
         let demands = services.into_iter().map(|service| {
             let service = ServiceKey::from_name(service);
@@ -149,11 +154,11 @@
     }
 }
 
-fn encode_count(count: f64) -> u32 {
+pub(crate) fn encode_count(count: f64) -> u32 {
     (count * COUNT_SCALE) as u32
 }
 
-fn decode_count(count: u32) -> f64 {
+pub(crate) fn decode_count(count: u32) -> f64 {
     f64::from(count) / COUNT_SCALE
 }
 
--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeMap;
 
-use catkin_base::{ClockTime, DomainId, ServerId, VmId, copy_type, hash_parts};
+use catkin_base::{ClockTime, DomainId, ServerId, TeamId, VmId, copy_type, hash_parts};
+
+use crate::waiting_room::TeamDemands;
 
 /// Time for which the last report of another router counts. The requests of a frozen router still
 /// occupy servers.
@@ -62,12 +64,21 @@
     pub opens: BTreeMap<ServerId, OpenLoad>,
     /// Recent requests for services whose servers name limits, in hundredths.
     pub demands: BTreeMap<ServiceKey, u32>,
+    /// Recent requests of the largest teams for services that are short of room, in hundredths.
+    pub team_demands: TeamDemands,
 }
 
 impl ReportedLoads {
     /// Returns the unfragmented report of one router.
     pub fn of_router(opens: BTreeMap<ServerId, OpenLoad>) -> Self {
-        Self { routers: 1, fragment: 0, fragments: 1, opens, demands: BTreeMap::new() }
+        Self {
+            routers: 1,
+            fragment: 0,
+            fragments: 1,
+            opens,
+            demands: BTreeMap::new(),
+            team_demands: TeamDemands::new(),
+        }
     }
 }
 
@@ -294,6 +305,39 @@
         self.sum_demands(BTreeMap::new(), |source| matches!(source, LoadSource::Domain(_)))
     }
 
+    /// Returns the recent requests of the largest teams at the other routers for a service, in hundredths.
+    pub fn reported_teams(&self, service: ServiceKey) -> BTreeMap<TeamId, u32> {
+        let totals = self.sum_team_demands(TeamDemands::new(), |_| true).into_iter();
+        let own = totals.filter(|((known, _), _)| *known == service);
+        own.map(|((_, team), requests)| (team, requests)).collect()
+    }
+
+    /// Returns the recent requests by service and team of the routers that [`Self::aggregate_domain`]
+    /// covers. `local` are those of this router.
+    pub fn domain_team_demands(&self, local: TeamDemands) -> TeamDemands {
+        self.sum_team_demands(local, |source| matches!(source, LoadSource::Router(_)))
+    }
+
+    /// The same for [`Self::aggregate_other_domains`].
+    pub fn other_domain_team_demands(&self) -> TeamDemands {
+        let is_domain = |source| matches!(source, LoadSource::Domain(_));
+        self.sum_team_demands(TeamDemands::new(), is_domain)
+    }
+
+    fn sum_team_demands(
+        &self,
+        mut totals: TeamDemands,
+        includes: impl Fn(LoadSource) -> bool,
+    ) -> TeamDemands {
+        for (_, peer) in self.peers.iter().filter(|((source, _), _)| includes(*source)) {
+            for (key, requests) in &peer.loads.team_demands {
+                let total = totals.entry(*key).or_default();
+                *total = total.saturating_add(*requests);
+            }
+        }
+        totals
+    }
+
     fn sum_demands(
         &self,
         mut totals: BTreeMap<ServiceKey, u32>,
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -37,6 +37,7 @@
 use crate::state::{EntryState, ListCopy, RelayUpdates};
 use crate::store_follower::install_declarations;
 use crate::store_point::StorePoint;
+use crate::waiting_room::decode_team;
 use crate::wire::EntryWire;
 
 /// Minimum interval of checks for updates to report.
@@ -338,7 +339,7 @@
             state.cache_sync.borrow_mut().record_peer_sync(complete);
             state.selection_input_change.notify_waiters();
         }
-        state.selection_input_change.notify_one();
+        state.wake_for_room();
     }
 
     /// Sends the strikes that count to a router that starts, or that was silent.
@@ -408,7 +409,15 @@
         let EntryReport { routers, piece: fragment, pieces: fragments, .. } = *report;
         let demands = report.demands.iter();
         let demands = demands.map(|row| (ServiceKey(row.service), row.requests)).collect();
-        let loads = ReportedLoads { routers, fragment, fragments, opens: opens.collect(), demands };
+        let team_demands = report.team_demands.iter().map(decode_team).collect();
+        let loads = ReportedLoads {
+            routers,
+            fragment,
+            fragments,
+            opens: opens.collect(),
+            demands,
+            team_demands,
+        };
         state.loads.borrow_mut().record_report(state.now(), load_source, loads);
     }
 
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -338,6 +338,7 @@
         servers.iter().map(|known| reach_key(&known.record.service)).collect();
     state.reach.borrow_mut().retain_services(|service| listed.contains(&service));
     state.demands.borrow_mut().remove_expired(now);
+    state.rooms.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
 
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use catkin_base::RunVerdict;
+use catkin_policy::{RoomCause, RoomRefusal};
 use rand::Rng;
 
 /// Minimum `Retry-After` time.
@@ -34,6 +35,8 @@
     NoServer,
     /// No server has both a free slot and a load that stays within its bound.
     Full,
+    /// No room comes in the time in which the answer is of use.
+    NoRoom(RoomRefusal),
     /// All servers name limits that are used up.
     Limited,
     /// All servers asked for a pause; the first one ends after this time.
@@ -81,6 +84,11 @@
             RefusalCause::NoDeclarations => "no-declarations",
             RefusalCause::NoServer => "no-server",
             RefusalCause::Full => "full",
+            RefusalCause::NoRoom(refusal) => match refusal.cause {
+                RoomCause::InUse => "full",
+                RoomCause::KeptForUrgent => "room-kept",
+                RoomCause::ShareUsed => "share-used",
+            },
             RefusalCause::Limited => "limited",
             RefusalCause::Paused(_) => "paused",
             RefusalCause::OutOfReach => "out-of-reach",
@@ -122,9 +130,10 @@
         let longest = (left / RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
         let earliest = match self.cause {
             RefusalCause::Paused(rest) => rest.clamp(MIN_RETRY_AFTER, longest),
+            RefusalCause::NoRoom(refusal) => refusal.expected.clamp(MIN_RETRY_AFTER, longest),
             _ => MIN_RETRY_AFTER,
         };
-        let latest = longest.min(max_retry_after(self.cause).max(MIN_RETRY_AFTER));
+        let latest = longest.min(max_retry_after(self.cause).max(earliest));
         Some(random.random_range(earliest..=latest))
     }
 }
@@ -135,6 +144,9 @@
         RefusalCause::Stopping => MIN_RETRY_AFTER,
         RefusalCause::Full => Duration::from_millis(1_000),
         RefusalCause::Paused(rest) => rest.saturating_add(PAUSE_SPREAD),
+        RefusalCause::NoRoom(refusal) => {
+            refusal.expected.saturating_add(refusal.spread.max(MIN_RETRY_AFTER))
+        }
         _ => Duration::from_millis(1_500),
     }
 }
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -17,6 +17,7 @@
 use crate::reach_watch::reach_key;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, RelayUpdates};
+use crate::waiting_room::{TeamDemands, bound_team_demands, encode_team};
 
 /// Maximum number of cached parts in one report, so that it fits a datagram.
 const MAX_PARTS: usize = 24;
@@ -88,6 +89,7 @@
     state.update_local_rates();
     let mut report = build_status(state);
     report.demands = state.loads.borrow().local_demands().iter().map(encode_demand).collect();
+    report.team_demands = state.local_team_demands().iter().map(encode_team).collect();
     report.opens = state.loads.borrow().local_loads().iter().map(open_count).collect();
     let speeds = state.speeds.borrow();
     let slow = speeds.local_slow(state.now()).take(MAX_SLOW);
@@ -133,7 +135,8 @@
     state.update_local_rates();
     let loads = state.loads.borrow();
     let (routers, opens) = loads.aggregate_domain(state.now());
-    let totals = LoadTotals { routers, opens, demands: loads.domain_demands() };
+    let teams = loads.domain_team_demands(state.local_team_demands());
+    let totals = LoadTotals { routers, opens, demands: loads.domain_demands(), teams };
     drop(loads);
     build_relayed_reports(state, EntryScope::Domain, &totals, &state.to_other_domains)
 }
@@ -143,7 +146,8 @@
 pub(crate) fn build_other_domain_reports<W>(state: &EntryState<W>) -> Vec<EntryReport> {
     let loads = state.loads.borrow();
     let (routers, opens) = loads.aggregate_other_domains(state.now());
-    let totals = LoadTotals { routers, opens, demands: loads.other_domain_demands() };
+    let teams = loads.other_domain_team_demands();
+    let totals = LoadTotals { routers, opens, demands: loads.other_domain_demands(), teams };
     drop(loads);
     build_relayed_reports(state, EntryScope::Elsewhere, &totals, &state.to_own_domain)
 }
@@ -153,6 +157,7 @@
     routers: u32,
     opens: BTreeMap<ServerId, OpenLoad>,
     demands: BTreeMap<ServiceKey, u32>,
+    teams: TeamDemands,
 }
 
 fn build_relayed_reports<W>(
@@ -165,6 +170,8 @@
     let status = EntryReport { scope: scope.into(), routers, ..build_status(state) };
     let mut reports = split_report(&status, &totals.opens, &mut updates.borrow_mut(), state.now());
     reports[0].demands = totals.demands.iter().map(encode_demand).collect();
+    let teams = bound_team_demands(totals.teams.clone());
+    reports[0].team_demands = teams.iter().map(encode_team).collect();
     reports
 }
 
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -71,6 +71,7 @@
     }
     if !state.is_out_of_reach(&call.service) {
         state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
+        state.record_room_request(call);
     }
     let served = run_call(state, call, writer).await;
     let millis = call.arrived.elapsed().as_millis();
@@ -111,6 +112,7 @@
         Ok(ServedCall::Refused(refusal)) => {
             let left = call.deadline.saturating_duration_since(Instant::now());
             let pause = refusal.retry_after(left, &mut rand::rng());
+            pause.into_iter().for_each(|pause| state.record_return(call, refusal.cause, pause));
             log::info!(
                 "call: refused by the router. request={} route={route} cause={} ran={} status={} \
                  retry_after={pause:?} millis={millis}",
@@ -214,15 +216,10 @@
         forwarder.begin_attempt();
         progress.tried.insert(server);
         let answer_deadline = choose_answer_deadline(call, &progress);
-        let error = match send_attempt(
-            state,
-            call,
-            assigned,
-            answer_deadline,
-            forwarder.last_event(),
-        )
-        .await
-        {
+        let last_event = forwarder.last_event();
+        let started = send_attempt(state, call, assigned, answer_deadline, last_event).await;
+        record_room_answer(state, call, started.as_ref().err());
+        let error = match started {
             Err(error) => error,
             Ok(answer) => {
                 let retries_failure = progress.possibly_run_attempts + 1 < call.route.max_attempts;
@@ -540,6 +537,19 @@
     );
 }
 
+/// Records for the room of the service whether a server took a request.
+fn record_room_answer<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    error: Option<&AttemptError>,
+) {
+    match error.map(|error| error.failure) {
+        None => state.record_room_answer(&call.service, false),
+        Some(AttemptFailure::Declined) => state.record_room_answer(&call.service, true),
+        Some(_) => {}
+    }
+}
+
 /// Records a failed attempt: its metric, a strike if it may have crashed the server, and its
 /// outcome.
 fn record_failure<W: EntryWire>(
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -32,6 +32,7 @@
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
 use crate::store_point::StorePoint;
+use crate::waiting_room::RoomBook;
 use crate::wire::StoreKind;
 
 /// Fraction of the configured load factor that the hard bound uses; the margin allows for late
@@ -111,6 +112,8 @@
     /// Signals that a connect to a server failed.
     pub(crate) connect_failure: Notify,
     pub(crate) demands: RefCell<DemandCounter>,
+    /// Requests that wait for room in an order.
+    pub(crate) rooms: RefCell<RoomBook>,
     pub(crate) crashes: RefCell<CrashBook>,
     /// Signals that quarantines are to be stored or removed from the store.
     pub(crate) crash_store_change: Notify,
@@ -198,6 +201,7 @@
             reach: RefCell::default(),
             connect_failure: Notify::new(),
             demands: RefCell::default(),
+            rooms: RefCell::default(),
             crashes: RefCell::default(),
             crash_store_change: Notify::new(),
             other_routers: RefCell::new(Rc::from([])),
@@ -397,6 +401,6 @@
         self.mark_prefilled();
         self.state.loads.borrow_mut().close(self.server);
         self.state.updates.borrow_mut().loads_changed = true;
-        self.state.selection_input_change.notify_one();
+        self.state.wake_for_room();
     }
 }
--- a/crates/catkin-entry/tests/relays.rs
+++ b/crates/catkin-entry/tests/relays.rs
@@ -120,6 +120,7 @@
                     fragments: 1,
                     opens,
                     demands: BTreeMap::new(),
+                    team_demands: BTreeMap::new(),
                 };
                 for to in &plan.remote_peers {
                     self.send(index, *to, LoadSource::Domain(domain), totals.clone());
@@ -134,6 +135,7 @@
                     fragments: 1,
                     opens,
                     demands: BTreeMap::new(),
+                    team_demands: BTreeMap::new(),
                 };
                 for to in &plan.direct_peers {
                     self.send(index, *to, LoadSource::OtherDomains, totals.clone());
@@ -276,6 +278,7 @@
         fragments,
         opens: BTreeMap::from([(ServerId(server), OpenLoad { open: 2, ..OpenLoad::default() })]),
         demands: BTreeMap::new(),
+        team_demands: BTreeMap::new(),
     };
     table.record_report(clock, LoadSource::OtherDomains, report(0, 2, 10));
     table.record_report(clock, LoadSource::OtherDomains, report(1, 2, 11));
--- a/crates/catkin-policy/src/admission.rs
+++ b/crates/catkin-policy/src/admission.rs
@@ -228,6 +228,12 @@
         now.plus(forecast.earliest) > rank.latest_start
     }
 
+    /// Refuses a request of the line that found no server with room.
+    pub fn refuse(&mut self, now: ClockTime, ticket: LineTicket, input: RoomInput) -> RoomRefusal {
+        let is_surplus = self.line.rank(ticket).is_some_and(|rank| rank.is_surplus);
+        self.describe_refusal(now, ticket, input, is_surplus)
+    }
+
     /// Describes the refusal of a request that is still in the line.
     fn describe_refusal(
         &mut self,
