--- a/crates/catkin-entry/src/waiting_room.rs
+++ b/crates/catkin-entry/src/waiting_room.rs
@@ -297,11 +297,15 @@
     pub(crate) fn describe_refusal(&self, refusal: RoomRefusal) -> RefusalCause {
         let now = self.state.now();
         let cause = RefusalCause::NoRoom(refusal);
-        let (waiting, input) =
-            self.state.with_room(&self.call.service, |entry, input| (entry.room.waiting(), input));
+        let (waiting, (team_demand, share), input) =
+            self.state.with_room(&self.call.service, |entry, input| {
+                let standing = self.team.map(|team| entry.room.team_standing(now, team));
+                (entry.room.waiting(), standing.unwrap_or((0.0, f64::INFINITY)), input)
+            });
         log::info!(
             "call: no room in its time; refusing it. request={} service={} team={} cause={:?} \
-             team_priority={} route_priority={} waiting={waiting} expected_millis={} \
+             team_priority={} route_priority={} team_demand={team_demand:.1} share={share:.1} \
+             waiting={waiting} expected_millis={} \
              spread_millis={} demand={:.0} fraction={:.4} slots={:.0} answer_millis={:.0} \
              loads_age_millis={}",
             self.call.id_text(),
--- a/crates/catkin-policy/src/admission.rs
+++ b/crates/catkin-policy/src/admission.rs
@@ -91,6 +91,8 @@
     priorities: BTreeMap<(u8, u8), ClockTime>,
     refusals: f64,
     refused: ClockTime,
+    /// Level of the teams' shares when it was last computed, in recent requests.
+    share_level: f64,
 }
 
 impl ServiceRoom {
@@ -104,6 +106,7 @@
             reported: BTreeMap::new(),
             marker: SurplusMarker::new(seed),
             priorities: BTreeMap::new(),
+            share_level: f64::INFINITY,
             refusals: 0.0,
             refused: ClockTime::ZERO,
         }
@@ -164,6 +167,7 @@
         // Demands follow a rush in seconds. Parts of them hold at once.
         let current = self.credit.current_demand_rate(now, input).max(input.demand_rate);
         let level = compute_share_level(room * SHARED_PART / current * total, total, &demands);
+        self.share_level = level;
         let found = known.iter().find(|(known, _)| *known == team);
         let demand = found.map_or(0.0, |(_, demand)| *demand);
         self.marker.is_surplus(team, demand, level)
@@ -294,6 +298,13 @@
         self.line.first()
     }
 
+    /// Recent requests of a team at all routers, as far as they are known, and how many are within its
+    /// share.
+    pub fn team_standing(&self, now: ClockTime, team: TeamId) -> (f64, f64) {
+        let reported = self.reported.get(&team).copied().unwrap_or(0.0);
+        (reported + self.demands.weight(now, team), self.share_level)
+    }
+
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.line.len()
