Compare teams' demand with the rate at which servers work

Cause: with the others near the room, a surging team was counted within its share for half of its requests: the rate at which routers may send exceeds the servers' while their queues are short, and counts over 5 s lag. Change: shares and shortage from slots over the least answer time; team counts over 2 s; a tolerance of half; a larger reserve; the oldest turn only within the share.

--- a/crates/catkin-policy/src/admission.rs
+++ b/crates/catkin-policy/src/admission.rs
@@ -21,6 +21,8 @@
 /// Part of the room that is shared by team. What comes by chance needs the rest, or those within their
 /// shares would lose requests to each other.
 const SHARED_PART: f64 = 0.85;
+/// Credit that a request beyond its team's share leaves.
+const SURPLUS_RESERVE: f64 = 2.0;
 /// Time constant with which refusals lose their weight, in seconds.
 const REFUSAL_SECONDS: f64 = 1.0;
 
@@ -163,10 +165,10 @@
         }
         let known = keep_largest(known.into_iter().collect());
         let demands: Vec<f64> = known.iter().map(|(_, demand)| *demand).collect();
-        let total = input.demand_rate * TEAM_SECONDS;
-        // Demands follow a rush in seconds. Parts of them hold at once.
+        // The reported demand follows a rush more slowly than the counts by team.
         let current = self.credit.current_demand_rate(now, input).max(input.demand_rate);
-        let level = compute_share_level(room * SHARED_PART / current * total, total, &demands);
+        let room = room * SHARED_PART * TEAM_SECONDS;
+        let level = compute_share_level(room, current * TEAM_SECONDS, &demands);
         self.share_level = level;
         let found = known.iter().find(|(known, _)| *known == team);
         let demand = found.map_or(0.0, |(_, demand)| *demand);
@@ -176,7 +178,7 @@
     /// Room of all routers together, in requests per second, if it is known.
     fn room_rate(&mut self, now: ClockTime, input: RoomInput) -> Option<f64> {
         if input.needs_credit {
-            return Some(self.credit.fleet_rate(input));
+            return Some(self.credit.work_rate(input));
         }
         self.line.grant_rate(now).map(|rate| rate / input.fraction.max(f64::MIN_POSITIVE))
     }
@@ -195,7 +197,8 @@
             return RoomVerdict::Refuse(self.describe_refusal(now, ticket, input, true));
         };
         let is_first = self.line.first() == Some(ticket);
-        let reserve = if self.line.is_oldest_turn() { 0.0 } else { self.count_reserve(now, rank) };
+        let is_oldest_turn = self.line.is_oldest_turn() && !rank.is_surplus;
+        let reserve = if is_oldest_turn { 0.0 } else { self.count_reserve(now, rank) };
         let wait = self.credit.wait_millis(now, input, reserve);
         if is_first && wait == 0 {
             return RoomVerdict::Go;
@@ -210,7 +213,8 @@
 
     /// Credit that a request leaves for those that rank before it and may come at any moment.
     fn count_reserve(&self, now: ClockTime, rank: WaitingRank) -> f64 {
-        f64::from(u8::from(rank.is_surplus)) + f64::from(u8::from(self.is_less_urgent(now, rank)))
+        let surplus = if rank.is_surplus { SURPLUS_RESERVE } else { 0.0 };
+        surplus + f64::from(u8::from(self.is_less_urgent(now, rank)))
     }
 
     /// Whether requests of a higher priority came lately.
--- a/crates/catkin-policy/src/room_credit.rs
+++ b/crates/catkin-policy/src/room_credit.rs
@@ -21,12 +21,14 @@
 /// Time constant with which requests here lose their weight, in seconds. It is short, so that a rush is
 /// known before reports show it.
 const RECENT_SECONDS: f64 = 1.0;
+/// Time constant with which the least time of an answer is forgotten, in seconds.
+const LEAST_SECONDS: f64 = 60.0;
 /// Time after a decline for which room counts as short, in milliseconds.
 const SHORT_MILLIS: u64 = 1_000;
 /// Part of the rate above which the demand makes room short.
 const SHORT_PART: f64 = 0.85;
 /// Requests that a router may send at once while room is short, and while it is not.
-const MAX_CREDIT: f64 = 3.5;
+const MAX_CREDIT: f64 = 4.5;
 /// Time for which credit beyond that accumulates, in seconds.
 const CREDIT_SECONDS: f64 = 0.02;
 /// Time whose credit a request leaves besides whole ones, if it leaves any, in seconds.
@@ -61,6 +63,8 @@
     /// Requests of callers here, each weighted by its age, and the time to which that refers.
     recent: f64,
     recent_at: ClockTime,
+    /// Least time of an answer lately, in milliseconds: without a wait at the server.
+    least_millis: f64,
 }
 
 impl RoomCredit {
@@ -76,6 +80,7 @@
             needed_since: None,
             recent: 0.0,
             recent_at: ClockTime::ZERO,
+            least_millis: f64::INFINITY,
         }
     }
 
@@ -84,6 +89,12 @@
         input.slots * 1_000.0 / input.answer_millis.max(1.0) * self.log_factor.exp()
     }
 
+    /// Rate at which all servers work, in requests per second. Below the rate at which routers may send while
+    /// the servers' queues are short.
+    pub fn work_rate(&self, input: RoomInput) -> f64 {
+        input.slots * 1_000.0 / self.least_millis.min(input.answer_millis).max(1.0)
+    }
+
     /// Rate at which this router may send, in requests per second.
     pub fn own_rate(&self, input: RoomInput) -> f64 {
         self.fleet_rate(input) * input.fraction
@@ -113,7 +124,7 @@
         // By chance there are more requests than the mean, by about the root of their number.
         let certain = (recent - recent.sqrt()).max(0.0) / recent.max(1.0);
         let rate = input.demand_rate.max(self.current_demand_rate(now, input) * certain);
-        rate > self.fleet_rate(input) * SHORT_PART
+        rate > self.work_rate(input) * SHORT_PART
     }
 
     /// Records that no server had room.
@@ -157,6 +168,8 @@
     fn advance(&mut self, now: ClockTime, input: RoomInput) {
         let seconds = now.since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
+        let forgotten = self.least_millis * (seconds / LEAST_SECONDS).exp();
+        self.least_millis = forgotten.min(input.answer_millis);
         let rate = self.own_rate(input);
         let is_needed = input.needs_credit && self.is_short(now, input);
         self.needed_since = is_needed.then(|| self.needed_since.unwrap_or(now));
--- a/crates/catkin-policy/src/team_share.rs
+++ b/crates/catkin-policy/src/team_share.rs
@@ -8,11 +8,13 @@
 use catkin_base::{ClockTime, TeamId, hash_parts};
 
 /// Time constant with which requests lose their weight, in seconds.
-pub const TEAM_SECONDS: f64 = 5.0;
+pub const TEAM_SECONDS: f64 = 2.0;
 /// Weight below which a team is forgotten.
 const MIN_WEIGHT: f64 = 0.05;
 /// Maximum number of teams that are counted for a service. Others count as within their share.
 const MAX_TEAMS: usize = 2_048;
+/// Multiple of the share's level up to which a team's demand counts as within it: counts vary by chance.
+const TOLERANCE: f64 = 1.5;
 /// Maximum number of teams of a service in a report.
 pub const MAX_REPORTED_TEAMS: usize = 8;
 
@@ -108,7 +110,7 @@
     /// Whether the next request of a team is beyond its share, if its demand has this ratio to the share's
     /// level.
     pub fn is_surplus(&mut self, team: TeamId, demand: f64, level: f64) -> bool {
-        if demand <= level {
+        if demand <= level * TOLERANCE {
             self.parts.remove(&team);
             return false;
         }
--- a/crates/catkin-policy/tests/admission.rs
+++ b/crates/catkin-policy/tests/admission.rs
@@ -250,7 +250,7 @@
 }
 
 #[test]
-#[ignore = "KNOWN-RED: the other teams lose 5 to 13 in 100"]
+#[ignore = "KNOWN-RED: the other teams lose 5 to 6 in 100"]
 fn a_surging_team_pays_for_it_itself_when_the_others_nearly_fill_the_room() {
     let losing = find_losing_fleets(0.9);
 
