--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -133,13 +133,16 @@
         }
     }
 
-    /// Updates what this router reports of its requests to servers that name limits.
+    /// Updates what this router reports of its requests to servers that name limits, and for services that
+    /// are short of room.
     pub(crate) fn update_local_rates(&self) {
         let now = self.now();
         self.sample_cold_sends();
         let limits = self.limits.borrow();
         let cold = self.cold.borrow();
-        if limits.is_empty() && cold.table.is_empty() {
+        let rooms = self.rooms.borrow();
+        let short: BTreeSet<&str> = rooms.short_services(now).collect();
+        if limits.is_empty() && cold.table.is_empty() && short.is_empty() {
             return self.loads.borrow_mut().set_local_rates(BTreeMap::new(), BTreeMap::new());
         }
         // A server that is cold and names a limit is in both tables, with the same requests.
@@ -150,7 +153,9 @@
         let limited = limits.statements().map(|statement| statement.server);
         let limited = limited.chain(cold.table.recent_sends(now).map(|(server, _)| server));
         let limited = limited.filter_map(|server| servers.get(server));
-        let services: BTreeSet<&str> = limited.map(|known| known.record.service.as_str()).collect();
+        let mut services: BTreeSet<&str> =
+            limited.map(|known| known.record.service.as_str()).collect();
+        services.extend(short);
         let demands = self.demands.borrow();
         let demands = services.into_iter().map(|service| {
             let service = ServiceKey::from_name(service);
@@ -160,7 +165,7 @@
     }
 }
 
-fn encode_count(count: f64) -> u32 {
+pub(crate) fn encode_count(count: f64) -> u32 {
     (count * COUNT_SCALE) as u32
 }
 
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -353,6 +353,7 @@
     state.lots.borrow_mut().retain_services(|service| services.contains(&service));
     state.reach.borrow_mut().retain_services(|service| listed.contains(&service));
     state.demands.borrow_mut().remove_expired(now);
+    state.rooms.borrow_mut().remove_expired(now);
     state.pool.borrow_mut().drop_expired(Instant::now());
 }
 
