--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -248,7 +248,7 @@
     let speeds = state.speeds.borrow();
     let cold_share = state.compute_cold_share(&call.service);
     let mut cold = state.cold.borrow_mut();
-    let mut kept_away = false;
+    let mut kept_away = 0;
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
@@ -264,7 +264,7 @@
         let is_too_cold = cold_share
             .as_ref()
             .is_some_and(|share| cold.table.wait_millis(now, server, &share(server)) > 0);
-        kept_away |= is_too_cold;
+        kept_away += u32::from(is_too_cold);
         let load = loads.total_load(server);
         ServerCandidate {
             server,
@@ -297,7 +297,11 @@
     let sources = servers.leaving(&call.service);
     let sources = sources.filter(|known| !outcomes.is_unreachable(now, known.server));
     let candidates = usable.chain(sources).map(candidate).collect();
-    if kept_away {
+    if kept_away > 0 {
+        log::info!(
+            "call: cold servers take no more requests now; using others. request={} servers={kept_away}",
+            call.id_text()
+        );
         metrics::counter!("catkin_entry_cold_kept_away_total").increment(1);
     }
     candidates
