--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -80,6 +80,9 @@
     /// `None` if failure domains are not evacuated.
     #[serde(default)]
     pub evacuation_millis: Option<u64>,
+    /// Whether requests that wait for room are ordered by rank, and sent at a rate of the router's own.
+    #[serde(default)]
+    pub orders_by_rank: bool,
     /// Terms of the platform that are in force.
     #[serde(default)]
     pub contracts: BTreeSet<String>,
--- a/crates/catkin-entry/src/waiting_room.rs
+++ b/crates/catkin-entry/src/waiting_room.rs
@@ -127,7 +127,7 @@
 impl<W: EntryWire> EntryState<W> {
     /// Whether requests wait for room in an order.
     pub(crate) fn orders_requests(&self) -> bool {
-        self.settings.borrow().contracts.contains(W::SCARCE_ROOM_TERM)
+        self.settings.borrow().orders_by_rank
     }
 
     /// Counts a request of a caller.
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -174,8 +174,6 @@
     /// Header fields that only the router may send to servers. They are removed from the requests
     /// of callers.
     const ROUTER_ONLY: &'static [&'static str];
-    /// The term of the platform by which requests wait for scarce room in an order.
-    const SCARCE_ROOM_TERM: &'static str;
     /// Request target of a server's list of cached prompt parts.
     const CACHE_LIST_TARGET: &'static str;
     /// Path of the readiness check of a router.
