--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -147,9 +147,14 @@
         unsent.into_iter().filter_map(|key| Some((key, self.find(key)?))).collect()
     }
 
+    /// Number of versions of which servers were listed for the service lately.
+    pub fn count_versions(&self, service: &str) -> usize {
+        self.versions.get(service).map_or(0, BTreeMap::len)
+    }
+
     /// Whether servers of several versions were listed for the service lately.
     fn is_mixed(&self, service: &str) -> bool {
-        self.versions.get(service).is_some_and(|versions| versions.len() > 1)
+        self.count_versions(service) > 1
     }
 }
 
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -366,6 +366,7 @@
     if !call.is_resumed() {
         return Ok(None);
     }
+    let began = Instant::now();
     let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
     let choose = || state.origins.borrow().choose_resume(&call.service, key);
     // A router that started lately doesn't know which versions there were before.
@@ -385,13 +386,33 @@
             }
         }
     }
-    match choose() {
+    let choice = choose();
+    log_resumption(state, call, choice, began.elapsed());
+    match choice {
         ResumeChoice::OnlyVersion(software) => Ok(Some(software)),
         ResumeChoice::AnyVersion => Ok(None),
         ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
     }
 }
 
+/// Logs where a resumed stream goes on, with what the router knew of its origin.
+fn log_resumption<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    choice: ResumeChoice,
+    waited: Duration,
+) {
+    log::info!(
+        "call: resumes a stream; going on at servers of the choice. request={} resumes={} \
+         choice={choice:?} versions={} uptime_millis={} waited_millis={}",
+        call.id_text(),
+        call.resumed_id.as_deref().unwrap_or("-"),
+        state.origins.borrow().count_versions(&call.service),
+        state.started.elapsed().as_millis(),
+        waited.as_millis()
+    );
+}
+
 /// Asks other routers for the origin of a stream until dropped.
 struct AskedOrigin<'a, W> {
     state: &'a EntryState<W>,
