Keep in the store at which software versions streams began

What callers saw: streams that they resumed after all routers had been killed were answered 200 and ran to the end with text of two software versions, or were all refused although servers of their version were there.

Cause: where a stream began, and which versions a service had lately, was known in the memory of routers only. When all end at once the choice rests on the list of servers: with one version listed any server would do, with two none. Class: knowledge that one kind of process holds and that callers rely on after it is gone.

Change: the versions of the services are an object of the store, written when they change. While a service has several, one router (of a small fleet, or of each failure domain of a large one) writes the origins of streams at most twice a second into an object of its own. A router that did not see the fleet's first start reads both when it starts, and again when a caller resumes a stream that nobody knows; until it has read which versions there were it lets no stream of unknown origin go on. Writers are chosen among routers that report that they can, so that older builds beside them are passed over. Where one version is in service nothing is written but the version.

--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -66,10 +66,15 @@
             Ok(record) if vm != state.local_vm => {
                 let domain = record.domain.as_deref().map(DomainId::from_name);
                 let RouterRecord { address, strength, .. } = record;
-                routers.insert(
-                    vm,
-                    KnownRouter { address, last_heard: now, domain, strength, callers_port: 0 },
-                );
+                let router = KnownRouter {
+                    address,
+                    last_heard: now,
+                    domain,
+                    strength,
+                    callers_port: 0,
+                    stores_origins: false,
+                };
+                routers.insert(vm, router);
             }
             Ok(_) => {}
             Err(error) => log::warn!(
@@ -141,6 +146,8 @@
         }
         other => return other,
     };
+    // Settings that still name the first start of the fleet are outdated then.
+    state.origins.borrow_mut().expect_earlier_versions(state.now());
     client.put(kind, name, &content, WriteMode::Replace(known.revision), timeout).await
 }
 
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -12,7 +12,7 @@
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
-//!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined, `evacuation_follower` reads which failure domains are evacuated, which
+//!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined, `origin_store` at which software versions streams began, `evacuation_follower` reads which failure domains are evacuated, which
 //!    `evacuation_table` holds. `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
@@ -24,7 +24,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -57,6 +57,8 @@
 mod logging;
 mod origin_book;
 mod origin_exchange;
+mod origin_plan;
+mod origin_store;
 mod outcome_book;
 mod pause_watch;
 mod peer_service;
@@ -112,6 +114,7 @@
 pub use origin_book::{
     OriginBook, ResumeChoice, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers,
 };
+pub use origin_plan::{OriginPlan, OriginWrite, WriterCandidate, choose_origin_writer};
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
 pub use process::{read_settings, run_entry};
 pub use record::{
@@ -141,6 +144,6 @@
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
 pub use wire::{
-    EntryWire, HeaderNames, ListedPart, RouterRecord, StoreKind, StorePage, StoredEntry,
-    StrikeRecord, WireError,
+    EntryWire, HeaderNames, ListedPart, OriginRecord, RouterRecord, StoreKind, StorePage,
+    StoredEntry, StrikeRecord, VersionRecord, WireError,
 };
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -1,6 +1,9 @@
 //! Software versions at which streams began, so that a stream goes on only at its own version.
+//!
+//! What a router knows of that ends with it. A router that starts while streams may be under way
+//! therefore lets none go on anywhere until it has read from the store which versions there were.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use catkin_base::{ClockTime, VmId, copy_type, hash_parts};
 
@@ -69,9 +72,54 @@
     unsent: Vec<StreamKey>,
     /// Whether some service had several versions when origins were last taken to be sent.
     was_mixed: bool,
+    /// Origins read from the store, in the order of their keys, and when they were read.
+    stored: Option<(ClockTime, Vec<(StreamKey, SoftwareKey)>)>,
+    /// Until when services may have had versions lately that `versions` lacks.
+    incomplete_until: Option<ClockTime>,
 }
 
 impl OriginBook {
+    /// Creates the book of a router that starts while streams may be under way.
+    pub fn after_restart(now: ClockTime) -> Self {
+        let mut book = Self::default();
+        book.expect_earlier_versions(now);
+        book
+    }
+
+    /// Expects that services had versions before the router started that are not known here.
+    pub fn expect_earlier_versions(&mut self, now: ClockTime) {
+        self.incomplete_until = Some(now.plus_millis(LIFETIME_MILLIS));
+    }
+
+    /// Whether services may have had versions lately that are not known here.
+    pub fn is_incomplete(&self, now: ClockTime) -> bool {
+        self.incomplete_until.is_some_and(|until| now < until)
+    }
+
+    /// Records the versions that services had before this router started.
+    pub fn record_earlier_versions(
+        &mut self,
+        now: ClockTime,
+        services: &BTreeMap<String, BTreeSet<SoftwareKey>>,
+    ) {
+        let versions = services
+            .iter()
+            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
+        self.record_versions(now, versions);
+        self.incomplete_until = None;
+    }
+
+    /// Records the origins that the store has, in place of those read before.
+    pub fn record_stored(
+        &mut self,
+        now: ClockTime,
+        origins: impl Iterator<Item = (StreamKey, SoftwareKey)>,
+    ) {
+        let mut stored: Vec<_> = origins.collect();
+        stored.sort_unstable();
+        self.stored = Some((now, stored));
+    }
+
     /// Records the versions of the listed servers, given as pairs of service and version, and drops
     /// what is too old.
     pub fn record_versions<'a>(
@@ -93,6 +141,7 @@
         }
         self.versions.retain(|_, versions| !versions.is_empty());
         self.origins.retain(|_, origin| is_kept(origin.at));
+        self.stored = self.stored.take().filter(|(at, _)| is_kept(*at));
     }
 
     /// Records that a stream began here.
@@ -119,15 +168,25 @@
 
     /// The version at which a stream began.
     pub fn find(&self, key: StreamKey) -> Option<SoftwareKey> {
-        self.origins.get(&key).map(|origin| origin.software)
+        let known = self.origins.get(&key).map(|origin| origin.software);
+        known.or_else(|| {
+            let (_, stored) = self.stored.as_ref()?;
+            let row = stored.binary_search_by_key(&key, |(key, _)| *key).ok()?;
+            Some(stored[row].1)
+        })
     }
 
     /// Decides where a stream of `service` may go on. `key` is `None` if the caller does not state
     /// which request began it.
-    pub fn choose_resume(&self, service: &str, key: Option<StreamKey>) -> ResumeChoice {
+    pub fn choose_resume(
+        &self,
+        now: ClockTime,
+        service: &str,
+        key: Option<StreamKey>,
+    ) -> ResumeChoice {
         match key.and_then(|key| self.find(key)) {
             Some(software) => ResumeChoice::OnlyVersion(software),
-            None if self.is_mixed(service) => ResumeChoice::Unknown,
+            None if self.is_mixed(service) || self.is_incomplete(now) => ResumeChoice::Unknown,
             None => ResumeChoice::AnyVersion,
         }
     }
@@ -136,8 +195,7 @@
     /// version, since they are not needed then; once one has several, all that are kept.
     pub fn unsent_origins(&mut self) -> Vec<(StreamKey, SoftwareKey)> {
         let unsent = std::mem::take(&mut self.unsent);
-        let mixed = self.versions.values().any(|versions| versions.len() > 1);
-        if !mixed {
+        if !self.is_any_mixed() {
             self.was_mixed = false;
             return Vec::new();
         }
@@ -147,6 +205,24 @@
         unsent.into_iter().filter_map(|key| Some((key, self.find(key)?))).collect()
     }
 
+    /// Whether servers of several versions were listed for some service lately.
+    pub fn is_any_mixed(&self) -> bool {
+        self.versions.values().any(|versions| versions.len() > 1)
+    }
+
+    /// The versions that each service had lately.
+    pub fn version_sets(&self) -> BTreeMap<String, BTreeSet<SoftwareKey>> {
+        let services = self.versions.iter();
+        services
+            .map(|(service, versions)| (service.clone(), versions.keys().copied().collect()))
+            .collect()
+    }
+
+    /// The streams that began lately, as this router and those that report to it know them.
+    pub fn origins(&self) -> impl Iterator<Item = (StreamKey, SoftwareKey)> {
+        self.origins.iter().map(|(key, origin)| (*key, origin.software))
+    }
+
     /// Number of versions of which servers were listed for the service lately.
     pub fn count_versions(&self, service: &str) -> usize {
         self.versions.get(service).map_or(0, BTreeMap::len)
--- a/crates/catkin-entry/src/origin_exchange.rs
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -11,7 +11,10 @@
 use tokio::time::sleep;
 
 use crate::origin_book::{SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers};
+use crate::origin_plan::WriterCandidate;
+use crate::origin_store::choose_writer;
 use crate::peer_service::PeerService;
+use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET};
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -28,9 +31,12 @@
             return;
         }
         let routers = self.list_live_routers(state);
+        let writer = choose_writer(state, self).filter(|writer| *writer != state.local_vm);
         let mut by_router: BTreeMap<VmId, Vec<StreamOrigin>> = BTreeMap::new();
         for (key, software) in unsent {
-            for vm in choose_keepers(key, &routers) {
+            let keepers = choose_keepers(key, &routers);
+            let writer = writer.filter(|writer| !keepers.contains(writer));
+            for vm in keepers.into_iter().chain(writer) {
                 let origin = StreamOrigin { stream: key.0, software: software.0 };
                 by_router.entry(vm).or_default().push(origin);
             }
@@ -78,6 +84,22 @@
         }
     }
 
+    /// The other routers that may write the origins of this router's group: all of a small fleet, or
+    /// those of its failure domain.
+    pub(crate) fn list_writer_candidates<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+    ) -> Vec<WriterCandidate> {
+        let (_, others) = self.list_members(state);
+        let is_large = others.len() >= MAX_SMALL_FLEET;
+        let in_group = |member: &&FleetMember| {
+            member.alive && (!is_large || member.domain == Some(state.local_domain))
+        };
+        let writers =
+            others.iter().filter(in_group).filter(|member| self.stores_origins(member.vm));
+        writers.map(|member| WriterCandidate { vm: member.vm, strength: member.strength }).collect()
+    }
+
     /// The other routers that count as alive.
     fn list_live_routers<W: EntryWire>(&self, state: &EntryState<W>) -> Vec<VmId> {
         let (_, others) = self.list_members(state);
--- /dev/null
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -0,0 +1,111 @@
+//! Decides what a router writes to the store of the versions at which streams began, so that they are
+//! known after all routers ended at once.
+//!
+//! One router of a small fleet, and one of each failure domain of a large one, writes. The versions of
+//! the services are one object, which changes only with them. Origins are written only while a service
+//! has several versions; each writer has an object of its own, so that two that take each other's
+//! place lose nothing of what the other wrote.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use catkin_base::{ClockTime, VmId, copy_type, hash_parts};
+
+use crate::origin_book::{OriginBook, SoftwareKey, StreamKey};
+use crate::wire::{OriginRecord, VersionRecord};
+
+/// Minimum interval of two writes of origins. Streams that began within it before all routers end are
+/// refused when callers resume them.
+const WRITE_INTERVAL_MILLIS: u64 = 500;
+/// Time after its start for which a router writes again what an earlier process of it wrote.
+pub(crate) const EARLIER_TIME: Duration = Duration::from_secs(30);
+
+copy_type! {
+    /// A router that may write origins.
+    pub struct WriterCandidate {
+        /// The router.
+        pub vm: VmId,
+        /// Its relative capacity.
+        pub strength: u32,
+    }
+}
+
+/// What is to be written next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OriginWrite {
+    /// The versions of the services.
+    Versions(VersionRecord),
+    /// The streams that began lately.
+    Origins(BTreeMap<SoftwareKey, Vec<StreamKey>>),
+}
+
+/// Chooses the router that writes origins, among those of its group that are alive.
+pub fn choose_origin_writer(candidates: impl Iterator<Item = WriterCandidate>) -> Option<VmId> {
+    let rank = |candidate: &WriterCandidate| {
+        let tie = hash_parts(&[b"origin-writer", &candidate.vm.0.to_le_bytes()]);
+        (candidate.strength, Reverse(tie))
+    };
+    candidates.max_by_key(rank).map(|candidate| candidate.vm)
+}
+
+/// What the store has, as a writer knows it, from which follows what it writes next.
+#[derive(Debug, Clone, Default)]
+pub struct OriginPlan {
+    /// The versions that the store has; `None` if it has none.
+    versions: Option<VersionRecord>,
+    /// The streams in this router's object.
+    written: BTreeSet<StreamKey>,
+    /// What this router's object had when it was read, and when that was.
+    earlier: Option<(ClockTime, OriginRecord)>,
+    last_write: Option<ClockTime>,
+}
+
+impl OriginPlan {
+    /// Creates the plan of a router that has read the store.
+    pub fn new(now: ClockTime, versions: Option<VersionRecord>, own: Option<OriginRecord>) -> Self {
+        Self { versions, earlier: own.map(|record| (now, record)), ..Self::default() }
+    }
+
+    /// Decides what is written now; `None` if the store has all that is needed.
+    pub fn choose_write(&self, now: ClockTime, book: &OriginBook) -> Option<OriginWrite> {
+        let services = book.version_sets();
+        let stored = self.versions.as_ref().map(|versions| &versions.services);
+        if !services.is_empty() && stored != Some(&services) {
+            return Some(OriginWrite::Versions(VersionRecord { services }));
+        }
+        let is_early =
+            self.last_write.is_some_and(|last| now.millis_since(last) < WRITE_INTERVAL_MILLIS);
+        if is_early || !book.is_any_mixed() {
+            return None;
+        }
+        book.origins().any(|(key, _)| !self.written.contains(&key)).then(|| {
+            let mut streams = self.earlier_streams(now);
+            for (key, software) in book.origins() {
+                streams.entry(software).or_default().push(key);
+            }
+            OriginWrite::Origins(streams)
+        })
+    }
+
+    /// Records the versions that the store has.
+    pub fn record_versions(&mut self, versions: VersionRecord) {
+        self.versions = Some(versions);
+    }
+
+    /// Records that the origins were written.
+    pub fn record_origins(
+        &mut self,
+        now: ClockTime,
+        streams: &BTreeMap<SoftwareKey, Vec<StreamKey>>,
+    ) {
+        self.written = streams.values().flatten().copied().collect();
+        self.last_write = Some(now);
+    }
+
+    fn earlier_streams(&self, now: ClockTime) -> BTreeMap<SoftwareKey, Vec<StreamKey>> {
+        let earlier = self.earlier.as_ref();
+        let kept = earlier.filter(|(read, _)| now.since(*read) < EARLIER_TIME);
+        kept.map(|(_, record)| record.streams.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -0,0 +1,326 @@
+//! Reads from the store at which software versions streams began, where nobody else knows, and writes
+//! it for the time after all routers ended at once. `origin_plan` decides what is written.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use catkin_base::VmId;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep};
+
+use crate::origin_book::{SoftwareKey, StreamKey};
+use crate::origin_plan::{
+    EARLIER_TIME, OriginPlan, OriginWrite, WriterCandidate, choose_origin_writer,
+};
+use crate::peer_service::PeerService;
+use crate::state::EntryState;
+use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
+use crate::wire::{EntryWire, OriginRecord, StoreKind, StorePage, VersionRecord};
+
+const KIND: StoreKind = StoreKind::StreamOrigins;
+/// Name of the object that holds the versions of the services.
+const VERSIONS_NAME: &str = "versions";
+/// Interval of checks whether something is to be written.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the start within which the other routers become known.
+const FIRST_WRITE_DELAY: Duration = Duration::from_millis(1_000);
+/// Minimum time between two reads.
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Delay after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Age from which an object of a router is removed by a writer that starts.
+const MAX_AGE: Duration = Duration::from_secs(600);
+/// Maximum number of objects that are removed at once.
+const MAX_REMOVED: usize = 16;
+
+/// Reads of the origins that requests wait for.
+#[derive(Debug, Default)]
+pub(crate) struct OriginReads {
+    wanted: Notify,
+    /// Whether a read is due or under way, and has not failed yet.
+    pending: Cell<bool>,
+    /// When the last read ended.
+    last: Cell<Option<Instant>>,
+}
+
+impl OriginReads {
+    /// Asks for a read, unless the last one is too recent.
+    pub(crate) fn request(&self) {
+        if self.last.get().is_none_or(|last| last.elapsed() >= READ_INTERVAL) {
+            self.pending.set(true);
+            self.wanted.notify_one();
+        }
+    }
+
+    /// Whether a read is under way.
+    pub(crate) fn is_pending(&self) -> bool {
+        self.pending.get()
+    }
+}
+
+/// Reads origins after a restart, and whenever a request wants them, until dropped.
+pub(crate) async fn read_origins<W: EntryWire>(state: &Rc<EntryState<W>>) {
+    let mut client = StoreClient::<W>::new(state.settings().store);
+    let mut timeout = GrowingTimeout::default();
+    if state.origins.borrow().is_incomplete(state.now()) {
+        state.origin_reads.request();
+    }
+    loop {
+        if !state.origin_reads.is_pending() {
+            client.reset();
+            state.origin_reads.wanted.notified().await;
+            continue;
+        }
+        match client.list(KIND, timeout.current()).await {
+            Ok(page) => {
+                timeout = GrowingTimeout::default();
+                record_page(state, &OriginPage::decode::<W>(&page));
+            }
+            Err(error) => {
+                log::warn!(
+                    "origins: reading failed; streams of unknown origin are refused. error={error}"
+                );
+                timeout.grow();
+                client.reset();
+            }
+        }
+        state.origin_reads.last.set(Some(Instant::now()));
+        state.origin_reads.pending.set(false);
+        state.origins_change.notify_waiters();
+    }
+}
+
+/// What the store has of the origins of streams.
+struct OriginPage {
+    versions: Option<(u64, VersionRecord)>,
+    /// Name, revision and content of each router's object.
+    records: Vec<(String, u64, OriginRecord)>,
+}
+
+impl OriginPage {
+    fn decode<W: EntryWire>(page: &StorePage) -> Self {
+        let mut decoded = Self { versions: None, records: Vec::new() };
+        for entry in &page.entries {
+            let failure = if entry.name == VERSIONS_NAME {
+                let read = W::decode_versions(&entry.content);
+                read.map(|record| decoded.versions = Some((entry.revision, record))).err()
+            } else {
+                let read = W::decode_origins(&entry.content);
+                let name = entry.name.clone();
+                read.map(|record| decoded.records.push((name, entry.revision, record))).err()
+            };
+            if let Some(error) = failure {
+                log::warn!(
+                    "origins: object cannot be decoded; ignoring it. name={} error={error}",
+                    entry.name
+                );
+            }
+        }
+        decoded
+    }
+}
+
+/// Applies what was read to the book.
+fn record_page<W: EntryWire>(state: &EntryState<W>, page: &OriginPage) {
+    let now = state.now();
+    let records = page.records.iter().flat_map(|(_, _, record)| &record.streams);
+    let origins = records.flat_map(|(software, keys)| keys.iter().map(|key| (*key, *software)));
+    let mut book = state.origins.borrow_mut();
+    book.record_stored(now, origins);
+    let services = page.versions.as_ref().map(|(_, record)| record.services.clone());
+    book.record_earlier_versions(now, &services.unwrap_or_default());
+    let streams: usize = page.records.iter().map(|(_, _, record)| count_streams(record)).sum();
+    log::info!(
+        "origins: read from the store. objects={} streams={streams} versions_known={}",
+        page.records.len(),
+        page.versions.is_some()
+    );
+}
+
+fn count_streams(record: &OriginRecord) -> usize {
+    record.streams.values().map(Vec::len).sum()
+}
+
+/// Writes origins while this router is the writer of its group, until dropped.
+pub(crate) async fn write_origins<W: EntryWire>(state: &Rc<EntryState<W>>, service: &PeerService) {
+    let mut writer: Option<OriginWriter<W>> = None;
+    let mut timeout = GrowingTimeout::default();
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        if !is_writer(state, service) {
+            if writer.take().is_some() {
+                log::info!("origins: another router writes them from now on.");
+            }
+            continue;
+        }
+        match continue_writing(state, writer.take(), timeout.current()).await {
+            Ok(current) => {
+                writer = Some(current);
+                timeout = GrowingTimeout::default();
+            }
+            Err(error) => {
+                log::warn!(
+                    "origins: writing failed; streams that began lately are refused if all routers \
+                     end now. error={error}"
+                );
+                timeout.grow();
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Writes what is due. Without a writer, or after the store was restored from a copy, reads first what
+/// the store has.
+async fn continue_writing<W: EntryWire>(
+    state: &EntryState<W>,
+    writer: Option<OriginWriter<W>>,
+    timeout: Duration,
+) -> Result<OriginWriter<W>, StoreCallError> {
+    let era = state.servers.borrow().point().era();
+    let mut writer = match writer.filter(|writer| writer.era == era) {
+        Some(writer) => writer,
+        None => OriginWriter::open(state, era, timeout).await?,
+    };
+    writer.write_next(state, timeout).await?;
+    Ok(writer)
+}
+
+fn is_writer<W: EntryWire>(state: &EntryState<W>, service: &PeerService) -> bool {
+    state.started.elapsed() >= FIRST_WRITE_DELAY
+        && state.servers.borrow().is_listed()
+        && choose_writer(state, service) == Some(state.local_vm)
+}
+
+/// Chooses the router that writes the origins of this router's group.
+pub(crate) fn choose_writer<W: EntryWire>(
+    state: &EntryState<W>,
+    service: &PeerService,
+) -> Option<VmId> {
+    let local = WriterCandidate { vm: state.local_vm, strength: state.settings().strength() };
+    let local = Some(local).filter(|_| !state.is_stopping());
+    choose_origin_writer(service.list_writer_candidates(state).into_iter().chain(local))
+}
+
+/// Writes this router's object and that of the versions.
+struct OriginWriter<W> {
+    client: StoreClient<W>,
+    plan: OriginPlan,
+    /// Era of the store in which the plan holds.
+    era: u64,
+    /// Name of this router's object.
+    name: String,
+    /// Revisions of the two objects; `None` if there is none or it is unknown.
+    versions_revision: Option<u64>,
+    origins_revision: Option<u64>,
+}
+
+impl<W: EntryWire> OriginWriter<W> {
+    /// Reads what the store has, and removes the objects of routers that wrote none for long.
+    async fn open(
+        state: &EntryState<W>,
+        era: u64,
+        timeout: Duration,
+    ) -> Result<Self, StoreCallError> {
+        let mut client = StoreClient::new(state.settings().store);
+        let page = OriginPage::decode::<W>(&client.list(KIND, timeout).await?);
+        record_page(state, &page);
+        let name = state.local_vm.to_string();
+        let others = page.records.iter().filter(|(other, ..)| *other != name);
+        let expired = others.filter(|(_, _, record)| is_expired(record)).take(MAX_REMOVED);
+        for (other, ..) in expired {
+            client.delete(KIND, other, timeout).await?;
+        }
+        let (versions_revision, versions) = page.versions.unzip();
+        let own = page.records.into_iter().find(|(other, ..)| *other == name);
+        let (origins_revision, own) = own.map(|(_, revision, record)| (revision, record)).unzip();
+        // Later, the object has nothing that the book of this process lacks.
+        let own = own.filter(|_| state.started.elapsed() < EARLIER_TIME);
+        let plan = OriginPlan::new(state.now(), versions, own);
+        log::info!("origins: this router writes them from now on. name={name}");
+        Ok(Self { client, plan, era, name, versions_revision, origins_revision })
+    }
+
+    async fn write_next(
+        &mut self,
+        state: &EntryState<W>,
+        timeout: Duration,
+    ) -> Result<(), StoreCallError> {
+        let write = self.plan.choose_write(state.now(), &state.origins.borrow());
+        match write {
+            None => Ok(()),
+            Some(OriginWrite::Versions(record)) => {
+                self.write_versions(state, record, timeout).await
+            }
+            Some(OriginWrite::Origins(streams)) => self.write_own(state, streams, timeout).await,
+        }
+    }
+
+    /// Writes the versions. Those that another router has written meanwhile are adopted.
+    async fn write_versions(
+        &mut self,
+        state: &EntryState<W>,
+        record: VersionRecord,
+        timeout: Duration,
+    ) -> Result<(), StoreCallError> {
+        let content = W::encode_versions(&record);
+        let mode = choose_mode(self.versions_revision);
+        match self.client.write(KIND, VERSIONS_NAME, &content, mode, timeout).await {
+            Ok(revision) => {
+                log::info!(
+                    "origins: versions of services written. services={}",
+                    record.services.len()
+                );
+                self.versions_revision = revision;
+                self.plan.record_versions(record);
+            }
+            Err(StoreCallError::Conflict(Some(found))) => {
+                self.versions_revision = Some(found.revision);
+                let found = W::decode_versions(&found.content)?;
+                let mut book = state.origins.borrow_mut();
+                book.record_earlier_versions(state.now(), &found.services);
+                self.plan.record_versions(found);
+            }
+            Err(error) => return Err(error),
+        }
+        Ok(())
+    }
+
+    async fn write_own(
+        &mut self,
+        state: &EntryState<W>,
+        streams: BTreeMap<SoftwareKey, Vec<StreamKey>>,
+        timeout: Duration,
+    ) -> Result<(), StoreCallError> {
+        let record = OriginRecord { streams, written_unix_millis: unix_millis() };
+        let content = W::encode_origins(&record);
+        let mode = choose_mode(self.origins_revision);
+        match self.client.write(KIND, &self.name, &content, mode, timeout).await {
+            Ok(revision) => {
+                self.origins_revision = revision;
+                self.plan.record_origins(state.now(), &record.streams);
+            }
+            Err(StoreCallError::Conflict(Some(found))) => {
+                self.origins_revision = Some(found.revision);
+            }
+            Err(error) => return Err(error),
+        }
+        Ok(())
+    }
+}
+
+fn choose_mode(revision: Option<u64>) -> WriteMode {
+    revision.map_or(WriteMode::Create, WriteMode::Replace)
+}
+
+fn is_expired(record: &OriginRecord) -> bool {
+    let written = Duration::from_millis(record.written_unix_millis);
+    Duration::from_millis(unix_millis()).saturating_sub(written) > MAX_AGE
+}
+
+fn unix_millis() -> u64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    unix.unwrap_or(Duration::ZERO).as_millis() as u64
+}
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -92,6 +92,8 @@
     pub(crate) strength: u32,
     /// Port of its listener for callers; 0 if it takes no requests of other routers, or until known.
     pub(crate) callers_port: u16,
+    /// Whether it writes origins of streams to the store, if it is chosen to.
+    pub(crate) stores_origins: bool,
 }
 
 /// A router that requests are passed on to.
@@ -218,6 +220,7 @@
             domain: Some(domain),
             strength: report.strength,
             callers_port: u16::try_from(report.callers_port).unwrap_or(0),
+            stores_origins: report.stores_origins,
         };
         let lost = report.lost_services.iter().copied().map(ReachKey).collect();
         self.lost_services.borrow_mut().insert(source.vm, lost);
@@ -564,6 +567,11 @@
         self.send_kind(vm, Kind::ServerListCopy(copy));
     }
 
+    /// Whether a router writes origins of streams to the store, as it last reported.
+    pub(crate) fn stores_origins(&self, vm: VmId) -> bool {
+        self.routers.borrow().get(&vm).is_some_and(|router| router.stores_origins)
+    }
+
     pub(crate) fn send_kind(&self, vm: VmId, kind: Kind) {
         if let Some(router) = self.routers.borrow().get(&vm) {
             self.link.send(vm, router.address, &wrap_message(kind));
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -24,6 +24,7 @@
 use crate::join::{join_fleet, leave_fleet};
 use crate::load_table::ServiceKey;
 use crate::logging::start_logging;
+use crate::origin_store::{read_origins, write_origins};
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
 use crate::peer_service::{PeerService, close_service};
 use crate::reach_watch::{reach_key, watch_reach};
@@ -282,6 +283,8 @@
             service.request_server_list(&state),
             service.answer_list_requests(&state),
             service.query_origins(&state),
+            read_origins(&state),
+            write_origins(&state, &service),
         );
     };
     tokio::select! {
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -41,9 +41,8 @@
 const MAX_LOGGED_PARTS: usize = 16;
 /// Maximum wait for other routers to tell where a stream began.
 const ORIGIN_ANSWER_WAIT: Duration = Duration::from_millis(150);
-/// Time after the start of the router during which servers may have had other software versions that
-/// it does not know of, while a stream that began then may still be resumed.
-const VERSIONS_UNKNOWN_TIME: Duration = Duration::from_secs(30);
+/// Maximum wait for the store to tell it. A caller whose stream is refused waits longer.
+const ORIGIN_READ_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Attempts made so far for a request.
 struct CallProgress {
@@ -368,23 +367,9 @@
     }
     let began = Instant::now();
     let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
-    let choose = || state.origins.borrow().choose_resume(&call.service, key);
-    // A router that started lately doesn't know which versions there were before.
-    let is_new = !state.settings().first_start && state.started.elapsed() < VERSIONS_UNKNOWN_TIME;
-    let asks = match choose() {
-        ResumeChoice::OnlyVersion(_) => false,
-        ResumeChoice::Unknown => true,
-        ResumeChoice::AnyVersion => is_new,
-    };
-    if let Some(key) = key.filter(|_| asks) {
-        let _asked = AskedOrigin::new(state, key);
-        let until = call.deadline.min(Instant::now() + ORIGIN_ANSWER_WAIT);
-        while !matches!(choose(), ResumeChoice::OnlyVersion(_)) {
-            let reported = state.origins_change.notified();
-            if timeout_at(until, reported).await.is_err() {
-                break;
-            }
-        }
+    let choose = || state.origins.borrow().choose_resume(state.now(), &call.service, key);
+    if choose() == ResumeChoice::Unknown {
+        wait_for_origin(state, call.deadline, key, || choose() != ResumeChoice::Unknown).await;
     }
     let choice = choose();
     log_resumption(state, call, choice, began.elapsed());
@@ -395,6 +380,30 @@
     }
 }
 
+/// Asks other routers and the store where a stream began until `is_known`, or until none of them may know.
+async fn wait_for_origin<W: EntryWire>(
+    state: &EntryState<W>,
+    deadline: Instant,
+    key: Option<StreamKey>,
+    is_known: impl Fn() -> bool,
+) {
+    let routers_until = deadline.min(Instant::now() + ORIGIN_ANSWER_WAIT);
+    let store_until = deadline.min(Instant::now() + ORIGIN_READ_WAIT);
+    let _asked = key.map(|key| AskedOrigin::new(state, key));
+    state.origin_reads.request();
+    loop {
+        let changed = state.origins_change.notified();
+        if is_known() {
+            return;
+        }
+        let is_read = !state.origin_reads.is_pending();
+        let until = if is_read { routers_until } else { store_until };
+        if timeout_at(until, changed).await.is_err() && Instant::now() >= until {
+            return;
+        }
+    }
+}
+
 /// Logs where a resumed stream goes on, with what the router knew of its origin.
 fn log_resumption<W: EntryWire>(
     state: &EntryState<W>,
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -25,6 +25,7 @@
 use crate::load_spread::LotTable;
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
+use crate::origin_store::OriginReads;
 use crate::outcome_book::OutcomeBook;
 use crate::peer_service::PeerService;
 use crate::relay_plan::MAX_SMALL_FLEET;
@@ -136,11 +137,12 @@
     /// All known routers but this one.
     pub(crate) other_routers: RefCell<Rc<[VmId]>>,
     pub(crate) origins: RefCell<OriginBook>,
+    pub(crate) origin_reads: OriginReads,
     /// Streams whose origin other routers are asked for.
     pub(crate) asked_origins: RefCell<BTreeSet<StreamKey>>,
     /// Signals that `asked_origins` grew.
     pub(crate) asked_origins_change: Notify,
-    /// Signals that another router reported origins.
+    /// Signals that another router reported origins, or that a read of the store ended.
     pub(crate) origins_change: Notify,
     pub(crate) pool: RefCell<ConnectionPool>,
     pub(crate) server_checks: RefCell<CheckTable>,
@@ -199,6 +201,10 @@
         let budgets =
             BudgetBook::new(settings.retry_ratio, settings.retry_extra, settings.first_start);
         let local_vm = VmId::from_name(&settings.vm);
+        let origins = match settings.first_start {
+            true => OriginBook::default(),
+            false => OriginBook::after_restart(ClockTime::ZERO),
+        };
         Self {
             local_vm,
             local_domain: DomainId::from_name(&settings.domain),
@@ -225,7 +231,8 @@
             crashes: RefCell::default(),
             crash_store_change: Notify::new(),
             other_routers: RefCell::new(Rc::from([])),
-            origins: RefCell::default(),
+            origins: RefCell::new(origins),
+            origin_reads: OriginReads::default(),
             asked_origins: RefCell::default(),
             asked_origins_change: Notify::new(),
             origins_change: Notify::new(),
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -207,8 +207,7 @@
         Ok(Some(W::decode_object(&answer.body)?))
     }
 
-    /// Writes one object. Fails with [`StoreCallError::Conflict`] if the condition of `mode` does
-    /// not hold.
+    /// Writes one object, as [`Self::write`].
     pub async fn put(
         &mut self,
         kind: StoreKind,
@@ -217,6 +216,19 @@
         mode: WriteMode,
         timeout: Duration,
     ) -> Result<(), StoreCallError> {
+        self.write(kind, name, content, mode, timeout).await.map(|_| ())
+    }
+
+    /// Writes one object and returns its revision, if the answer has it. Fails with
+    /// [`StoreCallError::Conflict`] if the condition of `mode` does not hold.
+    pub async fn write(
+        &mut self,
+        kind: StoreKind,
+        name: &str,
+        content: &str,
+        mode: WriteMode,
+        timeout: Duration,
+    ) -> Result<Option<u64>, StoreCallError> {
         let (method, target, revision) = match mode {
             WriteMode::Create => ("POST", W::collection_target(kind), None),
             WriteMode::Replace(revision) => ("PUT", W::object_target(kind, name), Some(revision)),
@@ -228,7 +240,8 @@
                 StoreCallError::Conflict(W::decode_object(&answer.body).ok())
             }
             other => other,
-        })
+        })?;
+        Ok(W::decode_object(&answer.body).ok().map(|entry| entry.revision))
     }
 
     /// Deletes one object.
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -1,10 +1,12 @@
 //! Formats of callers, servers and the store, as a trait that a platform implements.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use catkin_base::{PartKey, ServerId, copy_type, value_type};
 
 use crate::crash_book::QuarantineKey;
+use crate::origin_book::{SoftwareKey, StreamKey};
 use crate::record::{DeclarationRecord, PromptPart, ServerRecord};
 use crate::store_point::StorePoint;
 
@@ -69,6 +71,8 @@
         /// Failure domains whose servers are to get no requests, one object each, with the name of the
         /// failure domain.
         Evacuations,
+        /// Software versions of services, and at which of them streams began.
+        StreamOrigins,
     }
 }
 
@@ -143,6 +147,26 @@
     }
 }
 
+value_type! {
+    /// The software versions that the servers of each service had lately, in the store.
+    #[derive(Default)]
+    pub struct VersionRecord {
+        /// Versions by service.
+        pub services: BTreeMap<String, BTreeSet<SoftwareKey>>,
+    }
+}
+
+value_type! {
+    /// Streams that began lately, as one router knows them, in the store.
+    #[derive(Default)]
+    pub struct OriginRecord {
+        /// Streams by the software version at which they began.
+        pub streams: BTreeMap<SoftwareKey, Vec<StreamKey>>,
+        /// When the record was written, in milliseconds since the Unix epoch.
+        pub written_unix_millis: u64,
+    }
+}
+
 value_type! {
     /// A prompt part in a server's list of cached parts.
     pub struct ListedPart {
@@ -220,6 +244,14 @@
     fn decode_strikes(content: &str) -> Result<StrikeRecord, WireError>;
     /// Encodes quarantined content.
     fn encode_strikes(record: &StrikeRecord) -> String;
+    /// Decodes the versions of services.
+    fn decode_versions(content: &str) -> Result<VersionRecord, WireError>;
+    /// Encodes the versions of services.
+    fn encode_versions(record: &VersionRecord) -> String;
+    /// Decodes the origins of streams.
+    fn decode_origins(content: &str) -> Result<OriginRecord, WireError>;
+    /// Encodes the origins of streams.
+    fn encode_origins(record: &OriginRecord) -> String;
     /// Decodes the parts of a prompt from a header value.
     fn decode_prompt_parts(value: &str) -> Result<Vec<PromptPart>, WireError>;
     /// Decodes a server's list of cached parts.
--- /dev/null
+++ b/crates/catkin-entry/tests/origin_plan.rs
@@ -0,0 +1,155 @@
+//! Tests of what routers write to the store of the versions at which streams began.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use catkin_base::{ClockTime, VmId};
+use catkin_entry::{
+    OriginBook, OriginPlan, OriginRecord, OriginWrite, ResumeChoice, SoftwareKey, StreamKey,
+    VersionRecord, WriterCandidate, choose_origin_writer,
+};
+
+const SERVICE: &str = "s";
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(millis)
+}
+
+fn stream(number: u64) -> StreamKey {
+    StreamKey::from_request(format!("r-{number}").as_bytes())
+}
+
+fn software(name: &str) -> SoftwareKey {
+    SoftwareKey::from_name(name)
+}
+
+fn record_versions(book: &mut OriginBook, now: ClockTime, versions: &[&str]) {
+    book.record_versions(now, versions.iter().map(|version| (SERVICE, software(version))));
+}
+
+fn services(versions: &[&str]) -> BTreeMap<String, BTreeSet<SoftwareKey>> {
+    BTreeMap::from([(SERVICE.to_owned(), versions.iter().map(|name| software(name)).collect())])
+}
+
+/// A plan of a router after it wrote these versions.
+fn plan_with(versions: &[&str]) -> OriginPlan {
+    OriginPlan::new(at(0), Some(VersionRecord { services: services(versions) }), None)
+}
+
+fn written_streams(write: Option<OriginWrite>) -> BTreeSet<StreamKey> {
+    match write {
+        Some(OriginWrite::Origins(streams)) => streams.into_values().flatten().collect(),
+        other => panic!("{other:?} writes no origins"),
+    }
+}
+
+#[test]
+fn one_version_is_written_once_and_no_stream_of_it() {
+    let mut book = OriginBook::default();
+    record_versions(&mut book, at(0), &["v1"]);
+    book.record_stream(at(1), stream(1), software("v1"));
+
+    let first = OriginPlan::new(at(1), None, None).choose_write(at(1), &book);
+    let later = plan_with(&["v1"]).choose_write(at(2_000), &book);
+
+    let expected = OriginWrite::Versions(VersionRecord { services: services(&["v1"]) });
+    assert_eq!((first, later), (Some(expected), None));
+}
+
+#[test]
+fn a_list_without_servers_changes_no_versions() {
+    let write = plan_with(&["v1"]).choose_write(at(0), &OriginBook::default());
+
+    assert_eq!(write, None);
+}
+
+#[test]
+fn streams_are_written_at_intervals_while_several_versions_serve() {
+    let mut book = OriginBook::default();
+    record_versions(&mut book, at(0), &["v1", "v2"]);
+    let mut plan = plan_with(&["v1", "v2"]);
+    book.record_stream(at(1), stream(1), software("v1"));
+
+    let first = written_streams(plan.choose_write(at(2), &book));
+    plan.record_origins(at(2), &BTreeMap::from([(software("v1"), vec![stream(1)])]));
+    let unchanged = plan.choose_write(at(900), &book);
+    book.record_reported(at(3), stream(2), software("v2"));
+    let early = plan.choose_write(at(400), &book);
+    let due = written_streams(plan.choose_write(at(502), &book));
+
+    assert_eq!(first, BTreeSet::from([stream(1)]));
+    assert_eq!((unchanged, early), (None, None));
+    assert_eq!(due, BTreeSet::from([stream(1), stream(2)]));
+}
+
+/// Guards against origins that are lost when all routers end twice in a row.
+#[test]
+fn what_an_earlier_process_wrote_is_written_again_for_a_while() {
+    let mut book = OriginBook::default();
+    let own = OriginRecord {
+        streams: BTreeMap::from([(software("v1"), vec![stream(1)])]),
+        written_unix_millis: 0,
+    };
+    let versions = Some(VersionRecord { services: services(&["v1", "v2"]) });
+    let plan = OriginPlan::new(at(1_000), versions, Some(own));
+
+    record_versions(&mut book, at(1_000), &["v1", "v2"]);
+    book.record_stream(at(1_000), stream(2), software("v2"));
+    let soon = written_streams(plan.choose_write(at(2_000), &book));
+    record_versions(&mut book, at(31_500), &["v1", "v2"]);
+    book.record_stream(at(31_500), stream(3), software("v2"));
+    let later = written_streams(plan.choose_write(at(31_600), &book));
+
+    assert_eq!(soon, BTreeSet::from([stream(1), stream(2)]));
+    assert_eq!(later, BTreeSet::from([stream(3)]));
+}
+
+/// Guards against streams that go on anywhere at a router that does not know yet which versions there
+/// were.
+#[test]
+fn no_stream_goes_on_until_the_earlier_versions_are_known() {
+    let mut book = OriginBook::after_restart(at(0));
+    record_versions(&mut book, at(0), &["v2"]);
+    let choose = |book: &OriginBook, now| book.choose_resume(now, SERVICE, Some(stream(1)));
+
+    let unread = choose(&book, at(100));
+    let mut same = book.clone();
+    same.record_earlier_versions(at(100), &services(&["v2"]));
+    let mut other = book.clone();
+    other.record_earlier_versions(at(100), &services(&["v1"]));
+    let long_after = choose(&book, at(30_000));
+
+    assert_eq!(unread, ResumeChoice::Unknown);
+    assert_eq!(choose(&same, at(100)), ResumeChoice::AnyVersion);
+    assert_eq!(choose(&other, at(100)), ResumeChoice::Unknown);
+    assert_eq!(long_after, ResumeChoice::AnyVersion);
+}
+
+#[test]
+fn stored_origins_count_until_their_streams_have_ended() {
+    let mut book = OriginBook::after_restart(at(0));
+    book.record_earlier_versions(at(0), &services(&["v1", "v2"]));
+    book.record_stored(
+        at(0),
+        [(stream(2), software("v2")), (stream(1), software("v1"))].into_iter(),
+    );
+
+    let found = book.find(stream(1));
+    record_versions(&mut book, at(30_000), &["v1", "v2"]);
+
+    assert_eq!(found, Some(software("v1")));
+    assert_eq!(book.find(stream(1)), None);
+}
+
+#[test]
+fn routers_that_know_one_another_agree_on_one_writer() {
+    let candidates =
+        (1..=66).map(|vm| WriterCandidate { vm: VmId(vm), strength: 3 + vm as u32 % 2 });
+    let candidates: Vec<_> = candidates.collect();
+
+    let writer = choose_origin_writer(candidates.iter().copied());
+    let reversed = choose_origin_writer(candidates.iter().rev().copied());
+
+    assert_eq!(writer, reversed);
+    let strength = |vm| candidates.iter().find(|candidate| candidate.vm == vm).unwrap().strength;
+    assert_eq!(writer.map(strength), Some(4));
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -492,6 +492,9 @@
     /// in the scope, of services without enough room
     #[prost(message, repeated, tag = "33")]
     pub team_demands: ::prost::alloc::vec::Vec<TeamDemand>,
+    /// the sender writes to the store where streams began, if it is chosen to
+    #[prost(bool, tag = "40")]
+    pub stores_origins: bool,
 }
 /// States that the sender checked a caller's request that it passes on. Sent with the request, not over the link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
