--- a/crates/catkin-entry/src/origin_plan.rs
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -18,6 +18,9 @@
 /// Minimum interval of two writes of origins. Streams that began within it before all routers end are
 /// refused when callers resume them.
 const WRITE_INTERVAL_MILLIS: u64 = 500;
+/// Maximum number of streams in one object, about 640 KB. The book holds fewer; what an earlier process
+/// wrote is left out beyond it.
+const MAX_STREAMS: usize = 60_000;
 /// Time after its start for which a router writes again what an earlier process of it wrote.
 pub(crate) const EARLIER_TIME: Duration = Duration::from_secs(30);
 
@@ -80,7 +83,8 @@
             return None;
         }
         book.origins().any(|(key, _)| !self.written.contains(&key)).then(|| {
-            let mut streams = self.earlier_streams(now);
+            let mut streams =
+                self.earlier_streams(now, MAX_STREAMS.saturating_sub(book.origins().count()));
             for (key, software) in book.origins() {
                 streams.entry(software).or_default().push(key);
             }
@@ -103,9 +107,17 @@
         self.last_write = Some(now);
     }
 
-    fn earlier_streams(&self, now: ClockTime) -> BTreeMap<SoftwareKey, Vec<StreamKey>> {
+    /// What an earlier process wrote, if it counts still and has at most `count` streams.
+    fn earlier_streams(
+        &self,
+        now: ClockTime,
+        count: usize,
+    ) -> BTreeMap<SoftwareKey, Vec<StreamKey>> {
         let earlier = self.earlier.as_ref();
-        let kept = earlier.filter(|(read, _)| now.since(*read) < EARLIER_TIME);
+        let kept = earlier.filter(|(read, record)| {
+            let streams: usize = record.streams.values().map(Vec::len).sum();
+            now.since(*read) < EARLIER_TIME && streams <= count
+        });
         kept.map(|(_, record)| record.streams.clone()).unwrap_or_default()
     }
 }
