Judge a break of a reused connection by a late check only if it proves something

Cause: a reused connection broke, the process stood still between sending the request and the check of the server, and the check found somebody listening at the address. `classify_reused_break` took that for a stale connection, so the break did not count against the request, which went to a fourth server.

Change: `break_cause` decides without I/O. A server that listens did not crash only if the check ended before a server that crashed can be back (1 s from sending; the protocol says "after some seconds") and if its start is still listed. A later check proves nothing: then the connection's age decides. A connection that the server surely kept open (its stated timeout less the margin, or a second if it states none) counts as `BrokenReused`: a strike against the content, nothing against the server, which accepts connections. An older one stays stale. A refused connect stays a crash, a silent one stays stale (it may be a cut).

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -9,10 +9,11 @@
 use catkin_http::ResponseHead;
 use tokio::time::Instant;
 
+use crate::break_cause::{BreakCause, ReusedBreak, find_break_cause};
 use crate::call::{EntryCall, SendDetails, encode_call};
 use crate::connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
-use crate::connection_pool::{read_idle_timeout, share_connection_limit};
-use crate::crash_check::{ServerCheck, check_server};
+use crate::connection_pool::{read_idle_timeout, read_kept_time, share_connection_limit};
+use crate::crash_check::check_server;
 use crate::origin_book::SoftwareKey;
 use crate::server_notice::{NoticeSource, read_notice};
 use crate::state::{EntryState, OpenSlot};
@@ -38,11 +39,14 @@
         Withdrawn,
         /// The failure domain of the server was evacuated while the router connected to it.
         Evacuated,
-        /// A reused connection broke before the first byte of an answer, and the server listens.
+        /// A reused connection broke before the first byte of an answer: the server had closed it.
         StaleChannel,
         /// A reused connection broke before the first byte of an answer, and the server no longer
         /// listens.
         Crashed,
+        /// A reused connection broke before the first byte of an answer, and whether the server
+        /// crashed is not known.
+        BrokenReused,
         /// The server declined the request and did not run it.
         Declined,
         /// Another server has this address now.
@@ -84,7 +88,10 @@
     pub(crate) fn may_have_crashed(self) -> bool {
         let silent = matches!(
             self.failure,
-            AttemptFailure::Broken | AttemptFailure::Crashed | AttemptFailure::TimedOut
+            AttemptFailure::Broken
+                | AttemptFailure::BrokenReused
+                | AttemptFailure::Crashed
+                | AttemptFailure::TimedOut
         );
         silent && self.ran != RunVerdict::NotRun
     }
@@ -181,8 +188,9 @@
     /// the value of that header field in the answer.
     pub(crate) fn release(mut self, keep_alive: Option<&str>) {
         let pooled = self.pooled && !self.state.is_evacuated(self.server);
-        if let Some(connection) = self.connection.take().filter(|_| pooled) {
+        if let Some(mut connection) = self.connection.take().filter(|_| pooled) {
             self.counted = false;
+            connection.mark_idle(read_kept_time(keep_alive));
             let idle = read_idle_timeout(keep_alive);
             self.state.pool.borrow_mut().release(self.server, connection, idle);
         }
@@ -223,7 +231,7 @@
     };
     let request = encode_call::<W>(call, &details);
     let expected = ExpectedAnswer { id_field: W::HEADERS.request_id, id: &call.id };
-    let reused = connection.get().exchanges() > 0;
+    let reused = connection.get().idle_time();
     let sent = state.now();
     let exchanged =
         connection.get().exchange(&request, Some(expected), call.is_head(), answer_deadline);
@@ -236,12 +244,12 @@
     record_notices(state, call, assigned.slot.server, heads);
     let head = match exchanged {
         Ok(head) => head,
-        Err(error) if reused && error.failure == ExchangeFailure::Broken => {
-            let failure = classify_reused_break(state, &assigned).await;
-            return Err(AttemptError { failure, ran: error.ran });
-        }
         Err(error) => {
-            let failure = convert_failure(error.failure);
+            let broken = error.failure == ExchangeFailure::Broken;
+            let failure = match reused.filter(|_| broken) {
+                Some(idle) => classify_reused_break(state, call, &assigned, sent, idle).await,
+                None => convert_failure(error.failure),
+            };
             return Err(AttemptError { failure, ran: error.ran });
         }
     };
@@ -298,17 +306,35 @@
     share_connection_limit(limit, state.live_routers())
 }
 
-/// Finds out why a reused connection broke before the first byte of an answer. Most often the server
-/// closed it while it was idle, which counts neither against the server nor against the request. A
-/// server that refuses new connections has crashed. One that does not answer may be cut off, so
-/// that counts as the usual case.
+/// Finds out why a reused connection broke before the first byte of an answer. `idle` is the time for
+/// which it was idle before, and for which the server keeps it open then.
 async fn classify_reused_break<W>(
     state: &EntryState<W>,
+    call: &EntryCall,
     assigned: &AssignedCall<W>,
+    sent: ClockTime,
+    (idle, kept): (Duration, Duration),
 ) -> AttemptFailure {
-    match check_server(state, assigned.slot.server, assigned.address).await {
-        ServerCheck::Gone => AttemptFailure::Crashed,
-        ServerCheck::Listening | ServerCheck::Silent => AttemptFailure::StaleChannel,
+    let server = assigned.slot.server;
+    let check = check_server(state, server, assigned.address).await;
+    let broken = ReusedBreak {
+        idle,
+        kept,
+        checked_after: state.now().since(sent),
+        is_listed: state.servers.borrow().get(server).is_some(),
+    };
+    let cause = find_break_cause(&broken, check);
+    log::info!(
+        "server: reused connection broke before an answer. request={} server={server} \
+         check={check:?} cause={cause:?} idle_millis={} checked_after_millis={}",
+        call.id_text(),
+        idle.as_millis(),
+        broken.checked_after.as_millis()
+    );
+    match cause {
+        BreakCause::Stale => AttemptFailure::StaleChannel,
+        BreakCause::Crashed => AttemptFailure::Crashed,
+        BreakCause::Unknown => AttemptFailure::BrokenReused,
     }
 }
 
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -77,6 +77,8 @@
     reusable: bool,
     /// Number of requests sent.
     exchanges: u32,
+    /// When the connection was last idle, and for how long the server kept it open from then on.
+    released: Option<(Instant, Duration)>,
     /// Interim heads and heads of late answers that were skipped before the current answer.
     skipped_heads: Vec<ResponseHead>,
 }
@@ -111,6 +113,7 @@
             decoder: None,
             reusable: true,
             exchanges: 0,
+            released: None,
             skipped_heads: Vec::new(),
         })
     }
@@ -133,6 +136,17 @@
         self.exchanges
     }
 
+    /// Records that the connection is idle from now on, and that the server keeps it open for `kept`.
+    pub(crate) fn mark_idle(&mut self, kept: Duration) {
+        self.released = Some((Instant::now(), kept));
+    }
+
+    /// Time since the connection was last idle, and for how long the server kept it open from then on;
+    /// `None` if it never was.
+    pub(crate) fn idle_time(&self) -> Option<(Duration, Duration)> {
+        self.released.map(|(released, kept)| (released.elapsed(), kept))
+    }
+
     /// Interim heads and heads of late answers that the last exchange skipped. They come from the same
     /// server as the answer.
     pub fn skipped_heads(&self) -> &[ResponseHead] {
--- a/crates/catkin-entry/src/connection_pool.rs
+++ b/crates/catkin-entry/src/connection_pool.rs
@@ -14,6 +14,10 @@
 /// a request is in flight to it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Time for which a server that states no idle timeout keeps a connection open. Timeouts are stated in
+/// whole seconds.
+const UNSTATED_KEPT: Duration = Duration::from_millis(1_000);
+
 /// A connection without a request, and when it expires.
 #[derive(Debug)]
 struct IdleConnection {
@@ -37,6 +41,12 @@
     limit.map_or(DEFAULT_IDLE, |limit| limit.saturating_sub(IDLE_MARGIN))
 }
 
+/// Reads from the value of a `Keep-Alive` field for how long the server surely keeps an idle connection
+/// open.
+pub fn read_kept_time(keep_alive: Option<&str>) -> Duration {
+    keep_alive.map_or(UNSTATED_KEPT, |stated| read_idle_timeout(Some(stated)))
+}
+
 impl ConnectionPool {
     /// Takes the most recently used idle connection to `server` that is neither expired nor broken.
     pub fn take(&mut self, server: ServerId, now: Instant) -> Option<HttpConnection> {
--- a/crates/catkin-entry/src/crash_check.rs
+++ b/crates/catkin-entry/src/crash_check.rs
@@ -6,10 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{ServerId, copy_type};
+use catkin_base::ServerId;
 use tokio::sync::OnceCell;
 use tokio::time::Instant;
 
+use crate::break_cause::ServerCheck;
 use crate::connection::HttpConnection;
 use crate::state::EntryState;
 
@@ -18,18 +19,6 @@
 /// Time for which a check counts. A crash breaks all connections at once.
 const CHECK_LIFETIME: Duration = Duration::from_millis(50);
 
-copy_type! {
-    /// Whether a server accepts connections.
-    pub(crate) enum ServerCheck {
-        /// It refuses connections, so that its process has ended.
-        Gone,
-        /// It accepts connections.
-        Listening,
-        /// It does not answer: its VM is down, or it is cut off from this router.
-        Silent,
-    }
-}
-
 /// Checks by server, so that many connections that break at once cause a single one.
 #[derive(Debug, Default)]
 pub(crate) struct CheckTable {
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -8,7 +8,7 @@
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer, `server_notice` reads what a server states of itself, `origin_book` knows where a resumed stream may go on, `refusal` answers
-//!    requests that were not served. `crash_check` finds out whether a server crashed under a request,
+//!    requests that were not served. `crash_check` and `break_cause` find out whether a server crashed under a request,
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
@@ -24,13 +24,14 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`find_break_cause`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
 mod answer_forwarder;
 mod assign;
 mod attempt;
+mod break_cause;
 mod budget_book;
 mod cache_index;
 mod cache_loader;
@@ -87,6 +88,7 @@
 mod waiting_room;
 mod wire;
 
+pub use break_cause::{BreakCause, ReusedBreak, ServerCheck, find_break_cause};
 pub use budget_book::BudgetBook;
 pub use cache_index::{CacheIndex, CachedPart, PrefixPart, list_prefix_parts, part_key};
 pub use cache_sync::CacheSync;
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -13,11 +13,12 @@
 use crate::answer_forwarder::{AnswerForwarder, ForwardEnd};
 use crate::assign::assign_server;
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer, send_attempt};
+use crate::break_cause::ServerCheck;
 use crate::call::EntryCall;
 use crate::call_relay::{RelayResult, send_relayed};
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
 use crate::crash_book::CrashSource;
-use crate::crash_check::{ServerCheck, check_server};
+use crate::crash_check::check_server;
 use crate::crash_reports::CallVerdict;
 use crate::load_table::ServiceKey;
 use crate::origin_book::{ResumeChoice, SoftwareKey, StreamKey};
@@ -567,15 +568,20 @@
     let outcome = match error.failure {
         // The server is gone; its entry remains until the store removes it.
         AttemptFailure::Unreachable | AttemptFailure::Misdirected | AttemptFailure::Crashed => {
-            AttemptOutcome::Unreachable
+            Some(AttemptOutcome::Unreachable)
         }
         AttemptFailure::StaleChannel | AttemptFailure::Withdrawn | AttemptFailure::Evacuated => {
             return;
         }
-        _ => AttemptOutcome::Failed,
+        // It counts against the request, but the server accepts connections.
+        AttemptFailure::BrokenReused => None,
+        _ => Some(AttemptOutcome::Failed),
     };
-    let broke = matches!(error.failure, AttemptFailure::Broken | AttemptFailure::Crashed);
-    if broke && error.may_have_crashed() {
+    let broke = matches!(
+        error.failure,
+        AttemptFailure::Broken | AttemptFailure::BrokenReused | AttemptFailure::Crashed
+    );
+    if broke && error.may_have_crashed() && outcome.is_some() {
         state.record_cold_failure(server);
     }
     if broke
@@ -586,7 +592,9 @@
     {
         state.updates.borrow_mut().crashes.strikes.push((call.digest, server));
     }
-    record_outcome(state, call, server, outcome);
+    if let Some(outcome) = outcome {
+        record_outcome(state, call, server, outcome);
+    }
 }
 
 /// Records the outcome of an attempt, which may eject the server. A failure with which the server asked
