Don't count lateness that all servers of a service show at once against one of them

Cause: SpeedBook compares each answer with the mean of the last ten seconds. In a moment in which the machine or the network is busy all answers are late by that measure, and the servers that happened to answer then counted as slow. Idle servers differ by nothing else, so all requests went to the others, and no answer could show otherwise until the weight had decayed.

Change: a late answer counts only with what it exceeds the lateness of the other servers by: the median of their latest answers of the last 200 ms, if that is 1.5 times the usual pace or more. An answer on time counts as before, as does a late one beside servers that are on time, so a slow server is noticed as soon as before.

A first design that judged answers by moments of 200 ms was dropped: it noticed slow servers later and failed two tests of speed_table.

Conclusion: the design, not the test, was wrong. A server that is late alone still counts as slow for seconds.

--- a/crates/catkin-entry/src/speed_book.rs
+++ b/crates/catkin-entry/src/speed_book.rs
@@ -6,7 +6,8 @@
 //! the first event grows with the prompt tokens that a server has yet to prefill, and for each
 //! server by which factor the pace of its answers is slower than that of its service. The time to
 //! the first event says little about a server, since it depends on prompts that only other routers
-//! know of yet.
+//! know of yet. Lateness that the other servers of a service show at the same moment says nothing of
+//! a server, either: it is that of the machine, the network or this process.
 
 use std::collections::BTreeMap;
 
@@ -26,6 +27,10 @@
 const DEFAULT_ANSWERS: f64 = 2.0;
 /// Minimum time of an answer that servers are compared by, in milliseconds.
 const MIN_ANSWER_MILLIS: f64 = 4.0;
+/// Age up to which the latest answers of other servers are of the same moment, in milliseconds.
+const MOMENT_MILLIS: u64 = 200;
+/// Factor above the usual pace of the service from which on an answer counts as late.
+const LATE_FACTOR: f64 = 1.5;
 /// Half-life of the weight of an answer for its service, in milliseconds.
 const SERVICE_HALF_LIFE_MILLIS: f64 = 10_000.0;
 /// Half-life of the weight of an answer for its server, in milliseconds.
@@ -110,13 +115,15 @@
 }
 
 /// Mean pace of the answers of a service.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct ServicePace {
     updated: ClockTime,
     weight: f64,
     /// Sum of the logarithms of the measured times. Their mean is less affected by single late
     /// answers than that of the times.
     log_millis: f64,
+    /// When each server last answered, and the logarithm of its time.
+    latest: BTreeMap<ServerId, (ClockTime, f64)>,
 }
 
 impl ServicePace {
@@ -126,6 +133,23 @@
         self.log_millis *= factor;
         self.updated = now;
     }
+
+    /// Records an answer. Returns the logarithm of its ratio to the mean, less the lateness that the other
+    /// servers show at this moment.
+    fn record(&mut self, now: ClockTime, server: ServerId, log_millis: f64) -> f64 {
+        self.decay(now);
+        self.weight += 1.0;
+        self.log_millis += log_millis;
+        let mean = self.log_millis / self.weight;
+        let others = self.latest.iter().filter(|(other, (answered, _))| {
+            **other != server && now.millis_since(*answered) <= MOMENT_MILLIS
+        });
+        let lateness = find_median(others.map(|(_, (_, log_millis))| log_millis - mean));
+        let shared = lateness.filter(|lateness| *lateness >= LATE_FACTOR.ln()).unwrap_or(0.0);
+        self.latest.insert(server, (now, log_millis));
+        let own = log_millis - mean;
+        if own > 0.0 { (own - shared).max(0.0) } else { own }
+    }
 }
 
 /// Pace of the answers of one server, relative to that of its service.
@@ -191,11 +215,7 @@
     /// the time of a whole answer of a service without streams, in milliseconds.
     pub fn record_pace(&mut self, now: ClockTime, service: &str, server: ServerId, millis: f64) {
         let log_millis = millis.max(MIN_ANSWER_MILLIS).ln();
-        let mean = entry_of(&mut self.paces, service);
-        mean.decay(now);
-        mean.weight += 1.0;
-        mean.log_millis += log_millis;
-        let log_ratio = log_millis - mean.log_millis / mean.weight;
+        let log_ratio = entry_of(&mut self.paces, service).record(now, server, log_millis);
         let most = MAX_RATIO.ln();
         let pace = self.servers.entry(server).or_default();
         pace.decay(now);
@@ -248,10 +268,16 @@
     /// Removes what is known of a server that restarted or left.
     pub fn remove_server(&mut self, server: ServerId) {
         self.servers.remove(&server);
+        for pace in self.paces.values_mut() {
+            pace.latest.remove(&server);
+        }
     }
 
     /// Removes servers without recent answers or reports.
     pub fn remove_expired(&mut self, now: ClockTime) {
+        for pace in self.paces.values_mut() {
+            pace.latest.retain(|_, (answered, _)| now.millis_since(*answered) <= MOMENT_MILLIS);
+        }
         self.servers.retain(|_, pace| {
             pace.decay(now);
             pace.weight >= MIN_WEIGHT || now < pace.peer_until
@@ -259,6 +285,12 @@
     }
 }
 
+fn find_median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    let middle = values.len().checked_sub(1)? / 2;
+    Some(*values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
+
 fn entry_of<'a, T: Default>(map: &'a mut BTreeMap<String, T>, service: &str) -> &'a mut T {
     if !map.contains_key(service) {
         map.insert(service.to_owned(), T::default());
--- a/crates/catkin-entry/tests/speed_book.rs
+++ b/crates/catkin-entry/tests/speed_book.rs
@@ -150,6 +150,72 @@
     assert_eq!(pool.factor(3), 1.0);
 }
 
+/// Guards against servers that count as slow after moments in which the machine was busy: all were late.
+#[test]
+fn lateness_that_all_servers_show_at_once_makes_none_slow() {
+    let mut pool = TestPool::new(60.0);
+    pool.run(10_000);
+
+    for _ in 0..5 {
+        pool.factors = [5.0; SERVERS as usize];
+        pool.run(300);
+        pool.factors = [1.0; SERVERS as usize];
+        assert!((0..SERVERS).all(|server| pool.factor(server) == 1.0), "{}", pool.now);
+        pool.run(700);
+    }
+}
+
+/// Guards against servers that get no requests while the others get them all: those that answered in moments of
+/// shared lateness counted as slow, and idle servers differ by nothing else.
+#[test]
+fn requests_stay_even_over_servers_that_are_late_together() {
+    for busy_millis in [100, 250, 400] {
+        for factor in [2.0, 3.0, 5.0, 8.0] {
+            let taken = count_taken(busy_millis, factor);
+            let most = taken.iter().max().unwrap();
+            assert!(
+                taken.iter().all(|count| count * 2 > *most),
+                "{busy_millis} {factor} {taken:?}"
+            );
+        }
+    }
+}
+
+/// Sends one request after the other to the servers that count as fastest, on a machine that is busy for
+/// `busy_millis` of each second, so that answers take longer by `factor`. Returns the requests of each server.
+fn count_taken(busy_millis: u64, factor: f64) -> [u32; 4] {
+    let mut book = SpeedBook::default();
+    let mut taken = [0u32; 4];
+    for request in 0..1_000u64 {
+        let millis = request * 20;
+        let now = ClockTime::from_millis(millis);
+        let slow_factor = |server| book.slow_factor(now, ServerId(server));
+        let least = (0..4).map(slow_factor).fold(f64::MAX, f64::min);
+        let fastest: Vec<u64> = (0..4).filter(|server| slow_factor(*server) == least).collect();
+        let server = fastest[(request * 7 / 3) as usize % fastest.len()];
+        taken[server as usize] += 1;
+        let is_busy = millis % 1_000 < busy_millis;
+        let pace = if is_busy { EVENT_MILLIS * factor } else { EVENT_MILLIS };
+        book.record_pace(now, SERVICE, ServerId(server), pace);
+    }
+    taken
+}
+
+#[test]
+fn a_server_that_is_slow_beside_others_that_are_late_at_times_is_noticed() {
+    let mut pool = TestPool::new(60.0);
+    pool.run(10_000);
+
+    for moment in 0..10 {
+        let shared = if moment % 2 == 0 { 4.0 } else { 1.0 };
+        pool.factors = [shared; SERVERS as usize];
+        pool.factors[3] = shared * 4.0;
+        pool.run(300);
+    }
+
+    assert!(pool.factor(3) >= 2.0, "{}", pool.factor(3));
+}
+
 #[test]
 fn a_factor_reported_by_another_router_counts_for_a_while_and_is_not_reported_on() {
     let mut book = SpeedBook::default();
