Measure no server by times in which this router stood still

Cause: the time of an answer includes that for which the router had no CPU time or one of its tasks held the others up. With few answers at a moment there is no other server to compare with, and the lateness counted against the one that happened to be asked.

Change: a beat each 50 ms shows when the process stood still (`StallTable`, without I/O). A stall that ends with the measurement counts before its beat came.

Conclusion: lateness that this process causes itself says nothing of a server. Whether the process stood still before its first beat after a start is not known.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -24,7 +24,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`find_break_cause`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`find_break_cause`], [`StallTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -79,6 +79,7 @@
 mod speed_book;
 mod speed_exchange;
 mod speed_table;
+mod stall_table;
 mod state;
 mod store_client;
 mod store_follower;
@@ -139,6 +140,7 @@
 pub use speed_table::{
     SpeedStatement, SpeedTable, combine_factors, find_typical_factor, read_stated_speed,
 };
+pub use stall_table::StallTable;
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
