--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -8,7 +8,7 @@
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer, `server_notice` reads what a server states of itself, `origin_book` knows where a resumed stream may go on, `refusal` answers
-//!    requests that were not served. `crash_check` finds out whether a server crashed under a request,
+//!    requests that were not served. `crash_check` and `break_cause` find out whether a server crashed under a request,
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
@@ -24,13 +24,15 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`],
+//! [`find_break_cause`], [`StallTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
 mod answer_forwarder;
 mod assign;
 mod attempt;
+mod break_cause;
 mod budget_book;
 mod cache_index;
 mod cache_loader;
@@ -80,6 +82,7 @@
 mod speed_book;
 mod speed_exchange;
 mod speed_table;
+mod stall_table;
 mod state;
 mod store_client;
 mod store_follower;
@@ -89,6 +92,7 @@
 mod waiting_room;
 mod wire;
 
+pub use break_cause::{BreakCause, ReusedBreak, ServerCheck, find_break_cause};
 pub use budget_book::BudgetBook;
 pub use cache_index::{CacheIndex, CachedPart, PrefixPart, list_prefix_parts, part_key};
 pub use cache_sync::CacheSync;
@@ -140,6 +144,7 @@
 pub use speed_table::{
     SpeedStatement, SpeedTable, combine_factors, find_typical_factor, read_stated_speed,
 };
+pub use stall_table::StallTable;
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
