--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -213,6 +213,7 @@
     if state.is_evacuated(assigned.slot.server) {
         return Err(AttemptError::not_run(AttemptFailure::Evacuated));
     }
+    log_leaving(state, call, assigned.slot.server);
     let source = assigned.fetch_from.filter(|(server, _)| !state.is_evacuated(*server));
     let fetch_from = source.map(|(_, address)| address.to_string());
     let details = SendDetails {
@@ -250,6 +251,17 @@
     Ok(StartedAnswer { head, connection, slot: Some(assigned.slot), software })
 }
 
+/// Logs that a request is sent to a server that is known to leave.
+fn log_leaving<W>(state: &EntryState<W>, call: &EntryCall, server: ServerId) {
+    if let Some(millis) = state.servers.borrow().leave_age_millis(state.now(), server) {
+        log::info!(
+            "server: leaves, and the request is sent to it. request={} server={server} \
+             leave_age_millis={millis}",
+            call.id_text()
+        );
+    }
+}
+
 /// Takes an idle connection from the pool or opens another one.
 async fn open_connection<W: EntryWire>(
     state: &Rc<EntryState<W>>,
--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -24,6 +24,7 @@
 use crate::connection::{ExpectedAnswer, HttpConnection};
 use crate::peer_service::CallHelper;
 use crate::reach_watch::reach_key;
+use crate::server_notice::read_notice;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -138,6 +139,15 @@
     if cause.as_deref().is_some_and(|cause| is_local_refusal(cause, head.status)) {
         return RelayResult::Refused;
     }
+    let notice = read_notice::<W>(&head);
+    if notice.leaving && cause.is_none() {
+        metrics::counter!("catkin_entry_relayed_leaves_total").increment(1);
+        log::info!(
+            "call: the answer of another router states that its server leaves. request={} helper={}",
+            call.id_text(),
+            helper.vm
+        );
+    }
     let fields = std::mem::take(&mut head.fields);
     for field in fields.iter().filter(|field| !field.has_name(REFUSED_FIELD)) {
         head.fields.push(field.clone());
--- a/crates/catkin-entry/src/departure_table.rs
+++ b/crates/catkin-entry/src/departure_table.rs
@@ -91,6 +91,12 @@
         matches!(self.leaves.get(&server), Some((LeaveSource::Statement, _)))
     }
 
+    /// How long it has been known that a server leaves, by its last statement or entry; `None` if it
+    /// doesn't leave.
+    pub fn leave_age_millis(&self, now: ClockTime, server: ServerId) -> Option<u64> {
+        self.leaves.get(&server).map(|(_, at)| now.millis_since(*at))
+    }
+
     /// Forgets that a server leaves.
     pub fn forget_leave(&mut self, server: ServerId) {
         self.leaves.remove(&server);
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -266,6 +266,12 @@
         self.departures.recent()
     }
 
+    /// How long it has been known that a server leaves, by its last statement or entry; `None` if neither
+    /// says so.
+    pub fn leave_age_millis(&self, now: ClockTime, server: ServerId) -> Option<u64> {
+        self.departures.leave_age_millis(now, server)
+    }
+
     /// Listed servers that stated that they leave, whatever their entries say.
     pub fn stated_leaves(&self) -> impl Iterator<Item = ServerDeparture> {
         let stated = self.iter().filter(|known| self.departures.has_stated(known.server));
