Record what a server states in an answer that another router passed back

Callers: a router passed an answer with Server-Leaving on and sent requests to that server later than DrainMs (DRAIN). Cause: a router that reaches no server passes requests to another router, forwards its answer with the server's fields and recorded nothing of it; it learned of the statement only from the other router's report, which never comes if that router ends or its datagrams are lost. Class: a statement is bound to the way on which it came. Change: a router names the server of an answer to another router, by its identifier, in a field of the connection (Catkin-Server, named in Connection), so that routers of earlier versions remove it. The receiver records leaving, limit, cold time and speed, which are facts on the server for all routers, before the answer is forwarded. A pause is asked of the router that sent the request, so it is not recorded. From a router of an earlier version the server is not known and nothing is recorded, as before. Conclusion: the record is made by the router that passes the statement on, so no message between routers is needed.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkin_base::PartKey;
-use catkin_http::{EventSplitter, ResponseHead};
+use catkin_base::{PartKey, ServerId};
+use catkin_http::{EventSplitter, HeaderField, ResponseHead};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer};
 use crate::call::{EntryCall, is_connection_field, write_field};
+use crate::call_relay::SERVER_FIELD;
 use crate::caller::CallerWriter;
 use crate::connection::ExchangeFailure;
 use crate::origin_book::{SoftwareKey, StreamKey};
@@ -51,6 +52,10 @@
     service: String,
     streaming: bool,
     to_head_request: bool,
+    /// Whether another router passed the request on.
+    for_router: bool,
+    /// The server of the current answer, if it is named to another router.
+    named_server: Option<ServerId>,
     splitter: EventSplitter,
     /// When the last events of the stream arrived.
     last_events: Option<Instant>,
@@ -76,6 +81,8 @@
             service: call.service.clone(),
             streaming: call.route.kind == RouteKind::Streaming,
             to_head_request: call.is_head(),
+            for_router: call.forwarded_attempts.is_some(),
+            named_server: None,
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
             last_events: None,
             event_gaps: Vec::new(),
@@ -133,6 +140,8 @@
         if self.is_started() && !success {
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
         }
+        self.named_server =
+            answer.slot.as_ref().map(|slot| slot.server).filter(|_| self.for_router);
         if let Some(slot) = answer.slot.as_mut().filter(|_| !self.streaming && success) {
             slot.record_start(&self.service);
             slot.record_pace(&self.service, slot.elapsed());
@@ -261,7 +270,7 @@
         let mut text = Vec::with_capacity(events.len() + 512);
         if self.head.is_none() {
             writer.closing |= !writer.chunks;
-            write_head(&mut text, head, writer);
+            write_head(&mut text, head, self.named_server, writer);
             let framing: &[u8] =
                 if writer.chunks { b"Transfer-Encoding: chunked\r\n" } else { b"" };
             text.extend_from_slice(framing);
@@ -300,7 +309,7 @@
         drop(slot);
         state.selection_input_change.notify_one();
         let mut text = Vec::with_capacity(body.len() + 512);
-        write_head(&mut text, &head, writer);
+        write_head(&mut text, &head, self.named_server, writer);
         let length = match head.fields.values("content-length").next() {
             Some(length) if self.to_head_request => length.to_vec(),
             _ => body.len().to_string().into_bytes(),
@@ -354,14 +363,28 @@
     }
 }
 
-/// Writes the status line and the end-to-end header fields.
-fn write_head(text: &mut Vec<u8>, head: &ResponseHead, writer: &CallerWriter) {
+/// Writes the status line and the end-to-end header fields. `named_server` is named in a field of this
+/// connection only, so that a router that does not know the field removes it.
+fn write_head(
+    text: &mut Vec<u8>,
+    head: &ResponseHead,
+    named_server: Option<ServerId>,
+    writer: &CallerWriter,
+) {
     text.extend_from_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
     text.extend_from_slice(&head.reason);
     text.extend_from_slice(b"\r\n");
-    for field in head.fields.iter().filter(|field| !is_connection_field(&head.fields, field)) {
+    let is_passed = |field: &&HeaderField| {
+        !is_connection_field(&head.fields, field)
+            && (named_server.is_none() || !field.has_name(SERVER_FIELD))
+    };
+    for field in head.fields.iter().filter(is_passed) {
         write_field(text, &field.name, &field.value);
     }
+    if let Some(server) = named_server {
+        write_field(text, b"Connection", SERVER_FIELD.as_bytes());
+        write_field(text, SERVER_FIELD.as_bytes(), format!("{:016x}", server.0).as_bytes());
+    }
     if writer.closing {
         write_field(text, b"Connection", b"close");
     }
--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use catkin_base::VmId;
-use catkin_http::{FieldList, RequestHead, ResponseHead};
+use catkin_base::{ClockTime, ServerId, VmId};
+use catkin_http::{FieldList, HeaderField, RequestHead, ResponseHead};
 use catkin_peer::messages::ForwardedCall;
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
@@ -24,12 +24,14 @@
 use crate::connection::{ExpectedAnswer, HttpConnection};
 use crate::peer_service::CallHelper;
 use crate::reach_watch::reach_key;
-use crate::server_notice::read_notice;
+use crate::server_notice::{NoticeSource, PauseNotice, ServerNotice, read_notice};
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
 /// Header field with the cause of a refusal, if a router refuses a request of another router.
 pub(crate) const REFUSED_FIELD: &str = "Catkin-Refused";
+/// Header field with the identifier of the server that an answer to another router is from, in hexadecimal.
+pub(crate) const SERVER_FIELD: &str = "Catkin-Server";
 /// Causes of refusals with status 503 after which another router may serve the request.
 const LOCAL_CAUSES: [&str; 3] = ["out-of-reach", "stopping", "no-declarations"];
 /// Timeout for connecting to another router.
@@ -97,10 +99,11 @@
         peers.sign_forwarded(vm, forwarded)
     });
     let expected = ExpectedAnswer { id_field: W::HEADERS.request_id, id: &call.id };
+    let sent = state.now();
     let exchanged =
         connection.exchange(&request, Some(expected), call.is_head(), call.deadline).await;
     let result = match exchanged {
-        Ok(head) => check_relayed(state, call, helper, head, connection),
+        Ok(head) => check_relayed(state, call, helper, sent, head, connection),
         Err(error) => RelayResult::Failed(AttemptError::of_relay(error)),
     };
     if matches!(result, RelayResult::Refused) {
@@ -124,6 +127,7 @@
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     helper: CallHelper,
+    sent: ClockTime,
     mut head: ResponseHead,
     connection: HttpConnection,
 ) -> RelayResult<W> {
@@ -139,17 +143,13 @@
     if cause.as_deref().is_some_and(|cause| is_local_refusal(cause, head.status)) {
         return RelayResult::Refused;
     }
-    let notice = read_notice::<W>(&head);
-    if notice.leaving && cause.is_none() {
-        metrics::counter!("catkin_entry_relayed_leaves_total").increment(1);
-        log::info!(
-            "call: the answer of another router states that its server leaves. request={} helper={}",
-            call.id_text(),
-            helper.vm
-        );
+    if cause.is_none() {
+        record_relayed_notice(state, call, helper, &head, sent);
     }
     let fields = std::mem::take(&mut head.fields);
-    for field in fields.iter().filter(|field| !field.has_name(REFUSED_FIELD)) {
+    let is_internal =
+        |field: &HeaderField| field.has_name(REFUSED_FIELD) || field.has_name(SERVER_FIELD);
+    for field in fields.iter().filter(|field| !is_internal(field)) {
         head.fields.push(field.clone());
     }
     let connection = PooledConnection::to_router(state, connection);
@@ -158,6 +158,41 @@
     RelayResult::Answered(helper.vm, Box::new(answer))
 }
 
+/// Records what a server states of itself in an answer that another router passed back. A pause is asked of
+/// the router that sent the request to the server. A router of an earlier version does not name the server;
+/// its reports tell of the statement.
+fn record_relayed_notice<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    helper: CallHelper,
+    head: &ResponseHead,
+    sent: ClockTime,
+) {
+    // A router of an earlier version passes on a field of this name that a server sent, though not one of
+    // the connection.
+    let is_named = head.fields.contains_token("connection", SERVER_FIELD);
+    let server = head.fields.text(SERVER_FIELD).filter(|_| is_named).and_then(read_server);
+    let notice = ServerNotice { pause: PauseNotice::Absent, ..read_notice::<W>(head) };
+    if notice.leaving {
+        metrics::counter!("catkin_entry_relayed_leaves_total").increment(1);
+        log::info!(
+            "call: the answer of another router states that its server leaves. request={} helper={} \
+             server={}",
+            call.id_text(),
+            helper.vm,
+            server.map_or_else(|| "-".to_owned(), |server| server.to_string())
+        );
+    }
+    if let Some(server) = server {
+        state.record_notice(server, notice, NoticeSource::Other(sent), call.id_text());
+    }
+}
+
+/// Reads the identifier of a server.
+fn read_server(text: &str) -> Option<ServerId> {
+    u64::from_str_radix(text, 16).ok().map(ServerId)
+}
+
 /// Encodes a request for another router. `sign` signs the statement on it.
 fn encode_relayed<W: EntryWire>(
     call: &EntryCall,
