Revert "Measure no server by times in which this router stood still"

A router with a small share of a processor is late with a beat of 50 ms most of the time, so that nearly all measurements would be dropped and no slow server noticed; 20 wake-ups a second are added at each router; and no test failed without it.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -25,7 +25,7 @@
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
 //! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`],
-//! [`find_break_cause`], [`StallTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`find_break_cause`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -82,7 +82,6 @@
 mod speed_book;
 mod speed_exchange;
 mod speed_table;
-mod stall_table;
 mod state;
 mod store_client;
 mod store_follower;
@@ -144,7 +143,6 @@
 pub use speed_table::{
     SpeedStatement, SpeedTable, combine_factors, find_typical_factor, read_stated_speed,
 };
-pub use stall_table::StallTable;
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -29,7 +29,6 @@
 use crate::peer_service::{PeerService, close_service};
 use crate::reach_watch::{reach_key, watch_reach};
 use crate::settings::{EntrySettings, parse_settings};
-use crate::stall_table::BEAT_MILLIS;
 use crate::state::EntryState;
 use crate::store_follower::follow_kind;
 use crate::strike_store::follow_strikes;
@@ -135,7 +134,6 @@
     tasks.spawn_local(follow_strikes(Rc::clone(&state)));
     tasks.spawn_local(run_peers(Rc::clone(&state)));
     tasks.spawn_local(maintain_state(Rc::clone(&state)));
-    tasks.spawn_local(record_beats(Rc::clone(&state)));
     tasks.spawn_local(watch_reach(Rc::clone(&state)));
     tasks.spawn_local(follow_settings(Rc::clone(&state), file, hangup));
     let stopped = tokio::select! {
@@ -335,14 +333,6 @@
     }
 }
 
-/// Records beats, whose delays show when the process stood still.
-async fn record_beats<W: EntryWire>(state: Rc<EntryState<W>>) {
-    loop {
-        sleep(Duration::from_millis(BEAT_MILLIS)).await;
-        state.stalls.borrow_mut().record_beat(state.now());
-    }
-}
-
 /// Removes reports and idle connections after a pause of the process, which may have outdated them.
 fn discard_stale_state<W: EntryWire>(state: &EntryState<W>) {
     state.loads.borrow_mut().clear_reports();
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -36,7 +36,6 @@
 use crate::settings::EntrySettings;
 use crate::speed_book::{SpeedBook, StartedSample};
 use crate::speed_table::{SpeedStatement, SpeedTable};
-use crate::stall_table::StallTable;
 use crate::store_point::StorePoint;
 use crate::waiting_room::RoomBook;
 use crate::wire::StoreKind;
@@ -118,7 +117,6 @@
     pub(crate) outcomes: RefCell<OutcomeBook>,
     pub(crate) speeds: RefCell<SpeedBook>,
     pub(crate) stated_speeds: RefCell<SpeedTable>,
-    pub(crate) stalls: RefCell<StallTable>,
     /// Positions that requests were spread with.
     pub(crate) lots: RefCell<LotTable>,
     pub(crate) budgets: RefCell<BudgetBook>,
@@ -221,7 +219,6 @@
             outcomes: RefCell::default(),
             speeds: RefCell::default(),
             stated_speeds: RefCell::default(),
-            stalls: RefCell::new(StallTable::new(ClockTime::ZERO)),
             lots: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
@@ -274,13 +271,6 @@
         ClockTime::ZERO.plus(self.started.elapsed())
     }
 
-    /// Whether this process stood still for much of the last `measured`.
-    fn stood_still(&self, measured: Duration) -> bool {
-        let now = self.started.elapsed();
-        let began = ClockTime::ZERO.plus(now.saturating_sub(measured));
-        self.stalls.borrow().is_distorted(ClockTime::ZERO.plus(now), began)
-    }
-
     pub(crate) fn settings(&self) -> Rc<EntrySettings> {
         self.settings.borrow().clone()
     }
@@ -408,21 +398,14 @@
     /// Records that the server started a successful answer, as a sample of its speed.
     pub(crate) fn record_start(&mut self, service: &str) {
         let Some(tokens) = self.tokens_ahead.take() else { return };
-        let elapsed = self.assigned.elapsed();
-        let sample = StartedSample { tokens, millis: elapsed.as_millis() as u64 };
+        let sample = StartedSample { tokens, millis: self.assigned.elapsed().as_millis() as u64 };
         let now = self.state.now();
-        if self.state.stood_still(elapsed) {
-            return;
-        }
         self.state.speeds.borrow_mut().record_start(now, service, sample);
     }
 
     /// Records the pace of the answer: the time between two events, or that of a whole answer.
     pub(crate) fn record_pace(&self, service: &str, pace: Duration) {
         let now = self.state.now();
-        if self.state.stood_still(pace) {
-            return;
-        }
         let millis = pace.as_secs_f64() * 1_000.0;
         self.state.speeds.borrow_mut().record_pace(now, service, self.server, millis);
     }
