Join no streams where the versions in the store can't be read

What callers would see: a stream joined from two versions after all routers ended, if another writer had spoiled the object with the versions.

Cause: an object that can't be read counted as none, so the service counted as having had the listed versions only. The writer then took the object's place with these.

Change: such an object leaves the book incomplete, a writer whose book is incomplete writes no versions, and a failed read is tried again after a delay while the book is incomplete, instead of waiting for a request. A failed read does not delay the next one.

The second consequence is by reading; versions_are_written_only_by_a_book_that_lacks_none is its test without processes.

--- a/crates/catkin-entry/src/origin_plan.rs
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -74,7 +74,9 @@
     pub fn choose_write(&self, now: ClockTime, book: &OriginBook) -> Option<OriginWrite> {
         let services = book.version_sets();
         let stored = self.versions.as_ref().map(|versions| &versions.services);
-        if !services.is_empty() && stored != Some(&services) {
+        // A book that may lack versions must not remove them from the store.
+        let is_known = !services.is_empty() && !book.is_incomplete(now);
+        if is_known && stored != Some(&services) {
             return Some(OriginWrite::Versions(VersionRecord { services }));
         }
         let is_early =
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -76,6 +76,8 @@
         match client.list(KIND, timeout.current()).await {
             Ok(page) => {
                 timeout = GrowingTimeout::default();
+                state.origin_reads.last.set(Some(Instant::now()));
+                state.origin_reads.pending.set(false);
                 record_page(state, &OriginPage::decode::<W>(&page));
             }
             Err(error) => {
@@ -84,17 +86,21 @@
                 );
                 timeout.grow();
                 client.reset();
+                state.origin_reads.pending.set(false);
+                state.origins_change.notify_waiters();
+                sleep(RETRY_DELAY).await;
+                if state.origins.borrow().is_incomplete(state.now()) {
+                    state.origin_reads.request();
+                }
             }
         }
-        state.origin_reads.last.set(Some(Instant::now()));
-        state.origin_reads.pending.set(false);
-        state.origins_change.notify_waiters();
     }
 }
 
 /// What the store has of the origins of streams.
 struct OriginPage {
-    versions: Option<(u64, VersionRecord)>,
+    /// Revision and content of the object with the versions; the content is `None` if it can't be read.
+    versions: Option<(u64, Option<VersionRecord>)>,
     /// Name, revision and content of each router's object.
     records: Vec<(String, u64, OriginRecord)>,
 }
@@ -105,7 +111,8 @@
         for entry in &page.entries {
             let failure = if entry.name == VERSIONS_NAME {
                 let read = W::decode_versions(&entry.content);
-                read.map(|record| decoded.versions = Some((entry.revision, record))).err()
+                decoded.versions = Some((entry.revision, read.as_ref().ok().cloned()));
+                read.err()
             } else {
                 let read = W::decode_origins(&entry.content);
                 let name = entry.name.clone();
@@ -129,8 +136,14 @@
     let origins = records.flat_map(|(software, keys)| keys.iter().map(|key| (*key, *software)));
     let mut book = state.origins.borrow_mut();
     book.record_stored(now, origins);
-    let services = page.versions.as_ref().map(|(_, record)| record.services.clone());
-    book.record_earlier_versions(now, &services.unwrap_or_default());
+    match &page.versions {
+        Some((_, Some(record))) => book.record_earlier_versions(now, &record.services),
+        // All routers before were of a build that writes none.
+        None => book.record_earlier_versions(now, &BTreeMap::new()),
+        Some((_, None)) => {}
+    }
+    drop(book);
+    state.origins_change.notify_waiters();
     let streams: usize = page.records.iter().map(|(_, _, record)| count_streams(record)).sum();
     log::info!(
         "origins: read from the store. objects={} streams={streams} versions_known={}",
@@ -234,6 +247,7 @@
             client.delete(KIND, other, timeout).await?;
         }
         let (versions_revision, versions) = page.versions.unzip();
+        let versions = versions.flatten();
         let own = page.records.into_iter().find(|(other, ..)| *other == name);
         let (origins_revision, own) = own.map(|(_, revision, record)| (revision, record)).unzip();
         // Later, the object has nothing that the book of this process lacks.
@@ -278,7 +292,7 @@
             }
             Err(StoreCallError::Conflict(Some(found))) => {
                 self.versions_revision = Some(found.revision);
-                let found = W::decode_versions(&found.content)?;
+                let Ok(found) = W::decode_versions(&found.content) else { return Ok(()) };
                 let mut book = state.origins.borrow_mut();
                 book.record_earlier_versions(state.now(), &found.services);
                 self.plan.record_versions(found);
--- a/crates/catkin-entry/tests/origin_plan.rs
+++ b/crates/catkin-entry/tests/origin_plan.rs
@@ -62,6 +62,18 @@
     assert_eq!(write, None);
 }
 
+/// Guards against a router that does not know yet which versions there were and removes them from the
+/// store.
+#[test]
+fn versions_are_written_only_by_a_book_that_lacks_none() {
+    let mut book = OriginBook::after_restart(at(0));
+    record_versions(&mut book, at(0), &["v2"]);
+
+    let write = plan_with(&["v1"]).choose_write(at(100), &book);
+
+    assert_eq!(write, None);
+}
+
 #[test]
 fn streams_are_written_at_intervals_while_several_versions_serve() {
     let mut book = OriginBook::default();
