Do not send a request to a server that began to leave while the router connected to it

Callers: by reading only: a request that was assigned just before a server's statement arrived, and connects for up to 400 ms, went to the leaving server. DRAIN allows that, since DrainMs is 2 s and counts from the statement to the caller's send. Cause: after connecting, pauses and evacuations are asked again, leaving was not. Class: a decision that is not repeated after a wait. Change: one check for all three; a server that leaves, or was removed, counts as withdrawn: nothing was tried, the attempt is not counted and spends no retry. The line that says so has the age of what is known and replaces the one on a send. Evidence: a_server_that_leaves_or_was_removed_may_get_no_requests (the decision).

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -34,7 +34,8 @@
         Unreachable,
         /// The maximum number of connections to the server is open.
         NoChannel,
-        /// The server asked for a pause while the router connected to it.
+        /// The server asked for a pause, said that it leaves or was removed while the router connected to
+        /// it.
         Withdrawn,
         /// The failure domain of the server was evacuated while the router connected to it.
         Evacuated,
@@ -207,13 +208,9 @@
     last_event: Option<&Bytes>,
 ) -> Result<StartedAnswer<W>, AttemptError> {
     let mut connection = open_connection(state, call, &assigned, answer_deadline).await?;
-    if state.is_paused(assigned.slot.server) {
-        return Err(AttemptError::not_run(AttemptFailure::Withdrawn));
-    }
-    if state.is_evacuated(assigned.slot.server) {
-        return Err(AttemptError::not_run(AttemptFailure::Evacuated));
+    if let Some(failure) = find_withdrawal(state, call, assigned.slot.server) {
+        return Err(AttemptError::not_run(failure));
     }
-    log_leaving(state, call, assigned.slot.server);
     let source = assigned.fetch_from.filter(|(server, _)| !state.is_evacuated(*server));
     let fetch_from = source.map(|(_, address)| address.to_string());
     let details = SendDetails {
@@ -251,15 +248,26 @@
     Ok(StartedAnswer { head, connection, slot: Some(assigned.slot), software })
 }
 
-/// Logs that a request is sent to a server that is known to leave.
-fn log_leaving<W>(state: &EntryState<W>, call: &EntryCall, server: ServerId) {
-    if let Some(millis) = state.servers.borrow().leave_age_millis(state.now(), server) {
+/// Why a server gets no requests any more that was chosen before the router connected to it.
+fn find_withdrawal<W>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    server: ServerId,
+) -> Option<AttemptFailure> {
+    if state.is_evacuated(server) {
+        return Some(AttemptFailure::Evacuated);
+    }
+    let servers = state.servers.borrow();
+    if !servers.may_get_requests(server) {
+        let age = servers.leave_age_millis(state.now(), server);
         log::info!(
-            "server: leaves, and the request is sent to it. request={} server={server} \
-             leave_age_millis={millis}",
+            "server: leaves or was removed while the router connected; nothing was sent. request={} \
+             server={server} leave_age_millis={age:?}",
             call.id_text()
         );
+        return Some(AttemptFailure::Withdrawn);
     }
+    state.is_paused(server).then_some(AttemptFailure::Withdrawn)
 }
 
 /// Takes an idle connection from the pool or opens another one.
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -288,6 +288,11 @@
         servers.filter(move |known| known.record.service == service && !known.record.leaving)
     }
 
+    /// Whether a server is listed and may get requests.
+    pub fn may_get_requests(&self, server: ServerId) -> bool {
+        self.get(server).is_some_and(|known| !known.record.leaving)
+    }
+
     /// Servers of `service` that are leaving: they get no requests and still run.
     pub fn leaving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownServer> {
         let servers = self.servers.values();
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -294,6 +294,24 @@
     assert_eq!(usable, ["i-2"]);
 }
 
+/// Guards against a request to a server that began to leave, or was removed, while the router connected
+/// to it.
+#[test]
+fn a_server_that_leaves_or_was_removed_may_get_no_requests() {
+    let id = derive_server_id("i-1", &server(1));
+    let [mut announced, mut stated, mut reported, mut removed] =
+        [(); 4].map(|()| one_server_book());
+    assert!(announced.may_get_requests(id));
+
+    announced.apply_entry(at(1), "i-1", point(6), Some(leaving_server()));
+    stated.record_leave_statement(at(1), id);
+    reported.mark_leaving(at(1), id, point(6));
+    removed.apply_removal(at(1), "i-1", point(6), true);
+
+    let books = [announced, stated, reported, removed];
+    assert_eq!(books.map(|book| book.may_get_requests(id)), [false; 4]);
+}
+
 /// Guards against departures that other routers are never told of, because as many newer ones as fit a
 /// report follow them.
 #[test]
