--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -22,8 +22,10 @@
 const KIND: StoreKind = StoreKind::StreamOrigins;
 /// Name of the object that holds the versions of the services.
 const VERSIONS_NAME: &str = "versions";
-/// Interval of checks whether something is to be written.
+/// Interval at which a writer checks whether something is to be written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which any other router checks whether it is the writer now.
+const ROLE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after the start within which the other routers become known.
 const FIRST_WRITE_DELAY: Duration = Duration::from_millis(1_000);
 /// Minimum time between two reads.
@@ -161,7 +163,7 @@
     let mut writer: Option<OriginWriter<W>> = None;
     let mut timeout = GrowingTimeout::default();
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(if writer.is_some() { CHECK_INTERVAL } else { ROLE_INTERVAL }).await;
         if !is_writer(state, service) {
             if writer.take().is_some() {
                 log::info!("origins: another router writes them from now on.");
