Name the key of a request that is passed on by a hash

Cause: a router that reaches no server named the team of a request by the name under its own declarations. Other routers with newer ones may know the team by another name and answered 401; callers got 503. They also took the name for the right to be served, so a key that was withdrawn in the newer declarations went on being served for as long as its team had the same name.

Only if the field is empty, from a router of an earlier version or for a request without a known key, does the name decide. Earlier versions ignore the field.

--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -297,6 +297,9 @@
     let host = head.fields.text("host").ok_or(CheckError::BadField("host"))?;
     let target = std::str::from_utf8(&head.target).map_err(|_| CheckError::BadField("target"))?;
     let found = match forwarded {
+        Some(forwarded) if !forwarded.key_hash.is_empty() => {
+            table.find_route_of_key_hash(host, target, &forwarded.key_hash)
+        }
         Some(forwarded) => table.find_route_of_team(host, target, &forwarded.team),
         None => table.find_route(host, target, head.fields.text(names.key)),
     };
--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -24,6 +24,7 @@
 use crate::connection::{ExpectedAnswer, HttpConnection};
 use crate::peer_service::CallHelper;
 use crate::reach_watch::reach_key;
+use crate::route_table::hash_key;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -165,12 +166,15 @@
         fields.chain([(names.deadline.as_bytes(), remaining.as_bytes())]).collect();
     let (method, target) = (&call.head.method[..], &call.head.target[..]);
     let hash = hash_content(method, target, fields.iter().copied(), &call.body);
+    // The key of a request without a team is not a known one.
+    let key = call.head.fields.text(names.key).filter(|_| call.team.is_some());
     let forwarded = ForwardedCall {
         content_hash: hash.to_vec(),
         team: call.team.clone().unwrap_or_default(),
         declaration: call.version,
         attempts,
         digest: call.digest.0,
+        key_hash: key.map_or_else(Vec::new, |key| hash_key(key).to_vec()),
     };
     let statement = encode_hex(&sign(helper.vm, forwarded));
     let mut text = Vec::with_capacity(1_024 + call.body.len());
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -124,7 +124,7 @@
 pub use refusal::{Refusal, RefusalCause};
 pub use relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 pub use report_queue::{ReportQueue, Strike};
-pub use route_table::{RouteMatch, RouteTable, choose_service};
+pub use route_table::{RouteMatch, RouteTable, choose_service, hash_key};
 pub use served_content::ServedContent;
 pub use server_book::{
     KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
--- a/crates/catkin-entry/src/route_table.rs
+++ b/crates/catkin-entry/src/route_table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use catkin_base::hash_parts;
+use sha2::{Digest, Sha256};
 
 use crate::record::{DeclarationRecord, RouteRecord, TeamRecord};
 
@@ -14,6 +15,8 @@
     hosts: BTreeMap<String, Vec<usize>>,
     /// Index of the team by API key.
     keys: BTreeMap<String, usize>,
+    /// Index of the team by the hash of its API key.
+    key_hashes: BTreeMap<[u8; 32], usize>,
 }
 
 /// Result of looking up a request.
@@ -40,8 +43,9 @@
         }
         let teams = declarations.teams.iter().flatten().enumerate();
         let keys = teams.flat_map(|(index, team)| team.keys.iter().map(move |key| (key, index)));
-        let keys = keys.map(|(key, index)| (key.clone(), index)).collect();
-        Self { declarations, hosts, keys }
+        let keys: BTreeMap<String, usize> = keys.map(|(key, index)| (key.clone(), index)).collect();
+        let key_hashes = keys.iter().map(|(key, index)| (hash_key(key), *index)).collect();
+        Self { declarations, hosts, keys, key_hashes }
     }
 
     /// Version of the declarations.
@@ -60,6 +64,19 @@
         self.match_route(host, target, key.and_then(|key| self.find_team(key)))
     }
 
+    /// Finds the route and team of a request that another router passed on, with the hash of its key. The
+    /// team may have another name there, and the key may be withdrawn here.
+    pub fn find_route_of_key_hash(
+        &self,
+        host: &str,
+        target: &str,
+        key_hash: &[u8],
+    ) -> RouteMatch<'_> {
+        let index = key_hash.try_into().ok().and_then(|hash: [u8; 32]| self.key_hashes.get(&hash));
+        let mut teams = self.declarations.teams.iter().flatten();
+        self.match_route(host, target, index.and_then(|index| teams.nth(*index)))
+    }
+
     /// Finds the route of a request whose key another router has checked. `team` is the name of the
     /// team, empty if the request had no key.
     pub fn find_route_of_team(&self, host: &str, target: &str, team: &str) -> RouteMatch<'_> {
@@ -93,6 +110,11 @@
     }
 }
 
+/// Hashes an API key, to name it to another router.
+pub fn hash_key(key: &str) -> [u8; 32] {
+    Sha256::digest(key).into()
+}
+
 /// Chooses the service of `route` for the request with this seed, in proportion to the weights.
 /// Equal seeds get the same service.
 pub fn choose_service(route: &RouteRecord, seed: u64) -> Option<&str> {
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -7,7 +7,7 @@
 use catkin_entry::{
     AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, MISSING_GRACE_MILLIS, OutcomeBook,
     RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerDeparture,
-    ServerRecord, ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id,
+    ServerRecord, ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id, hash_key,
 };
 
 fn server(started_unix_millis: u64) -> ServerRecord {
@@ -102,6 +102,20 @@
     assert!(matches!(table.find_route("a.example", "/open/", None), RouteMatch::Found(_, None)));
 }
 
+/// Guards against a request that another router can't place because its team has another name there, and against
+/// a key that is withdrawn there.
+#[test]
+fn a_key_hash_finds_the_team_of_the_key_and_no_other() {
+    let table = table(vec![RouteRecord { public: true, ..route("/open/") }, route("/a/")]);
+    let find = |target, key| table.find_route_of_key_hash("a.example", target, &hash_key(key));
+
+    let RouteMatch::Found(_, Some(team)) = find("/a/", "key") else { panic!("a team is found") };
+    assert_eq!(team.name, "team");
+    assert_eq!(find("/a/", "withdrawn"), RouteMatch::NoKey);
+    assert!(matches!(find("/open/", "withdrawn"), RouteMatch::Found(_, None)));
+    assert_eq!(table.find_route_of_key_hash("a.example", "/a/", b"short"), RouteMatch::NoKey);
+}
+
 #[test]
 fn weights_split_the_requests_of_a_route() {
     let services = [("x", 90), ("y", 10), ("z", 0)];
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -511,6 +511,9 @@
     /// of target, key and body, by which requests that crash servers are recognized
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
+    /// of the key; empty if the request had no known one, or from an older sender
+    #[prost(bytes = "vec", tag = "6")]
+    pub key_hash: ::prost::alloc::vec::Vec<u8>,
 }
 /// A limit on the requests of all routers that a server named, or its end.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
