Soak: release newer software, resume streams, and check that none is joined or lost

The servers of the soak all had one software version, and its callers did not resume streams, so that no soak could find streams that are joined from two versions or lost after all routers ended.

One seed in two now has releases: servers that stream are replaced with a newer version, in part or all, one after the other, at times just before all routers are killed; such seeds have as many callers again that only stream. Servers that start later have the newest version. Callers of all seeds resume streams whose connection broke, at another router, at once or after the time in which routers are in touch again. Servers put their version into each event, and callers read the events of incomplete answers too.

LostResumption is violated if of twelve or more streams resumed at routers in touch, while two servers of their version serve, under half the share goes on that new streams have. Releases have random numbers of their own: the other faults of each seed are as before.

--- a/crates/catkin-soak/src/caller.rs
+++ b/crates/catkin-soak/src/caller.rs
@@ -1,5 +1,6 @@
 //! Callers: each sends requests one after the other, reuses its connection and checks each answer.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use catkin_entry::PromptPart;
@@ -33,12 +35,77 @@
 const MAX_PAUSE_MILLIS: u64 = 250;
 /// Delay after a connection that could not be opened.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// Number of times that a caller tries to resume a stream, and the delay before each.
+const MAX_RESUMES: u32 = 3;
+const RESUME_DELAY: Duration = Duration::from_millis(200);
+/// Share of the streams that callers resume only after this wait: longer than it takes routers to be in
+/// touch again after they ended.
+const LONG_WAIT_SHARE: (u32, u32) = (3, 4);
+const LONG_RESUME_WAIT: Duration = Duration::from_millis(8_000);
 /// Number of different prompts; few, so that prompts repeat.
 const PROMPTS: u64 = 12;
 
-/// An event of the answer to request `id`.
-pub(crate) fn encode_event(id: &str, number: u32) -> String {
-    format!("id: {number}\ndata: {id} {number}\n\n")
+/// An event of the answer to request `id`, from a server whose software has this version.
+pub(crate) fn encode_event(id: &str, number: u32, software: u32) -> String {
+    format!("id: {number}\ndata: {id} {number} {software}\n\n")
+}
+
+/// The events at the begin of an answer.
+#[derive(Default)]
+struct ReceivedEvents {
+    /// Number of the last complete event.
+    last: u32,
+    /// Versions of the software of the servers that sent them.
+    software: BTreeSet<u32>,
+    /// Whether nothing but complete events was received.
+    is_clean: bool,
+}
+
+impl ReceivedEvents {
+    /// Parses the answer to request `id`, whose caller has the events up to `last`.
+    fn parse(body: &[u8], id: &str, last: u32) -> Self {
+        let body = String::from_utf8_lossy(body);
+        let mut events = Self { last, ..Self::default() };
+        let mut rest = &body[..];
+        while let Some((event, after)) = rest.split_once("\n\n") {
+            let software = event.rsplit(' ').next().and_then(|text| text.parse().ok());
+            let Some(software) = software else { return events };
+            if encode_event(id, events.last + 1, software).trim_end() != event {
+                return events;
+            }
+            events.last += 1;
+            events.software.insert(software);
+            rest = after;
+        }
+        events.is_clean = rest.is_empty();
+        events
+    }
+}
+
+/// A request that a caller sends.
+struct CallerRequest {
+    id: String,
+    kind: CallKind,
+    prompt: u64,
+    /// The request that brought the first event of the stream, if this one resumes it.
+    resumes: Option<String>,
+    /// Number of the last event that the caller has.
+    last_event: u32,
+}
+
+/// A stream whose connection broke after an event, or that was refused when it was resumed.
+struct BrokenStream {
+    router: usize,
+    /// Number of the last event that the caller has.
+    last_event: u32,
+}
+
+/// A request that has ended.
+struct EndedRequest {
+    /// The connection, if it can be used again.
+    connection: Option<CallerConnection>,
+    /// The stream, if it can be resumed.
+    broken: Option<BrokenStream>,
 }
 
 /// A connection to a router.
@@ -48,20 +115,23 @@
     writer: OwnedWriteHalf,
 }
 
-/// Sends requests until callers are to stop.
+/// Sends requests until callers are to stop: of all kinds, or only of one.
 pub(crate) async fn run_caller<W: StandinWire>(
     context: Rc<SoakContext>,
     routers: Rc<Vec<SocketAddr>>,
     index: usize,
+    only: Option<CallKind>,
     seed: u64,
 ) {
-    let mut random = StdRng::seed_from_u64(seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9));
+    let seed = seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9);
+    let mut random = StdRng::seed_from_u64(seed);
     let mut connection: Option<CallerConnection> = None;
-    let mut number = 0;
+    let mut number = 0u64;
+    let mut resuming = JoinSet::new();
     while !context.callers_stopped.is_cancelled() {
         let open = match connection.take() {
             Some(open) => open,
-            None => match connect(&routers, &mut random).await {
+            None => match connect(&routers, None, &mut random).await {
                 Ok(open) => open,
                 Err(_) => {
                     sleep(RECONNECT_DELAY).await;
@@ -70,29 +140,85 @@
             },
         };
         number += 1;
+        let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
+        let kind = only.unwrap_or(kind);
+        let prompt = random.random_range(0..PROMPTS);
         let id = format!("c{index}n{number}");
-        connection = send_request::<W>(&context, open, id, &mut random).await;
+        let request = CallerRequest { id, kind, prompt, resumes: None, last_event: 0 };
+        let ended = send_request::<W>(&context, open, &request).await;
+        connection = ended.connection;
+        if let Some(broken) = ended.broken {
+            let (context, routers) = (Rc::clone(&context), Rc::clone(&routers));
+            // Resumed streams have random numbers of their own, so that other requests stay what they
+            // were.
+            let random = StdRng::seed_from_u64(seed ^ number.rotate_left(32));
+            resuming.spawn_local(async move {
+                resume_stream::<W>(&context, &routers, request, broken, random).await;
+            });
+        }
         let pause = random.random_range(0..=MAX_PAUSE_MILLIS);
         sleep(Duration::from_millis(pause)).await;
     }
+    while resuming.join_next().await.is_some() {}
 }
 
-async fn connect(routers: &[SocketAddr], random: &mut StdRng) -> io::Result<CallerConnection> {
-    let router = random.random_range(0..routers.len());
+/// Resumes a stream that broke off, each time at another router, until it is complete or was tried a
+/// few times.
+async fn resume_stream<W: StandinWire>(
+    context: &SoakContext,
+    routers: &[SocketAddr],
+    begun: CallerRequest,
+    mut broken: BrokenStream,
+    mut random: StdRng,
+) {
+    let waits_long = random.random_ratio(LONG_WAIT_SHARE.0, LONG_WAIT_SHARE.1);
+    let mut wait = if waits_long { LONG_RESUME_WAIT } else { RESUME_DELAY };
+    let mut tries = 0;
+    while tries < MAX_RESUMES {
+        tokio::select! {
+            () = context.callers_stopped.cancelled() => return,
+            () = sleep(wait) => wait = RESUME_DELAY,
+        }
+        let Ok(open) = connect(routers, Some(broken.router), &mut random).await else { continue };
+        tries += 1;
+        let request = CallerRequest {
+            id: format!("{}r{tries}", begun.id),
+            resumes: Some(begun.id.clone()),
+            last_event: broken.last_event,
+            ..begun
+        };
+        match send_request::<W>(context, open, &request).await.broken {
+            Some(again) => broken = again,
+            None => return,
+        }
+    }
+}
+
+/// Connects to a random router, other than `without` if there are others.
+async fn connect(
+    routers: &[SocketAddr],
+    without: Option<usize>,
+    random: &mut StdRng,
+) -> io::Result<CallerConnection> {
+    let router = match without {
+        Some(without) if routers.len() > 1 => {
+            (without + random.random_range(1..routers.len())) % routers.len()
+        }
+        _ => random.random_range(0..routers.len()),
+    };
     let stream = TcpStream::connect(routers[router]).await?;
     let (read, writer) = stream.into_split();
     Ok(CallerConnection { router, reader: MessageReader::new(read), writer })
 }
 
-/// Sends one request and records its outcome. Returns the connection if it can be used again.
+/// Sends one request and records its outcome.
 async fn send_request<W: StandinWire>(
     context: &SoakContext,
     mut connection: CallerConnection,
-    id: String,
-    random: &mut StdRng,
-) -> Option<CallerConnection> {
-    let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
-    let text = encode_request::<W>(&id, kind, random.random_range(0..PROMPTS));
+    request: &CallerRequest,
+) -> EndedRequest {
+    let router = connection.router;
+    let text = encode_request::<W>(request);
     let sent = context.now();
     let wait = Duration::from_millis(TIMEOUT_MILLIS) + EXTRA_WAIT;
     let answer = match connection.writer.write_all(text.as_bytes()).await {
@@ -106,31 +232,56 @@
     };
     let leaving_server = stated_by(W::HEADERS.leaving);
     let limited_server = stated_by(W::HEADERS.limit);
+    let is_partial = connection.reader.has_partial_message();
+    let mut connection = Some(connection).filter(|_| reusable || is_partial);
+    let received = match &answer {
+        Ok(Ok(message)) => Some(message.clone()),
+        _ => match connection.take() {
+            Some(connection) => connection.reader.read_partial().await,
+            None => None,
+        },
+    };
+    let received = received.filter(|message| message.status() == Some(200));
+    let is_stream = matches!(request.kind, CallKind::Stream | CallKind::Resumable);
+    let events = received.filter(|_| is_stream).map_or_else(ReceivedEvents::default, |message| {
+        ReceivedEvents::parse(&message.body, &request.id, request.last_event)
+    });
     let outcome = match answer {
-        Ok(Ok(message)) => classify_answer::<W>(&message, &id, kind),
+        Ok(Ok(message)) => classify_answer::<W>(&message, request, &events),
         Ok(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
             CallOutcome::Answered { status: 0, sealed_by: None, valid: false }
         }
-        Ok(Err(_)) if connection.reader.has_partial_message() => CallOutcome::Truncated,
+        Ok(Err(_)) if is_partial => CallOutcome::Truncated,
         Ok(Err(_)) => CallOutcome::Closed,
         Err(_) => CallOutcome::TimedOut,
     };
+    let last_event = request.last_event.max(events.last);
+    let is_broken = match outcome {
+        CallOutcome::Truncated => request.kind == CallKind::Resumable && last_event > 0,
+        CallOutcome::Answered { status: 200, .. } | CallOutcome::TimedOut => false,
+        _ => request.resumes.is_some(),
+    };
     context.ledger.borrow_mut().calls.push(CallRecord {
-        id,
-        kind,
-        router: connection.router,
+        id: request.id.clone(),
+        kind: request.kind,
+        router,
         sent,
         ended: context.now(),
         timeout: TIMEOUT_MILLIS,
         outcome,
         leaving_server,
         limited_server,
+        resumes: request.resumes.clone(),
+        software: events.software,
     });
-    reusable.then_some(connection)
+    let connection = connection.filter(|_| reusable);
+    EndedRequest { connection, broken: is_broken.then_some(BrokenStream { router, last_event }) }
 }
 
-fn encode_request<W: StandinWire>(id: &str, kind: CallKind, prompt: u64) -> String {
+fn encode_request<W: StandinWire>(request: &CallerRequest) -> String {
     let names = &W::HEADERS;
+    let CallerRequest { id, kind, prompt, .. } = request;
+    let (kind, prompt) = (*kind, *prompt);
     let method = if kind == CallKind::Idempotent { "GET" } else { "POST" };
     let body = if kind == CallKind::Idempotent { String::new() } else { format!("body of {id}") };
     let mut text = format!(
@@ -146,6 +297,10 @@
         let parts = W::encode_prompt_parts(&[PromptPart { id: prompt + 1, tokens: 900 }, own]);
         text += &format!("{}: m\r\n{}: {parts}\r\n", names.model, names.prompt_parts);
     }
+    if let Some(first) = &request.resumes {
+        text += &format!("{}: {first}\r\n", names.resumes);
+        text += &format!("{}: {}\r\n", names.last_event, request.last_event);
+    }
     if !body.is_empty() {
         text += &format!("Content-Length: {}\r\n", body.len());
     }
@@ -162,21 +317,23 @@
     message.field("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
 
-fn classify_answer<W: StandinWire>(message: &HttpMessage, id: &str, kind: CallKind) -> CallOutcome {
+fn classify_answer<W: StandinWire>(
+    message: &HttpMessage,
+    request: &CallerRequest,
+    events: &ReceivedEvents,
+) -> CallOutcome {
     let names = &W::HEADERS;
+    let CallerRequest { id, kind, .. } = request;
     let status = message.status().unwrap_or(0);
     let sealed_by = message.field(names.seal).map(str::to_owned);
-    let named = message.field(names.request_id).is_none_or(|named| named == id);
+    let named = message.field(names.request_id).is_none_or(|named| named == *id);
     let body = String::from_utf8_lossy(&message.body);
     let complete = match (&sealed_by, status) {
         (Some(_), 500) => body == "failed",
         (Some(server), 200) if kind.service() == CallKind::Single.service() => {
             body == format!("{id} {server}")
         }
-        (Some(_), 200) => {
-            let events: Vec<String> = (1..=EVENTS).map(|number| encode_event(id, number)).collect();
-            body == events.concat()
-        }
+        (Some(_), 200) => events.is_clean && events.last == EVENTS,
         (None, status) => (400..600).contains(&status),
         (Some(_), _) => false,
     };
--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -6,6 +6,7 @@
 
 use crate::domain_check::{check_cold_servers, check_evacuations};
 use crate::ledger::{ArrivalRecord, CallOutcome, CallRecord, FaultTarget, SoakLedger};
+use crate::resume_check::{check_joined_streams, check_resumed_streams};
 
 copy_type! {
     /// Time limits of the guarantees, in milliseconds. Their source is the platform's data sheet.
@@ -117,6 +118,21 @@
         /// A cold server got more requests than it takes.
         #[error("{0} was cold and got {1} requests in the second from {2}; {3} are allowed")]
         ColdExceeded(String, usize, u64, usize),
+        /// Streams hold events of servers of several software versions.
+        #[error("{0} streams hold events of several software versions")]
+        JoinedVersions(usize),
+        /// Streams that callers resumed went on far less often than new ones began.
+        #[error("{went_on} of {resumed} resumed streams went on, and {began} of {all} new ones began")]
+        LostResumption {
+            /// Number of resumed streams that went on.
+            went_on: usize,
+            /// Number of resumed streams whose version two servers had.
+            resumed: usize,
+            /// Number of new streams that began.
+            began: usize,
+            /// Number of new streams.
+            all: usize,
+        },
         /// A router applied older declarations after newer ones.
         #[error("request {0} was handled by version {1} after {2} had been in force at router {3}")]
         VersionRegressed(String, u64, u64, usize),
@@ -171,6 +187,8 @@
     violations.extend(check_cuts(ledger, bounds));
     violations.extend(check_evacuations(ledger, bounds));
     violations.extend(check_cold_servers(ledger, bounds));
+    violations.extend(check_joined_streams(ledger));
+    violations.extend(check_resumed_streams(ledger, bounds));
     violations.extend(check_versions(ledger, bounds, &calls));
     violations.extend(ledger.exits.iter().map(|exit| match exit.exceeded_grace {
         true => SoakViolation::GraceExceeded(exit.router, exit.at),
--- a/crates/catkin-soak/src/failed_seeds.rs
+++ b/crates/catkin-soak/src/failed_seeds.rs
@@ -16,7 +16,7 @@
 const MINUTE: u64 = 60_000;
 
 /// All failed seeds. The cause of each also has a test that does not depend on timing.
-pub const FAILED_SEEDS: [FailedSeed; 5] = [
+pub const FAILED_SEEDS: [FailedSeed; 7] = [
     FailedSeed {
         seed: 1,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
@@ -42,4 +42,14 @@
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
         cause: "routers that had not served a popular page refused it after three servers crashed",
     },
+    FailedSeed {
+        seed: 9_103,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "streams resumed after the end of all routers were refused or joined from two versions",
+    },
+    FailedSeed {
+        seed: 9_105,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "streams resumed after the end of all routers were refused or joined from two versions",
+    },
 ];
--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -18,7 +18,9 @@
 use crate::link::{LinkFlow, LinkProxy};
 use crate::plan::{FaultKind, LinkFault, PlannedFault};
 use crate::router::RouterSupervisor;
-use crate::run::{SoakContext, domain_name, encode_server_entry, write_declarations};
+use crate::run::{
+    FIRST_SOFTWARE, SoakContext, domain_name, encode_server_entry, write_declarations,
+};
 use crate::server::{ServerIdentity, StandinServer};
 use crate::source_cut::{CutKind, SourceCuts};
 use crate::store::{StandinStore, StoreBehavior};
@@ -31,6 +33,8 @@
 const LEAVING_SERVE_TIME: Duration = Duration::from_millis(3_200);
 /// Time for which the entry of a crashed server stays in the store.
 const ENTRY_EXPIRY_DELAY: Duration = Duration::from_millis(1_500);
+/// Time between a server's end and the start of one with a newer version.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between a server's end and the next use of its address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2_000);
 /// Interval between the stops of two routers when all are stopped one after the other.
@@ -58,6 +62,8 @@
     /// Number in the name of the newest server.
     pub(crate) newest_identity: Cell<usize>,
     pub(crate) version: Cell<u64>,
+    /// Newest version of the software of servers that stream.
+    pub(crate) software: Cell<u32>,
     /// The service whose servers are cold after a start, if any.
     pub(crate) cold: Option<(CallKind, ColdRecord)>,
     /// The evacuated failure domains, and when the store accepted their entries.
@@ -112,6 +118,7 @@
             FaultKind::EvacuateDomain(domain) => self.evacuate_domain(domain, length).await,
             FaultKind::RestartServer(server) => self.restart_server(server, length).await,
             FaultKind::TurnCold(server) => self.turn_cold(server).await,
+            FaultKind::ReleaseSoftware(percent) => self.release_software(percent).await,
         }
     }
 
@@ -308,7 +315,9 @@
     fn choose_identity(&self, service: String) -> ServerIdentity {
         self.newest_identity.set(self.newest_identity.get() + 1);
         let name = format!("s{}", self.newest_identity.get());
-        ServerIdentity { name, service, started: self.context.now() }
+        let is_released = service == CallKind::Stream.service();
+        let software = if is_released { self.software.get() } else { FIRST_SOFTWARE };
+        ServerIdentity { name, service, software, started: self.context.now() }
     }
 
     fn start_server(&self, address_index: usize, identity: ServerIdentity) {
@@ -366,6 +375,33 @@
         self.faulted[address_index].set(false);
     }
 
+    /// Replaces a percentage of the servers that stream with servers of a newer version, one after the
+    /// other at the same addresses.
+    async fn release_software(&self, percent: usize) {
+        self.software.set(self.software.get() + 1);
+        let service = CallKind::Stream.service();
+        let streams = |index: &usize| self.servers[*index].identity().service == service;
+        let mut addresses: Vec<usize> = (0..self.servers.len()).filter(streams).collect();
+        addresses.truncate((addresses.len() * percent).div_ceil(100));
+        let replace = async |(index, address_index): (usize, usize)| {
+            sleep(RELEASE_INTERVAL * index as u32).await;
+            // Meanwhile a server of another service may have started at the address.
+            if !streams(&address_index) || self.faulted[address_index].replace(true) {
+                return;
+            }
+            let period = self.begin_fault(FaultTarget::Server(address_index), false);
+            let server = &self.servers[address_index];
+            server.crash();
+            self.store.remove(StoreKind::Servers, &server.identity().name);
+            sleep(RELEASE_INTERVAL).await;
+            self.start_server(address_index, self.choose_identity(service.to_owned()));
+            self.context.end_period(period);
+            self.warm_up(address_index).await;
+            self.faulted[address_index].set(false);
+        };
+        join_all(addresses.into_iter().enumerate().map(replace).collect()).await;
+    }
+
     /// Makes a server cold that runs on. It does not while the store has a fault, since its entry
     /// could not be written then.
     async fn turn_cold(&self, address_index: usize) {
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -1,6 +1,8 @@
 //! Records of what callers and servers saw and which faults were active. Times are milliseconds
 //! since the start of the soak.
 
+use std::collections::BTreeSet;
+
 use catkin_base::{copy_type, value_type};
 
 /// Number of failure domains.
@@ -96,6 +98,11 @@
         pub leaving_server: Option<String>,
         /// The server whose answer named a limit.
         pub limited_server: Option<String>,
+        /// The request that began the stream which this one resumes.
+        pub resumes: Option<String>,
+        /// Versions of the software of the servers whose events the caller received, in an incomplete
+        /// answer too.
+        pub software: BTreeSet<u32>,
     }
 }
 
@@ -256,6 +263,22 @@
     }
 }
 
+value_type! {
+    /// The time during which a server ran and was not asked to leave.
+    pub struct ServingPeriod {
+        /// Name of the server.
+        pub server: String,
+        /// Service of the server.
+        pub service: String,
+        /// Version of its software.
+        pub software: u32,
+        /// Time of its start.
+        pub from: u64,
+        /// Time at which it crashed or began to leave.
+        pub until: u64,
+    }
+}
+
 value_type! {
     /// The time during which a server was cold.
     pub struct ColdPeriod {
@@ -297,6 +320,8 @@
     pub evacuations: Vec<EvacuationRecord>,
     /// Times during which servers were cold.
     pub cold_periods: Vec<ColdPeriod>,
+    /// Times during which servers ran.
+    pub serving: Vec<ServingPeriod>,
     /// Time at which the last fault ended.
     pub last_fault_end: u64,
 }
--- a/crates/catkin-soak/src/lib.rs
+++ b/crates/catkin-soak/src/lib.rs
@@ -20,6 +20,7 @@
 mod link;
 mod message;
 mod plan;
+mod resume_check;
 mod router;
 mod run;
 mod server;
@@ -32,8 +33,9 @@
 pub use ledger::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, ColdPeriod, CutRecord, DOMAINS,
     EvacuationRecord, FaultPeriod, FaultTarget, LeavingRecord, LimitRecord, PauseRecord,
-    ProcessExit, SoakLedger, StartRecord, VersionRecord,
+    ProcessExit, ServingPeriod, SoakLedger, StartRecord, VersionRecord,
 };
 pub use plan::{FaultKind, LinkFault, PlannedFault, SoakSize, plan_faults};
+pub use resume_check::{JoinedStream, find_joined_streams};
 pub use run::{SoakError, SoakOptions, SoakReport, run_soak};
 pub use wire::{StandinWire, StoreCall};
--- a/crates/catkin-soak/src/message.rs
+++ b/crates/catkin-soak/src/message.rs
@@ -49,23 +49,19 @@
         !self.buffer.is_empty()
     }
 
+    /// The incomplete message of which bytes were read, with the complete chunks of its body; `None` if
+    /// its head is incomplete or it has no chunks.
+    pub(crate) async fn read_partial(self) -> Option<HttpMessage> {
+        let mut reader = MessageReader { stream: tokio::io::empty(), buffer: self.buffer };
+        let (mut message, mut at) = reader.read_head().await.ok()?;
+        message.field("transfer-encoding")?;
+        while let Ok(1..) = reader.read_chunk(&mut at, &mut message.body).await {}
+        Some(message)
+    }
+
     /// Reads a complete message. Fails if the connection ends first or the bytes are not a message.
     pub(crate) async fn read(&mut self) -> io::Result<HttpMessage> {
-        let mut message = HttpMessage::default();
-        let head_end = loop {
-            if let Some(at) = find_bytes(&self.buffer, b"\r\n\r\n") {
-                break at;
-            }
-            self.fill().await?;
-        };
-        let head = String::from_utf8_lossy(&self.buffer[..head_end]).into_owned();
-        let mut lines = head.split("\r\n");
-        message.start_line = lines.next().unwrap_or_default().to_owned();
-        for line in lines {
-            let (name, value) = line.split_once(": ").ok_or_else(invalid_message)?;
-            message.fields.push((name.to_owned(), value.to_owned()));
-        }
-        let mut at = head_end + 4;
+        let (mut message, mut at) = self.read_head().await?;
         if message.field("transfer-encoding").is_some() {
             loop {
                 let size = self.read_chunk(&mut at, &mut message.body).await?;
@@ -85,6 +81,25 @@
         Ok(message)
     }
 
+    /// Reads the start line and the fields of a message; returns where its body begins, too.
+    async fn read_head(&mut self) -> io::Result<(HttpMessage, usize)> {
+        let mut message = HttpMessage::default();
+        let head_end = loop {
+            if let Some(at) = find_bytes(&self.buffer, b"\r\n\r\n") {
+                break at;
+            }
+            self.fill().await?;
+        };
+        let head = String::from_utf8_lossy(&self.buffer[..head_end]).into_owned();
+        let mut lines = head.split("\r\n");
+        message.start_line = lines.next().unwrap_or_default().to_owned();
+        for line in lines {
+            let (name, value) = line.split_once(": ").ok_or_else(invalid_message)?;
+            message.fields.push((name.to_owned(), value.to_owned()));
+        }
+        Ok((message, head_end + 4))
+    }
+
     async fn read_chunk(&mut self, at: &mut usize, body: &mut Vec<u8>) -> io::Result<usize> {
         let line = loop {
             if let Some(end) = find_bytes(&self.buffer[*at..], b"\r\n") {
--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -50,6 +50,17 @@
 const MEAN_COLD_PAUSE_MILLIS: u64 = 4_000;
 /// Requests that a cold server takes, in a thousand seconds.
 const COLD_PER_THOUSAND_SECONDS: u32 = 1_000;
+/// One seed in so many has releases of the servers' software.
+const RELEASE_PERIOD: u32 = 2;
+/// Mean interval between two releases, in milliseconds. One in so many is followed by the end of all
+/// routers within the second time.
+const MEAN_RELEASE_PAUSE_MILLIS: u64 = 8_000;
+const RELEASE_KILL_PERIOD: u32 = 2;
+const MAX_KILL_DELAY_MILLIS: u64 = 4_000;
+/// Time after the other faults from which on two versions serve, in milliseconds, and times at which all
+/// routers end then. Callers that wait until routers are in touch resume their streams in between.
+const LAST_RELEASE_MILLIS: u64 = 5_000;
+const LAST_KILLS_MILLIS: [u64; 2] = [7_000, 17_000];
 /// One router fault in so many is soon followed by another one on the same router.
 const REPEAT_PERIOD: u32 = 4;
 
@@ -127,6 +138,9 @@
         RestartServer(usize),
         /// A server turns cold without a restart and says so in its entry.
         TurnCold(usize),
+        /// A percentage of the servers that stream is replaced with servers of a newer software version,
+        /// one after the other.
+        ReleaseSoftware(usize),
     }
 }
 
@@ -175,6 +189,7 @@
     faults.extend(plan_cuts(seed, size));
     faults.extend(plan_evacuations(seed, size));
     faults.extend(plan_cold_servers(seed, size));
+    faults.extend(plan_releases(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -312,6 +327,40 @@
     }
 }
 
+/// Draws whether a seed has releases of the servers' software.
+pub(crate) fn draw_has_releases(seed: u64) -> bool {
+    StdRng::seed_from_u64(seed.rotate_left(56)).random_ratio(1, RELEASE_PERIOD)
+}
+
+/// Draws the releases of the servers' software. They have random numbers of their own, too.
+fn plan_releases(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(56).wrapping_add(1));
+    let mut faults = Vec::new();
+    if !draw_has_releases(seed) {
+        return faults;
+    }
+    let release = |at, percent| {
+        let kind = FaultKind::ReleaseSoftware(percent);
+        PlannedFault { at, length: MIN_LENGTH_MILLIS, kind }
+    };
+    let kill_all = |at| PlannedFault { at, length: MIN_LENGTH_MILLIS, kind: FaultKind::KillAll };
+    let mut at = QUIET_START_MILLIS;
+    loop {
+        at += random.random_range(0..=2 * MEAN_RELEASE_PAUSE_MILLIS);
+        if at >= size.millis {
+            break;
+        }
+        faults.push(release(at, if random.random() { 50 } else { 100 }));
+        if random.random_ratio(1, RELEASE_KILL_PERIOD) {
+            faults.push(kill_all(at + random.random_range(0..=MAX_KILL_DELAY_MILLIS)));
+        }
+    }
+    faults.push(release(size.millis, 100));
+    faults.push(release(size.millis + LAST_RELEASE_MILLIS, 50));
+    faults.extend(LAST_KILLS_MILLIS.map(|delay| kill_all(size.millis + delay)));
+    faults
+}
+
 fn draw_length(random: &mut StdRng) -> u64 {
     random.random_range(MIN_LENGTH_MILLIS..=MAX_LENGTH_MILLIS)
 }
--- a/crates/catkin-soak/src/run.rs
+++ b/crates/catkin-soak/src/run.rs
@@ -24,7 +24,7 @@
 use crate::ledger::{CallKind, DOMAINS, FaultPeriod, FaultTarget, SoakLedger, VersionRecord};
 use crate::link::LinkProxy;
 use crate::message::MessageReader;
-use crate::plan::{SoakSize, draw_cold_service, plan_faults};
+use crate::plan::{SoakSize, draw_cold_service, draw_has_releases, plan_faults};
 use crate::router::{RouterAddresses, RouterSupervisor};
 use crate::server::{SLOTS, ServerIdentity, StandinServer};
 use crate::source_cut::SourceCuts;
@@ -40,6 +40,8 @@
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which requests are recorded after the recovery time.
 const RECOVERED_WATCH_TIME: Duration = Duration::from_secs(4);
+/// Version of the servers' software at the start.
+pub(crate) const FIRST_SOFTWARE: u32 = 1;
 /// Interval at which the machine's timers are checked, and how late they may fire.
 const TIMER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 const MAX_TIMER_DELAY: Duration = Duration::from_millis(120);
@@ -204,7 +206,15 @@
     let count = (options.size.routers * CALLERS_PER_ROUTER).max(MIN_CALLERS);
     for index in 0..count {
         let context = Rc::clone(&fleet.context);
-        callers.spawn_local(run_caller::<W>(context, Rc::clone(&addresses), index, options.seed));
+        let addresses = Rc::clone(&addresses);
+        callers.spawn_local(run_caller::<W>(context, addresses, index, None, options.seed));
+    }
+    // Where software is released, there are as many callers of streams that can be resumed.
+    let streams = if draw_has_releases(options.seed) { count..2 * count } else { 0..0 };
+    for index in streams {
+        let context = Rc::clone(&fleet.context);
+        let (addresses, only) = (Rc::clone(&addresses), Some(CallKind::Resumable));
+        callers.spawn_local(run_caller::<W>(context, addresses, index, only, options.seed));
     }
     callers
 }
@@ -248,12 +258,14 @@
         cold,
         evacuated: RefCell::default(),
         version: Cell::new(1),
+        software: Cell::new(FIRST_SOFTWARE),
     };
     for address_index in 0..options.size.servers {
         let kind = if address_index % 2 == 0 { CallKind::Single } else { CallKind::Stream };
         let identity = ServerIdentity {
             name: format!("s{address_index}"),
             service: kind.service().to_owned(),
+            software: FIRST_SOFTWARE,
             started: 1,
         };
         let server =
@@ -348,7 +360,7 @@
         domain: domain_name(address_index % DOMAINS),
         slots: SLOTS,
         leaving,
-        software: "v1".to_owned(),
+        software: format!("v{}", identity.software),
         started_unix_millis: identity.started,
         cold_millis,
     })
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::accept::listen;
 use crate::caller::{EVENTS, encode_event};
-use crate::ledger::{ArrivalRecord, CallKind, PauseRecord};
+use crate::ledger::{ArrivalRecord, CallKind, PauseRecord, ServingPeriod};
 use crate::message::{HttpMessage, MessageReader, write_answer};
 use crate::run::SoakContext;
 use crate::wire::StandinWire;
@@ -37,6 +37,8 @@
 pub(crate) struct ServerIdentity {
     pub(crate) name: String,
     pub(crate) service: String,
+    /// Version of its software.
+    pub(crate) software: u32,
     /// Time of its start, in milliseconds.
     pub(crate) started: u64,
 }
@@ -67,7 +69,7 @@
         address_index: usize,
         identity: ServerIdentity,
     ) -> Self {
-        Self {
+        let server = Self {
             address_index,
             context,
             identity: RefCell::new(identity),
@@ -79,6 +81,24 @@
             running: Cell::new(0),
             cold_until: Cell::new(0),
             wire: PhantomData,
+        };
+        server.begin_serving();
+        server
+    }
+
+    fn begin_serving(&self) {
+        let ServerIdentity { name, service, software, .. } = self.identity();
+        let from = self.context.now();
+        let period = ServingPeriod { server: name, service, software, from, until: u64::MAX };
+        self.context.ledger.borrow_mut().serving.push(period);
+    }
+
+    fn end_serving(&self) {
+        let (name, now) = (self.identity().name, self.context.now());
+        let mut ledger = self.context.ledger.borrow_mut();
+        let open = ledger.serving.iter_mut().rev().find(|period| period.server == name);
+        if let Some(period) = open {
+            period.until = period.until.min(now);
         }
     }
 
@@ -88,6 +108,7 @@
 
     /// Ends all connections and accepts no more.
     pub(crate) fn crash(&self) {
+        self.end_serving();
         self.alive.set(false);
         self.crash_token.borrow().cancel();
     }
@@ -114,6 +135,7 @@
 
     /// States in all further answers that the server leaves.
     pub(crate) fn leave(&self) {
+        self.end_serving();
         self.leaving.set(true);
     }
 
@@ -123,6 +145,7 @@
         *self.crash_token.borrow_mut() = CancellationToken::new();
         self.leaving.set(false);
         self.alive.set(true);
+        self.begin_serving();
     }
 
     /// Listens on `ip` and serves until the tasks end.
@@ -256,7 +279,7 @@
         write.write_all(head.as_bytes()).await?;
         let last = message.field(W::HEADERS.last_event).and_then(|text| text.parse().ok());
         for number in last.unwrap_or(0) + 1..=EVENTS {
-            let event = encode_event(id, number);
+            let event = encode_event(id, number, identity.software);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             write.write_all(chunk.as_bytes()).await?;
             let pause = rand::rng().random_range(0..=MAX_EVENT_GAP_MILLIS);
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -1,9 +1,11 @@
 //! A ledger that violates a guarantee gives exactly that violation; a sound ledger gives none.
 
+use std::collections::BTreeSet;
+
 use catkin_soak::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, ColdPeriod, CutRecord, EvacuationRecord,
-    FaultPeriod, FaultTarget, LeavingRecord, LimitRecord, PauseRecord, ProcessExit, SoakBounds,
-    SoakLedger, SoakViolation, StartRecord, VersionRecord, find_violations,
+    FaultPeriod, FaultTarget, LeavingRecord, LimitRecord, PauseRecord, ProcessExit, ServingPeriod,
+    SoakBounds, SoakLedger, SoakViolation, StartRecord, VersionRecord, find_violations,
 };
 
 fn answered(status: u16, sealed_by: Option<&str>) -> CallOutcome {
@@ -21,6 +23,8 @@
         outcome,
         leaving_server: None,
         limited_server: None,
+        resumes: None,
+        software: BTreeSet::new(),
     }
 }
 
@@ -410,3 +414,42 @@
         [SoakViolation::TooManyRepeats(service, 71, 10_010, 70)]
     );
 }
+
+/// Streams begin at version 1, break off and go on at `software`, or nowhere.
+fn violations_with_resumed(resumed: usize, software: Option<u32>) -> Vec<SoakViolation> {
+    violations_with(|ledger| {
+        for (server, version) in [("s2", 1), ("s3", 1), ("s4", 2), ("s5", 2)] {
+            let (server, service) = (server.to_owned(), CallKind::Resumable.service().to_owned());
+            let period =
+                ServingPeriod { server, service, software: version, from: 0, until: 90_000 };
+            ledger.serving.push(period);
+        }
+        let stream = |id: &str, sent, outcome, software: Option<u32>| CallRecord {
+            kind: CallKind::Resumable,
+            software: software.into_iter().collect(),
+            ..call(id, sent, outcome)
+        };
+        for number in 0..resumed {
+            let (first, second) = (format!("a-{number}"), format!("b-{number}"));
+            ledger.calls.push(stream(&first, 10_000, CallOutcome::Truncated, Some(1)));
+            let outcome = answered(503, None);
+            let resumption = stream(&second, 20_000, outcome, software);
+            ledger.calls.push(CallRecord { resumes: Some(first), ..resumption });
+        }
+    })
+}
+
+#[test]
+fn streams_with_events_of_two_software_versions_are_found() {
+    assert_eq!(violations_with_resumed(2, Some(2)), []);
+    assert_eq!(violations_with_resumed(3, Some(2)), [SoakViolation::JoinedVersions(3)]);
+    assert_eq!(violations_with_resumed(20, Some(1)), []);
+}
+
+#[test]
+fn resumed_streams_that_do_not_go_on_are_found() {
+    let lost = SoakViolation::LostResumption { went_on: 0, resumed: 12, began: 12, all: 12 };
+
+    assert_eq!(violations_with_resumed(11, None), []);
+    assert_eq!(violations_with_resumed(12, None), [lost]);
+}
