Name the version at which a resumed stream of unknown origin goes on

Cause: a service with one version gave the choice "any server", made once before the request waits, from what this router alone had listed.

Change: the choice names the version, also where it is the only one, so that it holds while a request waits; with no version listed there is none. After a restart the only version that the store names is the one at which streams began, whatever appeared since. The choice is only a likely one where other routers report newer entries of servers, where the store has no versions, or where others were added: then the other routers and the store are asked first. A refusal waits for the store for 450 ms at most instead of a second.

--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -36,15 +36,27 @@
 copy_type! {
     /// Where a stream may go on.
     pub enum ResumeChoice {
-        /// At any server: all have had one version for as long as the stream can have lasted.
-        AnyVersion,
-        /// At servers of this version.
+        /// At servers of this version, which began it.
         OnlyVersion(SoftwareKey),
+        /// At servers of this version, unless another router or the store knows better.
+        LikelyVersion(SoftwareKey),
         /// The version that began it is not known here.
         Unknown,
     }
 }
 
+/// Versions that services had before a router started, as it knows them.
+#[derive(Debug, Clone, Default)]
+enum EarlierVersions {
+    /// The store was not read, or what it has can't be read.
+    #[default]
+    Unread,
+    /// The store has none, since the routers before wrote none.
+    Unstored,
+    /// What the store has, by service.
+    Stored(BTreeMap<String, BTreeSet<SoftwareKey>>),
+}
+
 impl StreamKey {
     /// Derives the key from the identifier of the request that began the stream.
     pub fn from_request(id: &[u8]) -> Self {
@@ -77,8 +89,10 @@
     was_mixed: bool,
     /// Origins read from the store, in the order of their keys, and when they were read.
     stored: Option<(ClockTime, Vec<(StreamKey, SoftwareKey)>)>,
-    /// Until when services may have had versions lately that `versions` lacks.
-    incomplete_until: Option<ClockTime>,
+    /// Versions before the start of this router.
+    earlier: EarlierVersions,
+    /// Until when streams that began before the start of this router may be resumed.
+    earlier_until: Option<ClockTime>,
     lengths: StreamLengths,
 }
 
@@ -99,14 +113,18 @@
         book
     }
 
-    /// Expects that services had versions before the router started that are not known here.
+    /// Expects streams that began before the router started.
     pub fn expect_earlier_versions(&mut self, now: ClockTime) {
-        self.incomplete_until = Some(now.plus_millis(LIFETIME_MILLIS));
+        self.earlier_until = Some(now.plus_millis(LIFETIME_MILLIS));
     }
 
     /// Whether services may have had versions lately that are not known here.
     pub fn is_incomplete(&self, now: ClockTime) -> bool {
-        self.incomplete_until.is_some_and(|until| now < until)
+        matches!(self.earlier, EarlierVersions::Unread) && self.is_after_restart(now)
+    }
+
+    fn is_after_restart(&self, now: ClockTime) -> bool {
+        self.earlier_until.is_some_and(|until| now < until)
     }
 
     /// Records the length of a stream, from its first to its last event.
@@ -122,17 +140,27 @@
         (self.lengths.sum > 0.0).then(|| self.lengths.squares / self.lengths.sum)
     }
 
-    /// Records the versions that services had before this router started.
-    pub fn record_earlier_versions(
+    /// Records the versions that the store has; `None` if it has none.
+    pub fn record_stored_versions(
         &mut self,
         now: ClockTime,
-        services: &BTreeMap<String, BTreeSet<SoftwareKey>>,
+        stored: Option<&BTreeMap<String, BTreeSet<SoftwareKey>>>,
     ) {
+        let is_first = matches!(self.earlier, EarlierVersions::Unread);
+        let Some(services) = stored else {
+            if is_first {
+                self.earlier = EarlierVersions::Unstored;
+            }
+            return;
+        };
         let versions = services
             .iter()
             .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
         self.record_versions(now, versions);
-        self.incomplete_until = None;
+        // Later reads show what routers have written since the start of this one.
+        if is_first {
+            self.earlier = EarlierVersions::Stored(services.clone());
+        }
     }
 
     /// Records the origins that the store has, in place of those read before.
@@ -203,17 +231,41 @@
     }
 
     /// Decides where a stream of `service` may go on. `key` is `None` if the caller does not state
-    /// which request began it.
+    /// which request began it. `is_outdated` says that other routers know newer entries of servers.
+    ///
+    /// A version is named also where it is the only one, so that a stream that waits for a server does
+    /// not go on at a version that appears meanwhile.
     pub fn choose_resume(
         &self,
         now: ClockTime,
         service: &str,
         key: Option<StreamKey>,
+        is_outdated: bool,
     ) -> ResumeChoice {
-        match key.and_then(|key| self.find(key)) {
-            Some(software) => ResumeChoice::OnlyVersion(software),
-            None if self.is_mixed(service) || self.is_incomplete(now) => ResumeChoice::Unknown,
-            None => ResumeChoice::AnyVersion,
+        if let Some(software) = key.and_then(|key| self.find(key)) {
+            return ResumeChoice::OnlyVersion(software);
+        }
+        let listed = self.versions.get(service).and_then(|versions| find_only(versions.keys()));
+        if !self.is_after_restart(now) {
+            return match listed {
+                Some(software) if is_outdated => ResumeChoice::LikelyVersion(software),
+                Some(software) => ResumeChoice::OnlyVersion(software),
+                None => ResumeChoice::Unknown,
+            };
+        }
+        let stored = match &self.earlier {
+            EarlierVersions::Unread => return ResumeChoice::Unknown,
+            EarlierVersions::Unstored => None,
+            EarlierVersions::Stored(services) => services.get(service),
+        };
+        match (stored.map(|versions| find_only(versions.iter())), listed) {
+            (Some(Some(before)), Some(listed)) if before == listed && !is_outdated => {
+                ResumeChoice::OnlyVersion(before)
+            }
+            // A stream that began after another version had appeared is known to other routers.
+            (Some(Some(before)), _) => ResumeChoice::LikelyVersion(before),
+            (None, Some(listed)) => ResumeChoice::LikelyVersion(listed),
+            (Some(None), _) | (None, None) => ResumeChoice::Unknown,
         }
     }
 
@@ -253,11 +305,12 @@
     pub fn count_versions(&self, service: &str) -> usize {
         self.versions.get(service).map_or(0, BTreeMap::len)
     }
+}
 
-    /// Whether servers of several versions were listed for the service lately.
-    fn is_mixed(&self, service: &str) -> bool {
-        self.count_versions(service) > 1
-    }
+/// Returns the only element.
+fn find_only<'a>(mut versions: impl Iterator<Item = &'a SoftwareKey>) -> Option<SoftwareKey> {
+    let first = versions.next()?;
+    versions.next().is_none().then_some(*first)
 }
 
 /// Chooses the routers that are told where a stream began, among the live ones: all of a small fleet,
--- a/crates/catkin-entry/src/origin_plan.rs
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -13,7 +13,7 @@
 use catkin_base::{ClockTime, VmId, copy_type, hash_parts};
 
 use crate::origin_book::{OriginBook, SoftwareKey, StreamKey};
-use crate::wire::{OriginRecord, VersionRecord};
+use crate::wire::OriginRecord;
 
 /// Fraction of the mean length of the streams under way that the interval of two writes of origins is.
 /// Streams that began within an interval before all routers end are refused when callers resume them.
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginWrite {
     /// The versions of the services.
-    Versions(VersionRecord),
+    Versions(BTreeMap<String, BTreeSet<SoftwareKey>>),
     /// The streams that began lately.
     Origins(BTreeMap<SoftwareKey, Vec<StreamKey>>),
 }
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct OriginPlan {
     /// The versions that the store has; `None` if it has none.
-    versions: Option<VersionRecord>,
+    versions: Option<BTreeMap<String, BTreeSet<SoftwareKey>>>,
     /// The streams in this router's object.
     written: BTreeSet<StreamKey>,
     /// What this router's object had when it was read, and when that was.
@@ -75,18 +75,21 @@
 
 impl OriginPlan {
     /// Creates the plan of a router that has read the store.
-    pub fn new(now: ClockTime, versions: Option<VersionRecord>, own: Option<OriginRecord>) -> Self {
+    pub fn new(
+        now: ClockTime,
+        versions: Option<BTreeMap<String, BTreeSet<SoftwareKey>>>,
+        own: Option<OriginRecord>,
+    ) -> Self {
         Self { versions, earlier: own.map(|record| (now, record)), ..Self::default() }
     }
 
     /// Decides what is written now; `None` if the store has all that is needed.
     pub fn choose_write(&self, now: ClockTime, book: &OriginBook) -> Option<OriginWrite> {
         let services = book.version_sets();
-        let stored = self.versions.as_ref().map(|versions| &versions.services);
         // A book that may lack versions must not remove them from the store.
         let is_known = !services.is_empty() && !book.is_incomplete(now);
-        if is_known && stored != Some(&services) {
-            return Some(OriginWrite::Versions(VersionRecord { services }));
+        if is_known && self.versions.as_ref() != Some(&services) {
+            return Some(OriginWrite::Versions(services));
         }
         let interval = choose_interval(book.mean_open_length());
         let is_early = self.last_write.is_some_and(|last| now.millis_since(last) < interval);
@@ -104,7 +107,7 @@
     }
 
     /// Records the versions that the store has.
-    pub fn record_versions(&mut self, versions: VersionRecord) {
+    pub fn record_versions(&mut self, versions: BTreeMap<String, BTreeSet<SoftwareKey>>) {
         self.versions = Some(versions);
     }
 
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -39,9 +39,9 @@
 /// Maximum number of objects that are removed at once.
 const MAX_REMOVED: usize = 16;
 
-/// Reads of the origins that requests wait for.
+/// Reads of the origins that requests wait for, and whether this router can write them.
 #[derive(Debug, Default)]
-pub(crate) struct OriginReads {
+pub(crate) struct OriginAccess {
     wanted: Notify,
     /// Whether a read is due or under way, and has not failed yet.
     pending: Cell<bool>,
@@ -49,7 +49,7 @@
     last: Cell<Option<Instant>>,
 }
 
-impl OriginReads {
+impl OriginAccess {
     /// Asks for a read, unless the last one is too recent.
     pub(crate) fn request(&self) {
         if self.last.get().is_none_or(|last| last.elapsed() >= READ_INTERVAL) {
@@ -69,19 +69,19 @@
     let mut client = StoreClient::<W>::new(state.settings().store);
     let mut timeout = GrowingTimeout::default();
     if state.origins.borrow().is_incomplete(state.now()) {
-        state.origin_reads.request();
+        state.origin_access.request();
     }
     loop {
-        if !state.origin_reads.is_pending() {
+        if !state.origin_access.is_pending() {
             client.reset();
-            state.origin_reads.wanted.notified().await;
+            state.origin_access.wanted.notified().await;
             continue;
         }
         match client.list(KIND, timeout.current()).await {
             Ok(page) => {
                 timeout = GrowingTimeout::default();
-                state.origin_reads.last.set(Some(Instant::now()));
-                state.origin_reads.pending.set(false);
+                state.origin_access.last.set(Some(Instant::now()));
+                state.origin_access.pending.set(false);
                 record_page(state, &OriginPage::decode::<W>(&page));
             }
             Err(error) => {
@@ -90,11 +90,11 @@
                 );
                 timeout.grow();
                 client.reset();
-                state.origin_reads.pending.set(false);
+                state.origin_access.pending.set(false);
                 state.origins_change.notify_waiters();
                 sleep(RETRY_DELAY).await;
                 if state.origins.borrow().is_incomplete(state.now()) {
-                    state.origin_reads.request();
+                    state.origin_access.request();
                 }
             }
         }
@@ -115,7 +115,8 @@
         for entry in &page.entries {
             let failure = if entry.name == VERSIONS_NAME {
                 let read = W::decode_versions(&entry.content);
-                decoded.versions = Some((entry.revision, read.as_ref().ok().cloned()));
+                let current = read.as_ref().ok();
+                decoded.versions = Some((entry.revision, current.cloned()));
                 read.err()
             } else {
                 let read = W::decode_origins(&entry.content);
@@ -141,9 +142,8 @@
     let mut book = state.origins.borrow_mut();
     book.record_stored(now, origins);
     match &page.versions {
-        Some((_, Some(record))) => book.record_earlier_versions(now, &record.services),
-        // All routers before were of a build that writes none.
-        None => book.record_earlier_versions(now, &BTreeMap::new()),
+        Some((_, Some(record))) => book.record_stored_versions(now, Some(&record.services)),
+        None => book.record_stored_versions(now, None),
         Some((_, None)) => {}
     }
     drop(book);
@@ -216,13 +216,20 @@
         && choose_writer(state, service) == Some(state.local_vm)
 }
 
+impl<W> EntryState<W> {
+    /// Whether this router writes origins if it is chosen to.
+    pub(crate) fn stores_origins(&self) -> bool {
+        !self.is_stopping()
+    }
+}
+
 /// Chooses the router that writes the origins of this router's group.
 pub(crate) fn choose_writer<W: EntryWire>(
     state: &EntryState<W>,
     service: &PeerService,
 ) -> Option<VmId> {
     let local = WriterCandidate { vm: state.local_vm, strength: state.settings().strength() };
-    let local = Some(local).filter(|_| !state.is_stopping());
+    let local = Some(local).filter(|_| state.stores_origins());
     choose_origin_writer(service.list_writer_candidates(state).into_iter().chain(local))
 }
 
@@ -256,7 +263,7 @@
             client.delete(KIND, other, timeout).await?;
         }
         let (versions_revision, versions) = page.versions.unzip();
-        let versions = versions.flatten();
+        let versions = versions.flatten().map(|record| record.services);
         let own = page.records.into_iter().find(|(other, ..)| *other == name);
         let (origins_revision, own) = own.map(|(_, revision, record)| (revision, record)).unzip();
         // Later, the object has nothing that the book of this process lacks.
@@ -274,7 +281,8 @@
         let write = self.plan.choose_write(state.now(), &state.origins.borrow());
         match write {
             None => Ok(()),
-            Some(OriginWrite::Versions(record)) => {
+            Some(OriginWrite::Versions(services)) => {
+                let record = VersionRecord { services };
                 self.write_versions(state, record, timeout).await
             }
             Some(OriginWrite::Origins(streams)) => self.write_own(state, streams, timeout).await,
@@ -297,14 +305,14 @@
                     record.services.len()
                 );
                 self.versions_revision = revision;
-                self.plan.record_versions(record);
+                self.plan.record_versions(record.services);
             }
             Err(StoreCallError::Conflict(Some(found))) => {
                 self.versions_revision = Some(found.revision);
                 let Ok(found) = W::decode_versions(&found.content) else { return Ok(()) };
                 let mut book = state.origins.borrow_mut();
-                book.record_earlier_versions(state.now(), &found.services);
-                self.plan.record_versions(found);
+                book.record_stored_versions(state.now(), Some(&found.services));
+                self.plan.record_versions(found.services);
             }
             Err(error) => return Err(error),
         }
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -85,7 +85,7 @@
         domain: state.local_domain.0,
         strength: settings.strength(),
         callers_port: callers_port.into(),
-        stores_origins: !state.is_stopping(),
+        stores_origins: state.stores_origins(),
         lost_services: reach.lost_services().map(|service| service.0).collect(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -42,8 +42,8 @@
 const MAX_LOGGED_PARTS: usize = 16;
 /// Maximum wait for other routers to tell where a stream began.
 const ORIGIN_ANSWER_WAIT: Duration = Duration::from_millis(150);
-/// Maximum wait for the store to tell it. A caller whose stream is refused waits longer.
-const ORIGIN_READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Maximum wait for the store to tell it.
+const ORIGIN_READ_WAIT: Duration = Duration::from_millis(450);
 
 /// Attempts made so far for a request.
 struct CallProgress {
@@ -368,15 +368,21 @@
     }
     let began = Instant::now();
     let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
-    let choose = || state.origins.borrow().choose_resume(state.now(), &call.service, key);
-    if choose() == ResumeChoice::Unknown {
-        wait_for_origin(state, call.deadline, key, || choose() != ResumeChoice::Unknown).await;
+    let choose = || {
+        let (_, newest) = state.peer_versions.get();
+        let is_outdated = state.servers.borrow().is_outdated(newest);
+        state.origins.borrow().choose_resume(state.now(), &call.service, key, is_outdated)
+    };
+    let is_known = || matches!(choose(), ResumeChoice::OnlyVersion(_));
+    if !is_known() {
+        wait_for_origin(state, call.deadline, key, is_known).await;
     }
     let choice = choose();
     log_resumption(state, call, choice, began.elapsed());
     match choice {
-        ResumeChoice::OnlyVersion(software) => Ok(Some(software)),
-        ResumeChoice::AnyVersion => Ok(None),
+        ResumeChoice::OnlyVersion(software) | ResumeChoice::LikelyVersion(software) => {
+            Ok(Some(software))
+        }
         ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
     }
 }
@@ -391,13 +397,15 @@
     let routers_until = deadline.min(Instant::now() + ORIGIN_ANSWER_WAIT);
     let store_until = deadline.min(Instant::now() + ORIGIN_READ_WAIT);
     let _asked = key.map(|key| AskedOrigin::new(state, key));
-    state.origin_reads.request();
+    if key.is_some() || state.origins.borrow().is_incomplete(state.now()) {
+        state.origin_access.request();
+    }
     loop {
         let changed = state.origins_change.notified();
         if is_known() {
             return;
         }
-        let is_read = !state.origin_reads.is_pending();
+        let is_read = !state.origin_access.is_pending();
         let until = if is_read { routers_until } else { store_until };
         if timeout_at(until, changed).await.is_err() && Instant::now() >= until {
             return;
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -25,7 +25,7 @@
 use crate::load_spread::LotTable;
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
-use crate::origin_store::OriginReads;
+use crate::origin_store::OriginAccess;
 use crate::outcome_book::OutcomeBook;
 use crate::peer_service::PeerService;
 use crate::relay_plan::MAX_SMALL_FLEET;
@@ -137,7 +137,7 @@
     /// All known routers but this one.
     pub(crate) other_routers: RefCell<Rc<[VmId]>>,
     pub(crate) origins: RefCell<OriginBook>,
-    pub(crate) origin_reads: OriginReads,
+    pub(crate) origin_access: OriginAccess,
     /// Streams whose origin other routers are asked for.
     pub(crate) asked_origins: RefCell<BTreeSet<StreamKey>>,
     /// Signals that `asked_origins` grew.
@@ -232,7 +232,7 @@
             crash_store_change: Notify::new(),
             other_routers: RefCell::new(Rc::from([])),
             origins: RefCell::new(origins),
-            origin_reads: OriginReads::default(),
+            origin_access: OriginAccess::default(),
             asked_origins: RefCell::default(),
             asked_origins_change: Notify::new(),
             origins_change: Notify::new(),
