Take the versions in a restored store for what they may be: older than the last change

What callers saw in a test: streams joined after all routers ended and the store came back from a copy that lacked the second version and its servers (6 of 12).

Cause: the object with the versions did not say when it was written, so a copy of it counted as current.

Change: it names the era of the store.

--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -103,7 +103,8 @@
 
 /// What the store has of the origins of streams.
 struct OriginPage {
-    /// Revision and content of the object with the versions; the content is `None` if it can't be read.
+    /// Revision and content of the object with the versions; the content is `None` if it can't be read, or
+    /// may be a copy from before its last change.
     versions: Option<(u64, Option<VersionRecord>)>,
     /// Name, revision and content of each router's object.
     records: Vec<(String, u64, OriginRecord)>,
@@ -115,7 +116,7 @@
         for entry in &page.entries {
             let failure = if entry.name == VERSIONS_NAME {
                 let read = W::decode_versions(&entry.content);
-                let current = read.as_ref().ok();
+                let current = read.as_ref().ok().filter(|record| record.era == page.era);
                 decoded.versions = Some((entry.revision, current.cloned()));
                 read.err()
             } else {
@@ -282,7 +283,7 @@
         match write {
             None => Ok(()),
             Some(OriginWrite::Versions(services)) => {
-                let record = VersionRecord { services };
+                let record = VersionRecord { services, era: self.era };
                 self.write_versions(state, record, timeout).await
             }
             Some(OriginWrite::Origins(streams)) => self.write_own(state, streams, timeout).await,
@@ -310,9 +311,11 @@
             Err(StoreCallError::Conflict(Some(found))) => {
                 self.versions_revision = Some(found.revision);
                 let Ok(found) = W::decode_versions(&found.content) else { return Ok(()) };
-                let mut book = state.origins.borrow_mut();
-                book.record_stored_versions(state.now(), Some(&found.services));
-                self.plan.record_versions(found.services);
+                if found.era == self.era {
+                    let mut book = state.origins.borrow_mut();
+                    book.record_stored_versions(state.now(), Some(&found.services));
+                    self.plan.record_versions(found.services);
+                }
             }
             Err(error) => return Err(error),
         }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -153,6 +153,9 @@
     pub struct VersionRecord {
         /// Versions by service.
         pub services: BTreeMap<String, BTreeSet<SoftwareKey>>,
+        /// Era of the store in which they were written. In a later one the record may be a copy from
+        /// before its last change.
+        pub era: u64,
     }
 }
 
