Let another router write origins where the store refuses the writer

Cause: the writer was chosen among the routers that are alive, whether or not its calls succeed. One that the store refuses does not even learn of a new version.

Change: a router whose store calls fail does not report that it stores origins: while its list of declarations fails, and for five seconds after two failed writes in a row. The next one of its group takes over.

--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -34,6 +34,10 @@
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Number of failures in a row after which a writer lets another router write.
+const MAX_FAILURES: u32 = 2;
+/// Time for which it does so.
+const YIELD_TIME: Duration = Duration::from_secs(5);
 /// Age from which an object of a router is removed by a writer that starts.
 const MAX_AGE: Duration = Duration::from_secs(600);
 /// Maximum number of objects that are removed at once.
@@ -47,6 +51,8 @@
     pending: Cell<bool>,
     /// When the last read ended.
     last: Cell<Option<Instant>>,
+    /// Until when this router lets another one write, since its own calls failed.
+    yields_until: Cell<Option<Instant>>,
 }
 
 impl OriginAccess {
@@ -58,6 +64,11 @@
         }
     }
 
+    /// Whether this router may be chosen to write.
+    pub(crate) fn may_write(&self) -> bool {
+        self.yields_until.get().is_none_or(|until| until <= Instant::now())
+    }
+
     /// Whether a read is under way.
     pub(crate) fn is_pending(&self) -> bool {
         self.pending.get()
@@ -161,10 +172,12 @@
     record.streams.values().map(Vec::len).sum()
 }
 
-/// Writes origins while this router is the writer of its group, until dropped.
+/// Writes origins while this router is the writer of its group, until dropped. A writer whose calls fail
+/// lets another router write for a while: the store may refuse this one only.
 pub(crate) async fn write_origins<W: EntryWire>(state: &Rc<EntryState<W>>, service: &PeerService) {
     let mut writer: Option<OriginWriter<W>> = None;
     let mut timeout = GrowingTimeout::default();
+    let mut failures = 0;
     loop {
         let interval = match (&writer, state.origins.borrow().is_any_mixed()) {
             (None, _) => ROLE_INTERVAL,
@@ -182,6 +195,7 @@
             Ok(current) => {
                 writer = Some(current);
                 timeout = GrowingTimeout::default();
+                failures = 0;
             }
             Err(error) => {
                 log::warn!(
@@ -189,6 +203,13 @@
                      end now. error={error}"
                 );
                 timeout.grow();
+                failures += 1;
+                if failures >= MAX_FAILURES {
+                    failures = 0;
+                    let until = Instant::now() + YIELD_TIME;
+                    state.origin_access.yields_until.set(Some(until));
+                    state.updates.borrow_mut().send_now = true;
+                }
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -218,9 +239,10 @@
 }
 
 impl<W> EntryState<W> {
-    /// Whether this router writes origins if it is chosen to.
+    /// Whether this router writes origins if it is chosen to. One that the store refuses does not even
+    /// learn of new versions.
     pub(crate) fn stores_origins(&self) -> bool {
-        !self.is_stopping()
+        !self.is_stopping() && !self.store_failing.get() && self.origin_access.may_write()
     }
 }
 
