Soak: count requests to a leaving server by their arrival, not by when callers sent them

A request that waited in the router was invisible: only requests that callers sent over 2 s after the statement counted. Now an arrival later than that counts whenever the caller sent it, unless a fault on the way to the server (its connections, the server, the router's paths) may have held it since the statement; for requests that callers sent later nothing changes. Never looser: what counted before counts still. The case "sent at 12,100, arrives at 12,110, allowed" of checks.rs is wrong by that, since the router knew of the statement for 2 s and sent all the same; it becomes "arrives at 12,100, allowed", and requests that waited have a test of their own.

--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -324,7 +324,8 @@
 }
 
 /// Finds requests of a router to a server that had stated in an answer, which the router forwarded,
-/// that it leaves. Only a restart or a pause of the router excuses them.
+/// that it leaves. Only a restart or a pause of the router excuses them, and for requests that callers sent
+/// before, a fault on the way to the server, which may have held them.
 fn check_leave_statements(
     ledger: &SoakLedger,
     bounds: &SoakBounds,
@@ -343,7 +344,16 @@
         let Some(at) = told.get(&(router, arrival.server.as_str())) else { return false };
         let targets = [FaultTarget::Router(router), FaultTarget::Machine];
         let restarted = ledger.start_count(router, arrival.at) != ledger.start_count(router, *at);
-        call.sent > at + bounds.leaving
+        // Without a fault on the way to the server, a request arrives as soon as the router sends it.
+        let path = [
+            FaultTarget::ServerLink(arrival.address_index),
+            FaultTarget::Server(arrival.address_index),
+            FaultTarget::ServerPaths(router),
+        ];
+        let was_held =
+            call.sent <= at + bounds.leaving && ledger.is_affected(&path, *at, arrival.at);
+        arrival.at > at + bounds.leaving
+            && !was_held
             && !restarted
             && !ledger.is_affected(&targets, *at, arrival.at)
     };
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -79,10 +79,36 @@
         })
     };
 
-    let ignored = SoakViolation::IgnoredLeaving("b".to_owned(), "s2".to_owned(), 0, 12_111);
+    let ignored =
+        |at| [SoakViolation::IgnoredLeaving("b".to_owned(), "s2".to_owned(), 0, at)].to_vec();
+    assert_eq!(violations_with_fault(FaultTarget::Store, 12_101), ignored(12_111));
+    assert_eq!(violations_with_fault(FaultTarget::ServerLink(0), 12_101), ignored(12_111));
+    assert_eq!(violations_with_fault(FaultTarget::Store, 12_090), []);
+    assert_eq!(violations_with_fault(FaultTarget::Router(0), 12_101), []);
+}
+
+/// The first answer of router 0 states at 10,100 that its server leaves; the second request waits in the
+/// router, or on the way to the server if that has a fault.
+#[test]
+fn a_request_that_waited_before_it_was_sent_to_a_leaving_server_is_found() {
+    let violations_with_fault = |target: FaultTarget, arrived: u64| {
+        violations_with(|ledger| {
+            let told = call("a", 10_000, answered(200, Some("s2")));
+            ledger.calls.push(CallRecord { leaving_server: Some("s2".to_owned()), ..told });
+            ledger.arrivals.push(arrival("a", "s2", 10_010, 1));
+            let waited = call("b", 10_000, answered(200, Some("s2")));
+            ledger.calls.push(CallRecord { ended: arrived + 100, ..waited });
+            ledger.arrivals.push(arrival("b", "s2", arrived, 1));
+            ledger.periods.push(period(target, 11_000, 12_500, false));
+        })
+    };
+
+    let ignored = SoakViolation::IgnoredLeaving("b".to_owned(), "s2".to_owned(), 0, 12_101);
     assert_eq!(violations_with_fault(FaultTarget::Store, 12_101), [ignored]);
     assert_eq!(violations_with_fault(FaultTarget::Store, 12_100), []);
-    assert_eq!(violations_with_fault(FaultTarget::Router(0), 12_101), []);
+    for held in [FaultTarget::ServerLink(0), FaultTarget::Server(0), FaultTarget::ServerPaths(0)] {
+        assert_eq!(violations_with_fault(held, 12_101), [], "{held:?}");
+    }
 }
 
 /// Router 0 is told at 10,100 that server s2 allows one request a second, so that 11 may arrive in a
