--- a/crates/catkin-soak/src/fault.rs
+++ b/crates/catkin-soak/src/fault.rs
@@ -109,6 +109,9 @@
             FaultKind::CutRouters(first, count, kind) => {
                 self.cut_routers(first, count, kind, length).await;
             }
+            FaultKind::SilenceServers(first, count) => {
+                self.silence_servers(first, count, length).await;
+            }
             FaultKind::EvacuateDomain(domain) => self.evacuate_domain(domain, length).await,
             FaultKind::RestartServer(server) => self.restart_server(server, length).await,
             FaultKind::TurnCold(server) => self.turn_cold(server).await,
@@ -305,6 +308,19 @@
         self.context.ledger.borrow_mut().cuts.push(CutRecord { routers, from, until });
     }
 
+    /// Holds all bytes to and from servers while new declarations come.
+    async fn silence_servers(&self, first: usize, count: usize, length: Duration) {
+        let all = self.server_links.len();
+        let silences = (first..first + count).map(|server| async move {
+            let server = server % all;
+            let (link, target) = (&self.server_links[server], FaultTarget::ServerLink(server));
+            link.update_state(|state| state.forward = LinkFlow::Hold);
+            self.break_link(link, target, LinkFault::HoldBackward, length).await;
+        });
+        self.write_version();
+        join_all(silences.collect()).await;
+    }
+
     fn choose_identity(&self, service: String) -> ServerIdentity {
         self.newest_identity.set(self.newest_identity.get() + 1);
         let name = format!("s{}", self.newest_identity.get());
--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -35,6 +35,14 @@
 const CUT_MILLIS: u64 = 8_000;
 /// Maximum percentage of the routers that are cut off at once.
 const MAX_CUT_PERCENT: usize = 60;
+/// Mean interval between two times in which servers are silent, in milliseconds.
+const MEAN_SILENCE_PAUSE_MILLIS: u64 = 12_000;
+/// Shortest and longest silence, in milliseconds. Shorter than the time after which a router gives a
+/// connection up.
+const MIN_SILENCE_MILLIS: u64 = 900;
+const MAX_SILENCE_MILLIS: u64 = 1_400;
+/// Smallest percentage of the servers that is silent at once.
+const MIN_SILENT_PERCENT: usize = 60;
 /// Largest limit, in requests per second; below what a server gets without one.
 const MAX_LIMIT: u64 = 4;
 /// One seed in so many has evacuations, and one in so many has cold servers.
@@ -121,6 +129,9 @@
         AskPauses(usize, u64),
         /// A number of routers, from one on, is cut off from all servers.
         CutRouters(usize, usize, CutKind),
+        /// A number of sound servers, from one on, is silent for about a second, and the operator writes a
+        /// new version of the declarations.
+        SilenceServers(usize, usize),
         /// The operator evacuates a failure domain.
         EvacuateDomain(usize),
         /// A server crashes and starts again under its name at once.
@@ -175,6 +186,7 @@
     faults.extend(plan_cuts(seed, size));
     faults.extend(plan_evacuations(seed, size));
     faults.extend(plan_cold_servers(seed, size));
+    faults.extend(plan_silences(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -250,6 +262,24 @@
     }
 }
 
+/// Draws the times in which servers are silent. They have random numbers of their own, too.
+fn plan_silences(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(56));
+    let mut faults = Vec::new();
+    let mut at = QUIET_START_MILLIS;
+    loop {
+        at += random.random_range(0..=2 * MEAN_SILENCE_PAUSE_MILLIS);
+        if at >= size.millis {
+            return faults;
+        }
+        let first = random.random_range(0..size.servers);
+        let fewest = size.servers * MIN_SILENT_PERCENT / 100;
+        let count = random.random_range(fewest..=size.servers);
+        let length = random.random_range(MIN_SILENCE_MILLIS..=MAX_SILENCE_MILLIS);
+        faults.push(PlannedFault { at, length, kind: FaultKind::SilenceServers(first, count) });
+    }
+}
+
 /// Draws the evacuations of failure domains. They have random numbers of their own, too.
 fn plan_evacuations(seed: u64, size: SoakSize) -> Vec<PlannedFault> {
     let mut random = StdRng::seed_from_u64(seed.rotate_left(8));
--- a/crates/catkin-soak/tests/plan.rs
+++ b/crates/catkin-soak/tests/plan.rs
@@ -17,7 +17,7 @@
     let plans: Vec<_> = (0..20).map(|seed| plan_faults(seed, SIZE)).collect();
 
     let kinds: BTreeSet<String> = plans.iter().flatten().map(|fault| word_of(fault.kind)).collect();
-    assert_eq!(kinds.len(), 26, "{kinds:?}");
+    assert_eq!(kinds.len(), 27, "{kinds:?}");
     let pairs = plans.iter().flat_map(|plan| plan.windows(2));
     let overlapping = pairs.filter(|pair| pair[0].at + pair[0].length > pair[1].at).count();
     assert!(overlapping > 500, "{overlapping}");
