Soak: callers of long streams where software is released

Streams of the soak last a third of a second, so that those which a fault breaks off have just begun. What a rule says of streams that go on could not be told from what no router can have kept yet. The callers that seeds with releases have besides now get streams of seconds, on a path of their own, with a deadline of ten seconds; the timeout of that route is twelve. All other requests are as before.

Calls of these two new kinds, long streams and resumed ones, are left out of the check of routers that are cut off, which counts what ends within five seconds: long streams that are served would be missing there, and those that are refused would not. What that check counted before, it counts still.

--- a/crates/catkin-soak/src/caller.rs
+++ b/crates/catkin-soak/src/caller.rs
@@ -29,6 +29,10 @@
 pub(crate) const KEY: &str = "soak-key";
 /// Timeout that callers send in the deadline header, in milliseconds.
 const TIMEOUT_MILLIS: u64 = 4_000;
+/// The same for long streams. It is below the timeout of their route.
+const LONG_TIMEOUT_MILLIS: u64 = 10_000;
+/// End of the path of a stream whose events are long apart, so that a fault breaks it off midway.
+pub(crate) const LONG_PATH_END: &str = "/long";
 /// Time for which callers wait beyond the deadline, so that late answers can be measured.
 const EXTRA_WAIT: Duration = Duration::from_millis(4_000);
 /// Maximum pause between two requests of a caller, in milliseconds.
@@ -87,12 +91,20 @@
     id: String,
     kind: CallKind,
     prompt: u64,
+    /// Whether it asks for a long stream.
+    is_long: bool,
     /// The request that brought the first event of the stream, if this one resumes it.
     resumes: Option<String>,
     /// Number of the last event that the caller has.
     last_event: u32,
 }
 
+impl CallerRequest {
+    const fn timeout_millis(&self) -> u64 {
+        if self.is_long { LONG_TIMEOUT_MILLIS } else { TIMEOUT_MILLIS }
+    }
+}
+
 /// A stream whose connection broke after an event, or that was refused when it was resumed.
 struct BrokenStream {
     router: usize,
@@ -115,12 +127,12 @@
     writer: OwnedWriteHalf,
 }
 
-/// Sends requests until callers are to stop: of all kinds, or only of one.
+/// Sends requests until callers are to stop: of all kinds, or only long streams that can be resumed.
 pub(crate) async fn run_caller<W: StandinWire>(
     context: Rc<SoakContext>,
     routers: Rc<Vec<SocketAddr>>,
     index: usize,
-    only: Option<CallKind>,
+    is_long: bool,
     seed: u64,
 ) {
     let seed = seed ^ (index as u64 + 1).wrapping_mul(0x9e37_79b9);
@@ -141,10 +153,10 @@
         };
         number += 1;
         let kind = CallKind::ALL[random.random_range(0..CallKind::ALL.len())];
-        let kind = only.unwrap_or(kind);
+        let kind = if is_long { CallKind::Resumable } else { kind };
         let prompt = random.random_range(0..PROMPTS);
         let id = format!("c{index}n{number}");
-        let request = CallerRequest { id, kind, prompt, resumes: None, last_event: 0 };
+        let request = CallerRequest { id, kind, prompt, is_long, resumes: None, last_event: 0 };
         let ended = send_request::<W>(&context, open, &request).await;
         connection = ended.connection;
         if let Some(broken) = ended.broken {
@@ -220,7 +232,8 @@
     let router = connection.router;
     let text = encode_request::<W>(request);
     let sent = context.now();
-    let wait = Duration::from_millis(TIMEOUT_MILLIS) + EXTRA_WAIT;
+    let timeout_millis = request.timeout_millis();
+    let wait = Duration::from_millis(timeout_millis) + EXTRA_WAIT;
     let answer = match connection.writer.write_all(text.as_bytes()).await {
         Ok(()) => timeout(wait, connection.reader.read()).await,
         Err(error) => Ok(Err(error)),
@@ -267,10 +280,11 @@
         router,
         sent,
         ended: context.now(),
-        timeout: TIMEOUT_MILLIS,
+        timeout: timeout_millis,
         outcome,
         leaving_server,
         limited_server,
+        is_long: request.is_long,
         resumes: request.resumes.clone(),
         software: events.software,
     });
@@ -285,12 +299,13 @@
     let method = if kind == CallKind::Idempotent { "GET" } else { "POST" };
     let body = if kind == CallKind::Idempotent { String::new() } else { format!("body of {id}") };
     let mut text = format!(
-        "{method} /{}/x HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {KEY}\r\n\
-         {}: {TIMEOUT_MILLIS}\r\n",
+        "{method} /{}{} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {KEY}\r\n{}: {}\r\n",
         kind.as_str(),
+        if request.is_long { LONG_PATH_END } else { "/x" },
         names.request_id,
         names.key,
         names.deadline,
+        request.timeout_millis(),
     );
     if kind.service() == CallKind::Stream.service() {
         let own = PromptPart { id: u64::MAX / 2 + prompt, tokens: 50 };
--- a/crates/catkin-soak/src/check.rs
+++ b/crates/catkin-soak/src/check.rs
@@ -462,7 +462,10 @@
         let from = call.sent.saturating_sub(bounds.fault_grace);
         let restarted =
             ledger.start_count(call.router, call.ended) != ledger.start_count(call.router, from);
-        !restarted && !ledger.is_affected(&targets, from, call.ended)
+        // A long stream that is served ends after the cut more often than one that is refused, and a
+        // stream that is resumed may have no server.
+        let is_first_try = !call.is_long && call.resumes.is_none();
+        is_first_try && !restarted && !ledger.is_affected(&targets, from, call.ended)
     };
     let is_served =
         |call: &&&CallRecord| matches!(call.outcome, CallOutcome::Answered { status: 200, .. });
--- a/crates/catkin-soak/src/ledger.rs
+++ b/crates/catkin-soak/src/ledger.rs
@@ -98,6 +98,8 @@
         pub leaving_server: Option<String>,
         /// The server whose answer named a limit.
         pub limited_server: Option<String>,
+        /// Whether it asked for a long stream.
+        pub is_long: bool,
         /// The request that began the stream which this one resumes.
         pub resumes: Option<String>,
         /// Versions of the software of the servers whose events the caller received, in an incomplete
--- a/crates/catkin-soak/src/run.rs
+++ b/crates/catkin-soak/src/run.rs
@@ -207,14 +207,14 @@
     for index in 0..count {
         let context = Rc::clone(&fleet.context);
         let addresses = Rc::clone(&addresses);
-        callers.spawn_local(run_caller::<W>(context, addresses, index, None, options.seed));
+        callers.spawn_local(run_caller::<W>(context, addresses, index, false, options.seed));
     }
-    // Where software is released, there are as many callers of streams that can be resumed.
+    // Where software is released, there are as many callers of long streams.
     let streams = if draw_has_releases(options.seed) { count..2 * count } else { 0..0 };
     for index in streams {
         let context = Rc::clone(&fleet.context);
-        let (addresses, only) = (Rc::clone(&addresses), Some(CallKind::Resumable));
-        callers.spawn_local(run_caller::<W>(context, addresses, index, only, options.seed));
+        let addresses = Rc::clone(&addresses);
+        callers.spawn_local(run_caller::<W>(context, addresses, index, true, options.seed));
     }
     callers
 }
@@ -382,7 +382,7 @@
             CallKind::Single => RouteKind::Single,
             CallKind::Stream | CallKind::Resumable => RouteKind::Streaming,
         },
-        timeout: Duration::from_secs(5),
+        timeout: Duration::from_secs(if kind == CallKind::Resumable { 12 } else { 5 }),
         target_latency: Duration::from_millis(500),
         priority: 1,
         services: vec![ServiceShare { service: kind.service().to_owned(), weight: 1 }],
--- a/crates/catkin-soak/src/server.rs
+++ b/crates/catkin-soak/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::io::AsyncWriteExt;
 
 use crate::accept::listen;
-use crate::caller::{EVENTS, encode_event};
+use crate::caller::{EVENTS, LONG_PATH_END, encode_event};
 use crate::ledger::{ArrivalRecord, CallKind, PauseRecord, ServingPeriod};
 use crate::message::{HttpMessage, MessageReader, write_answer};
 use crate::run::SoakContext;
@@ -27,8 +27,9 @@
 pub(crate) const SLOTS: u32 = 16;
 /// Maximum duration of the work on a request, in milliseconds.
 const MAX_WORK_MILLIS: u64 = 40;
-/// Maximum pause between two events of a stream, in milliseconds.
+/// Maximum pause between two events of a stream, and of a long one, in milliseconds.
 const MAX_EVENT_GAP_MILLIS: u64 = 120;
+const MAX_LONG_GAP_MILLIS: u64 = 1_200;
 /// One answer in so many is a failure of the server, status 500.
 const FAILURE_PERIOD: u32 = 60;
 
@@ -277,12 +278,14 @@
         }
         let head = format!("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
         write.write_all(head.as_bytes()).await?;
+        let is_long = path.ends_with(LONG_PATH_END);
+        let max_gap = if is_long { MAX_LONG_GAP_MILLIS } else { MAX_EVENT_GAP_MILLIS };
         let last = message.field(W::HEADERS.last_event).and_then(|text| text.parse().ok());
         for number in last.unwrap_or(0) + 1..=EVENTS {
             let event = encode_event(id, number, identity.software);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             write.write_all(chunk.as_bytes()).await?;
-            let pause = rand::rng().random_range(0..=MAX_EVENT_GAP_MILLIS);
+            let pause = rand::rng().random_range(0..=max_gap);
             sleep(Duration::from_millis(pause)).await;
         }
         write.write_all(b"0\r\n\r\n").await
--- a/crates/catkin-soak/tests/checks.rs
+++ b/crates/catkin-soak/tests/checks.rs
@@ -23,6 +23,7 @@
         outcome,
         leaving_server: None,
         limited_server: None,
+        is_long: false,
         resumes: None,
         software: BTreeSet::new(),
     }
