Let a router that stops take requests of routers that are cut off, if there is no other

Cause: a router that stops keeps serving its callers, but reported no port for requests of other routers from the first moment on. While the rest of the fleet was stopped in turn, routers that were cut off refused their callers.

Change: a router that stops reports until when its listener surely is open (until idle callers are closed) and when it exits at the latest (`stopping_help`, optional; `callers_port` stays 0, so that earlier versions send nothing). The router that stops refuses others at once, so no request of another router is cut off by its exit. `help_offer` decides without I/O.

--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -71,7 +71,8 @@
 ) -> RelayResult<W> {
     let peers = state.peers.borrow().clone();
     let service = reach_key(&call.service);
-    let helper = peers.as_ref().and_then(|peers| peers.choose_helper(state, service, tried));
+    let helper =
+        peers.as_ref().and_then(|peers| peers.choose_helper(state, service, call.deadline, tried));
     let (Some(peers), Some(helper)) = (peers, helper) else { return RelayResult::NoHelper };
     tried.insert(helper.vm);
     let deadline = call.deadline.min(Instant::now() + CONNECT_TIMEOUT);
--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -68,7 +68,14 @@
                 let RouterRecord { address, strength, .. } = record;
                 routers.insert(
                     vm,
-                    KnownRouter { address, last_heard: now, domain, strength, callers_port: 0 },
+                    KnownRouter {
+                        address,
+                        last_heard: now,
+                        domain,
+                        strength,
+                        callers_port: 0,
+                        offer: None,
+                    },
                 );
             }
             Ok(_) => {}
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -24,7 +24,7 @@
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
-//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`find_break_cause`], [`StallTable`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
+//! [`OriginBook`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`], [`find_break_cause`], [`StallTable`], [`HelpOffer`], [`choose_by_fill`], [`SpeedTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -50,6 +50,7 @@
 mod evacuation_exchange;
 mod evacuation_follower;
 mod evacuation_table;
+mod help_offer;
 mod join;
 mod limit_exchange;
 mod list_plan;
@@ -106,6 +107,7 @@
     EvacuationChange, EvacuationReport, EvacuationTable, EvacuationTimes, MAX_REPORTED_DOMAINS,
     ReadDecision,
 };
+pub use help_offer::HelpOffer;
 pub use list_plan::{ListSource, choose_asked_router, choose_list_source};
 pub use load_spread::{
     FillCost, LotTable, SpreadQuery, UnseenInput, choose_by_fill, estimate_unseen,
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -22,6 +22,7 @@
 use crate::cold_exchange::{MAX_COLD, encode_cold};
 use crate::crash_book::CrashSource;
 use crate::crash_reports::{decode_crash, decode_quarantine, encode_quarantine, encode_strike};
+use crate::help_offer::HelpOffer;
 use crate::limit_exchange::{MAX_LIMITS, decode_limit, encode_limit};
 use crate::list_plan::{ListSource, choose_asked_router, choose_list_source};
 use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads, ServiceKey};
@@ -92,6 +93,8 @@
     pub(crate) strength: u32,
     /// Port of its listener for callers; 0 if it takes no requests of other routers, or until known.
     pub(crate) callers_port: u16,
+    /// What it offers if it stops.
+    pub(crate) offer: Option<HelpOffer>,
 }
 
 /// A router that requests are passed on to.
@@ -218,6 +221,7 @@
             domain: Some(domain),
             strength: report.strength,
             callers_port: u16::try_from(report.callers_port).unwrap_or(0),
+            offer: report.stopping_help.and_then(|stated| HelpOffer::decode(now, stated)),
         };
         let lost = report.lost_services.iter().copied().map(ReachKey).collect();
         self.lost_services.borrow_mut().insert(source.vm, lost);
@@ -665,11 +669,12 @@
     }
 
     /// Chooses a router that reaches the service, in the own failure domain if at least half of it
-    /// does.
+    /// does; else one that stops, if it lasts until `deadline`.
     pub(crate) fn choose_helper<W: EntryWire>(
         &self,
         state: &EntryState<W>,
         service: ReachKey,
+        deadline: Instant,
         tried: &BTreeSet<VmId>,
     ) -> Option<CallHelper> {
         let now = state.now();
@@ -680,22 +685,31 @@
         let helps = |vm: &VmId, router: &KnownRouter| {
             let remote = large && is_remote(router.domain, state.local_domain);
             let silent_millis = if remote { REMOVAL_MILLIS } else { ALIVE_MILLIS };
-            router.callers_port != 0
-                && now.millis_since(router.last_heard) < silent_millis
+            now.millis_since(router.last_heard) < silent_millis
                 && lost.get(vm).is_none_or(|services| !services.contains(&service))
                 && failed.get(vm).is_none_or(|until| *until <= Instant::now())
                 && !tried.contains(vm)
         };
-        let helpers: Vec<_> = routers.iter().filter(|(vm, router)| helps(vm, router)).collect();
+        let (helpers, others): (Vec<_>, Vec<_>) = routers
+            .iter()
+            .filter(|(vm, router)| helps(vm, router))
+            .partition(|(_, router)| router.callers_port != 0);
         let is_near = |router: &KnownRouter| router.domain == Some(state.local_domain);
         let near = helpers.iter().copied().filter(|(_, router)| is_near(router));
         let near: Vec<_> = near.collect();
         let near_routers = routers.values().filter(|router| is_near(router)).count();
         let chosen =
             if !near.is_empty() && near.len() * 2 >= near_routers { near } else { helpers };
-        let (vm, router) = chosen.into_iter().choose(&mut rand::rng())?;
-        let address = SocketAddr::new(router.address.ip(), router.callers_port);
-        Some(CallHelper { vm: *vm, address })
+        let deadline = now.plus(deadline.saturating_duration_since(Instant::now()));
+        let offers = others.into_iter().filter_map(|(vm, router)| {
+            let offer = router.offer.filter(|offer| offer.allows(now, deadline))?;
+            Some((vm, router, offer.port))
+        });
+        let serving = chosen.into_iter().map(|(vm, router)| (vm, router, router.callers_port));
+        let mut random = rand::rng();
+        let (vm, router, port) =
+            serving.choose(&mut random).or_else(|| offers.choose(&mut random))?;
+        Some(CallHelper { vm: *vm, address: SocketAddr::new(router.address.ip(), port) })
     }
 
     /// Records that a router could not be connected to, or can't take requests.
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -36,7 +36,7 @@
 
 /// Time after the stop signal for which connections of idle callers stay open. The load balancer
 /// checks readiness once a second and removes a router after two negative answers.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
+pub(crate) const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period reserved for leaving the fleet.
 const EXIT_TIME: Duration = Duration::from_millis(600);
 /// Interval of checks whether all callers are done.
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -78,6 +78,7 @@
         domain: state.local_domain.0,
         strength: settings.strength(),
         callers_port: callers_port.into(),
+        stopping_help: state.stopping_help(),
         lost_services: reach.lost_services().map(|service| service.0).collect(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -136,11 +136,12 @@
     }
 }
 
-/// Whether the router is stopping and exits before the deadline of the request. Requests are
+/// Whether the router is stopping and exits before the deadline of the request. Callers' requests are
 /// accepted in any case until the load balancer has taken the router out.
 fn outlives_process<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
     let exit = state.exit_deadline.get();
-    state.close_idle_callers.is_cancelled() && exit.is_some_and(|exit| call.deadline > exit)
+    let may_refuse = state.close_idle_callers.is_cancelled() || call.forwarded_attempts.is_some();
+    may_refuse && exit.is_some_and(|exit| call.deadline > exit)
 }
 
 /// How a request ended.
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
+use catkin_peer::messages::StoppingHelp;
 use catkin_policy::{LimitTable, PauseTable, ReachTable};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -21,12 +22,14 @@
 use crate::crash_check::CheckTable;
 use crate::crash_reports::CrashUpdates;
 use crate::evacuation_table::EvacuationTable;
+use crate::help_offer::encode_offer;
 use crate::limit_exchange::{DemandCounter, LimitUpdates};
 use crate::load_spread::LotTable;
 use crate::load_table::LoadTable;
 use crate::origin_book::{OriginBook, StreamKey};
 use crate::outcome_book::OutcomeBook;
 use crate::peer_service::PeerService;
+use crate::process::BALANCER_DELAY;
 use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
 use crate::server_book::{ServerBook, ServerChange};
@@ -307,6 +310,14 @@
         self.stopping.get().is_some()
     }
 
+    /// What this router offers to others while it stops. It may exit early once idle callers are closed.
+    pub(crate) fn stopping_help(&self) -> Option<StoppingHelp> {
+        let (stopping, exit) = self.stopping.get().zip(self.exit_deadline.get())?;
+        let left = |until: Instant| until.saturating_duration_since(Instant::now());
+        let port = self.settings().callers.port();
+        Some(encode_offer(port, left(exit.min(stopping + BALANCER_DELAY)), left(exit)))
+    }
+
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.route_table.borrow().is_some() && !self.servers.borrow().is_empty();
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -492,6 +492,22 @@
     /// in the scope, of services without enough room
     #[prost(message, repeated, tag = "33")]
     pub team_demands: ::prost::alloc::vec::Vec<TeamDemand>,
+    /// if the sender stops; `callers_port` is 0 then
+    #[prost(message, optional, tag = "34")]
+    pub stopping_help: ::core::option::Option<StoppingHelp>,
+}
+/// For how long a router that stops takes requests of other routers.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoppingHelp {
+    /// of its listener for callers
+    #[prost(uint32, tag = "1")]
+    pub port: u32,
+    /// time from sending for which it takes requests
+    #[prost(uint32, tag = "2")]
+    pub takes_millis: u32,
+    /// time from sending after which it exits at the latest
+    #[prost(uint32, tag = "3")]
+    pub exit_millis: u32,
 }
 /// States that the sender checked a caller's request that it passes on. Sent with the request, not over the link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
