Remove a router's entry only at the revision that it wrote

Cause: a router that stops removes its entry from the store. If the store does not answer, it may execute the call seconds later (the protocol says so), and then removed the entry that the next start had written. Routers that started after that did not know of this one, and it forgot each router that left to be restarted.

Change: the deletion names the revision of the entry that this start wrote; the store refuses it if there is another. The stand-in stores check the condition. The soak's own check of guarantees is as before.

Deletions of strikes and evacuations are still without a condition.

--- a/crates/catkin-entry/src/evacuation_client.rs
+++ b/crates/catkin-entry/src/evacuation_client.rs
@@ -103,7 +103,7 @@
         let mut attempts = 0;
         loop {
             let timeout = self.timeout.current();
-            match self.client.delete(StoreKind::Evacuations, domain, timeout).await {
+            match self.client.delete(StoreKind::Evacuations, domain, None, timeout).await {
                 Ok(()) => return Ok(EvacuationWrite::Changed),
                 Err(StoreCallError::Refused(404)) => return Ok(EvacuationWrite::Unchanged),
                 Err(error) => self.check_retry(error, &mut attempts)?,
--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -13,7 +13,7 @@
 use crate::peer_service::{KnownRouter, PeerService};
 use crate::state::EntryState;
 use crate::store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
-use crate::wire::{EntryWire, RouterRecord, StoreKind, StorePage};
+use crate::wire::{EntryWire, RouterRecord, StoreKind, StorePage, StoredEntry};
 
 /// Delay after a failed attempt to join.
 const JOIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -54,7 +54,11 @@
     register_router(state, client, timeout).await.map_err(|error| error.to_string())?;
     let page = client.list(StoreKind::Routers, timeout).await;
     let page = page.map_err(|error| error.to_string())?;
-    let incarnation = find_incarnation(&page, &state.settings().vm)?;
+    let entry = find_entry(&page, &state.settings().vm)?;
+    // The point of the entry rises with every start, independently of the clock, also after the
+    // store was restored from a copy.
+    let incarnation = page.entry_point(entry).as_number();
+    state.entry_revision.set(Some(entry.revision));
     let address = state.settings().peers;
     let link = LinkSettings { vm: state.local_vm, incarnation, address, key };
     let link = UdpLink::bind(&link).await.map_err(|error| error.to_string())?;
@@ -89,13 +93,9 @@
     Ok(PeerService::new(link, routers))
 }
 
-/// Returns the point of this router's entry as its incarnation. It rises with every start,
-/// independently of the clock, also after the store was restored from a copy.
-fn find_incarnation(page: &StorePage, name: &str) -> Result<u64, String> {
+fn find_entry<'a>(page: &'a StorePage, name: &str) -> Result<&'a StoredEntry, String> {
     let found = page.entries.iter().find(|entry| entry.name == name);
-    found
-        .map(|entry| page.entry_point(entry).as_number())
-        .ok_or_else(|| format!("the store has no entry of this router, \"{name}\""))
+    found.ok_or_else(|| format!("the store has no entry of this router, \"{name}\""))
 }
 
 /// Reads the peer key of the fleet. The first router creates it.
@@ -151,12 +151,14 @@
     client.put(kind, name, &content, WriteMode::Replace(known.revision), timeout).await
 }
 
-/// Removes the entry of this router. If that fails, the entry stays until the next start of this
+/// Removes the entry of this router, but not that of a later start. If that fails, the entry stays until the next start of this
 /// router replaces it; the other routers stop counting this one after a time of silence.
 pub(crate) async fn leave_fleet<W: EntryWire>(state: &EntryState<W>) {
     let settings = state.settings();
     let mut client = StoreClient::<W>::new(settings.store);
-    if let Err(error) = client.delete(StoreKind::Routers, &settings.vm, LEAVE_TIMEOUT).await {
+    let revision = state.entry_revision.get();
+    let (kind, name) = (StoreKind::Routers, &settings.vm);
+    if let Err(error) = client.delete(kind, name, revision, LEAVE_TIMEOUT).await {
         log::info!(
             "peers: entry of this router not removed; it stays in the store until the next start. \
              error={error}"
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -168,6 +168,8 @@
     /// Signals that `list_copy` changed or that servers were listed.
     pub(crate) list_copy_change: Notify,
     pub(crate) joined: Cell<bool>,
+    /// Revision of this router's entry in the store.
+    pub(crate) entry_revision: Cell<Option<u64>>,
     pub(crate) stopping: Cell<Option<Instant>>,
     /// Whether the last call for declarations failed.
     pub(crate) store_failing: Cell<bool>,
@@ -247,6 +249,7 @@
             list_copy: RefCell::default(),
             list_copy_change: Notify::new(),
             joined: Cell::new(false),
+            entry_revision: Cell::new(None),
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
             store_answered: RefCell::default(),
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -231,14 +231,16 @@
         })
     }
 
-    /// Deletes one object.
+    /// Deletes one object, only at `revision` if that is given. The store may execute the call seconds
+    /// later, if it does not answer.
     pub async fn delete(
         &mut self,
         kind: StoreKind,
         name: &str,
+        revision: Option<u64>,
         timeout: Duration,
     ) -> Result<(), StoreCallError> {
-        let target = W::object_target(kind, name);
+        let target = W::delete_target(kind, name, revision);
         let answer = self.call("DELETE", &target, None, timeout).await?;
         check_status(answer.status)
     }
--- a/crates/catkin-entry/src/strike_store.rs
+++ b/crates/catkin-entry/src/strike_store.rs
@@ -119,7 +119,7 @@
 
     async fn remove(&mut self, name: &str) {
         let timeout = GrowingTimeout::default().current();
-        if let Err(error) = self.client.delete(StoreKind::Strikes, name, timeout).await {
+        if let Err(error) = self.client.delete(StoreKind::Strikes, name, None, timeout).await {
             log::info!(
                 "strikes: object not removed; a router that starts after it has expired removes it. \
                  name={name} \
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -193,8 +193,10 @@
     /// Returns the target of a read of one object. With `allow_stale`, the object may be seconds
     /// old.
     fn read_target(kind: StoreKind, name: &str, allow_stale: bool) -> String;
-    /// Returns the target of a write or deletion of one object.
+    /// Returns the target of a write of one object.
     fn object_target(kind: StoreKind, name: &str) -> String;
+    /// Returns the target of the deletion of one object. With `revision`, it requires that revision.
+    fn delete_target(kind: StoreKind, name: &str, revision: Option<u64>) -> String;
     /// Encodes an object to be written. With `revision`, the write requires that revision.
     fn encode_object(name: &str, revision: Option<u64>, content: &str) -> String;
     /// Decodes a list.
--- a/crates/catkin-soak/src/failed_seeds.rs
+++ b/crates/catkin-soak/src/failed_seeds.rs
@@ -16,7 +16,7 @@
 const MINUTE: u64 = 60_000;
 
 /// All failed seeds. The cause of each also has a test that does not depend on timing.
-pub const FAILED_SEEDS: [FailedSeed; 5] = [
+pub const FAILED_SEEDS: [FailedSeed; 6] = [
     FailedSeed {
         seed: 1,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
@@ -42,4 +42,9 @@
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
         cause: "routers that had not served a popular page refused it after three servers crashed",
     },
+    FailedSeed {
+        seed: 7_544,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "the store removed a router's entry late, so that no other router knew of its next start",
+    },
 ];
--- a/crates/catkin-soak/src/store.rs
+++ b/crates/catkin-soak/src/store.rs
@@ -276,7 +276,12 @@
                 self.write(*kind, name, content.clone());
                 StoreAnswer::empty(200)
             }
-            StoreCall::Delete(kind, name) => {
+            StoreCall::Delete(kind, name, revision) => {
+                let known = self.objects.get(&(*kind, name.clone()));
+                let other = known.filter(|known| revision.is_some_and(|at| at != known.revision));
+                if let Some(other) = other {
+                    return StoreAnswer::new(409, W::encode_entry(other));
+                }
                 let status = if self.remove(*kind, name) { 200 } else { 404 };
                 StoreAnswer::empty(status)
             }
--- a/crates/catkin-soak/src/wire.rs
+++ b/crates/catkin-soak/src/wire.rs
@@ -34,8 +34,8 @@
             /// Revision that the object must have, if any.
             revision: Option<u64>,
         },
-        /// Removes an object.
-        Delete(StoreKind, String),
+        /// Removes an object, at this revision if there is one.
+        Delete(StoreKind, String, Option<u64>),
     }
 }
 
