End only the evacuation that the operator saw

The command that ends an evacuation removed its entry without a condition and repeated the call if it got no answer. The store may execute the unanswered call seconds later; an evacuation that was set again in between then ended, and servers of the domain got requests.

Change: the command reads the entry and removes it at the revision that it has. That costs one read.

Evidence: `a_late_end_of_an_evacuation_does_not_end_the_next_one` found no evacuation before and passes. The other 19 process tests with "evacuat" in their name pass, once.

Conclusion: of the deletions only those of stored strikes have no condition; a late one makes a router that starts learn of a quarantine from other routers only.

--- a/crates/catkin-entry/src/evacuation_client.rs
+++ b/crates/catkin-entry/src/evacuation_client.rs
@@ -98,12 +98,21 @@
         }
     }
 
-    /// Ends the evacuation of a failure domain.
+    /// Ends the evacuation of a failure domain, but not one that is set later.
     pub async fn end(&mut self, domain: &str) -> Result<EvacuationWrite, StoreCallError> {
+        let kind = StoreKind::Evacuations;
         let mut attempts = 0;
         loop {
             let timeout = self.timeout.current();
-            match self.client.delete(StoreKind::Evacuations, domain, None, timeout).await {
+            let revision = match self.client.get(kind, domain, false, timeout).await {
+                Ok(Some(entry)) => Some(entry.revision),
+                Ok(None) => return Ok(EvacuationWrite::Unchanged),
+                Err(error) => {
+                    self.check_retry(error, &mut attempts)?;
+                    continue;
+                }
+            };
+            match self.client.delete(kind, domain, revision, timeout).await {
                 Ok(()) => return Ok(EvacuationWrite::Changed),
                 Err(StoreCallError::Refused(404)) => return Ok(EvacuationWrite::Unchanged),
                 Err(error) => self.check_retry(error, &mut attempts)?,
