Write a router's entry again after a restore of the store lost it

Cause: after a restore from a copy of before a router's start the store has no entry of it. Operators and servers write theirs again, routers did not.

Change: when a follower finds the store restored, the router reads its own entry after a random delay of up to two seconds, and writes it if it is missing. It retries until it knows.

Evidence: `a_router_writes_its_entry_again_after_a_restore_without_it` timed out with the signal taken out and passes; five process tests with "entry" in their names pass, once each.

Conclusion: an entry can be lost by a restore only until the restore is noticed.

--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -7,7 +7,7 @@
 
 use catkin_base::{DomainId, VmId, digest_hex};
 use catkin_peer::{LinkSettings, PeerKey, UdpLink};
-use rand::RngCore;
+use rand::{Rng, RngCore};
 use tokio::time::sleep;
 
 use crate::peer_service::{KnownRouter, PeerService};
@@ -17,6 +17,9 @@
 
 /// Delay after a failed attempt to join.
 const JOIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Maximum delay of the check of this router's entry after a restore of the store, so that not all routers
+/// make it at once.
+const MAX_RESTORE_DELAY: Duration = Duration::from_millis(2_000);
 /// Maximum wait for the answer of the store when the router leaves.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Name of the object that holds the peer key.
@@ -129,16 +132,8 @@
     client: &mut StoreClient<W>,
     timeout: Duration,
 ) -> Result<(), StoreCallError> {
-    let settings = state.settings();
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let record = RouterRecord {
-        address: settings.peers,
-        started_unix_micros: unix.unwrap_or(Duration::ZERO).as_micros() as u64,
-        domain: Some(settings.domain.clone()),
-        strength: settings.strength(),
-    };
-    let (kind, name) = (StoreKind::Routers, &settings.vm);
-    let content = W::encode_router(&record);
+    let content = encode_entry(state);
+    let (kind, name) = (StoreKind::Routers, &state.settings().vm);
     // Most starts find no entry, since a router removes its entry when it stops.
     let known = match client.put(kind, name, &content, WriteMode::Create, timeout).await {
         Err(StoreCallError::Conflict(Some(known))) => known,
@@ -151,6 +146,51 @@
     client.put(kind, name, &content, WriteMode::Replace(known.revision), timeout).await
 }
 
+fn encode_entry<W: EntryWire>(state: &EntryState<W>) -> String {
+    let settings = state.settings();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let record = RouterRecord {
+        address: settings.peers,
+        started_unix_micros: unix.unwrap_or(Duration::ZERO).as_micros() as u64,
+        domain: Some(settings.domain.clone()),
+        strength: settings.strength(),
+    };
+    W::encode_router(&record)
+}
+
+/// Writes the entry of this router again whenever the store was restored from a copy without it. Routers
+/// that start later would not know of this one.
+pub(crate) async fn keep_entry<W: EntryWire>(state: &EntryState<W>) {
+    loop {
+        state.store_restored.notified().await;
+        sleep(rand::rng().random_range(Duration::ZERO..=MAX_RESTORE_DELAY)).await;
+        let mut client = StoreClient::new(state.settings().store);
+        let mut timeout = GrowingTimeout::default();
+        while let Err(error) = restore_entry(state, &mut client, timeout.current()).await {
+            log::info!("peers: entry of this router not checked; retrying. error={error}");
+            client.reset();
+            timeout.grow();
+            sleep(JOIN_RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn restore_entry<W: EntryWire>(
+    state: &EntryState<W>,
+    client: &mut StoreClient<W>,
+    timeout: Duration,
+) -> Result<(), StoreCallError> {
+    let (kind, name) = (StoreKind::Routers, &state.settings().vm);
+    let mut found = client.get(kind, name, false, timeout).await?;
+    if found.is_none() {
+        client.put(kind, name, &encode_entry(state), WriteMode::Create, timeout).await?;
+        log::info!("peers: entry of this router was missing; written again.");
+        found = client.get(kind, name, false, timeout).await?;
+    }
+    state.entry_revision.set(found.map(|entry| entry.revision));
+    Ok(())
+}
+
 /// Removes the entry of this router, but not that of a later start. If that fails, the entry stays until the next start of this
 /// router replaces it; the other routers stop counting this one after a time of silence.
 pub(crate) async fn leave_fleet<W: EntryWire>(state: &EntryState<W>) {
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -21,7 +21,7 @@
 use crate::cache_loader::load_cache_index;
 use crate::caller::serve_connection;
 use crate::evacuation_follower::follow_evacuations;
-use crate::join::{join_fleet, leave_fleet};
+use crate::join::{join_fleet, keep_entry, leave_fleet};
 use crate::load_table::ServiceKey;
 use crate::logging::start_logging;
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
@@ -284,6 +284,7 @@
             service.request_server_list(&state),
             service.answer_list_requests(&state),
             service.query_origins(&state),
+            keep_entry(&state),
         );
     };
     tokio::select! {
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -170,6 +170,8 @@
     pub(crate) joined: Cell<bool>,
     /// Revision of this router's entry in the store.
     pub(crate) entry_revision: Cell<Option<u64>>,
+    /// Signals that the store was restored from a copy.
+    pub(crate) store_restored: Notify,
     pub(crate) stopping: Cell<Option<Instant>>,
     /// Whether the last call for declarations failed.
     pub(crate) store_failing: Cell<bool>,
@@ -250,6 +252,7 @@
             list_copy_change: Notify::new(),
             joined: Cell::new(false),
             entry_revision: Cell::new(None),
+            store_restored: Notify::new(),
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
             store_answered: RefCell::default(),
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -279,6 +279,7 @@
             self.kind
         );
         metrics::counter!("catkin_entry_store_restores_total").increment(1);
+        self.state.store_restored.notify_one();
         self.client.reset();
         self.point = None;
         // Live servers that are missing from the copy register again.
