--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -282,8 +282,8 @@
         let name = state.local_vm.to_string();
         let others = page.records.iter().filter(|(other, ..)| *other != name);
         let expired = others.filter(|(_, _, record)| is_expired(record)).take(MAX_REMOVED);
-        for (other, ..) in expired {
-            client.delete(KIND, other, timeout).await?;
+        for (other, revision, _) in expired {
+            client.delete(KIND, other, Some(*revision), timeout).await?;
         }
         let (versions_revision, versions) = page.versions.unzip();
         let versions = versions.flatten().map(|record| record.services);
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -21,7 +21,7 @@
 use crate::cache_loader::load_cache_index;
 use crate::caller::serve_connection;
 use crate::evacuation_follower::follow_evacuations;
-use crate::join::{join_fleet, leave_fleet};
+use crate::join::{join_fleet, keep_entry, leave_fleet};
 use crate::load_table::ServiceKey;
 use crate::logging::start_logging;
 use crate::origin_store::{read_origins, write_origins};
@@ -36,7 +36,7 @@
 
 /// Time after the stop signal for which connections of idle callers stay open. The load balancer
 /// checks readiness once a second and removes a router after two negative answers.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
+pub(crate) const BALANCER_DELAY: Duration = Duration::from_millis(2_600);
 /// Part of the grace period reserved for leaving the fleet.
 const EXIT_TIME: Duration = Duration::from_millis(600);
 /// Interval of checks whether all callers are done.
@@ -285,6 +285,7 @@
             service.query_origins(&state),
             read_origins(&state),
             write_origins(&state, &service),
+            keep_entry(&state),
         );
     };
     tokio::select! {
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
+use catkin_peer::messages::StoppingHelp;
 use catkin_policy::{LimitTable, PauseTable, ReachTable};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -21,6 +22,7 @@
 use crate::crash_check::CheckTable;
 use crate::crash_reports::CrashUpdates;
 use crate::evacuation_table::EvacuationTable;
+use crate::help_offer::encode_offer;
 use crate::limit_exchange::{DemandCounter, LimitUpdates};
 use crate::load_spread::LotTable;
 use crate::load_table::LoadTable;
@@ -28,6 +30,7 @@
 use crate::origin_store::OriginAccess;
 use crate::outcome_book::OutcomeBook;
 use crate::peer_service::PeerService;
+use crate::process::BALANCER_DELAY;
 use crate::relay_plan::MAX_SMALL_FLEET;
 use crate::route_table::RouteTable;
 use crate::server_book::{ServerBook, ServerChange};
@@ -165,6 +168,10 @@
     /// Signals that `list_copy` changed or that servers were listed.
     pub(crate) list_copy_change: Notify,
     pub(crate) joined: Cell<bool>,
+    /// Revision of this router's entry in the store.
+    pub(crate) entry_revision: Cell<Option<u64>>,
+    /// Signals that the store was restored from a copy.
+    pub(crate) store_restored: Notify,
     pub(crate) stopping: Cell<Option<Instant>>,
     /// Whether the last call for declarations failed.
     pub(crate) store_failing: Cell<bool>,
@@ -248,6 +255,8 @@
             list_copy: RefCell::default(),
             list_copy_change: Notify::new(),
             joined: Cell::new(false),
+            entry_revision: Cell::new(None),
+            store_restored: Notify::new(),
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
             store_answered: RefCell::default(),
@@ -304,6 +313,14 @@
         self.stopping.get().is_some()
     }
 
+    /// What this router offers to others while it stops. It may exit early once idle callers are closed.
+    pub(crate) fn stopping_help(&self) -> Option<StoppingHelp> {
+        let (stopping, exit) = self.stopping.get().zip(self.exit_deadline.get())?;
+        let left = |until: Instant| until.saturating_duration_since(Instant::now());
+        let port = self.settings().callers.port();
+        Some(encode_offer(port, left(exit.min(stopping + BALANCER_DELAY)), left(exit)))
+    }
+
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.route_table.borrow().is_some() && !self.servers.borrow().is_empty();
--- a/crates/catkin-soak/src/failed_seeds.rs
+++ b/crates/catkin-soak/src/failed_seeds.rs
@@ -16,7 +16,7 @@
 const MINUTE: u64 = 60_000;
 
 /// All failed seeds. The cause of each also has a test that does not depend on timing.
-pub const FAILED_SEEDS: [FailedSeed; 7] = [
+pub const FAILED_SEEDS: [FailedSeed; 8] = [
     FailedSeed {
         seed: 1,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
@@ -52,4 +52,9 @@
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
         cause: "streams resumed after the end of all routers were refused or joined from two versions",
     },
+    FailedSeed {
+        seed: 7_544,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "the store removed a router's entry late, so that no other router knew of its next start",
+    },
 ];
