Policy for servers that fall over when they decline requests

BrittleTable decides, without I/O, when a router may send to a server that says it is brittle: in place of a request of its own that just ended, else within its share of the slots that seem free, by lot, once a round of reports; after a decline all routers leave free slots alone for a second and count on less room.

--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod admission;
 mod backoff;
 mod bound;
+mod brittle_server;
 mod cold_server;
 mod decision;
 mod dispatch;
@@ -69,6 +70,7 @@
 pub use admission::{RoomCause, RoomRefusal, RoomRequest, RoomVerdict, ServiceRoom};
 pub use backoff::BackoffPlan;
 pub use bound::admission_bound;
+pub use brittle_server::{BrittleRoom, BrittleStatement, BrittleTable};
 pub use cold_server::{ColdShare, ColdTable};
 pub use grant::{
     GrantAnswer, GrantAsk, GrantAudit, GrantExport, GrantRefusal, GrantRelease, GrantResult,
