Keep brittle servers from falling over: read Server-Brittle and share their room

Servers that say Server-Brittle fell whenever routers had more requests than they have room for: each router goes by its own view of the load, so that all of them fill the same free slot. The field was not read.

It is read from each head like a limit, kept by incarnation, told to peers with its age, sent to routers that start, and applied in the one selection. Declines are reported too. An older build ignores the new rows (EntryReport.brittle, tag 40), and nothing changes for servers without the field.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -165,7 +165,8 @@
     tried: &BTreeSet<ServerId>,
 ) -> Option<Instant> {
     let is_unlimited = state.limits.borrow().is_empty() && state.cold.borrow().table.is_empty();
-    if is_unlimited && state.pauses.borrow().is_empty() {
+    let is_sturdy = state.brittle.borrow().is_empty();
+    if is_unlimited && is_sturdy && state.pauses.borrow().is_empty() {
         return None;
     }
     let now = state.now();
@@ -174,6 +175,7 @@
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
+    let room_share = state.compute_room_share(&call.service);
     let servers = state.servers.borrow();
     let untried = state
         .usable_servers(&servers, &call.service)
@@ -183,7 +185,8 @@
         let cold = cold_share
             .as_ref()
             .map_or(0, |share| cold.table.wait_millis(now, known.server, &share(known.server)));
-        credit.max(cold).max(pauses.wait_millis(now, known.server))
+        let room = state.brittle_wait(known, room_share.as_ref());
+        credit.max(cold).max(room).max(pauses.wait_millis(now, known.server))
     });
     let wait = waits.filter(|millis| *millis > 0).min()?;
     Some(Instant::now() + Duration::from_millis(wait).clamp(MIN_OPENING_WAIT, MAX_OPENING_WAIT))
@@ -262,6 +265,7 @@
         let mut cold = state.cold.borrow_mut();
         cold.table.record_send(now, selection.server, &share(selection.server));
     }
+    state.brittle.borrow_mut().record_send(now, selection.server);
     state.pauses.borrow_mut().record_send(now, selection.server);
     let servers = state.servers.borrow();
     let source = |server| servers.get(server).map(|known| (server, known.record.address));
@@ -352,9 +356,11 @@
     let cold_share = state.compute_cold_share(&call.service);
     let mut cold = state.cold.borrow_mut();
     let mut kept_away = 0;
+    let mut lacking_room = 0;
     let mut limits = state.limits.borrow_mut();
     let pauses = state.pauses.borrow();
     let share = state.compute_limit_share(&call.service);
+    let room_share = state.compute_room_share(&call.service);
     let usable = state
         .usable_servers(&servers, &call.service)
         .filter(|known| !tried.contains(&known.server));
@@ -370,6 +376,9 @@
             .as_ref()
             .is_some_and(|share| cold.table.wait_millis(now, server, &share(server)) > 0);
         kept_away += u32::from(is_too_cold);
+        let is_brittle = state.is_brittle(server, room_share.as_ref());
+        let has_no_room = state.brittle_wait(known, room_share.as_ref()) > 0;
+        lacking_room += u32::from(has_no_room);
         let load = loads.total_load(server);
         ServerCandidate {
             server,
@@ -380,7 +389,7 @@
             cached_tokens: cached_by_server.get(&server).copied().unwrap_or(0),
             slow_factor: speeds.slow_factor(now, server),
             software: known.software,
-            is_restricted: names_limit || is_cold || is_paused,
+            is_restricted: names_limit || is_cold || is_paused || is_brittle,
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
@@ -388,7 +397,7 @@
                 CandidateState::OtherVersion
             } else if is_paused {
                 CandidateState::Paused
-            } else if is_used_up || is_too_cold {
+            } else if is_used_up || is_too_cold || has_no_room {
                 CandidateState::Limited
             } else if outcomes.is_unreachable(now, server) {
                 CandidateState::Unreachable
@@ -406,6 +415,9 @@
     });
     let mut candidates: Vec<ServerCandidate> = usable.chain(sources).map(candidate).collect();
     apply_statements(state, now, &call.service, &mut candidates);
+    if lacking_room > 0 {
+        metrics::counter!("catkin_entry_brittle_kept_away_total").increment(1);
+    }
     if kept_away > 0 {
         log::info!(
             "call: cold servers take no more requests now; using others. request={} servers={kept_away}",
--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -339,6 +339,9 @@
         if read.is_ok() {
             connection.release(head.fields.text("keep-alive"));
         }
+        if failure == AttemptFailure::Declined {
+            state.record_brittle_decline(assigned.slot.server, call.id_text());
+        }
         if failure == AttemptFailure::Misdirected {
             state.pool.borrow_mut().drop_idle_to(assigned.slot.server);
         }
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -18,7 +18,7 @@
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
 //!    `cache_sync` and `cache_loader` load the `cache_index` after a start, `origin_exchange` shares
-//!    where streams began, `limit_exchange` the limits that servers name, `evacuation_exchange` the evacuated domains,
+//!    where streams began, `limit_exchange` the limits that servers name, `brittle_exchange` servers that fall over, `evacuation_exchange` the evacuated domains,
 //!    `speed_exchange` how slow servers state to be, `cold_exchange` which of them are cold.
 //!
 //! Decisions are made in modules without I/O: [`RouteTable`], [`ServerBook`], [`LoadTable`],
@@ -31,6 +31,7 @@
 mod answer_forwarder;
 mod assign;
 mod attempt;
+mod brittle_exchange;
 mod budget_book;
 mod cache_index;
 mod cache_loader;
--- a/crates/catkin-entry/src/limit_exchange.rs
+++ b/crates/catkin-entry/src/limit_exchange.rs
@@ -142,7 +142,8 @@
         let cold = self.cold.borrow();
         let rooms = self.rooms.borrow();
         let short: BTreeSet<&str> = rooms.short_services(now).collect();
-        if limits.is_empty() && cold.table.is_empty() && short.is_empty() {
+        let brittle = self.brittle.borrow();
+        if limits.is_empty() && cold.table.is_empty() && brittle.is_empty() && short.is_empty() {
             return self.loads.borrow_mut().set_local_rates(BTreeMap::new(), BTreeMap::new());
         }
         // A server that is cold and names a limit is in both tables, with the same requests.
@@ -151,6 +152,7 @@
         let sends = sends.filter(|(_, sends)| *sends > 0).collect();
         let servers = self.servers.borrow();
         let limited = limits.statements().map(|statement| statement.server);
+        let limited = limited.chain(brittle.statements().map(|statement| statement.server));
         let limited = limited.chain(cold.table.recent_sends(now).map(|(server, _)| server));
         let limited = limited.filter_map(|server| servers.get(server));
         let mut services: BTreeSet<&str> =
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -18,6 +18,7 @@
 use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::brittle_exchange::{BrittleRow, MAX_BRITTLE, encode_brittle};
 use crate::cache_index::CachedPart;
 use crate::cold_exchange::{MAX_COLD, encode_cold};
 use crate::crash_book::CrashSource;
@@ -298,6 +299,11 @@
                 updates.borrow_mut().limits.push(statement);
             }
         }
+        for row in state.apply_brittle_report(report, &source.vm.to_string()) {
+            if let Some(updates) = relayed {
+                updates.borrow_mut().brittle.push(row);
+            }
+        }
         for (server, until) in state.apply_cold_report(report, &source.vm.to_string()) {
             if let Some(updates) = relayed {
                 updates.borrow_mut().cold.push(server, until);
@@ -336,6 +342,7 @@
                 self.send_strikes(state, source);
                 self.send_leave_statements(state, source);
                 self.send_limits(state, source);
+                self.send_brittle_servers(state, source);
                 self.send_cold_servers(state, source);
             }
         }
@@ -389,6 +396,17 @@
         }
     }
 
+    /// Sends the servers that are brittle to a router that starts, or that was silent.
+    fn send_brittle_servers<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
+        let now = state.now();
+        let rows: Vec<_> = state.brittle.borrow().statements().map(BrittleRow::from).collect();
+        for batch in rows.chunks(MAX_BRITTLE).take(MAX_JOIN_REPORTS) {
+            let mut report = build_status(state);
+            report.brittle = batch.iter().map(|row| encode_brittle(now, row)).collect();
+            self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(report)));
+        }
+    }
+
     /// Sends the servers that are cold to a router that starts, or that was silent.
     fn send_cold_servers<W: EntryWire>(&self, state: &EntryState<W>, source: &MessageSource) {
         let now = state.now();
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -252,6 +252,8 @@
     metrics::gauge!("catkin_entry_quarantined_parts").set(quarantined as f64);
     let limited = state.limits.borrow().statements().count();
     metrics::gauge!("catkin_entry_limited_servers").set(limited as f64);
+    let brittle = state.brittle.borrow().statements().count();
+    metrics::gauge!("catkin_entry_brittle_servers").set(brittle as f64);
     let cold = state.cold.borrow().table.count(state.now());
     metrics::gauge!("catkin_entry_cold_servers").set(cold as f64);
     let paused = state.pauses.borrow().count(state.now());
@@ -345,6 +347,7 @@
     state.stated_speeds.borrow_mut().remove_expired(now);
     let servers = state.servers.borrow();
     state.limits.borrow_mut().remove_expired(now, |server| servers.get(server).is_some());
+    state.brittle.borrow_mut().remove_expired(now, |server| servers.get(server).is_some());
     state.pauses.borrow_mut().remove_expired(now);
     let listed: BTreeSet<ReachKey> =
         servers.iter().map(|known| reach_key(&known.record.service)).collect();
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -36,6 +36,7 @@
     updates.loads_changed
         || updates.send_now
         || !updates.limits.is_empty()
+        || !updates.brittle.is_empty()
         || !updates.cold.is_empty()
         || !updates.cached_parts.is_empty()
         || !updates.crashes.is_empty()
@@ -125,6 +126,7 @@
     relayed.stated_speeds.extend(statements.iter().map(|row| (row.server, *row)));
     updates.crashes.fill_report(state.now(), &mut report, Some(&mut relayed.crashes));
     updates.limits.fill_report(state.now(), &mut report, Some(&mut relayed.limits));
+    updates.brittle.fill_report(state.now(), &mut report, Some(&mut relayed.brittle));
     updates.cold.fill_report(state.now(), &mut report, Some(&mut relayed.cold));
     let until = state.now().plus_millis(PEER_FACTOR_MILLIS);
     for row in &report.slow {
@@ -215,6 +217,7 @@
     first.outcomes.extend(updates.ejected.keys().map(|server| ejected_count(*server)));
     updates.crashes.fill_report(now, first, None);
     updates.limits.fill_report(now, first, None);
+    updates.brittle.fill_report(now, first, None);
     fill_relayed_speeds(now, updates, first);
     updates.cold.fill_report(now, first, None);
     reports
--- a/crates/catkin-entry/src/server_notice.rs
+++ b/crates/catkin-entry/src/server_notice.rs
@@ -53,6 +53,8 @@
         /// It leaves.
         pub(crate) leaving: bool,
         pub(crate) limit: LimitNotice,
+        /// Requests that it may turn away in a second before it falls over.
+        pub(crate) brittle: LimitNotice,
         pub(crate) pause: PauseNotice,
         /// How long work takes there, in percent of the usual time.
         pub(crate) speed_percent: Option<u32>,
@@ -77,11 +79,13 @@
     let names = &W::HEADERS;
     let leaving = head.fields.values(names.leaving).any(|value| value.trim_ascii() == b"1");
     let limit = head.fields.values(names.limit).next();
+    let brittle = head.fields.values(names.brittle).next();
     let pause = head.fields.values(RETRY_AFTER).next().filter(|_| head.status == UNAVAILABLE);
     let cold = head.fields.values(names.cold).next();
     ServerNotice {
         leaving,
         limit: limit.map_or(LimitNotice::Absent, read_limit),
+        brittle: brittle.map_or(LimitNotice::Absent, read_limit),
         pause: pause.map_or(PauseNotice::Absent, read_pause),
         speed_percent: head.fields.values(names.load).next().and_then(read_stated_speed),
         cold_millis: cold.and_then(read_decimal).map_or(0, |millis| millis as u32),
@@ -131,6 +135,7 @@
         if notice.cold_millis > 0 {
             self.record_cold(server, notice.cold_millis.into(), request);
         }
+        self.record_brittle_notice(server, notice.brittle, source, request);
         let (rate, stated) = match (notice.limit, source) {
             (LimitNotice::Named(rate), NoticeSource::Answer(_)) => (Some(rate), self.now()),
             (LimitNotice::Named(rate), NoticeSource::Other(sent)) => (Some(rate), sent),
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use catkin_base::{ClockTime, DomainId, ServerId, VmId};
-use catkin_policy::{LimitTable, PauseTable, ReachTable};
+use catkin_policy::{BrittleTable, LimitTable, PauseTable, ReachTable};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::brittle_exchange::BrittleUpdates;
 use crate::budget_book::BudgetBook;
 use crate::cache_index::{CacheIndex, CachedPart};
 use crate::cache_sync::CacheSync;
@@ -61,6 +62,7 @@
     pub(crate) parts_to_repeat: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
     pub(crate) limits: LimitUpdates,
+    pub(crate) brittle: BrittleUpdates,
     /// What servers stated of their speed to this router since its last report.
     pub(crate) stated_speeds: BTreeMap<ServerId, SpeedStatement>,
     pub(crate) cold: ColdUpdates,
@@ -76,6 +78,7 @@
     pub(crate) cached_parts: Vec<CachedPart>,
     pub(crate) crashes: CrashUpdates,
     pub(crate) limits: LimitUpdates,
+    pub(crate) brittle: BrittleUpdates,
     pub(crate) cold: ColdUpdates,
     /// Servers that routers ejected, and until when the ejection counts.
     pub(crate) ejected: BTreeMap<ServerId, ClockTime>,
@@ -120,6 +123,8 @@
     pub(crate) lots: RefCell<LotTable>,
     pub(crate) budgets: RefCell<BudgetBook>,
     pub(crate) limits: RefCell<LimitTable>,
+    /// Servers that fall over when they have to decline requests.
+    pub(crate) brittle: RefCell<BrittleTable>,
     /// Servers that are cold or may be.
     pub(crate) cold: RefCell<ColdWatch>,
     /// Servers that asked this router for a pause.
@@ -216,6 +221,7 @@
             lots: RefCell::default(),
             budgets: RefCell::new(budgets),
             limits: RefCell::new(LimitTable::new(local_vm.0)),
+            brittle: RefCell::new(BrittleTable::new(local_vm.0)),
             cold: RefCell::new(ColdWatch::new(local_vm.0)),
             pauses: RefCell::new(PauseTable::new(local_vm.0)),
             reach: RefCell::default(),
@@ -342,6 +348,7 @@
         self.speeds.borrow_mut().remove_server(server);
         self.stated_speeds.borrow_mut().remove_server(server);
         self.limits.borrow_mut().remove_server(server);
+        self.brittle.borrow_mut().remove_server(server);
         self.cold.borrow_mut().remove_server(server);
         self.pauses.borrow_mut().remove_server(server);
         self.pool.borrow_mut().drop_idle_to(server);
@@ -422,6 +429,7 @@
     fn drop(&mut self) {
         self.mark_prefilled();
         self.state.loads.borrow_mut().close(self.server);
+        self.state.brittle.borrow_mut().record_end(self.state.now(), self.server);
         self.state.updates.borrow_mut().loads_changed = true;
         self.state.wake_for_room();
     }
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -37,6 +37,9 @@
     pub leaving: &'static str,
     /// Requests per second that a server takes from all routers together, a decimal number.
     pub limit: &'static str,
+    /// Requests that a server may turn away in a second for want of room before it falls over, a decimal
+    /// number.
+    pub brittle: &'static str,
     /// The load of a server: running requests, waiting requests, slots and, where it is stated, how
     /// long work takes there now in percent of the usual time.
     pub load: &'static str,
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -492,6 +492,8 @@
     /// in the scope, of services without enough room
     #[prost(message, repeated, tag = "33")]
     pub team_demands: ::prost::alloc::vec::Vec<TeamDemand>,
+    #[prost(message, repeated, tag = "40")]
+    pub brittle: ::prost::alloc::vec::Vec<BrittleServer>,
 }
 /// States that the sender checked a caller's request that it passes on. Sent with the request, not over the link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -525,6 +527,22 @@
     #[prost(uint32, tag = "4")]
     pub age_millis: u32,
 }
+/// What a server said of how many requests it can turn away, or the end of that.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BrittleServer {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub declines_per_thousand_seconds: u32,
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
+    /// time since the server said so
+    #[prost(uint32, tag = "4")]
+    pub age_millis: u32,
+    /// time since it declined a request
+    #[prost(uint32, optional, tag = "5")]
+    pub decline_age_millis: ::core::option::Option<u32>,
+}
 /// Recent requests of callers for a service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceDemand {
