--- a/crates/catkin-policy/src/brittle_server.rs
+++ b/crates/catkin-policy/src/brittle_server.rs
@@ -22,10 +22,10 @@
 /// Time for which a router may send a request in place of one that ended, in milliseconds.
 const KEPT_SLOT_MILLIS: u64 = 100;
 /// Limits of the time in which a router takes its part of the free slots, in milliseconds.
-const MIN_ROUND_MILLIS: u64 = 60;
+const MIN_ROUND_MILLIS: u64 = 80;
 const MAX_ROUND_MILLIS: u64 = 400;
 /// Ages of reports that this time spans.
-const REPORT_AGES: f64 = 2.0;
+const REPORT_AGES: f64 = 1.4;
 /// Part of the free slots that all routers take in that time: this times the declines that the server bears,
 /// within limits.
 const TAKEN_PART: f64 = 0.2;
