--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -495,6 +495,8 @@
     /// if the sender stops; `callers_port` is 0 then
     #[prost(message, optional, tag = "34")]
     pub stopping_help: ::core::option::Option<StoppingHelp>,
+    #[prost(message, repeated, tag = "35")]
+    pub brittle: ::prost::alloc::vec::Vec<BrittleServer>,
     /// the sender writes to the store where streams began, if it is chosen to
     #[prost(bool, tag = "40")]
     pub stores_origins: bool,
@@ -547,6 +549,22 @@
     #[prost(uint32, tag = "4")]
     pub age_millis: u32,
 }
+/// What a server said of how many requests it can turn away, or the end of that.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct BrittleServer {
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    #[prost(uint32, tag = "2")]
+    pub declines_per_thousand_seconds: u32,
+    #[prost(bool, tag = "3")]
+    pub ended: bool,
+    /// time since the server said so
+    #[prost(uint32, tag = "4")]
+    pub age_millis: u32,
+    /// time since it declined a request
+    #[prost(uint32, optional, tag = "5")]
+    pub decline_age_millis: ::core::option::Option<u32>,
+}
 /// Recent requests of callers for a service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceDemand {
