Round the wait for the end of a pause up

What callers see: a request that waits for the end of a server's pause was at times assigned to it in the last millisecond, found the pause in force before it was sent, counted the server as tried and had none left.

Cause: the wait was cut to whole milliseconds, so it was over while the pause was not.

Evidence: found by a_resumed_stream_that_waits_never_goes_on_at_a_version_that_appears, which failed once in a run of all process tests (fault=Withdrawn at the end of the wait, by the kept log). no_request_is_due_while_a_pause_is_in_force failed before and passes.

--- a/crates/catkin-policy/src/server_pause.rs
+++ b/crates/catkin-policy/src/server_pause.rs
@@ -63,11 +63,13 @@
         self.by_server.get(&server).is_some_and(|pause| now < pause.until)
     }
 
-    /// Time until a request may be sent to a server, in milliseconds; zero if one may be sent now.
+    /// Time until a request may be sent to a server, in milliseconds, rounded up; zero if one may be sent
+    /// now.
     pub fn wait_millis(&self, now: ClockTime, server: ServerId) -> u64 {
         let Some(pause) = self.by_server.get(&server) else { return 0 };
         let trial_end = pause.trial.map(|sent| sent.plus_millis(TRIAL_MILLIS));
-        pause.until.max(trial_end.unwrap_or_default()).millis_since(now)
+        let wait = pause.until.max(trial_end.unwrap_or_default()).since(now);
+        wait.as_nanos().div_ceil(1_000_000) as u64
     }
 
     /// Records that a request is sent to a server. The first one after a pause is its trial.
--- a/crates/catkin-policy/tests/server_pauses.rs
+++ b/crates/catkin-policy/tests/server_pauses.rs
@@ -140,3 +140,18 @@
 
     assert!(table.is_empty());
 }
+
+/// Guards against a request that is assigned to a server in the last millisecond of its pause, is not sent since
+/// the pause is in force, and has no server left then.
+#[test]
+fn no_request_is_due_while_a_pause_is_in_force() {
+    for router in 0..ROUTERS {
+        let table = paused_table(router);
+        let mut micros = 1_900_000;
+        while table.is_paused(ASKED.plus(Duration::from_micros(micros)), SERVER) {
+            let now = ASKED.plus(Duration::from_micros(micros));
+            assert!(table.wait_millis(now, SERVER) > 0, "router {router}, {micros} us");
+            micros += 100;
+        }
+    }
+}
