--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -28,9 +28,9 @@
 /// `TCP_USER_TIMEOUT`: time without acknowledgement of sent data that breaks the connection, in
 /// milliseconds. It also replaces the number of keep-alive probes. A sound server may be unreachable for a
 /// second or so, so three probes must be lost before it is over.
-const USER_TIMEOUT_MILLIS: u32 = 4_500;
+const USER_TIMEOUT_MILLIS: u32 = 3_500;
 /// Idle time before the first TCP keep-alive probe, and time between probes, in seconds.
-const KEEP_ALIVE_IDLE_SECONDS: u64 = 2;
+const KEEP_ALIVE_IDLE_SECONDS: u64 = 1;
 const KEEP_ALIVE_PROBE_SECONDS: u64 = 1;
 /// Number of probes; counts only where there is no `TCP_USER_TIMEOUT`.
 const KEEP_ALIVE_PROBES: u32 = 3;
