--- a/crates/catkin-soak/src/failed_seeds.rs
+++ b/crates/catkin-soak/src/failed_seeds.rs
@@ -16,7 +16,7 @@
 const MINUTE: u64 = 60_000;
 
 /// All failed seeds. The cause of each also has a test that does not depend on timing.
-pub const FAILED_SEEDS: [FailedSeed; 6] = [
+pub const FAILED_SEEDS: [FailedSeed; 8] = [
     FailedSeed {
         seed: 1,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
@@ -42,6 +42,17 @@
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
         cause: "routers that had not served a popular page refused it after three servers crashed",
     },
+    FailedSeed {
+        seed: 7_513,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "other routers knew the team by another name, and did not know of a router whose entry a \
+                restore had lost",
+    },
+    FailedSeed {
+        seed: 7_536,
+        size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
+        cause: "other routers knew the team by another name; the rest was not traced",
+    },
     FailedSeed {
         seed: 7_544,
         size: SoakSize { routers: 12, servers: 8, millis: MINUTE },
