--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -358,8 +358,8 @@
     ServedCall::Refused(Refusal { cause: RefusalCause::Quarantined, ran: progress.ran })
 }
 
-/// Finds the software version at which a stream that the request resumes must go on; `None` if any
-/// will do. Asks other routers if this one does not know where the stream began.
+/// Finds the software version at which the stream that the request resumes must go on; `None` if it
+/// resumes none. Asks other routers and the store if this router is not sure where the stream began.
 async fn find_resumed_software<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
