--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -118,7 +118,8 @@
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
 pub use origin_book::{
-    OriginBook, ResumeChoice, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers,
+    OriginBook, ResumeChoice, ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers,
+    choose_keepers,
 };
 pub use origin_plan::{OriginPlan, OriginWrite, WriterCandidate, choose_origin_writer};
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -33,6 +33,9 @@
     pub struct SoftwareKey(pub u64);
 }
 
+/// Software versions by service.
+pub type ServiceVersions = BTreeMap<String, BTreeSet<SoftwareKey>>;
+
 copy_type! {
     /// Where a stream may go on.
     pub enum ResumeChoice {
@@ -54,7 +57,7 @@
     /// The store has none, since the routers before wrote none.
     Unstored,
     /// What the store has, by service.
-    Stored(BTreeMap<String, BTreeSet<SoftwareKey>>),
+    Stored(ServiceVersions),
 }
 
 impl StreamKey {
@@ -93,6 +96,7 @@
     earlier: EarlierVersions,
     /// Until when streams that began before the start of this router may be resumed.
     earlier_until: Option<ClockTime>,
+    /// Lengths of streams, by which `origin_plan` chooses how often origins are written.
     lengths: StreamLengths,
 }
 
@@ -141,11 +145,7 @@
     }
 
     /// Records the versions that the store has; `None` if it has none.
-    pub fn record_stored_versions(
-        &mut self,
-        now: ClockTime,
-        stored: Option<&BTreeMap<String, BTreeSet<SoftwareKey>>>,
-    ) {
+    pub fn record_stored_versions(&mut self, now: ClockTime, stored: Option<&ServiceVersions>) {
         let is_first = matches!(self.earlier, EarlierVersions::Unread);
         let Some(services) = stored else {
             if is_first {
@@ -164,7 +164,7 @@
     }
 
     /// Records the origins that the store has, in place of those read before.
-    pub fn record_stored(
+    pub fn record_stored_origins(
         &mut self,
         now: ClockTime,
         origins: impl Iterator<Item = (StreamKey, SoftwareKey)>,
@@ -289,7 +289,7 @@
     }
 
     /// The versions that each service had lately.
-    pub fn version_sets(&self) -> BTreeMap<String, BTreeSet<SoftwareKey>> {
+    pub fn version_sets(&self) -> ServiceVersions {
         let services = self.versions.iter();
         services
             .map(|(service, versions)| (service.clone(), versions.keys().copied().collect()))
--- a/crates/catkin-entry/src/origin_plan.rs
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -12,7 +12,7 @@
 
 use catkin_base::{ClockTime, VmId, copy_type, hash_parts};
 
-use crate::origin_book::{OriginBook, SoftwareKey, StreamKey};
+use crate::origin_book::{OriginBook, ServiceVersions, SoftwareKey, StreamKey};
 use crate::wire::OriginRecord;
 
 /// Fraction of the mean length of the streams under way that the interval of two writes of origins is.
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OriginWrite {
     /// The versions of the services.
-    Versions(BTreeMap<String, BTreeSet<SoftwareKey>>),
+    Versions(ServiceVersions),
     /// The streams that began lately.
     Origins(BTreeMap<SoftwareKey, Vec<StreamKey>>),
 }
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct OriginPlan {
     /// The versions that the store has; `None` if it has none.
-    versions: Option<BTreeMap<String, BTreeSet<SoftwareKey>>>,
+    versions: Option<ServiceVersions>,
     /// The streams in this router's object.
     written: BTreeSet<StreamKey>,
     /// What this router's object had when it was read, and when that was.
@@ -77,7 +77,7 @@
     /// Creates the plan of a router that has read the store.
     pub fn new(
         now: ClockTime,
-        versions: Option<BTreeMap<String, BTreeSet<SoftwareKey>>>,
+        versions: Option<ServiceVersions>,
         own: Option<OriginRecord>,
     ) -> Self {
         Self { versions, earlier: own.map(|record| (now, record)), ..Self::default() }
@@ -107,7 +107,7 @@
     }
 
     /// Records the versions that the store has.
-    pub fn record_versions(&mut self, versions: BTreeMap<String, BTreeSet<SoftwareKey>>) {
+    pub fn record_versions(&mut self, versions: ServiceVersions) {
         self.versions = Some(versions);
     }
 
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -152,7 +152,7 @@
     let records = page.records.iter().flat_map(|(_, _, record)| &record.streams);
     let origins = records.flat_map(|(software, keys)| keys.iter().map(|key| (*key, *software)));
     let mut book = state.origins.borrow_mut();
-    book.record_stored(now, origins);
+    book.record_stored_origins(now, origins);
     match &page.versions {
         Some((_, Some(record))) => book.record_stored_versions(now, Some(&record.services)),
         None => book.record_stored_versions(now, None),
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -1,12 +1,12 @@
 //! Formats of callers, servers and the store, as a trait that a platform implements.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use catkin_base::{PartKey, ServerId, copy_type, value_type};
 
 use crate::crash_book::QuarantineKey;
-use crate::origin_book::{SoftwareKey, StreamKey};
+use crate::origin_book::{ServiceVersions, SoftwareKey, StreamKey};
 use crate::record::{DeclarationRecord, PromptPart, ServerRecord};
 use crate::store_point::StorePoint;
 
@@ -155,7 +155,7 @@
     #[derive(Default)]
     pub struct VersionRecord {
         /// Versions by service.
-        pub services: BTreeMap<String, BTreeSet<SoftwareKey>>,
+        pub services: ServiceVersions,
         /// Era of the store in which they were written. In a later one the record may be a copy from
         /// before its last change.
         pub era: u64,
--- a/crates/catkin-entry/tests/origin_plan.rs
+++ b/crates/catkin-entry/tests/origin_plan.rs
@@ -181,7 +181,7 @@
 fn stored_origins_count_until_their_streams_have_ended() {
     let mut book = OriginBook::after_restart(at(0));
     book.record_stored_versions(at(0), Some(&services(&["v1", "v2"])));
-    book.record_stored(
+    book.record_stored_origins(
         at(0),
         [(stream(2), software("v2")), (stream(1), software("v1"))].into_iter(),
     );
