--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{RunVerdict, ServerId, VmId};
+use catkin_base::{RunVerdict, ServerId, VmId, copy_type};
 use catkin_policy::CrashEvidence;
 use tokio::time::{Instant, timeout_at};
 
@@ -283,12 +283,13 @@
             _ => progress.possibly_run_attempts += 1,
         }
         progress.ran = progress.ran.combine(error.ran);
-        if let Some(end) = decide_end(state, call, &progress, error, forwarder.is_started()) {
-            return Ok(end);
-        }
+        let cost = match decide_next(state, call, &progress, error, forwarder.is_started()) {
+            NextStep::End(end) => return Ok(end),
+            NextStep::Repeat(cost) => cost,
+        };
         log::info!(
             "call: attempt failed; trying another server. request={} failed={server} fault={:?} \
-             ran={}",
+             ran={} cost={cost:?}",
             call.id_text(),
             error.failure,
             error.ran.as_word()
@@ -452,14 +453,32 @@
     }
 }
 
-/// Decides after a failed attempt whether the request ends, and how; `None` if it is retried.
-fn decide_end<W: EntryWire>(
+copy_type! {
+    /// What a further attempt costs in the retry budget.
+    enum RepeatCost {
+        /// One retry.
+        Paid,
+        /// Nothing, since the retry for the failed attempt covers it.
+        CoveredByLast,
+    }
+}
+
+/// What follows a failed attempt.
+enum NextStep {
+    /// The request ends.
+    End(ServedCall),
+    /// The request is sent to another server.
+    Repeat(RepeatCost),
+}
+
+/// Decides what follows a failed attempt.
+fn decide_next<W: EntryWire>(
     state: &EntryState<W>,
     call: &EntryCall,
     progress: &CallProgress,
     error: AttemptError,
     started: bool,
-) -> Option<ServedCall> {
+) -> NextStep {
     let over = Instant::now() >= call.deadline;
     let quarantined = state.is_quarantined(call);
     let cause = match (over, quarantined) {
@@ -476,15 +495,19 @@
     let attempts_left = progress.possibly_run_attempts < call.route.max_attempts
         && progress.not_run_attempts < MAX_NOT_RUN_ATTEMPTS;
     if over || quarantined || !allowed || !attempts_left {
-        return Some(end);
+        return NextStep::End(end);
     }
     // An attempt that reached no server adds no load to the service, so it spends no retry.
     let reached = !matches!(
         error.failure,
         AttemptFailure::Unreachable | AttemptFailure::Withdrawn | AttemptFailure::Evacuated
     );
-    let paid = error.failure == AttemptFailure::Answered || !reached || spend_retry(state, call);
-    (!paid).then_some(end)
+    if !reached {
+        return NextStep::Repeat(RepeatCost::CoveredByLast);
+    }
+    // The retry was spent before the error answer was withheld.
+    let paid = error.failure == AttemptFailure::Answered || spend_retry(state, call);
+    if paid { NextStep::Repeat(RepeatCost::Paid) } else { NextStep::End(end) }
 }
 
 /// Spends one retry of the budget of the service; false if it is exhausted.
