Pay again for a retry that waited before it was sent

A retry was paid for when the last attempt failed, and could then wait for a server for half of the target latency, and for a connection for 400 ms: it arrived in another window than the one in which it counted. A payment now holds for 300 ms; after that the retry is paid for again when its connection is there, or the request ends as not sent (fault=Unpaid).

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::connection_pool::{read_idle_timeout, read_kept_time, share_connection_limit};
 use crate::crash_check::check_server;
 use crate::origin_book::SoftwareKey;
+use crate::retry_payment::RetryPayment;
 use crate::server_notice::{NoticeSource, read_notice};
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
@@ -40,6 +41,8 @@
         Withdrawn,
         /// The failure domain of the server was evacuated while the router connected to it.
         Evacuated,
+        /// The retry waited for longer than its payment holds, and the budget is exhausted.
+        Unpaid,
         /// A reused connection broke before the first byte of an answer: the server had closed it.
         StaleChannel,
         /// A reused connection broke before the first byte of an answer, and the server no longer
@@ -206,19 +209,31 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer until `answer_deadline`. `last_event` is
-/// the identifier of the last event that the caller has of a stream.
+/// Limits on one attempt.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptLimits {
+    /// When the head of the answer must have arrived.
+    pub(crate) answer_deadline: Instant,
+    /// The payment, unless it is the first attempt.
+    pub(crate) payment: Option<RetryPayment>,
+}
+
+/// Sends a request and waits for the head of the answer. `last_event` is the identifier of the last event that the caller has of a stream.
 pub(crate) async fn send_attempt<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     assigned: AssignedCall<W>,
-    answer_deadline: Instant,
+    limits: AttemptLimits,
     last_event: Option<&Bytes>,
 ) -> Result<StartedAnswer<W>, AttemptError> {
+    let AttemptLimits { answer_deadline, payment } = limits;
     let mut connection = open_connection(state, call, &assigned, answer_deadline).await?;
     if let Some(failure) = find_withdrawal(state, call, assigned.slot.server) {
         return Err(AttemptError::not_run(failure));
     }
+    if payment.is_some_and(|payment| !state.renew_payment(call, payment)) {
+        return Err(AttemptError::not_run(AttemptFailure::Unpaid));
+    }
     let source = assigned.fetch_from.filter(|(server, _)| !state.is_evacuated(*server));
     let fetch_from = source.map(|(_, address)| address.to_string());
     let details = SendDetails {
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -73,6 +73,7 @@
 mod relay_plan;
 mod report_builder;
 mod report_queue;
+mod retry_payment;
 mod route_table;
 mod serve;
 mod served_content;
@@ -131,6 +132,7 @@
 pub use refusal::{Refusal, RefusalCause};
 pub use relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 pub use report_queue::{ReportQueue, Strike};
+pub use retry_payment::RetryPayment;
 pub use route_table::{RouteMatch, RouteTable, choose_service, hash_key};
 pub use served_content::ServedContent;
 pub use server_book::{
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::{RunVerdict, ServerId, VmId, copy_type};
+use catkin_base::{RunVerdict, ServerId, VmId};
 use catkin_policy::CrashEvidence;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_forwarder::{AnswerForwarder, ForwardEnd};
 use crate::assign::assign_server;
-use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer, send_attempt};
+use crate::attempt::{AttemptError, AttemptFailure, AttemptLimits, StartedAnswer, send_attempt};
 use crate::break_cause::ServerCheck;
 use crate::call::EntryCall;
 use crate::call_relay::{RelayResult, send_relayed};
@@ -25,6 +25,7 @@
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::retry_payment::RetryPayment;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
@@ -55,6 +56,8 @@
     not_run_attempts: u32,
     /// Whether any attempt may have run.
     ran: RunVerdict,
+    /// The payment for the next attempt, unless it is the first one.
+    payment: Option<RetryPayment>,
 }
 
 /// Serves a request and records the result. The error is a failed write to the caller.
@@ -180,6 +183,7 @@
         possibly_run_attempts: call.forwarded_attempts.unwrap_or(0),
         not_run_attempts: 0,
         ran: RunVerdict::NotRun,
+        payment: None,
     };
     let mut forwarder = AnswerForwarder::new(call);
     if state.is_out_of_reach(&call.service) {
@@ -217,14 +221,17 @@
         progress.tried.insert(server);
         let answer_deadline = choose_answer_deadline(call, &progress);
         let last_event = forwarder.last_event();
-        let started = send_attempt(state, call, assigned, answer_deadline, last_event).await;
+        let limits = AttemptLimits { answer_deadline, payment: progress.payment };
+        let started = send_attempt(state, call, assigned, limits, last_event).await;
         record_room_answer(state, call, started.as_ref().err());
         let error = match started {
             Err(error) => error,
             Ok(answer) => {
                 let retries_failure = progress.possibly_run_attempts + 1 < call.route.max_attempts;
                 let withheld = withholds_failure(call, &answer, retries_failure);
-                if withheld && spend_retry(state, call) {
+                let payment = if withheld { state.spend_retry(call) } else { None };
+                if payment.is_some() {
+                    progress.payment = payment;
                     AttemptError::answered_failure()
                 } else {
                     let stated = |name| answer.head.fields.text(name).map(str::to_owned);
@@ -277,21 +284,24 @@
         record_failure(state, call, server, error);
         match (error.failure, error.ran) {
             // Nothing was tried at this server.
-            (AttemptFailure::Withdrawn | AttemptFailure::Evacuated, _) => {}
+            (AttemptFailure::Withdrawn | AttemptFailure::Evacuated | AttemptFailure::Unpaid, _) => {
+            }
             (_, RunVerdict::NotRun) => progress.not_run_attempts += 1,
             _ => progress.possibly_run_attempts += 1,
         }
         progress.ran = progress.ran.combine(error.ran);
-        let cost = match decide_next(state, call, &progress, error, forwarder.is_started()) {
+        let payment = match decide_next(state, call, &progress, error, forwarder.is_started()) {
             NextStep::End(end) => return Ok(end),
-            NextStep::Repeat(cost) => cost,
+            NextStep::Repeat(payment) => payment,
         };
+        progress.payment = payment.or(progress.payment);
         log::info!(
             "call: attempt failed; trying another server. request={} failed={server} fault={:?} \
-             ran={} cost={cost:?}",
+             ran={} paid={}",
             call.id_text(),
             error.failure,
-            error.ran.as_word()
+            error.ran.as_word(),
+            payment.is_some()
         );
     }
 }
@@ -322,7 +332,7 @@
                 ran = ran.combine(error.ran);
                 attempts += u32::from(error.ran != RunVerdict::NotRun);
                 let allowed = ran == RunVerdict::NotRun || call.may_repeat();
-                let paid = error.ran == RunVerdict::NotRun || spend_retry(state, call);
+                let paid = error.ran == RunVerdict::NotRun || state.spend_retry(call).is_some();
                 if Instant::now() >= call.deadline {
                     return refuse(RefusalCause::TimeOver, ran);
                 }
@@ -452,22 +462,12 @@
     }
 }
 
-copy_type! {
-    /// What a further attempt costs in the retry budget.
-    enum RepeatCost {
-        /// One retry.
-        Paid,
-        /// Nothing, since the retry for the failed attempt covers it.
-        CoveredByLast,
-    }
-}
-
 /// What follows a failed attempt.
 enum NextStep {
     /// The request ends.
     End(ServedCall),
-    /// The request is sent to another server.
-    Repeat(RepeatCost),
+    /// The request is sent to another server. `None` if the payment for the failed attempt covers it.
+    Repeat(Option<RetryPayment>),
 }
 
 /// Decides what follows a failed attempt.
@@ -493,7 +493,8 @@
     let allowed = progress.ran == RunVerdict::NotRun || call.may_repeat();
     let attempts_left = progress.possibly_run_attempts < call.route.max_attempts
         && progress.not_run_attempts < MAX_NOT_RUN_ATTEMPTS;
-    if over || quarantined || !allowed || !attempts_left {
+    let unpaid = error.failure == AttemptFailure::Unpaid;
+    if over || quarantined || unpaid || !allowed || !attempts_left {
         return NextStep::End(end);
     }
     // An attempt that reached no server adds no load to the service, so it spends no retry.
@@ -501,36 +502,14 @@
         error.failure,
         AttemptFailure::Unreachable | AttemptFailure::Withdrawn | AttemptFailure::Evacuated
     );
-    if !reached {
-        return NextStep::Repeat(RepeatCost::CoveredByLast);
-    }
     // The retry was spent before the error answer was withheld.
-    let paid = error.failure == AttemptFailure::Answered || spend_retry(state, call);
-    if paid { NextStep::Repeat(RepeatCost::Paid) } else { NextStep::End(end) }
-}
-
-/// Spends one retry of the budget of the service; false if it is exhausted.
-fn spend_retry<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
-    state.accrue_retries();
-    let taken = state.budgets.borrow_mut().try_retry(state.now(), &call.service);
-    if !taken {
-        let usage = state.budgets.borrow().usage(state.now(), &call.service);
-        log::info!(
-            "call: retry budget is exhausted; not retrying. request={} retries={} allowed={} \
-             requests={} routers={}",
-            call.id_text(),
-            usage.retries,
-            usage.allowed,
-            usage.requests,
-            state.budget_routers()
-        );
-        metrics::counter!("catkin_entry_budget_spent_total").increment(1);
+    if !reached || error.failure == AttemptFailure::Answered {
+        return NextStep::Repeat(None);
     }
-    if taken {
-        metrics::counter!("catkin_entry_retries_total", "service" => call.service.clone())
-            .increment(1);
+    match state.spend_retry(call) {
+        None => NextStep::End(end),
+        payment => NextStep::Repeat(payment),
     }
-    taken
 }
 
 /// Whether a server's error answer is withheld from the caller to try another server.
@@ -632,9 +611,10 @@
         AttemptFailure::Unreachable | AttemptFailure::Misdirected | AttemptFailure::Crashed => {
             Some(AttemptOutcome::Unreachable)
         }
-        AttemptFailure::StaleChannel | AttemptFailure::Withdrawn | AttemptFailure::Evacuated => {
-            return;
-        }
+        AttemptFailure::StaleChannel
+        | AttemptFailure::Withdrawn
+        | AttemptFailure::Evacuated
+        | AttemptFailure::Unpaid => return,
         // It counts against the request, but the server accepts connections.
         AttemptFailure::BrokenReused => None,
         _ => Some(AttemptOutcome::Failed),
--- a/crates/catkin-entry/tests/retry_budget.rs
+++ b/crates/catkin-entry/tests/retry_budget.rs
@@ -4,6 +4,8 @@
 
 mod repeat_fleet;
 
+use catkin_base::ClockTime;
+use catkin_entry::RetryPayment;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use repeat_fleet::{RepeatLimits, RouterDay, WINDOW_MILLIS, play_day};
@@ -82,6 +84,16 @@
     assert!(repeats as f64 >= LIMITS.ratio * requests as f64, "{repeats} for {requests}");
 }
 
+/// Guards against repeats that were paid for in one window and arrive in another, since they waited for a
+/// server or a connection.
+#[test]
+fn a_retry_that_waited_is_paid_for_again() {
+    let payment = RetryPayment::new(ClockTime::from_millis(1_000));
+
+    assert!(payment.holds(ClockTime::from_millis(1_300)));
+    assert!(!payment.holds(ClockTime::from_millis(1_301)));
+}
+
 /// A day of one router: bursts, pauses and kills at any moment.
 fn any_day() -> impl Strategy<Value = RouterDay> {
     let second = prop_oneof![3 => Just(0), 3 => 1..20u64, 2 => 20..200u64];
