Pay for a request that another router may have sent before the next one gets it

A router that reaches no server passes a request on to up to three others. One that answered out-of-reach may have sent it to servers that declined it and lost its way to them after that; the next one sent it again without a payment. The router that passes the request on spends a retry before it asks the next one.

--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -56,8 +56,11 @@
 pub(crate) enum RelayResult<W> {
     /// No other router reaches the service.
     NoHelper,
-    /// The other router did not run the request, for a cause of its own: the next one may.
-    Refused,
+    /// The other router refused the request for a cause of its own: the next one may serve it.
+    Refused {
+        /// Whether the other router may have sent it to servers, which declined it.
+        may_have_sent: bool,
+    },
     /// The other router could not be reached, or its connection broke before the answer.
     Failed(AttemptError),
     /// The head of the answer has arrived.
@@ -108,7 +111,7 @@
         Ok(head) => check_relayed(state, call, helper, sent, head, connection),
         Err(error) => RelayResult::Failed(AttemptError::of_relay(error)),
     };
-    if matches!(result, RelayResult::Refused) {
+    if matches!(result, RelayResult::Refused { .. }) {
         peers.record_failed_helper(helper.vm);
     }
     result
@@ -124,6 +127,12 @@
     }
 }
 
+/// Whether a router that refuses a request for this cause of its own may have sent it to servers before: it
+/// may lose its way to the servers after some of them declined the request. The other causes are found first.
+pub fn may_have_sent(cause: &str) -> bool {
+    cause == "out-of-reach"
+}
+
 /// Classifies the answer of another router. What it says of a server is that server's statement.
 fn check_relayed<W: EntryWire>(
     state: &Rc<EntryState<W>>,
@@ -142,8 +151,8 @@
             head.status
         );
     }
-    if cause.as_deref().is_some_and(|cause| is_local_refusal(cause, head.status)) {
-        return RelayResult::Refused;
+    if let Some(cause) = cause.as_deref().filter(|cause| is_local_refusal(cause, head.status)) {
+        return RelayResult::Refused { may_have_sent: may_have_sent(cause) };
     }
     if cause.is_none() {
         record_relayed_notice(state, call, helper, &head, sent);
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -99,6 +99,7 @@
 pub use cache_index::{CacheIndex, CachedPart, PrefixPart, list_prefix_parts, part_key};
 pub use cache_sync::CacheSync;
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
+pub use call_relay::may_have_sent;
 pub use connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -327,7 +327,12 @@
         let relayed = send_relayed(state, call, attempts, &mut tried).await;
         let (helper, answer) = match relayed {
             RelayResult::NoHelper => break,
-            RelayResult::Refused => continue,
+            RelayResult::Refused { may_have_sent } => {
+                if may_have_sent && state.spend_retry(call).is_none() {
+                    return refuse(RefusalCause::OutOfReach, ran);
+                }
+                continue;
+            }
             RelayResult::Failed(error) => {
                 ran = ran.combine(error.ran);
                 attempts += u32::from(error.ran != RunVerdict::NotRun);
--- a/crates/catkin-entry/tests/retry_budget.rs
+++ b/crates/catkin-entry/tests/retry_budget.rs
@@ -5,7 +5,7 @@
 mod repeat_fleet;
 
 use catkin_base::ClockTime;
-use catkin_entry::RetryPayment;
+use catkin_entry::{RetryPayment, may_have_sent};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use repeat_fleet::{RepeatLimits, RouterDay, WINDOW_MILLIS, play_day};
@@ -94,6 +94,17 @@
     assert!(!payment.holds(ClockTime::from_millis(1_301)));
 }
 
+/// Guards against unpaid repeats after another router, to which a request was passed on, had sent it to
+/// servers and then lost its way to them.
+#[test]
+fn a_request_that_another_router_may_have_sent_is_paid_for_before_the_next_one() {
+    let refusals = ["out-of-reach", "stopping", "no-declarations", "no-key"];
+
+    let sent: Vec<&str> = refusals.into_iter().filter(|cause| may_have_sent(cause)).collect();
+
+    assert_eq!(sent, ["out-of-reach"]);
+}
+
 /// A day of one router: bursts, pauses and kills at any moment.
 fn any_day() -> impl Strategy<Value = RouterDay> {
     let second = prop_oneof![3 => Just(0), 3 => 1..20u64, 2 => 20..200u64];
