Fail a stream whose next server answers with something else

A stream broke off and the next server answered with a page under status 200, or with 204: callers found its text in their stream, or the stream ended as if it were complete. Only the success of the answer was asked for. An answer now continues another one only with the same status and media type; anything else counts as broken off, so that a third server is tried or the stream ends without its last bytes. Other ways, by reading: further error answers are not forwarded (tested), encoded ones count as garbled, and a request whose stream has begun is not passed to another router.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -137,7 +137,15 @@
         answer_deadline: Instant,
     ) -> io::Result<ForwardEnd> {
         let success = (200..300).contains(&answer.head.status);
-        if self.is_started() && !success {
+        if let Some(first) = &self.head
+            && !continues_answer(first, &answer.head)
+        {
+            log::info!(
+                "server: answered a request to go on with a stream by something else; it counts as \
+                 broken off. server={:?} status={}",
+                answer.slot.as_ref().map(|slot| slot.server),
+                answer.head.status
+            );
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
         }
         self.named_server =
@@ -364,6 +372,18 @@
     }
 }
 
+/// Whether the body of an answer can follow that of the `first` one, whose head the caller has.
+fn continues_answer(first: &ResponseHead, next: &ResponseHead) -> bool {
+    next.status == first.status && read_media_type(next) == read_media_type(first)
+}
+
+/// The media type of an answer without its parameters, in lower case.
+fn read_media_type(head: &ResponseHead) -> Option<String> {
+    let stated = head.fields.text("content-type")?;
+    let essence = stated.split_once(';').map_or(stated, |(essence, _)| essence);
+    Some(essence.trim().to_ascii_lowercase())
+}
+
 /// Whether the body of a streaming route's answer consists of events: its type says so, or it has no
 /// type and its end is only that of the connection.
 fn consists_of_events<W: EntryWire>(answer: &mut StartedAnswer<W>) -> bool {
