Tell the copy of a refusal from the answer to the next request

A faulty server wrote an earlier refusal once more on a kept connection. With another identifier the copy was skipped. Without any it passed for the answer to the request on its way, which ran: the router sent it to a second server (TWICE in the test, r-1 ran 2 times) or told the caller that it had not run. The copy with the identifier of a request that the caller repeats did the same (r-0 ran 2 times).

An answer without an identifier is now accepted as the first one on a connection only; later it fails the exchange as garbled, which promises nothing. Servers echo identifiers, so a sound one loses nothing. A connection remembers the last 16 requests refused on it and is not used for them again; others stay in use. Both tests failed before. Copies on an idle connection make it unusable (as before); answers of other routers come on connections of their own.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -301,7 +301,7 @@
     answer_deadline: Instant,
 ) -> Result<PooledConnection<W>, AttemptError> {
     let server = assigned.slot.server;
-    if let Some(connection) = state.pool.borrow_mut().take(server, Instant::now()) {
+    if let Some(connection) = state.pool.borrow_mut().take(server, &call.id, Instant::now()) {
         return Ok(PooledConnection::reserve(state, server).with_connection(connection));
     }
     let limit = connection_limit(state, &call.service);
@@ -398,6 +398,7 @@
         let deadline = call.deadline.min(Instant::now() + DECLINED_TIMEOUT);
         let read = connection.get().read_body(MAX_DECLINED_BYTES, deadline).await;
         if read.is_ok() {
+            connection.get().mark_refused(&call.id);
             connection.release(head.fields.text("keep-alive"));
         }
         if failure == AttemptFailure::Declined {
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -1,5 +1,6 @@
 //! A persistent HTTP/1.1 client connection to a backend server or to the store.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -23,6 +24,8 @@
 const MAX_SKIPPED_BYTES: usize = 256 << 10;
 /// Maximum time for which the body of a late answer is skipped.
 const SKIP_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of refused requests that a connection remembers.
+const MAX_REFUSED_IDS: usize = 16;
 /// Buffer space reserved for each read, in bytes.
 const READ_BYTES: usize = 4 << 10;
 /// `TCP_USER_TIMEOUT`: time without acknowledgement of sent data that breaks the connection, in
@@ -85,6 +88,8 @@
     released: Option<(Instant, Duration)>,
     /// Interim heads and heads of late answers that were skipped before the current answer.
     skipped_heads: Vec<ResponseHead>,
+    /// Identifiers of the last requests that the server refused here.
+    refused_ids: VecDeque<Bytes>,
 }
 
 /// Identifies the answer to a request among late answers to earlier ones.
@@ -119,6 +124,7 @@
             exchanges: 0,
             released: None,
             skipped_heads: Vec::new(),
+            refused_ids: VecDeque::new(),
         })
     }
 
@@ -151,6 +157,18 @@
         self.released.map(|(released, kept)| (released.elapsed(), kept))
     }
 
+    /// Records that the server refused the request with this identifier.
+    pub(crate) fn mark_refused(&mut self, id: &Bytes) {
+        self.refused_ids.truncate(MAX_REFUSED_IDS - 1);
+        self.refused_ids.push_front(id.clone());
+    }
+
+    /// Whether the server refused a request with this identifier here. A copy of that refusal would pass for
+    /// the answer to the same request.
+    pub(crate) fn has_refused(&self, id: &[u8]) -> bool {
+        self.refused_ids.iter().any(|refused| refused == id)
+    }
+
     /// Interim heads and heads of late answers that the last exchange skipped. They come from the same
     /// server as the answer.
     pub fn skipped_heads(&self) -> &[ResponseHead] {
@@ -158,7 +176,8 @@
     }
 
     /// Sends a request and reads the head of its answer, until `deadline`. Late answers to earlier
-    /// requests, which lack the `expected` identifier, are skipped. `to_head_request` says that the
+    /// requests, which have another identifier than the `expected` one, are skipped. An answer without any
+    /// fails the exchange unless it is the first one on the connection. `to_head_request` says that the
     /// answer has no body.
     pub async fn exchange(
         &mut self,
@@ -202,9 +221,14 @@
                 let framing = determine_response_framing(&head, to_head_request);
                 let framing = framing.map_err(|_| ExchangeFailure::Garbled)?;
                 let mut decoder = BodyDecoder::new(framing);
-                if expected.is_none_or(|expected| is_expected(&head, expected)) {
-                    self.decoder = Some(decoder);
-                    return Ok(head);
+                let is_first = self.exchanges == 1;
+                match expected.map_or(AnswerMatch::Own, |id| match_answer(&head, id, is_first)) {
+                    AnswerMatch::Own => {
+                        self.decoder = Some(decoder);
+                        return Ok(head);
+                    }
+                    AnswerMatch::Unknown => return Err(ExchangeFailure::Garbled),
+                    AnswerMatch::Late => {}
                 }
                 log::info!(
                     "server: skipped a late answer to an earlier request. status={}",
@@ -376,10 +400,23 @@
     }
 }
 
-/// Whether an answer belongs to the request; one without an identifier does.
-fn is_expected(head: &ResponseHead, expected: ExpectedAnswer<'_>) -> bool {
-    let found = head.fields.values(expected.id_field).next();
-    found.is_none_or(|found| found == expected.id)
+/// Which request an answer belongs to.
+enum AnswerMatch {
+    /// The current one.
+    Own,
+    /// An earlier one.
+    Late,
+    /// It has no identifier, and there were earlier requests.
+    Unknown,
+}
+
+fn match_answer(head: &ResponseHead, expected: ExpectedAnswer<'_>, is_first: bool) -> AnswerMatch {
+    match head.fields.values(expected.id_field).next() {
+        Some(found) if found == expected.id => AnswerMatch::Own,
+        Some(_) => AnswerMatch::Late,
+        None if is_first => AnswerMatch::Own,
+        None => AnswerMatch::Unknown,
+    }
 }
 
 /// Sets the TCP options that detect a dead connection early. Failures are only logged: without the
--- a/crates/catkin-entry/src/connection_pool.rs
+++ b/crates/catkin-entry/src/connection_pool.rs
@@ -48,10 +48,15 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used idle connection to `server` that is neither expired nor broken.
-    pub fn take(&mut self, server: ServerId, now: Instant) -> Option<HttpConnection> {
+    /// Takes the most recently used idle connection to `server` that is neither expired nor broken, and on
+    /// which the server did not refuse a request with this identifier.
+    pub fn take(&mut self, server: ServerId, id: &[u8], now: Instant) -> Option<HttpConnection> {
         let connections = self.idle.get_mut(&server)?;
-        while let Some(idle) = connections.pop() {
+        let find = |connections: &[IdleConnection]| {
+            connections.iter().rposition(|idle| !idle.connection.has_refused(id))
+        };
+        while let Some(at) = find(connections) {
+            let idle = connections.remove(at);
             if idle.until > now && idle.connection.is_idle() {
                 return Some(idle.connection);
             }
