Take back the extra repeats of a first start that was none

A router whose entry of an earlier start is in the store now takes them back before it credits any. Test: budget book; the settings of the platform name the first start only once, so no play shows it.

--- a/crates/catkin-entry/src/budget_book.rs
+++ b/crates/catkin-entry/src/budget_book.rs
@@ -23,6 +23,11 @@
         Self { extra_credit: compute_credit(extra), unused, budgets: BTreeMap::new() }
     }
 
+    /// Takes back the extra retries for the time before the start, since another process ran then.
+    pub fn expect_earlier_process(&mut self) {
+        self.all_budgets().for_each(SharedBudget::expect_earlier_process);
+    }
+
     /// Changes the limits of all budgets; see [`Self::new`].
     pub fn set_limits(&mut self, ratio: f64, extra: f64) {
         self.extra_credit = compute_credit(extra);
--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -144,6 +144,7 @@
     };
     // Settings that still name the first start of the fleet are outdated then.
     state.origins.borrow_mut().expect_earlier_versions(state.now());
+    state.budgets.borrow_mut().expect_earlier_process();
     client.put(kind, name, &content, WriteMode::Replace(known.revision), timeout).await
 }
 
--- a/crates/catkin-entry/tests/retry_budget.rs
+++ b/crates/catkin-entry/tests/retry_budget.rs
@@ -5,10 +5,10 @@
 mod repeat_fleet;
 
 use catkin_base::ClockTime;
-use catkin_entry::{RetryPayment, may_have_sent};
+use catkin_entry::{BudgetBook, RetryPayment, may_have_sent};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use repeat_fleet::{RepeatLimits, RouterDay, WINDOW_MILLIS, play_day};
+use repeat_fleet::{RepeatLimits, RouterDay, SERVICE, WINDOW_MILLIS, play_day};
 
 const LIMITS: RepeatLimits = RepeatLimits { ratio: 0.2, extra: 174.0 };
 const ROUTERS: usize = 27;
@@ -72,6 +72,20 @@
     assert!(excesses.is_empty(), "{} excesses, {:?}", excesses.len(), excesses.first());
 }
 
+/// Guards against extra repeats for the time before the start of a router whose settings still name the first
+/// start of the fleet.
+#[test]
+fn a_first_start_that_was_none_gives_no_extra_repeats() {
+    let start = ClockTime::ZERO;
+    let mut book = BudgetBook::new(LIMITS.ratio, LIMITS.extra, true);
+    book.accrue(start, Some(1));
+    assert!(book.usage(start, SERVICE).allowed > 0);
+
+    book.expect_earlier_process();
+
+    assert_eq!(book.usage(start, SERVICE).allowed, 0);
+}
+
 /// Guards against a budget that holds because it is hardly used: in steady traffic, all routers together
 /// make at least as many repeats as the ratio allows, the extra ones aside.
 #[test]
--- a/crates/catkin-policy/src/shared_budget.rs
+++ b/crates/catkin-policy/src/shared_budget.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Takes back the credit for the time before the start, since another process ran then. Has no effect
+    /// on what has been credited since.
+    pub fn expect_earlier_process(&mut self) {
+        self.uncredited = self.uncredited.max(START_BUCKET);
+        let early = self.buckets.iter_mut().filter(|bucket| bucket.number < START_BUCKET);
+        early.for_each(|bucket| bucket.extra_credit = 0);
+    }
+
     /// Sets the credit for each request from now on.
     pub fn set_request_credit(&mut self, request_credit: u64) {
         self.request_credit = request_credit;
