--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -218,7 +218,8 @@
     pub(crate) payment: Option<RetryPayment>,
 }
 
-/// Sends a request and waits for the head of the answer. `last_event` is the identifier of the last event that the caller has of a stream.
+/// Sends a request and waits for the head of the answer. `last_event` is the identifier of the last
+/// event that the caller has of a stream.
 pub(crate) async fn send_attempt<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
