--- a/crates/catkin-policy/src/shared_budget.rs
+++ b/crates/catkin-policy/src/shared_budget.rs
@@ -86,7 +86,9 @@
         }
         self.uncredited = self.uncredited.max(current);
         if extra_credit < last {
-            self.buckets.iter_mut().for_each(|it| it.extra_credit = it.extra_credit.min(credit));
+            for bucket in &mut self.buckets {
+                bucket.extra_credit = bucket.extra_credit.min(credit);
+            }
         }
     }
 
