Bytes that an answer left behind are no part of the next server's stream

Cause: the rest of an incomplete event was discarded where reading from the server failed, not where the splitter refused an event over 256 KiB; other ends of an attempt could leave bytes behind, too. It is discarded now where the next answer begins, whatever the end before.

Test: a_spoiled_stream_goes_on_at_another_server_without_the_wrong_bytes failed on (the answer was complete, from two servers, with other bytes than the events) and passes.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -156,6 +156,8 @@
         }
         if self.streaming && success {
             self.last_events = None;
+            // Whatever the answer before left behind is no part of this one.
+            self.splitter.discard_partial();
             self.forward_stream(state, answer, writer, answer_deadline).await
         } else {
             self.forward_buffered(state, answer, writer).await
@@ -185,10 +187,7 @@
                     self.record_length(state);
                     return self.end_stream(answer, writer, status).await;
                 }
-                Err(failure) => {
-                    self.splitter.discard_partial();
-                    return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure)));
-                }
+                Err(failure) => return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure))),
             };
             let Ok(events) = events else {
                 return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
