Requests that are open when a router exits get a final answer

Callers saw (a report of other operators): in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, among them once-only ones. Here it happened to those that came within 2.6 s of SIGTERM and whose servers took longer than the rest of the grace.

Cause: all tasks were aborted at the end of the grace.

Change: 0.6 s before that all open requests end: 503 if no server may have run them, 502 if one may (grace-over); answers that have begun break off. The router waits for that while it leaves the fleet. An interim answer no longer counts as a part of the answer.

--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -34,7 +34,7 @@
 /// Header field with the identifier of the server that an answer to another router is from, in hexadecimal.
 pub(crate) const SERVER_FIELD: &str = "Catkin-Server";
 /// Causes of refusals with status 503 after which another router may serve the request.
-const LOCAL_CAUSES: [&str; 3] = ["out-of-reach", "stopping", "no-declarations"];
+const LOCAL_CAUSES: [&str; 4] = ["out-of-reach", "stopping", "grace-over", "no-declarations"];
 /// Timeout for connecting to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -128,9 +128,10 @@
 }
 
 /// Whether a router that refuses a request for this cause of its own may have sent it to servers before: it
-/// may lose its way to the servers after some of them declined the request. The other causes are found first.
+/// may lose its way to the servers, or exit, after some of them declined the request. The other causes are
+/// found first.
 pub fn may_have_sent(cause: &str) -> bool {
-    cause == "out-of-reach"
+    matches!(cause, "out-of-reach" | "grace-over")
 }
 
 /// Classifies the answer of another router. What it says of a server is that server's statement.
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -216,6 +216,8 @@
             }
             Err(None) => return None,
         };
+        // An interim answer is no part of the answer.
+        writer.started = false;
         wait_for_declarations(state, arrived).await;
         writer.marks_refusals = head.fields.contains(FORWARDED_FIELD);
         let forwarded = verify_forwarded(state, &head, &body);
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -41,6 +41,8 @@
 const EXIT_TIME: Duration = Duration::from_millis(600);
 /// Interval of checks whether all callers are done.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of checks whether all open requests have their final answers.
+const FINAL_ANSWER_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval of checks of the settings file.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval at which expired state is removed.
@@ -445,11 +447,22 @@
     let complete = timeout_at(deadline, done).await.is_ok();
     state.stop_accepting.cancel();
     log::info!(
-        "process: wait for callers ended; leaving the fleet. whole={complete} open_calls={}",
+        "process: wait for callers ended; ending open requests and leaving the fleet. whole={complete} \
+         open_calls={}",
         state.open_calls.get()
     );
+    state.end_calls.cancel();
     state.leave_fleet.cancel();
-    finish_within(EXIT_TIME / 2, state.left_fleet.cancelled()).await;
+    tokio::join!(
+        finish_within("ending open requests", EXIT_TIME / 2, wait_for_calls(state)),
+        finish_within("leaving the fleet", EXIT_TIME / 2, state.left_fleet.cancelled()),
+    );
+}
+
+async fn wait_for_calls<W>(state: &EntryState<W>) {
+    while state.open_calls.get() > 0 {
+        sleep(FINAL_ANSWER_INTERVAL).await;
+    }
 }
 
 async fn wait_for_callers<W>(state: &EntryState<W>) {
@@ -458,8 +471,8 @@
     }
 }
 
-async fn finish_within(limit: Duration, work: impl Future<Output = ()>) {
+async fn finish_within(name: &str, limit: Duration, work: impl Future<Output = ()>) {
     if tokio::time::timeout(limit, work).await.is_err() {
-        log::warn!("process: leaving the fleet timed out; stopping anyway.");
+        log::warn!("process: {name} timed out; stopping anyway.");
     }
 }
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -57,6 +57,8 @@
     OriginUnknown,
     /// The router is stopping.
     Stopping,
+    /// The router exits before the request has an answer.
+    GraceOver,
 }
 
 /// A refused request.
@@ -101,6 +103,7 @@
             RefusalCause::VersionGone => "version-gone",
             RefusalCause::OriginUnknown => "origin-unknown",
             RefusalCause::Stopping => "stopping",
+            RefusalCause::GraceOver => "grace-over",
         }
     }
 
@@ -144,7 +147,7 @@
 /// Maximum `Retry-After` time by cause: the time after which the cause is expected to be gone.
 fn max_retry_after(cause: RefusalCause) -> Duration {
     match cause {
-        RefusalCause::Stopping => MIN_RETRY_AFTER,
+        RefusalCause::Stopping | RefusalCause::GraceOver => MIN_RETRY_AFTER,
         RefusalCause::Full => Duration::from_millis(1_000),
         // Evacuations last seconds at least.
         RefusalCause::Evacuated => Duration::from_millis(3_000),
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -1,6 +1,7 @@
 //! Serves one checked request: sends it to a server, forwards the answer, and retries at another
 //! server where that is allowed.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
@@ -75,7 +76,12 @@
         state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
         state.record_room_request(call);
     }
-    let served = run_call(state, call, writer).await;
+    let ran = Cell::new(RunVerdict::NotRun);
+    let served = tokio::select! {
+        biased;
+        served = run_call(state, call, writer, &ran) => served,
+        () = state.end_calls.cancelled() => Ok(end_with_process(writer, ran.get())),
+    };
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
     match served {
@@ -137,6 +143,15 @@
     }
 }
 
+/// Ends a request that has no complete answer when the router exits.
+fn end_with_process(writer: &mut CallerWriter, ran: RunVerdict) -> ServedCall {
+    writer.closing = true;
+    if writer.started {
+        return ServedCall::Truncated(AttemptError::BROKEN);
+    }
+    ServedCall::Refused(Refusal { cause: RefusalCause::GraceOver, ran })
+}
+
 /// Whether the router is stopping and exits before the deadline of the request. Callers' requests are
 /// accepted in any case until the load balancer has taken the router out.
 fn outlives_process<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
@@ -166,11 +181,13 @@
     Refused(Refusal),
 }
 
-/// Makes attempts until one succeeds or no further one is allowed.
+/// Makes attempts until one succeeds or no further one is allowed. `ran` tells at any time whether a server
+/// may have run the request.
 async fn run_call<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     writer: &mut CallerWriter,
+    ran: &Cell<RunVerdict>,
 ) -> io::Result<ServedCall> {
     if outlives_process(state, call) {
         return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Stopping)));
@@ -187,7 +204,7 @@
     };
     let mut forwarder = AnswerForwarder::new::<W>(call);
     if state.is_out_of_reach(&call.service) {
-        return relay_call(state, call, &progress, &mut forwarder, writer).await;
+        return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
     }
     let resumed_software = match find_resumed_software(state, call).await {
         Ok(software) => software,
@@ -195,7 +212,7 @@
     };
     loop {
         if state.is_out_of_reach(&call.service) && !forwarder.is_started() {
-            return relay_call(state, call, &progress, &mut forwarder, writer).await;
+            return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
         }
         let software = forwarder.software().or(resumed_software);
         let assigned = match assign_server(state, call, &progress.tried, software).await {
@@ -222,6 +239,7 @@
         let answer_deadline = choose_answer_deadline(call, &progress);
         let last_event = forwarder.last_event();
         let limits = AttemptLimits { answer_deadline, payment: progress.payment };
+        ran.set(RunVerdict::MayHaveRun);
         let started = send_attempt(state, call, assigned, limits, last_event).await;
         record_room_answer(state, call, started.as_ref().err());
         let error = match started {
@@ -290,6 +308,7 @@
             _ => progress.possibly_run_attempts += 1,
         }
         progress.ran = progress.ran.combine(error.ran);
+        ran.set(progress.ran);
         let payment = match decide_next(state, call, &progress, error, forwarder.is_started()) {
             NextStep::End(end) => return Ok(end),
             NextStep::Repeat(payment) => payment,
@@ -314,6 +333,7 @@
     progress: &CallProgress,
     forwarder: &mut AnswerForwarder,
     writer: &mut CallerWriter,
+    call_ran: &Cell<RunVerdict>,
 ) -> io::Result<ServedCall> {
     let refuse = |cause, ran| Ok(ServedCall::Refused(Refusal { cause, ran }));
     // A request is passed on once only, so that no two routers pass it to one another.
@@ -324,6 +344,7 @@
     let mut ran = progress.ran;
     let mut tried = BTreeSet::new();
     for _ in 0..MAX_HELPERS {
+        call_ran.set(RunVerdict::MayHaveRun);
         let relayed = send_relayed(state, call, attempts, &mut tried).await;
         let (helper, answer) = match relayed {
             RelayResult::NoHelper => break,
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -199,6 +199,8 @@
     pub(crate) close_idle_callers: CancellationToken,
     /// Cancelled when the listener for callers is to be closed.
     pub(crate) stop_accepting: CancellationToken,
+    /// Cancelled when requests that are still open are to get their final answers.
+    pub(crate) end_calls: CancellationToken,
     /// Cancelled when the router is to leave the fleet.
     pub(crate) leave_fleet: CancellationToken,
     /// Cancelled once the router has left the fleet.
@@ -275,6 +277,7 @@
             connections: Cell::new(0),
             close_idle_callers: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
+            end_calls: CancellationToken::new(),
             leave_fleet: CancellationToken::new(),
             left_fleet: CancellationToken::new(),
             process_resumed: Notify::new(),
