A stream of unknown origin goes on nowhere while the list of servers is in doubt

Callers saw (a report of other operators): during a release, streams that had begun at servers of a new version were taken up at a router that was out of step, and went on at a server of the old one.

Cause: such a router took the version of its old list for the only one. It asked others, and took their silence for an answer; without news it had no doubt at all.

Change: a list is in doubt if others know newer entries, or if neither a router nor the store was heard for a second. If it still is after others were asked, the stream is refused as not run.

--- a/crates/catkin-entry/src/load_table.rs
+++ b/crates/catkin-entry/src/load_table.rs
@@ -365,6 +365,11 @@
         1 + self.count_routers(now, |_| true)
     }
 
+    /// Returns the age of the newest report, in milliseconds; `None` without reports.
+    pub fn newest_report_millis(&self, now: ClockTime) -> Option<u64> {
+        self.peers.values().map(|peer| now.millis_since(peer.received)).min()
+    }
+
     /// Returns the age of the oldest report that counts, in milliseconds; 0 without reports.
     pub fn oldest_report_millis(&self, now: ClockTime) -> u64 {
         self.peers.values().map(|peer| now.millis_since(peer.received)).max().unwrap_or(0)
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -231,7 +231,8 @@
     }
 
     /// Decides where a stream of `service` may go on. `key` is `None` if the caller does not state
-    /// which request began it. `is_outdated` says that other routers know newer entries of servers.
+    /// which request began it. `is_doubtful` says that servers may have joined that this router does not
+    /// list.
     ///
     /// A version is named also where it is the only one, so that a stream that waits for a server does
     /// not go on at a version that appears meanwhile.
@@ -240,7 +241,7 @@
         now: ClockTime,
         service: &str,
         key: Option<StreamKey>,
-        is_outdated: bool,
+        is_doubtful: bool,
     ) -> ResumeChoice {
         if let Some(software) = key.and_then(|key| self.find(key)) {
             return ResumeChoice::OnlyVersion(software);
@@ -248,7 +249,7 @@
         let listed = self.versions.get(service).and_then(|versions| find_only(versions.keys()));
         if !self.is_after_restart(now) {
             return match listed {
-                Some(software) if is_outdated => ResumeChoice::LikelyVersion(software),
+                Some(software) if is_doubtful => ResumeChoice::LikelyVersion(software),
                 Some(software) => ResumeChoice::OnlyVersion(software),
                 None => ResumeChoice::Unknown,
             };
@@ -259,7 +260,7 @@
             EarlierVersions::Stored(services) => services.get(service),
         };
         match (stored.map(|versions| find_only(versions.iter())), listed) {
-            (Some(Some(before)), Some(listed)) if before == listed && !is_outdated => {
+            (Some(Some(before)), Some(listed)) if before == listed && !is_doubtful => {
                 ResumeChoice::OnlyVersion(before)
             }
             // A stream that began after another version had appeared is known to other routers.
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -149,6 +149,7 @@
 /// Applies what was read to the book.
 fn record_page<W: EntryWire>(state: &EntryState<W>, page: &OriginPage) {
     let now = state.now();
+    state.store_answered.borrow_mut().insert(StoreKind::StreamOrigins, Instant::now());
     let records = page.records.iter().flat_map(|(_, _, record)| &record.streams);
     let origins = records.flat_map(|(software, keys)| keys.iter().map(|key| (*key, *software)));
     let mut book = state.origins.borrow_mut();
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -406,9 +406,8 @@
     let began = Instant::now();
     let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
     let choose = || {
-        let (_, newest) = state.peer_versions.get();
-        let is_outdated = state.servers.borrow().is_outdated(newest);
-        state.origins.borrow().choose_resume(state.now(), &call.service, key, is_outdated)
+        let is_doubtful = state.is_list_doubtful();
+        state.origins.borrow().choose_resume(state.now(), &call.service, key, is_doubtful)
     };
     let is_known = || matches!(choose(), ResumeChoice::OnlyVersion(_));
     if !is_known() {
@@ -417,9 +416,12 @@
     let choice = choose();
     log_resumption(state, call, choice, began.elapsed());
     match choice {
-        ResumeChoice::OnlyVersion(software) | ResumeChoice::LikelyVersion(software) => {
-            Ok(Some(software))
+        ResumeChoice::OnlyVersion(software) => Ok(Some(software)),
+        // Servers of another version may serve, and nobody has told where the stream began.
+        ResumeChoice::LikelyVersion(_) if state.is_list_doubtful() => {
+            Err(RefusalCause::OriginUnknown)
         }
+        ResumeChoice::LikelyVersion(software) => Ok(Some(software)),
         ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
     }
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -44,6 +44,10 @@
 use crate::waiting_room::RoomBook;
 use crate::wire::StoreKind;
 
+/// Time without a report of another router and an answer of the store after which servers may have joined
+/// unnoticed.
+const LIST_CONFIRM_TIME: Duration = Duration::from_millis(1_000);
+
 /// Fraction of the configured load factor that the hard bound uses; the margin allows for late
 /// reports of other routers.
 const HARD_FRACTION: f64 = 0.92;
@@ -324,6 +328,18 @@
         self.origins.borrow_mut().record_versions(self.now(), versions);
     }
 
+    /// Whether servers may have joined that this router does not list: others know newer entries, or neither
+    /// they nor the store were heard for [`LIST_CONFIRM_TIME`].
+    pub(crate) fn is_list_doubtful(&self) -> bool {
+        let (_, newest) = self.peer_versions.get();
+        let report_millis = self.loads.borrow().newest_report_millis(self.now());
+        let is_recent = |age: Duration| age < LIST_CONFIRM_TIME;
+        let is_told = report_millis.is_some_and(|age| is_recent(Duration::from_millis(age)));
+        let answered = self.store_answered.borrow().values().max().copied();
+        let is_answered = answered.is_some_and(|answered| is_recent(answered.elapsed()));
+        self.servers.borrow().is_outdated(newest) || !(is_told || is_answered)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
