Incomplete answers of all requests together take a bounded part of the memory

Callers saw (a report of other operators): a machine ran out of memory by what faulty servers sent, and all requests on it ended. Here each answer was bounded, 256 KiB, and their sum was not.

Change: a budget of 0.15 of the memory for what is kept of answers, beyond 16 KiB each. Without room a successful body is forwarded as it arrives; an error answer or an event fails the attempt.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer};
+use crate::buffer_budget::BufferShare;
 use crate::call::{EntryCall, is_connection_field, write_field};
 use crate::call_relay::SERVER_FIELD;
 use crate::caller::CallerWriter;
@@ -27,6 +28,9 @@
 /// Maximum size of an event in a stream, in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Maximum size of a part of an answer that is copied behind the bytes before it, in bytes.
+const MAX_COPIED_BYTES: usize = 16 << 10;
+
 /// Number of events of a stream that one measurement of their pace spans.
 const PACED_EVENTS: usize = 8;
 
@@ -47,6 +51,8 @@
 
 /// Forwards the answer to one request, from one or several servers in turn.
 pub(crate) struct AnswerForwarder {
+    /// Memory of the part of the answer that is kept.
+    kept: BufferShare,
     service: String,
     streaming: bool,
     to_head_request: bool,
@@ -74,8 +80,9 @@
 }
 
 impl AnswerForwarder {
-    pub(crate) fn new<W: EntryWire>(call: &EntryCall) -> Self {
+    pub(crate) fn new<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> Self {
         Self {
+            kept: BufferShare::new(&state.answer_buffers),
             service: call.service.clone(),
             streaming: call.route.kind == RouteKind::Streaming,
             to_head_request: call.is_head(),
@@ -209,6 +216,10 @@
                 }
                 self.write_events(&answer.head, &events, writer).await?;
             }
+            if !self.kept.try_resize(self.splitter.capacity()) {
+                log_no_memory(&answer, self.splitter.pending_bytes());
+                return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
+            }
         }
     }
 
@@ -288,7 +299,7 @@
         events: &[u8],
         writer: &mut CallerWriter,
     ) -> io::Result<()> {
-        let mut text = Vec::with_capacity(events.len() + 512);
+        let mut text = Vec::with_capacity(events.len().min(MAX_COPIED_BYTES) + 512);
         if self.head.is_none() {
             writer.closing |= !writer.chunks;
             write_head(&mut text, head, self.named_server, writer);
@@ -298,10 +309,15 @@
             text.extend_from_slice(b"\r\n");
             self.head = Some(head.clone());
         }
-        if !events.is_empty() {
-            write_chunk(&mut text, events, writer.chunks);
+        if events.is_empty() {
+            return writer.write(&text).await;
         }
-        writer.write(&text).await
+        let (size, end): (String, &[u8]) = match writer.chunks {
+            true => (format!("{:x}\r\n", events.len()), b"\r\n"),
+            false => (String::new(), b""),
+        };
+        text.extend_from_slice(size.as_bytes());
+        write_parts(writer, text, events, end).await
     }
 
     /// Reads an answer completely, releases the connection and the slot, and writes it.
@@ -318,18 +334,23 @@
                 Ok(None) => break,
                 Err(failure) => return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure))),
             }
-            if body.len() > MAX_BUFFERED_BYTES && !(200..300).contains(&answer.head.status) {
-                return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
+            let has_memory = self.kept.try_resize(body.capacity());
+            if body.len() <= MAX_BUFFERED_BYTES && has_memory {
+                continue;
+            }
+            if !has_memory {
+                log_no_memory(&answer, body.len());
             }
-            if body.len() > MAX_BUFFERED_BYTES {
-                return self.forward_unbuffered(answer, body, writer).await;
+            if !(200..300).contains(&answer.head.status) {
+                return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
             }
+            return self.forward_unbuffered(answer, body, writer).await;
         }
         let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
         drop(slot);
         state.selection_input_change.notify_one();
-        let mut text = Vec::with_capacity(body.len() + 512);
+        let mut text = Vec::with_capacity(body.len().min(MAX_COPIED_BYTES) + 512);
         write_head(&mut text, &head, self.named_server, writer);
         let length = match head.fields.values("content-length").next() {
             Some(length) if self.to_head_request => length.to_vec(),
@@ -339,8 +360,7 @@
             write_field(&mut text, b"Content-Length", &length);
         }
         text.extend_from_slice(b"\r\n");
-        text.extend_from_slice(&body);
-        writer.write(&text).await?;
+        write_parts(writer, text, &body, b"").await?;
         Ok(ForwardEnd::Complete { status: head.status })
     }
 
@@ -354,6 +374,8 @@
         let status = answer.head.status;
         self.write_events(&answer.head.clone(), &first, writer).await?;
         let mut length = first.len();
+        drop(first);
+        self.kept.try_resize(0);
         // The caller has a part of this answer; another server's answer can't replace it.
         let cut_off = |failure| {
             let ran = catkin_base::RunVerdict::HasRun;
@@ -429,15 +451,32 @@
     }
 }
 
-/// Writes a part of the body, in a chunk if `chunks` is set.
-fn write_chunk(text: &mut Vec<u8>, bytes: &[u8], chunks: bool) {
-    if !chunks {
-        text.extend_from_slice(bytes);
-        return;
+/// Writes a part of a message between what precedes and follows it: in one piece if it is small, else without a
+/// second copy of it.
+async fn write_parts(
+    writer: &mut CallerWriter,
+    mut before: Vec<u8>,
+    part: &[u8],
+    after: &[u8],
+) -> io::Result<()> {
+    if part.len() > MAX_COPIED_BYTES {
+        writer.write(&before).await?;
+        writer.write(part).await?;
+        return writer.write(after).await;
     }
-    text.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-    text.extend_from_slice(bytes);
-    text.extend_from_slice(b"\r\n");
+    before.extend_from_slice(part);
+    before.extend_from_slice(after);
+    writer.write(&before).await
+}
+
+/// Logs that an answer can't be kept until it is complete.
+fn log_no_memory<W: EntryWire>(answer: &StartedAnswer<W>, bytes: usize) {
+    log::info!(
+        "server: sent much of an answer, and the memory for incomplete answers is in use; not kept. \
+         server={:?} bytes={bytes}",
+        answer.slot.as_ref().map(|slot| slot.server)
+    );
+    metrics::counter!("catkin_entry_unkept_answers_total").increment(1);
 }
 
 /// Removes the gaps and returns their median. The prefill of another prompt delays single events of
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod break_cause;
 mod brittle_exchange;
 mod budget_book;
+mod buffer_budget;
 mod cache_index;
 mod cache_loader;
 mod cache_sync;
@@ -96,6 +97,7 @@
 
 pub use break_cause::{BreakCause, ReusedBreak, ServerCheck, find_break_cause};
 pub use budget_book::BudgetBook;
+pub use buffer_budget::{BufferBudget, BufferShare, UNCOUNTED_BYTES};
 pub use cache_index::{CacheIndex, CachedPart, PrefixPart, list_prefix_parts, part_key};
 pub use cache_sync::CacheSync;
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -202,7 +202,7 @@
         ran: RunVerdict::NotRun,
         payment: None,
     };
-    let mut forwarder = AnswerForwarder::new::<W>(call);
+    let mut forwarder = AnswerForwarder::new(state, call);
     if state.is_out_of_reach(&call.service) {
         return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
     }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -15,6 +15,7 @@
 
 use crate::brittle_exchange::BrittleUpdates;
 use crate::budget_book::BudgetBook;
+use crate::buffer_budget::BufferBudget;
 use crate::cache_index::{CacheIndex, CachedPart};
 use crate::cache_sync::CacheSync;
 use crate::cold_exchange::{ColdUpdates, ColdWatch};
@@ -44,6 +45,8 @@
 use crate::waiting_room::RoomBook;
 use crate::wire::StoreKind;
 
+/// Fraction of the memory that incomplete answers may take together.
+const ANSWER_MEMORY_FRACTION: f64 = 0.15;
 /// Time without a report of another router and an answer of the store after which servers may have joined
 /// unnoticed.
 const LIST_CONFIRM_TIME: Duration = Duration::from_millis(1_000);
@@ -197,6 +200,8 @@
     /// When the process ends at the latest; `None` until it stops.
     pub(crate) exit_deadline: Cell<Option<Instant>>,
     pub(crate) open_calls: Cell<u32>,
+    /// Memory for answers that are kept until they are complete or read.
+    pub(crate) answer_buffers: Rc<BufferBudget>,
     /// Number of caller connections.
     pub(crate) connections: Cell<usize>,
     /// Cancelled when connections of idle callers are to be closed.
@@ -219,6 +224,7 @@
         let budgets =
             BudgetBook::new(settings.retry_ratio, settings.retry_extra, settings.first_start);
         let local_vm = VmId::from_name(&settings.vm);
+        let answer_bytes = settings.memory_megabytes * 1e6 * ANSWER_MEMORY_FRACTION;
         let origins = match settings.first_start {
             true => OriginBook::default(),
             false => OriginBook::after_restart(ClockTime::ZERO),
@@ -278,6 +284,7 @@
             cache_sync: RefCell::default(),
             exit_deadline: Cell::new(None),
             open_calls: Cell::new(0),
+            answer_buffers: Rc::new(BufferBudget::new(answer_bytes as usize)),
             connections: Cell::new(0),
             close_idle_callers: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
--- a/crates/catkin-http/src/event.rs
+++ b/crates/catkin-http/src/event.rs
@@ -97,6 +97,11 @@
         self.pending.len()
     }
 
+    /// Memory that the bytes after the last complete event take, in bytes.
+    pub fn capacity(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Discards the bytes after the last complete event.
     pub fn discard_pending(&mut self) {
         self.pending.clear();
