--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -518,7 +518,9 @@
     } else {
         ServedCall::Refused(Refusal { cause, ran: progress.ran })
     };
-    let allowed = progress.ran == RunVerdict::NotRun || call.may_repeat();
+    // Only a stream goes on at another server; another body can't follow a part of this one.
+    let can_follow = !started || call.route.kind == RouteKind::Streaming;
+    let allowed = (progress.ran == RunVerdict::NotRun || call.may_repeat()) && can_follow;
     let attempts_left = progress.possibly_run_attempts < call.route.max_attempts
         && progress.not_run_attempts < MAX_NOT_RUN_ATTEMPTS;
     let unpaid = error.failure == AttemptFailure::Unpaid;
