Connections of callers that read slowly are not reset

Cause: connections of callers had the TCP_USER_TIMEOUT of those to servers, 3.5 s, which also breaks a connection whose peer keeps its window small; and 10 s were allowed for the write of a whole answer.

Change: 12 s for callers, and 10 s for each write without progress.

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -47,6 +47,9 @@
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
 /// Timeout for a write to a caller that reads nothing.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which unacknowledged data or a closed window breaks the connection of a caller, in milliseconds.
+/// It exceeds [`WRITE_TIMEOUT`], so that a caller that reads slowly is not taken for one that is gone.
+const CALLER_USER_TIMEOUT_MILLIS: u32 = 12_000;
 
 /// The write half of a connection, with the state of the current answer.
 pub(crate) struct CallerWriter {
@@ -63,10 +66,17 @@
 }
 
 impl CallerWriter {
-    /// Writes bytes of an answer. Fails if the caller is gone or exceeds [`WRITE_TIMEOUT`].
-    pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.started = true;
-        timeout(WRITE_TIMEOUT, self.writer.write_all(bytes)).await?
+    /// Writes bytes of an answer. Fails if the caller is gone or reads nothing for [`WRITE_TIMEOUT`].
+    pub(crate) async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = timeout(WRITE_TIMEOUT, self.writer.write(bytes)).await??;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            self.started = true;
+            bytes = &bytes[written..];
+        }
+        Ok(())
     }
 
     /// Makes sure that the caller does not take the end of the connection for that of the answer. A
@@ -120,7 +130,7 @@
 
 /// Serves one connection until it ends.
 pub(crate) async fn serve_connection<W: EntryWire>(state: Rc<EntryState<W>>, stream: TcpStream) {
-    set_options(&stream);
+    set_options(&stream, CALLER_USER_TIMEOUT_MILLIS);
     let (reader, writer) = stream.into_split();
     let mut connection = CallerConnection { reader, buffer: BytesMut::new(), served: false };
     let mut writer = CallerWriter {
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -115,7 +115,7 @@
     ) -> io::Result<Self> {
         let connecting = open_stream(source, address);
         let stream = timeout_at(deadline, connecting).await.map_err(|_| timed_out())??;
-        set_options(&stream);
+        set_options(&stream, USER_TIMEOUT_MILLIS);
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
@@ -416,10 +416,12 @@
 
 /// Sets the TCP options that detect a dead connection early. Failures are only logged: without the
 /// options a dead connection is detected late.
-pub(crate) fn set_options(stream: &TcpStream) {
+///
+/// `user_timeout_millis` is the time after which unacknowledged data breaks the connection.
+pub(crate) fn set_options(stream: &TcpStream, user_timeout_millis: u32) {
     let results = [
         stream.set_nodelay(true),
-        sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT_MILLIS).map_err(io::Error::from),
+        sockopt::set_tcp_user_timeout(stream, user_timeout_millis).map_err(io::Error::from),
         sockopt::set_socket_keepalive(stream, true).map_err(io::Error::from),
         set_probe_times(stream),
     ];
