A complete answer is delivered after the deadline, and no refusal follows a part of an answer

Cause: the deadline cancelled the write of a complete answer, and what ends a request did not know of bytes that were written.

Change: a complete answer is written outside the deadline. Every end of a request asks the writer whether an answer has begun.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -49,6 +49,20 @@
     Failed(AttemptError),
 }
 
+/// A complete answer, of which the caller has nothing yet.
+pub(crate) struct ReadyAnswer {
+    head: ResponseHead,
+    body: Vec<u8>,
+}
+
+/// How far an answer was forwarded.
+pub(crate) enum ForwardStep {
+    /// It is complete; [`AnswerForwarder::write_ready`] writes it.
+    Ready(ReadyAnswer),
+    /// Forwarding it has ended.
+    Ended(ForwardEnd),
+}
+
 /// Forwards the answer to one request, from one or several servers in turn.
 pub(crate) struct AnswerForwarder {
     /// Memory of the part of the answer that is kept.
@@ -132,15 +146,15 @@
         self.head.as_ref().and_then(|_| self.splitter.last_id())
     }
 
-    /// Forwards an answer. The first events of a stream must arrive before `answer_deadline`. The
-    /// outer error is a failed write to the caller.
+    /// Forwards an answer as it arrives, or reads it completely if it is short enough. The first events of a
+    /// stream must arrive before `answer_deadline`. The outer error is a failed write to the caller.
     pub(crate) async fn forward<W: EntryWire>(
         &mut self,
         state: &Rc<EntryState<W>>,
         mut answer: StartedAnswer<W>,
         writer: &mut CallerWriter,
         answer_deadline: Instant,
-    ) -> io::Result<ForwardEnd> {
+    ) -> io::Result<ForwardStep> {
         let success = (200..300).contains(&answer.head.status);
         if let Some(first) = &self.head
             && !continues_answer(first, &answer.head)
@@ -151,7 +165,7 @@
                 answer.slot.as_ref().map(|slot| slot.server),
                 answer.head.status
             );
-            return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
+            return Ok(ForwardStep::Ended(ForwardEnd::Failed(AttemptError::BROKEN)));
         }
         self.named_server =
             answer.slot.as_ref().map(|slot| slot.server).filter(|_| self.for_router);
@@ -163,9 +177,10 @@
             self.last_events = None;
             // Whatever the answer before left behind is no part of this one.
             self.splitter.discard_pending();
-            self.forward_stream(state, answer, writer, answer_deadline).await
+            let end = self.forward_stream(state, answer, writer, answer_deadline).await?;
+            Ok(ForwardStep::Ended(end))
         } else {
-            self.forward_buffered(state, answer, writer).await
+            self.read_or_forward(state, answer, writer).await
         }
     }
 
@@ -320,19 +335,22 @@
         write_parts(writer, text, events, end).await
     }
 
-    /// Reads an answer completely, releases the connection and the slot, and writes it.
-    async fn forward_buffered<W: EntryWire>(
+    /// Reads an answer completely and releases the connection and the slot. Forwards one that is too long for
+    /// that as it arrives.
+    async fn read_or_forward<W: EntryWire>(
         &mut self,
         state: &Rc<EntryState<W>>,
         mut answer: StartedAnswer<W>,
         writer: &mut CallerWriter,
-    ) -> io::Result<ForwardEnd> {
+    ) -> io::Result<ForwardStep> {
+        let fail =
+            |failure| Ok(ForwardStep::Ended(ForwardEnd::Failed(AttemptError::of_answer(failure))));
         let mut body = Vec::new();
         loop {
             match answer.connection.get().next_bytes().await {
                 Ok(Some(bytes)) => body.extend_from_slice(&bytes),
                 Ok(None) => break,
-                Err(failure) => return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure))),
+                Err(failure) => return fail(failure),
             }
             let has_memory = self.kept.try_resize(body.capacity());
             if body.len() <= MAX_BUFFERED_BYTES && has_memory {
@@ -342,14 +360,24 @@
                 log_no_memory(&answer, body.len());
             }
             if !(200..300).contains(&answer.head.status) {
-                return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
+                return fail(ExchangeFailure::Garbled);
             }
-            return self.forward_unbuffered(answer, body, writer).await;
+            return Ok(ForwardStep::Ended(self.forward_unbuffered(answer, body, writer).await?));
         }
         let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
         drop(slot);
         state.selection_input_change.notify_one();
+        Ok(ForwardStep::Ready(ReadyAnswer { head, body }))
+    }
+
+    /// Writes a complete answer.
+    pub(crate) async fn write_ready(
+        &mut self,
+        ready: ReadyAnswer,
+        writer: &mut CallerWriter,
+    ) -> io::Result<ForwardEnd> {
+        let ReadyAnswer { head, body } = ready;
         let mut text = Vec::with_capacity(body.len().min(MAX_COPIED_BYTES) + 512);
         write_head(&mut text, &head, self.named_server, writer);
         let length = match head.fields.values("content-length").next() {
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -11,7 +11,7 @@
 use catkin_policy::CrashEvidence;
 use tokio::time::{Instant, timeout_at};
 
-use crate::answer_forwarder::{AnswerForwarder, ForwardEnd};
+use crate::answer_forwarder::{AnswerForwarder, ForwardEnd, ForwardStep};
 use crate::assign::assign_server;
 use crate::attempt::{AttemptError, AttemptFailure, AttemptLimits, StartedAnswer, send_attempt};
 use crate::break_cause::ServerCheck;
@@ -211,13 +211,13 @@
         Err(cause) => return Ok(ServedCall::Refused(Refusal::not_run(cause))),
     };
     loop {
-        if state.is_out_of_reach(&call.service) && !forwarder.is_started() {
+        if state.is_out_of_reach(&call.service) && !writer.started {
             return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
         }
         let software = forwarder.software().or(resumed_software);
         let assigned = match assign_server(state, call, &progress.tried, software).await {
             Ok(assigned) => assigned,
-            Err(cause) if forwarder.is_started() => {
+            Err(cause) if writer.started => {
                 log::info!(
                     "call: no server to resume the stream; ending the answer early. request={} \
                      cause={cause:?}",
@@ -230,7 +230,7 @@
             }
         };
         if state.is_quarantined(call) {
-            return Ok(end_quarantined(&progress, &forwarder));
+            return Ok(end_quarantined(&progress, writer.started));
         }
         let server = assigned.slot.server;
         let address = assigned.address;
@@ -309,7 +309,7 @@
         }
         progress.ran = progress.ran.combine(error.ran);
         ran.set(progress.ran);
-        let payment = match decide_next(state, call, &progress, error, forwarder.is_started()) {
+        let payment = match decide_next(state, call, &progress, error, writer.started) {
             NextStep::End(end) => return Ok(end),
             NextStep::Repeat(payment) => payment,
         };
@@ -378,7 +378,7 @@
             .await?
         {
             ForwardEnd::Complete { status } => Ok(ServedCall::Relayed { status, helper }),
-            ForwardEnd::Failed(error) if forwarder.is_started() => Ok(ServedCall::Truncated(error)),
+            ForwardEnd::Failed(error) if writer.started => Ok(ServedCall::Truncated(error)),
             ForwardEnd::Failed(error) => refuse(RefusalCause::ServerFailed, ran.combine(error.ran)),
         };
     }
@@ -387,8 +387,8 @@
 }
 
 /// Ends a request whose content was quarantined while it waited for a server.
-fn end_quarantined(progress: &CallProgress, forwarder: &AnswerForwarder) -> ServedCall {
-    if forwarder.is_started() {
+fn end_quarantined(progress: &CallProgress, started: bool) -> ServedCall {
+    if started {
         return ServedCall::Truncated(AttemptError::BROKEN);
     }
     ServedCall::Refused(Refusal { cause: RefusalCause::Quarantined, ran: progress.ran })
@@ -562,7 +562,8 @@
     call.deadline.min(Instant::now() + timeout)
 }
 
-/// Forwards an answer to the caller until the deadline of the request.
+/// Forwards an answer to the caller. It must be complete at the deadline of the request; what the caller has
+/// not read of a complete answer by then is delivered late.
 async fn forward_answer<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
@@ -571,9 +572,12 @@
     writer: &mut CallerWriter,
     answer_deadline: Instant,
 ) -> io::Result<ForwardEnd> {
-    match timeout_at(call.deadline, forwarder.forward(state, answer, writer, answer_deadline)).await
-    {
-        Ok(end) => end,
+    let forwarding = forwarder.forward(state, answer, writer, answer_deadline);
+    match timeout_at(call.deadline, forwarding).await {
+        Ok(step) => match step? {
+            ForwardStep::Ready(ready) => forwarder.write_ready(ready, writer).await,
+            ForwardStep::Ended(end) => Ok(end),
+        },
         Err(_) => Ok(ForwardEnd::Failed(AttemptError::TIMED_OUT)),
     }
 }
