The bodies of all requests together take a bounded part of the memory

Cause: each body is kept twice until its attempt ends, and nothing bounded the sum.

A request with a length takes its part before its body is read; one that gets none is refused as not run (no-memory, with Retry-After).

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -17,6 +17,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
+use crate::buffer_budget::BufferShare;
 use crate::call::{CheckError, EntryCall, FORWARDED_FIELD, read_time_limit, write_field};
 use crate::call_relay::{REFUSED_FIELD, verify_forwarded};
 use crate::connection::set_options;
@@ -43,6 +44,8 @@
 const ASSUMED_TIME_LEFT: Duration = Duration::from_secs(3);
 /// How long a new connection may wait for its first request while idle ones are closed.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+/// Number of copies of a request's body: the one received and the one that is sent.
+const BODY_COPIES: usize = 2;
 /// How long a closed connection is drained, so that no reset destroys the answer.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
 /// Timeout for a write to a caller that reads nothing.
@@ -218,7 +221,9 @@
         writer.closing = !head.is_keep_alive() || state.is_stopping();
         writer.chunks = head.minor_version >= 1;
         writer.started = false;
-        let body = match self.read_request_body(state, &head, arrived, writer).await {
+        // Kept until the request has ended.
+        let mut kept = BufferShare::new(&state.body_buffers);
+        let body = match self.read_request_body(state, &head, arrived, writer, &mut kept).await {
             Ok(body) => body,
             Err(Some(cause)) => {
                 self.refuse(writer, cause).await;
@@ -255,13 +260,15 @@
         }
     }
 
-    /// Reads the body of a request. The error is a refusal, or `None` if the caller disconnected.
+    /// Reads the body of a request, whose memory is counted in `kept`. The error is a refusal, or `None` if the
+    /// caller disconnected.
     async fn read_request_body<W: EntryWire>(
         &mut self,
         state: &EntryState<W>,
         head: &RequestHead,
         arrived: Instant,
         writer: &mut CallerWriter,
+        kept: &mut BufferShare,
     ) -> Result<Bytes, Option<RefusalCause>> {
         let bounds = read_bounds(state);
         let limit = read_time_limit::<W>(state.route_table().as_deref(), head);
@@ -271,18 +278,25 @@
         if matches!(framing, BodyFraming::Length(length) if length > bounds.body_bytes as u64) {
             return Err(Some(RefusalCause::BodyTooLong));
         }
+        let mut body = BytesMut::new();
+        if let BodyFraming::Length(length) = framing {
+            keep_body(kept, length as usize)?;
+            body.reserve(length as usize);
+        }
         let mut decoder = BodyDecoder::new(framing);
         if !decoder.is_complete() && head.fields.contains_token("expect", "100-continue") {
             writer.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| None)?;
         }
-        let mut body = BytesMut::new();
         loop {
             match decoder.decode(&mut self.buffer).map_err(|_| Some(RefusalCause::BadRequest))? {
                 BodyStep::End => return Ok(body.freeze()),
                 BodyStep::Data(bytes) if body.len() + bytes.len() > bounds.body_bytes => {
                     return Err(Some(RefusalCause::BodyTooLong));
                 }
-                BodyStep::Data(bytes) => body.extend_from_slice(&bytes),
+                BodyStep::Data(bytes) => {
+                    body.extend_from_slice(&bytes);
+                    keep_body(kept, body.capacity())?;
+                }
                 BodyStep::NeedMore => {
                     let until = deadline.min(Instant::now() + bounds.header_timeout);
                     match self.read_until(until).await {
@@ -303,7 +317,8 @@
             "call: refused before the request was complete; closing the connection. cause={}",
             refusal.as_word()
         );
-        if let Err(error) = write_refusal(writer, refusal, None).await {
+        let pause = refusal.retry_after(ASSUMED_TIME_LEFT, &mut rand::rng());
+        if let Err(error) = write_refusal(writer, refusal, pause).await {
             log::debug!("call: writing the refusal failed; closing the connection. error={error}");
         }
     }
@@ -321,6 +336,12 @@
     }
 }
 
+/// Counts the memory of a request's body; the error is the refusal of a request that gets no more.
+fn keep_body(kept: &mut BufferShare, bytes: usize) -> Result<(), Option<RefusalCause>> {
+    let has_memory = kept.try_resize(BODY_COPIES * bytes);
+    if has_memory { Ok(()) } else { Err(Some(RefusalCause::NoMemory)) }
+}
+
 /// Waits until the router closes idle connections, but not before `grace_until`.
 async fn wait_for_closing<W>(state: &EntryState<W>, grace_until: Instant) {
     state.close_idle_callers.cancelled().await;
--- a/crates/catkin-entry/src/refusal.rs
+++ b/crates/catkin-entry/src/refusal.rs
@@ -29,6 +29,8 @@
     BodyTooLong,
     /// The request did not arrive in time.
     TooSlow,
+    /// The bodies of other requests take the memory for them.
+    NoMemory,
     /// The router has no declarations yet.
     NoDeclarations,
     /// No server of the service is known.
@@ -85,6 +87,7 @@
             RefusalCause::HeadTooLong => "head-too-long",
             RefusalCause::BodyTooLong => "body-too-long",
             RefusalCause::TooSlow => "too-slow",
+            RefusalCause::NoMemory => "no-memory",
             RefusalCause::NoDeclarations => "no-declarations",
             RefusalCause::NoServer => "no-server",
             RefusalCause::Full => "full",
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -47,6 +47,8 @@
 
 /// Fraction of the memory that incomplete answers may take together.
 const ANSWER_MEMORY_FRACTION: f64 = 0.15;
+/// Fraction of the memory that the bodies of requests may take together.
+const BODY_MEMORY_FRACTION: f64 = 0.25;
 /// Time without a report of another router and an answer of the store after which servers may have joined
 /// unnoticed.
 const LIST_CONFIRM_TIME: Duration = Duration::from_millis(1_000);
@@ -202,6 +204,8 @@
     pub(crate) open_calls: Cell<u32>,
     /// Memory for answers that are kept until they are complete or read.
     pub(crate) answer_buffers: Rc<BufferBudget>,
+    /// Memory for the bodies of requests.
+    pub(crate) body_buffers: Rc<BufferBudget>,
     /// Number of caller connections.
     pub(crate) connections: Cell<usize>,
     /// Cancelled when connections of idle callers are to be closed.
@@ -225,6 +229,7 @@
             BudgetBook::new(settings.retry_ratio, settings.retry_extra, settings.first_start);
         let local_vm = VmId::from_name(&settings.vm);
         let answer_bytes = settings.memory_megabytes * 1e6 * ANSWER_MEMORY_FRACTION;
+        let body_bytes = settings.memory_megabytes * 1e6 * BODY_MEMORY_FRACTION;
         let origins = match settings.first_start {
             true => OriginBook::default(),
             false => OriginBook::after_restart(ClockTime::ZERO),
@@ -285,6 +290,7 @@
             exit_deadline: Cell::new(None),
             open_calls: Cell::new(0),
             answer_buffers: Rc::new(BufferBudget::new(answer_bytes as usize)),
+            body_buffers: Rc::new(BufferBudget::new(body_bytes as usize)),
             connections: Cell::new(0),
             close_idle_callers: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
