An idle timeout without bounds does not end the task of a caller

Change: an idle timeout counts as an hour at most.

Test: a_connection_whose_server_states_an_endless_idle_timeout_is_kept panicked on and passes.

--- a/crates/catkin-entry/src/connection_pool.rs
+++ b/crates/catkin-entry/src/connection_pool.rs
@@ -14,6 +14,9 @@
 /// a request is in flight to it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Maximum idle timeout, whatever the server states.
+const MAX_IDLE: Duration = Duration::from_secs(3_600);
+
 /// Time for which a server that states no idle timeout keeps a connection open. Timeouts are stated in
 /// whole seconds.
 const UNSTATED_KEPT: Duration = Duration::from_millis(1_000);
@@ -38,7 +41,7 @@
     let values = keep_alive.into_iter().flat_map(|value| value.split(','));
     let mut seconds = values.filter_map(|part| part.trim().strip_prefix("timeout="));
     let limit = seconds.find_map(|text| text.trim().parse().ok()).map(Duration::from_secs);
-    limit.map_or(DEFAULT_IDLE, |limit| limit.saturating_sub(IDLE_MARGIN))
+    limit.map_or(DEFAULT_IDLE, |limit| limit.saturating_sub(IDLE_MARGIN).min(MAX_IDLE))
 }
 
 /// Reads from the value of a `Keep-Alive` field for how long the server surely keeps an idle connection
--- a/crates/catkin-entry/tests/connection.rs
+++ b/crates/catkin-entry/tests/connection.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
-use catkin_base::RunVerdict;
-use catkin_entry::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
+use catkin_base::{RunVerdict, ServerId};
+use catkin_entry::{
+    ConnectionPool, ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection,
+    read_idle_timeout,
+};
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +19,8 @@
 const MATCHING_ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok";
 const OTHER_ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nalien";
 const BODY_LIMIT_BYTES: usize = 1024;
+/// Time for which a server keeps its connection open.
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// What a server does after it has read a request.
 #[derive(Clone)]
@@ -183,3 +188,21 @@
         }
     }
 }
+
+/// Guards against a task that ends by an overflow since a server states an idle timeout without bounds.
+#[tokio::test]
+async fn a_connection_whose_server_states_an_endless_idle_timeout_is_kept() {
+    let address = start_server(vec![write(MATCHING_ANSWER), ServerStep::Wait(PAUSE)]).await;
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let mut connection = HttpConnection::connect(address, deadline).await.unwrap();
+    connection.exchange(REQUEST, None, false, deadline).await.unwrap();
+    connection.read_body(BODY_LIMIT_BYTES, deadline).await.unwrap();
+    let mut pool = ConnectionPool::default();
+    let server = ServerId(1);
+    assert!(pool.try_open(server, 1));
+
+    pool.release(server, connection, read_idle_timeout(Some("timeout=18446744073709551615")));
+
+    assert_eq!(pool.len(), 1);
+    assert!(pool.take(server, b"own", Instant::now()).is_some());
+}
