Answers without a body on streaming routes have no framing

Change: an answer without a body is not forwarded as a stream. An answer to HEAD states a length only if the server does.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -173,7 +173,8 @@
             slot.record_start(&self.service);
             slot.record_pace(&self.service, slot.elapsed());
         }
-        if self.streaming && success {
+        let has_body = !self.to_head_request && !matches!(answer.head.status, 204 | 304);
+        if self.streaming && success && has_body {
             self.last_events = None;
             // Whatever the answer before left behind is no part of this one.
             self.splitter.discard_pending();
@@ -380,11 +381,11 @@
         let ReadyAnswer { head, body } = ready;
         let mut text = Vec::with_capacity(body.len().min(MAX_COPIED_BYTES) + 512);
         write_head(&mut text, &head, self.named_server, writer);
-        let length = match head.fields.values("content-length").next() {
-            Some(length) if self.to_head_request => length.to_vec(),
-            _ => body.len().to_string().into_bytes(),
+        let length = match self.to_head_request {
+            true => head.fields.values("content-length").next().map(<[u8]>::to_vec),
+            false => Some(body.len().to_string().into_bytes()),
         };
-        if head.status != 204 && head.status != 304 {
+        if let Some(length) = length.filter(|_| head.status != 204 && head.status != 304) {
             write_field(&mut text, b"Content-Length", &length);
         }
         text.extend_from_slice(b"\r\n");
