Rename and split what a newcomer stumbles over

serve.rs: the part that finds where a stream goes on is a module of its own, resumption.rs; ran_so_far in place of two names for one thing. Shares of a budget are called share, budgets budget. write_part writes parts of any body, not only events.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -66,7 +66,7 @@
 /// Forwards the answer to one request, from one or several servers in turn.
 pub(crate) struct AnswerForwarder {
     /// Memory of the part of the answer that is kept.
-    kept: BufferShare,
+    share: BufferShare,
     service: String,
     streaming: bool,
     to_head_request: bool,
@@ -96,7 +96,7 @@
 impl AnswerForwarder {
     pub(crate) fn new<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> Self {
         Self {
-            kept: BufferShare::new(&state.answer_buffers),
+            share: BufferShare::new(&state.answer_budget),
             service: call.service.clone(),
             streaming: call.route.kind == RouteKind::Streaming,
             to_head_request: call.is_head(),
@@ -230,9 +230,9 @@
                     self.measure_pace(slot, &events);
                     slot.mark_prefilled();
                 }
-                self.write_events(&answer.head, &events, writer).await?;
+                self.write_part(&answer.head, &events, writer).await?;
             }
-            if !self.kept.try_resize(self.splitter.capacity()) {
+            if !self.share.try_resize(self.splitter.capacity()) {
                 log_no_memory(&answer, self.splitter.pending_bytes());
                 return Ok(ForwardEnd::Failed(AttemptError::of_answer(ExchangeFailure::Garbled)));
             }
@@ -297,7 +297,7 @@
             );
             return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
         }
-        self.write_events(&answer.head, &[], writer).await?;
+        self.write_part(&answer.head, &[], writer).await?;
         if writer.chunks {
             writer.write(b"0\r\n\r\n").await?;
         }
@@ -307,15 +307,15 @@
         Ok(ForwardEnd::Complete { status })
     }
 
-    /// Writes complete events, preceded by the head of the first server's answer if it was not
-    /// written yet.
-    async fn write_events(
+    /// Writes complete events, or the next part of another body, preceded by the head of the first server's
+    /// answer if it was not written yet.
+    async fn write_part(
         &mut self,
         head: &ResponseHead,
-        events: &[u8],
+        part: &[u8],
         writer: &mut CallerWriter,
     ) -> io::Result<()> {
-        let mut text = Vec::with_capacity(events.len().min(MAX_COPIED_BYTES) + 512);
+        let mut text = Vec::with_capacity(part.len().min(MAX_COPIED_BYTES) + 512);
         if self.head.is_none() {
             writer.closing |= !writer.chunks;
             write_head(&mut text, head, self.named_server, writer);
@@ -325,15 +325,15 @@
             text.extend_from_slice(b"\r\n");
             self.head = Some(head.clone());
         }
-        if events.is_empty() {
+        if part.is_empty() {
             return writer.write(&text).await;
         }
         let (size, end): (String, &[u8]) = match writer.chunks {
-            true => (format!("{:x}\r\n", events.len()), b"\r\n"),
+            true => (format!("{:x}\r\n", part.len()), b"\r\n"),
             false => (String::new(), b""),
         };
         text.extend_from_slice(size.as_bytes());
-        write_parts(writer, text, events, end).await
+        write_framed(writer, text, part, end).await
     }
 
     /// Reads an answer completely and releases the connection and the slot. Forwards one that is too long for
@@ -353,7 +353,7 @@
                 Ok(None) => break,
                 Err(failure) => return fail(failure),
             }
-            let has_memory = self.kept.try_resize(body.capacity());
+            let has_memory = self.share.try_resize(body.capacity());
             if body.len() <= MAX_BUFFERED_BYTES && has_memory {
                 continue;
             }
@@ -389,7 +389,7 @@
             write_field(&mut text, b"Content-Length", &length);
         }
         text.extend_from_slice(b"\r\n");
-        write_parts(writer, text, &body, b"").await?;
+        write_framed(writer, text, &body, b"").await?;
         Ok(ForwardEnd::Complete { status: head.status })
     }
 
@@ -401,10 +401,10 @@
         writer: &mut CallerWriter,
     ) -> io::Result<ForwardEnd> {
         let status = answer.head.status;
-        self.write_events(&answer.head.clone(), &first, writer).await?;
+        self.write_part(&answer.head.clone(), &first, writer).await?;
         let mut length = first.len();
         drop(first);
-        self.kept.try_resize(0);
+        self.share.try_resize(0);
         // The caller has a part of this answer; another server's answer can't replace it.
         let cut_off = |failure| {
             let ran = catkin_base::RunVerdict::HasRun;
@@ -417,7 +417,7 @@
                     if length > MAX_ANSWER_BYTES {
                         return cut_off(AttemptFailure::Garbled);
                     }
-                    self.write_events(&answer.head, &bytes, writer).await?;
+                    self.write_part(&answer.head, &bytes, writer).await?;
                 }
                 Ok(None) => return self.end_stream(answer, writer, status).await,
                 Err(_) => return cut_off(AttemptFailure::Broken),
@@ -482,7 +482,7 @@
 
 /// Writes a part of a message between what precedes and follows it: in one piece if it is small, else without a
 /// second copy of it.
-async fn write_parts(
+async fn write_framed(
     writer: &mut CallerWriter,
     mut before: Vec<u8>,
     part: &[u8],
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -221,9 +221,9 @@
         writer.closing = !head.is_keep_alive() || state.is_stopping();
         writer.chunks = head.minor_version >= 1;
         writer.started = false;
-        // Kept until the request has ended.
-        let mut kept = BufferShare::new(&state.body_buffers);
-        let body = match self.read_request_body(state, &head, arrived, writer, &mut kept).await {
+        // The body is kept until the request has ended.
+        let mut share = BufferShare::new(&state.body_budget);
+        let body = match self.read_request_body(state, &head, arrived, writer, &mut share).await {
             Ok(body) => body,
             Err(Some(cause)) => {
                 self.refuse(writer, cause).await;
@@ -260,7 +260,7 @@
         }
     }
 
-    /// Reads the body of a request, whose memory is counted in `kept`. The error is a refusal, or `None` if the
+    /// Reads the body of a request, whose memory is counted in `share`. The error is a refusal, or `None` if the
     /// caller disconnected.
     async fn read_request_body<W: EntryWire>(
         &mut self,
@@ -268,7 +268,7 @@
         head: &RequestHead,
         arrived: Instant,
         writer: &mut CallerWriter,
-        kept: &mut BufferShare,
+        share: &mut BufferShare,
     ) -> Result<Bytes, Option<RefusalCause>> {
         let bounds = read_bounds(state);
         let limit = read_time_limit::<W>(state.route_table().as_deref(), head);
@@ -280,7 +280,7 @@
         }
         let mut body = BytesMut::new();
         if let BodyFraming::Length(length) = framing {
-            keep_body(kept, length as usize)?;
+            resize_share(share, length as usize)?;
             body.reserve(length as usize);
         }
         let mut decoder = BodyDecoder::new(framing);
@@ -295,7 +295,7 @@
                 }
                 BodyStep::Data(bytes) => {
                     body.extend_from_slice(&bytes);
-                    keep_body(kept, body.capacity())?;
+                    resize_share(share, body.capacity())?;
                 }
                 BodyStep::NeedMore => {
                     let until = deadline.min(Instant::now() + bounds.header_timeout);
@@ -336,9 +336,9 @@
     }
 }
 
-/// Counts the memory of a request's body; the error is the refusal of a request that gets no more.
-fn keep_body(kept: &mut BufferShare, bytes: usize) -> Result<(), Option<RefusalCause>> {
-    let has_memory = kept.try_resize(BODY_COPIES * bytes);
+/// Counts the memory of a request's body of `bytes`; the error is the refusal of a request that gets no more.
+fn resize_share(share: &mut BufferShare, bytes: usize) -> Result<(), Option<RefusalCause>> {
+    let has_memory = share.try_resize(BODY_COPIES * bytes);
     if has_memory { Ok(()) } else { Err(Some(RefusalCause::NoMemory)) }
 }
 
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -74,6 +74,7 @@
 mod relay_plan;
 mod report_builder;
 mod report_queue;
+mod resumption;
 mod retry_payment;
 mod route_table;
 mod serve;
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -22,10 +22,10 @@
 use crate::crash_check::check_server;
 use crate::crash_reports::CallVerdict;
 use crate::load_table::ServiceKey;
-use crate::origin_book::{ResumeChoice, SoftwareKey, StreamKey};
 use crate::outcome_book::AttemptOutcome;
 use crate::record::RouteKind;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::resumption::find_resumed_software;
 use crate::retry_payment::RetryPayment;
 use crate::state::EntryState;
 use crate::wire::EntryWire;
@@ -42,11 +42,6 @@
 const MAX_HELPERS: u32 = 3;
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 16;
-/// Maximum wait for other routers to tell where a stream began.
-const ORIGIN_ANSWER_WAIT: Duration = Duration::from_millis(150);
-/// Maximum wait for the store to tell it.
-const ORIGIN_READ_WAIT: Duration = Duration::from_millis(450);
-
 /// Attempts made so far for a request.
 struct CallProgress {
     /// Servers that were tried.
@@ -76,11 +71,11 @@
         state.demands.borrow_mut().record_request(now, ServiceKey::from_name(&call.service));
         state.record_room_request(call);
     }
-    let ran = Cell::new(RunVerdict::NotRun);
+    let ran_so_far = Cell::new(RunVerdict::NotRun);
     let served = tokio::select! {
         biased;
-        served = run_call(state, call, writer, &ran) => served,
-        () = state.end_calls.cancelled() => Ok(end_with_process(writer, ran.get())),
+        served = run_call(state, call, writer, &ran_so_far) => served,
+        () = state.end_calls.cancelled() => Ok(end_with_process(writer, ran_so_far.get())),
     };
     let millis = call.arrived.elapsed().as_millis();
     let route = &call.route.name;
@@ -181,13 +176,13 @@
     Refused(Refusal),
 }
 
-/// Makes attempts until one succeeds or no further one is allowed. `ran` tells at any time whether a server
-/// may have run the request.
+/// Makes attempts until one succeeds or no further one is allowed. `ran_so_far` tells at any time
+/// whether a server may have run the request.
 async fn run_call<W: EntryWire>(
     state: &Rc<EntryState<W>>,
     call: &EntryCall,
     writer: &mut CallerWriter,
-    ran: &Cell<RunVerdict>,
+    ran_so_far: &Cell<RunVerdict>,
 ) -> io::Result<ServedCall> {
     if outlives_process(state, call) {
         return Ok(ServedCall::Refused(Refusal::not_run(RefusalCause::Stopping)));
@@ -204,7 +199,7 @@
     };
     let mut forwarder = AnswerForwarder::new(state, call);
     if state.is_out_of_reach(&call.service) {
-        return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
+        return relay_call(state, call, &progress, &mut forwarder, writer, ran_so_far).await;
     }
     let resumed_software = match find_resumed_software(state, call).await {
         Ok(software) => software,
@@ -212,7 +207,7 @@
     };
     loop {
         if state.is_out_of_reach(&call.service) && !writer.started {
-            return relay_call(state, call, &progress, &mut forwarder, writer, ran).await;
+            return relay_call(state, call, &progress, &mut forwarder, writer, ran_so_far).await;
         }
         let software = forwarder.software().or(resumed_software);
         let assigned = match assign_server(state, call, &progress.tried, software).await {
@@ -239,7 +234,7 @@
         let answer_deadline = choose_answer_deadline(call, &progress);
         let last_event = forwarder.last_event();
         let limits = AttemptLimits { answer_deadline, payment: progress.payment };
-        ran.set(RunVerdict::MayHaveRun);
+        ran_so_far.set(RunVerdict::MayHaveRun);
         let started = send_attempt(state, call, assigned, limits, last_event).await;
         record_room_answer(state, call, started.as_ref().err());
         let error = match started {
@@ -308,7 +303,7 @@
             _ => progress.possibly_run_attempts += 1,
         }
         progress.ran = progress.ran.combine(error.ran);
-        ran.set(progress.ran);
+        ran_so_far.set(progress.ran);
         let payment = match decide_next(state, call, &progress, error, writer.started) {
             NextStep::End(end) => return Ok(end),
             NextStep::Repeat(payment) => payment,
@@ -333,7 +328,7 @@
     progress: &CallProgress,
     forwarder: &mut AnswerForwarder,
     writer: &mut CallerWriter,
-    call_ran: &Cell<RunVerdict>,
+    ran_so_far: &Cell<RunVerdict>,
 ) -> io::Result<ServedCall> {
     let refuse = |cause, ran| Ok(ServedCall::Refused(Refusal { cause, ran }));
     // A request is passed on once only, so that no two routers pass it to one another.
@@ -344,7 +339,7 @@
     let mut ran = progress.ran;
     let mut tried = BTreeSet::new();
     for _ in 0..MAX_HELPERS {
-        call_ran.set(RunVerdict::MayHaveRun);
+        ran_so_far.set(RunVerdict::MayHaveRun);
         let relayed = send_relayed(state, call, attempts, &mut tried).await;
         let (helper, answer) = match relayed {
             RelayResult::NoHelper => break,
@@ -394,102 +389,6 @@
     ServedCall::Refused(Refusal { cause: RefusalCause::Quarantined, ran: progress.ran })
 }
 
-/// Finds the software version at which the stream that the request resumes must go on; `None` if it
-/// resumes none. Asks other routers and the store if this router is not sure where the stream began.
-async fn find_resumed_software<W: EntryWire>(
-    state: &EntryState<W>,
-    call: &EntryCall,
-) -> Result<Option<SoftwareKey>, RefusalCause> {
-    if !call.is_resumed() {
-        return Ok(None);
-    }
-    let began = Instant::now();
-    let key = call.resumed_id.as_ref().map(|id| StreamKey::from_request(id.as_bytes()));
-    let choose = || {
-        let is_doubtful = state.is_list_doubtful();
-        state.origins.borrow().choose_resume(state.now(), &call.service, key, is_doubtful)
-    };
-    let is_known = || matches!(choose(), ResumeChoice::OnlyVersion(_));
-    if !is_known() {
-        wait_for_origin(state, call.deadline, key, is_known).await;
-    }
-    let choice = choose();
-    log_resumption(state, call, choice, began.elapsed());
-    match choice {
-        ResumeChoice::OnlyVersion(software) => Ok(Some(software)),
-        // Servers of another version may serve, and nobody has told where the stream began.
-        ResumeChoice::LikelyVersion(_) if state.is_list_doubtful() => {
-            Err(RefusalCause::OriginUnknown)
-        }
-        ResumeChoice::LikelyVersion(software) => Ok(Some(software)),
-        ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
-    }
-}
-
-/// Asks other routers and the store where a stream began until `is_known`, or until none of them may know.
-async fn wait_for_origin<W: EntryWire>(
-    state: &EntryState<W>,
-    deadline: Instant,
-    key: Option<StreamKey>,
-    is_known: impl Fn() -> bool,
-) {
-    let routers_until = deadline.min(Instant::now() + ORIGIN_ANSWER_WAIT);
-    let store_until = deadline.min(Instant::now() + ORIGIN_READ_WAIT);
-    let _asked = key.map(|key| AskedOrigin::new(state, key));
-    if key.is_some() || state.origins.borrow().is_incomplete(state.now()) {
-        state.origin_access.request();
-    }
-    loop {
-        let changed = state.origins_change.notified();
-        if is_known() {
-            return;
-        }
-        let is_read = !state.origin_access.is_pending();
-        let until = if is_read { routers_until } else { store_until };
-        if timeout_at(until, changed).await.is_err() && Instant::now() >= until {
-            return;
-        }
-    }
-}
-
-/// Logs where a resumed stream goes on, with what the router knew of its origin.
-fn log_resumption<W: EntryWire>(
-    state: &EntryState<W>,
-    call: &EntryCall,
-    choice: ResumeChoice,
-    waited: Duration,
-) {
-    log::info!(
-        "call: resumes a stream; going on at servers of the choice. request={} resumes={} \
-         choice={choice:?} versions={} uptime_millis={} waited_millis={}",
-        call.id_text(),
-        call.resumed_id.as_deref().unwrap_or("-"),
-        state.origins.borrow().count_versions(&call.service),
-        state.started.elapsed().as_millis(),
-        waited.as_millis()
-    );
-}
-
-/// Asks other routers for the origin of a stream until dropped.
-struct AskedOrigin<'a, W> {
-    state: &'a EntryState<W>,
-    key: StreamKey,
-}
-
-impl<'a, W> AskedOrigin<'a, W> {
-    fn new(state: &'a EntryState<W>, key: StreamKey) -> Self {
-        state.asked_origins.borrow_mut().insert(key);
-        state.asked_origins_change.notify_waiters();
-        Self { state, key }
-    }
-}
-
-impl<W> Drop for AskedOrigin<'_, W> {
-    fn drop(&mut self) {
-        self.state.asked_origins.borrow_mut().remove(&self.key);
-    }
-}
-
 /// What follows a failed attempt.
 enum NextStep {
     /// The request ends.
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -203,9 +203,9 @@
     pub(crate) exit_deadline: Cell<Option<Instant>>,
     pub(crate) open_calls: Cell<u32>,
     /// Memory for answers that are kept until they are complete or read.
-    pub(crate) answer_buffers: Rc<BufferBudget>,
+    pub(crate) answer_budget: Rc<BufferBudget>,
     /// Memory for the bodies of requests.
-    pub(crate) body_buffers: Rc<BufferBudget>,
+    pub(crate) body_budget: Rc<BufferBudget>,
     /// Number of caller connections.
     pub(crate) connections: Cell<usize>,
     /// Cancelled when connections of idle callers are to be closed.
@@ -289,8 +289,8 @@
             cache_sync: RefCell::default(),
             exit_deadline: Cell::new(None),
             open_calls: Cell::new(0),
-            answer_buffers: Rc::new(BufferBudget::new(answer_bytes as usize)),
-            body_buffers: Rc::new(BufferBudget::new(body_bytes as usize)),
+            answer_budget: Rc::new(BufferBudget::new(answer_bytes as usize)),
+            body_budget: Rc::new(BufferBudget::new(body_bytes as usize)),
             connections: Cell::new(0),
             close_idle_callers: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
