A head joined from those of two answers is no answer

Callers saw a success with the body of an answer to another request, if a server stopped inside a field of a head and went on with another answer on the same connection: "...id A, seal A, X-Part: be" and then "HTTP/1.1 200 OK, id B, seal B, length, body" parse as one head, whose first identifier is that of the request.

Cause: only the first value of the identifier and of the seal was read.

Change: a head with the identifiers of several requests belongs to none, and one with several seals is no server's. Both fail the attempt as garbled. Equal identifiers are allowed, since a proxy at a server may add its own.

Evidence: a_head_that_goes_on_with_another_answer_does_not_reach_the_caller failed on the sources of (200 with the other answer's body) and passes, with the tests of misplaced_answers.rs and connection.rs.

What remains: a head that stops before the identifier, or goes on with an answer that has neither identifier nor seal.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -411,7 +411,8 @@
         return Err(AttemptError::not_run(failure));
     }
     let success = (200..300).contains(&head.status);
-    if !head.fields.contains(names.seal) && (success || head.status >= 500) {
+    let seals = head.fields.count(names.seal);
+    if seals > 1 || (seals == 0 && (success || head.status >= 500)) {
         return Err(AttemptError::may_have_run(AttemptFailure::Garbled));
     }
     if head.fields.contains("content-encoding") {
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -401,12 +401,15 @@
     Own,
     /// An earlier one.
     Late,
-    /// It has no identifier, and there were earlier requests.
+    /// It has no identifier, and there were earlier requests; or it has those of several requests, since it is
+    /// joined from parts of answers.
     Unknown,
 }
 
 fn match_answer(head: &ResponseHead, expected: ExpectedAnswer<'_>, is_first: bool) -> AnswerMatch {
-    match head.fields.values(expected.id_field).next() {
+    let mut ids = head.fields.values(expected.id_field);
+    match ids.next() {
+        Some(found) if ids.any(|other| other != found) => AnswerMatch::Unknown,
         Some(found) if found == expected.id => AnswerMatch::Own,
         Some(_) => AnswerMatch::Late,
         None if is_first => AnswerMatch::Own,
