A killed router resets the connections of callers without chunks

Callers of HTTP/1.0 saw a part of a stream, or of a long answer, as a whole one if the router was killed meanwhile: such an answer ends with its connection, and the kernel closes the connections of a killed process in order.

Cause: only an answer that the router itself gave up ended with a reset (answers-without-length.md).

Change: while such an answer is under way, the socket lingers for zero seconds, so that its end is a reset whoever closes it; the order is restored behind the last byte of a complete answer.

What remains: a VM that loses power sends neither; its caller waits.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -300,6 +300,8 @@
         self.write_part(&answer.head, &[], writer).await?;
         if writer.chunks {
             writer.write(b"0\r\n\r\n").await?;
+        } else {
+            writer.end_unframed();
         }
         let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
@@ -317,7 +319,9 @@
     ) -> io::Result<()> {
         let mut text = Vec::with_capacity(part.len().min(MAX_COPIED_BYTES) + 512);
         if self.head.is_none() {
-            writer.closing |= !writer.chunks;
+            if !writer.chunks {
+                writer.begin_unframed();
+            }
             write_head(&mut text, head, self.named_server, writer);
             let framing: &[u8] =
                 if writer.chunks { b"Transfer-Encoding: chunked\r\n" } else { b"" };
--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -82,19 +82,34 @@
         Ok(())
     }
 
+    /// Begins an answer whose end is that of the connection. Until [`Self::end_unframed`], the connection ends
+    /// with a reset, also if this process is killed.
+    pub(crate) fn begin_unframed(&mut self) {
+        self.closing = true;
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    /// Ends such an answer, which is complete.
+    pub(crate) fn end_unframed(&self) {
+        self.set_linger(None);
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) {
+        if let Err(error) = set_socket_linger(self.writer.as_ref(), linger) {
+            log::warn!(
+                "caller: setting how the connection ends failed; a part of an answer may look whole. \
+                 error={error}"
+            );
+        }
+    }
+
     /// Makes sure that the caller does not take the end of the connection for that of the answer. A
     /// chunked answer lacks its last chunk; any other one ends with a reset.
     fn abort(self) {
         if self.chunks {
             return;
         }
-        let reset = set_socket_linger(self.writer.as_ref(), Some(Duration::ZERO));
-        if let Err(error) = reset {
-            log::warn!(
-                "caller: connection not reset after a broken answer; the part looks whole. \
-                 error={error}"
-            );
-        }
+        self.set_linger(Some(Duration::ZERO));
         // Dropping the half would end the connection in order.
         self.writer.forget();
     }
