The end of a connection is not always that of an answer

A stream without an event looked whole with any framing.

Cause: such an answer was complete as soon as its connection was closed in order, whatever had arrived and whoever closed it: a server that stops, and the kernel for a killed process, close it in the same way.

Change: answer_end.rs decides. A success without framing is broken off if it has no body, or if its server refuses connections at that moment and does not leave; a stream that begins is broken off, whatever its framing, without an event. What may run again goes on elsewhere, the rest is refused or cut off as having perhaps run.

What remains: a part of a body without framing whose server goes on to run can't be told from a whole one.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -9,12 +9,14 @@
 use catkin_http::{EventError, EventSplitter, HeaderField, ResponseHead};
 use tokio::time::{Instant, timeout_at};
 
+use crate::answer_end::{UnframedEnd, find_end_fault};
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer};
 use crate::buffer_budget::BufferShare;
 use crate::call::{EntryCall, is_connection_field, write_field};
 use crate::call_relay::SERVER_FIELD;
 use crate::caller::CallerWriter;
 use crate::connection::ExchangeFailure;
+use crate::crash_check::check_server;
 use crate::origin_book::{SoftwareKey, StreamKey};
 use crate::record::RouteKind;
 use crate::state::{EntryState, OpenSlot};
@@ -206,6 +208,14 @@
                 Ok(Some(bytes)) => self.splitter.push(&bytes),
                 Ok(None) => {
                     self.record_length(state);
+                    // A stream that goes on may have no event left, but none begins without one.
+                    if awaits_first && self.new_stream.is_some() {
+                        let failure = fail_empty_stream(&mut answer);
+                        return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure)));
+                    }
+                    if is_broken_off(state, &mut answer, true).await {
+                        return Ok(ForwardEnd::Failed(AttemptError::BROKEN));
+                    }
                     return self.end_stream(answer, writer, status).await;
                 }
                 Err(failure) => return Ok(ForwardEnd::Failed(AttemptError::of_answer(failure))),
@@ -367,7 +377,12 @@
             if !(200..300).contains(&answer.head.status) {
                 return fail(ExchangeFailure::Garbled);
             }
-            return Ok(ForwardStep::Ended(self.forward_unbuffered(answer, body, writer).await?));
+            let end = self.forward_unbuffered(state, answer, body, writer).await?;
+            return Ok(ForwardStep::Ended(end));
+        }
+        let success = (200..300).contains(&answer.head.status);
+        if success && is_broken_off(state, &mut answer, !body.is_empty()).await {
+            return fail(ExchangeFailure::Broken);
         }
         let StartedAnswer { head, connection, slot, .. } = answer;
         connection.release(head.fields.text("keep-alive"));
@@ -400,6 +415,7 @@
     /// Forwards an answer that is too long to be buffered.
     async fn forward_unbuffered<W: EntryWire>(
         &mut self,
+        state: &EntryState<W>,
         mut answer: StartedAnswer<W>,
         first: Vec<u8>,
         writer: &mut CallerWriter,
@@ -423,6 +439,9 @@
                     }
                     self.write_part(&answer.head, &bytes, writer).await?;
                 }
+                Ok(None) if is_broken_off(state, &mut answer, true).await => {
+                    return cut_off(AttemptFailure::Broken);
+                }
                 Ok(None) => return self.end_stream(answer, writer, status).await,
                 Err(_) => return cut_off(AttemptFailure::Broken),
             }
@@ -430,6 +449,47 @@
     }
 }
 
+/// Whether an answer that ended with its connection counts as broken off. Checks whether its server runs.
+async fn is_broken_off<W: EntryWire>(
+    state: &EntryState<W>,
+    answer: &mut StartedAnswer<W>,
+    has_body: bool,
+) -> bool {
+    if !answer.connection.get().is_unframed() {
+        return false;
+    }
+    let server = answer.slot.as_ref().map(|slot| slot.server);
+    let address = server.and_then(|server| {
+        state.servers.borrow().get(server).map(|known| (server, known.record.address))
+    });
+    let check = match address.filter(|_| has_body) {
+        Some((server, address)) => Some(check_server(state, server, address).await),
+        None => None,
+    };
+    let is_leaving = server.is_some_and(|server| !state.servers.borrow().may_get_requests(server));
+    let fault = find_end_fault(&UnframedEnd { has_body, is_leaving, check });
+    if let Some(fault) = fault {
+        log::info!(
+            "server: answer with neither a length nor chunks ended with its connection; it counts as \
+             broken off. server={server:?} cause={fault:?} check={check:?}"
+        );
+        metrics::counter!("catkin_entry_unframed_breaks_total").increment(1);
+    }
+    fault.is_some()
+}
+
+/// Logs that a stream has no event, and returns the failure: the end of its connection may be a crash of its
+/// server.
+fn fail_empty_stream<W: EntryWire>(answer: &mut StartedAnswer<W>) -> ExchangeFailure {
+    let is_unframed = answer.connection.get().is_unframed();
+    log::info!(
+        "server: stream ended before its first event; it counts as broken off. server={:?} \
+         unframed={is_unframed}",
+        answer.slot.as_ref().map(|slot| slot.server)
+    );
+    if is_unframed { ExchangeFailure::Broken } else { ExchangeFailure::Garbled }
+}
+
 /// Whether the body of an answer can follow that of the `first` one, whose head the caller has.
 fn continues_answer(first: &ResponseHead, next: &ResponseHead) -> bool {
     next.status == first.status && read_media_type(next) == read_media_type(first)
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -141,6 +141,11 @@
         self.reusable && complete && self.buffer.is_empty()
     }
 
+    /// Whether the current answer states neither a length nor chunks, so that it ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        self.decoder.as_ref().is_some_and(BodyDecoder::ends_with_connection)
+    }
+
     /// Number of requests sent so far.
     pub fn exchanges(&self) -> u32 {
         self.exchanges
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -7,7 +7,8 @@
 //! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
-//!    answer within the memory of a `buffer_budget`, `server_notice` reads what a server states of itself,
+//!    answer within the memory of a `buffer_budget`, `answer_end` decides whether one that ended with its
+//!    connection is complete, `server_notice` reads what a server states of itself,
 //!    `resumption` finds where a resumed stream may go on, by `origin_book`, `refusal` answers
 //!    requests that were not served. `crash_check` and `break_cause` find out whether a server crashed under a request,
 //!    `crash_book` decides which content is refused because of that, `crash_reports` logs it and tells
@@ -26,10 +27,11 @@
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
 //! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`],
-//! [`find_break_cause`], [`HelpOffer`], [`choose_by_fill`], [`SpeedTable`], [`BufferBudget`]. [`run_entry`] runs the process. An
+//! [`find_break_cause`], [`find_end_fault`], [`HelpOffer`], [`choose_by_fill`], [`SpeedTable`], [`BufferBudget`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
+mod answer_end;
 mod answer_forwarder;
 mod assign;
 mod attempt;
@@ -97,6 +99,7 @@
 mod waiting_room;
 mod wire;
 
+pub use answer_end::{EndFault, UnframedEnd, find_end_fault};
 pub use break_cause::{BreakCause, ReusedBreak, ServerCheck, find_break_cause};
 pub use budget_book::BudgetBook;
 pub use buffer_budget::{BufferBudget, BufferShare, UNCOUNTED_BYTES};
