A part to a caller of HTTP/1.0 that closed its side ends with a reset

A caller without chunks that half-closes got the events so far and then an orderly end, as of a complete stream.

Cause: when a caller disconnects, the write half is dropped, which ends the connection in order before the linger time of zero counts.

Change: a connection that has a part of an answer is aborted, as after an answer that broke off.

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -172,6 +172,8 @@
             Some(CallEnd::Answered) => {}
             Some(CallEnd::AnsweredLast) => break,
             Some(CallEnd::Truncated) => return writer.abort(),
+            // The caller may have closed its side only, and read the part that it has.
+            None if writer.started => return writer.abort(),
             None => return,
         }
     }
