The answer of a server is no refusal of another router

A request that may run once ran twice, if it was passed on to another router and its server answered with an error that has a field Catkin-Refused: the answer was taken for a refusal of that router for a cause of its own, and the next router sent the request to a server again (TWICE).

Cause: routers tell each other's refusals by a header field, and passed a server's field of that name on.

Change: a router removes the field from a server's answer to another router, and ignores it in an answer with a seal, which only servers set; so that also holds beside a router of an earlier version.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -13,7 +13,7 @@
 use crate::attempt::{AttemptError, AttemptFailure, StartedAnswer};
 use crate::buffer_budget::BufferShare;
 use crate::call::{EntryCall, is_connection_field, write_field};
-use crate::call_relay::SERVER_FIELD;
+use crate::call_relay::{REFUSED_FIELD, SERVER_FIELD};
 use crate::caller::CallerWriter;
 use crate::connection::ExchangeFailure;
 use crate::crash_check::check_after_end;
@@ -539,7 +539,7 @@
     text.extend_from_slice(b"\r\n");
     let is_passed = |field: &&HeaderField| {
         !is_connection_field(&head.fields, field)
-            && (named_server.is_none() || !field.has_name(SERVER_FIELD))
+            && (named_server.is_none() || !is_router_field(field))
     };
     for field in head.fields.iter().filter(is_passed) {
         write_field(text, &field.name, &field.value);
@@ -553,6 +553,11 @@
     }
 }
 
+/// Whether routers alone send a field to one another.
+fn is_router_field(field: &HeaderField) -> bool {
+    field.has_name(SERVER_FIELD) || field.has_name(REFUSED_FIELD)
+}
+
 /// Writes a part of a message between what precedes and follows it: in one piece if it is small, else without a
 /// second copy of it.
 async fn write_framed(
--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -143,7 +143,9 @@
     mut head: ResponseHead,
     connection: HttpConnection,
 ) -> RelayResult<W> {
-    let cause = head.fields.text(REFUSED_FIELD).map(str::to_owned);
+    // What has a seal is the answer of a server, which may have a field of this name.
+    let is_own = !head.fields.contains(W::HEADERS.seal);
+    let cause = head.fields.text(REFUSED_FIELD).filter(|_| is_own).map(str::to_owned);
     if let Some(cause) = &cause {
         log::info!(
             "call: the other router refused the request. request={} helper={} cause={cause} status={}",
