A head that contains a status line is joined from two

Callers saw the body of another answer, or of a failure, with the status of a success, if a server stopped in the reason phrase or in a value of a head and went on with another answer without an identifier of its own or with the same one. If that one was a refusal, a request that may run once was sent to a second server (TWICE), since the joined head says both that it succeeded and that it was not run.

Cause: tells joined heads by their identifiers only.

Change: take_response_head rejects a head whose reason phrase or value contains a status line. A cut in a name, the status or a length has no valid head. Values such as those of Via and Upgrade name a version without a status.

Price: a server that writes a status line into a field of its own, such as one for diagnosis, is refused.

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -194,7 +194,7 @@
                 Err(HeadError::TooLong { .. }) => {
                     return HeadRead::Refused(RefusalCause::HeadTooLong);
                 }
-                Err(HeadError::BareLineEnd | HeadError::Malformed) => {
+                Err(HeadError::BareLineEnd | HeadError::Malformed | HeadError::Joined) => {
                     return HeadRead::Refused(RefusalCause::BadRequest);
                 }
             }
--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -412,9 +412,10 @@
 }
 
 fn match_answer(head: &ResponseHead, expected: ExpectedAnswer<'_>, is_first: bool) -> AnswerMatch {
-    let mut ids = head.fields.values(expected.id_field);
-    match ids.next() {
-        Some(found) if ids.any(|other| other != found) => AnswerMatch::Unknown,
+    if head.fields.has_conflict(expected.id_field) {
+        return AnswerMatch::Unknown;
+    }
+    match head.fields.values(expected.id_field).next() {
         Some(found) if found == expected.id => AnswerMatch::Own,
         Some(_) => AnswerMatch::Late,
         None if is_first => AnswerMatch::Own,
--- a/crates/catkin-http/src/field.rs
+++ b/crates/catkin-http/src/field.rs
@@ -58,6 +58,12 @@
         self.values(name).next().is_some()
     }
 
+    /// Whether fields with this name have different values.
+    pub fn has_conflict(&self, name: &str) -> bool {
+        let mut values = self.values(name);
+        values.next().is_some_and(|first| values.any(|value| value != first))
+    }
+
     /// Number of fields with this name.
     pub fn count(&self, name: &str) -> usize {
         self.values(name).count()
--- a/crates/catkin-http/src/head.rs
+++ b/crates/catkin-http/src/head.rs
@@ -8,6 +8,7 @@
 /// Maximum number of header fields in one head. Ordinary callers reach the byte limit first.
 const MAX_FIELDS: usize = 128;
 const HEAD_END: &[u8] = b"\r\n\r\n";
+const VERSION_START: &[u8] = b"HTTP/1.";
 
 value_type! {
     /// Reason for rejecting a head.
@@ -25,6 +26,9 @@
         /// The head does not follow the HTTP/1 grammar or has too many fields.
         #[error("the head is not valid HTTP/1 or has too many fields")]
         Malformed,
+        /// A response head goes on with that of another response.
+        #[error("the reason phrase or a field of the head contains a status line")]
+        Joined,
     }
 }
 
@@ -107,7 +111,7 @@
 
 /// Removes a response head from the front of `buffer` and parses it. Returns `None` while the head
 /// is incomplete. Rejects bytes that cannot start a response, bare line ends and a head longer than
-/// `limit_bytes` even before the head is complete.
+/// `limit_bytes` even before the head is complete, and a head that contains another status line.
 pub fn take_response_head(
     buffer: &mut BytesMut,
     limit_bytes: usize,
@@ -125,6 +129,11 @@
     if state.is_partial() {
         return Err(HeadError::Malformed);
     }
+    let reason = parsed.reason.unwrap_or("").as_bytes();
+    let mut values = parsed.headers.iter().map(|header| header.value);
+    if contains_status_line(reason) || values.any(contains_status_line) {
+        return Err(HeadError::Joined);
+    }
     Ok(Some(ResponseHead {
         status,
         reason: bytes.slice_ref(parsed.reason.unwrap_or("").as_bytes()),
@@ -141,9 +150,24 @@
 
 /// Whether the received bytes can be the start of a response.
 fn starts_like_response(buffer: &[u8]) -> bool {
-    let start = b"HTTP/1.";
-    let common = buffer.len().min(start.len());
-    buffer[..common] == start[..common]
+    let common = buffer.len().min(VERSION_START.len());
+    buffer[..common] == VERSION_START[..common]
+}
+
+/// Whether a part of a response head contains a status line: a server stopped there and went on with another
+/// response.
+fn contains_status_line(part: &[u8]) -> bool {
+    let mut starts = memchr::memmem::find_iter(part, VERSION_START);
+    starts.any(|start| match &part[start + VERSION_START.len()..] {
+        [minor, b' ', status @ ..] => {
+            let (digits, rest) = status.split_at_checked(3).unwrap_or((status, b""));
+            minor.is_ascii_digit()
+                && digits.len() == 3
+                && digits.iter().all(u8::is_ascii_digit)
+                && rest.first().is_none_or(|byte| *byte == b' ')
+        }
+        _ => false,
+    })
 }
 
 fn split_head(buffer: &mut BytesMut, limit_bytes: usize) -> Result<Option<Bytes>, HeadError> {
--- a/crates/catkin-http/tests/heads.rs
+++ b/crates/catkin-http/tests/heads.rs
@@ -113,3 +113,29 @@
         prop_assert_eq!(&head.target[..], b"/path?q=1");
     }
 }
+
+/// Guards against the body of another answer: a server stopped inside a head and went on with that answer.
+#[test]
+fn a_response_head_that_contains_a_status_line_is_rejected() {
+    for text in [
+        "HTTP/1.1 200 OK\r\nX-Part: beHTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OHTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Part: HTTP/1.0 404\r\n\r\n",
+    ] {
+        let mut buffer = BytesMut::from(text);
+
+        let taken = take_response_head(&mut buffer, HEAD_LIMIT_BYTES);
+
+        assert_eq!(taken, Err(HeadError::Joined), "{text}");
+    }
+}
+
+#[test]
+fn a_response_head_may_name_versions() {
+    let fields = "Via: HTTP/1.1 proxy, HTTP/1.0 200host\r\nUpgrade: HTTP/2.0\r\n";
+    let mut buffer = BytesMut::from(format!("HTTP/1.1 200 OK\r\n{fields}\r\n").as_str());
+
+    let taken = take_response_head(&mut buffer, HEAD_LIMIT_BYTES);
+
+    assert_eq!(taken.unwrap().unwrap().status, 200);
+}
