The head of an answer has a seal, and a status that HTTP knows

Callers saw successes without a seal (a server that names the seal as a field of its connection, or leaves it empty), a 429 that no server has sealed, as a promise that the request was not run though it was sent, and a status line with a status below 100.

Cause: the seal was looked for before the fields of the connection are removed, by its presence only, and only for successes and statuses from 500.

Change: is_server_head. A success has a seal that is not empty, reaches the caller and doesn't come with the statement that the request was not run; 408 and 429 need a seal or that statement, as statuses from 500 did. Equal copies of a seal are allowed, as equal identifiers are. take_response_head rejects statuses below 100.

What remains: a sealed 408, 429 or 503 without the statement. PROTOCOL.md says that statuses are returned unchanged, and that these promise that the request was not run.

--- a/crates/catkin-entry/src/attempt.rs
+++ b/crates/catkin-entry/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::retry_payment::RetryPayment;
 use crate::server_notice::{NoticeSource, read_notice};
 use crate::state::{EntryState, OpenSlot};
-use crate::wire::EntryWire;
+use crate::wire::{EntryWire, HeaderNames};
 
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -383,6 +383,9 @@
     head: ResponseHead,
     mut connection: PooledConnection<W>,
 ) -> Result<(ResponseHead, PooledConnection<W>), AttemptError> {
+    if !is_server_head(&head, &W::HEADERS) {
+        return Err(AttemptError::may_have_run(AttemptFailure::Garbled));
+    }
     let names = &W::HEADERS;
     let not_run = head.fields.contains(names.not_run) || head.status == 421;
     if not_run {
@@ -410,17 +413,25 @@
         }
         return Err(AttemptError::not_run(failure));
     }
-    let success = (200..300).contains(&head.status);
-    let seals = head.fields.count(names.seal);
-    if seals > 1 || (seals == 0 && (success || head.status >= 500)) {
-        return Err(AttemptError::may_have_run(AttemptFailure::Garbled));
-    }
     if head.fields.contains("content-encoding") {
         return Err(AttemptError::may_have_run(AttemptFailure::Garbled));
     }
     Ok((head, connection))
 }
 
+/// Whether a head is one that a server sends: a success has a seal and says that the request ran, other seals
+/// are missing at most where the status promises nothing, and what identifies the answer reaches the caller.
+fn is_server_head(head: &ResponseHead, names: &HeaderNames) -> bool {
+    let fields = &head.fields;
+    let is_declined = fields.contains(names.not_run) || head.status == 421;
+    let is_success = (200..300).contains(&head.status);
+    let seal = fields.values(names.seal).next().filter(|seal| !seal.is_empty());
+    let is_conclusive = is_success || matches!(head.status, 408 | 429) || head.status >= 500;
+    let has_seal = seal.is_some() || is_declined || !is_conclusive;
+    let is_kept = |name| !fields.has_conflict(name) && !fields.contains_token("connection", name);
+    has_seal && !(is_success && is_declined) && is_kept(names.seal) && is_kept(names.request_id)
+}
+
 /// The heads that were read in an exchange.
 #[derive(Clone, Copy)]
 struct ExchangeHeads<'a> {
--- a/crates/catkin-http/src/head.rs
+++ b/crates/catkin-http/src/head.rs
@@ -126,7 +126,7 @@
     let (Some(status), Some(minor_version)) = (parsed.code, parsed.version) else {
         return Err(HeadError::Malformed);
     };
-    if state.is_partial() {
+    if state.is_partial() || status < 100 {
         return Err(HeadError::Malformed);
     }
     let reason = parsed.reason.unwrap_or("").as_bytes();
