Metrics that nobody fetches take no more and more memory

Callers saw nothing yet; the review saw a router grow by 21 bytes with each answer until its metrics were fetched. One whose metrics nobody fetches would reach its memory limit.

Cause: the metrics recorder keeps each sample of a histogram until it is rendered or its upkeep runs. Nothing ran the upkeep.

Change: a background task of the process, joined with the others, runs it once a second. The start of the recorder moves from `process` to `metrics_recorder`, next to it.

Conclusion: closed for the entry router. catkin-router installs its recorder without upkeep, too (by reading).

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Suggested reading order:
 //!
-//! 1. `process` starts the background tasks; `state` holds what they share.
+//! 1. `process` starts the background tasks; `state` holds what they share; `metrics_recorder` records metrics.
 //! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
@@ -63,6 +63,7 @@
 mod load_spread;
 mod load_table;
 mod logging;
+mod metrics_recorder;
 mod origin_book;
 mod origin_exchange;
 mod origin_plan;
@@ -126,6 +127,7 @@
 };
 pub use load_table::{LoadSource, LoadTable, OpenLoad, ReportedLoads, ServiceKey};
 pub use logging::LineBudget;
+pub use metrics_recorder::{UPKEEP_INTERVAL, maintain_metrics};
 pub use origin_book::{
     OriginBook, ResumeChoice, ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers,
     choose_keepers,
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -10,7 +10,7 @@
 
 use catkin_base::ClockTime;
 use catkin_policy::ReachKey;
-use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use miette::{IntoDiagnostic, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,6 +24,7 @@
 use crate::join::{join_fleet, keep_entry, leave_fleet};
 use crate::load_table::ServiceKey;
 use crate::logging::start_logging;
+use crate::metrics_recorder::{maintain_metrics, start_metrics};
 use crate::origin_store::{read_origins, write_origins};
 use crate::pause_watch::{CHECK_INTERVAL, PauseWatch};
 use crate::peer_service::{PeerService, close_service};
@@ -58,8 +59,6 @@
 /// Memory assumed for each caller connection, in bytes: its read-ahead, `READ_AHEAD_BYTES` of
 /// `caller`. Request bodies and buffered answers take more.
 const CONNECTION_BYTES: f64 = 65_536.0;
-/// Upper bounds of the latency histograms, in seconds.
-const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0];
 
 /// Runs an entry router with the settings at `path` until a signal stops it.
 ///
@@ -129,6 +128,7 @@
     let mut tasks = JoinSet::new();
     tasks.spawn_local(accept_callers(callers, Rc::clone(&state)));
     tasks.spawn_local(serve_readiness(ready, Rc::clone(&state)));
+    tasks.spawn_local(maintain_metrics(handle.clone()));
     tasks.spawn_local(serve_metrics(metrics, handle, Rc::clone(&state)));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Declarations));
     tasks.spawn_local(follow_kind(Rc::clone(&state), StoreKind::Servers));
@@ -154,27 +154,6 @@
     stopped
 }
 
-fn start_metrics() -> Option<PrometheusHandle> {
-    let builder = PrometheusBuilder::new();
-    let suffix = Matcher::Suffix("_seconds".to_owned());
-    let recorder = builder.set_buckets_for_metric(suffix, &LATENCY_BUCKETS);
-    let recorder = match recorder {
-        Ok(builder) => builder.build_recorder(),
-        Err(error) => {
-            log::error!(
-                "process: metrics recorder not started; no metrics are served. error={error}"
-            );
-            return None;
-        }
-    };
-    let handle = recorder.handle();
-    if let Err(error) = metrics::set_global_recorder(recorder) {
-        log::error!("process: metrics recorder not started; no metrics are served. error={error}");
-        return None;
-    }
-    Some(handle)
-}
-
 async fn accept_callers<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let mut connections = JoinSet::new();
     let limit = max_connections(&state.settings());
