Near the limit of connections, idle callers make room for new ones

Cause: at the limit that memory and descriptors set, the router accepted no further connection. Nothing ended idle ones, and readiness did not take connections into account.

Change: `caller_table` decides without I/O. From three quarters of the limit on, answers say `Connection: close`; from seven eighths on, connections without a request end, the longest idle first, none idle for less than half a second; if fifteen sixteenths can't end, the router is not ready until it is less than seven eighths. A connection ends only while it waits for the first byte of a request. Its place (`caller_place`) is free once its sockets are closed; the number of connections is that of the table now. New counter `catkin_entry_ended_callers_total`, two log lines. State: one entry a connection.

A request may cross the end of its connection; it is not read then. Beyond the limit of connections that all have requests, new callers wait until the load balancer has seen two negative answers.

--- a/crates/catkin-entry/src/caller.rs
+++ b/crates/catkin-entry/src/caller.rs
@@ -15,11 +15,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use crate::buffer_budget::BufferShare;
 use crate::call::{CheckError, EntryCall, FORWARDED_FIELD, read_time_limit, write_field};
 use crate::call_relay::{REFUSED_FIELD, verify_forwarded};
+use crate::caller_place::CallerPlace;
 use crate::connection::set_options;
 use crate::record::CallerBounds;
 use crate::refusal::{Refusal, RefusalCause, reason_phrase};
@@ -119,7 +122,7 @@
 enum HeadRead {
     /// A complete head.
     Request(Box<RequestHead>),
-    /// The caller closed the connection, or it was idle for too long.
+    /// The caller closed the connection, it was idle for too long, or its place is needed.
     Closed,
     /// The router closes idle connections and no request has begun.
     Closing,
@@ -144,13 +147,18 @@
     buffer: BytesMut,
     /// Whether the connection had a valid request.
     served: bool,
+    place: CallerPlace,
 }
 
 /// Serves one connection until it ends.
-pub(crate) async fn serve_connection<W: EntryWire>(state: Rc<EntryState<W>>, stream: TcpStream) {
+pub(crate) async fn serve_connection<W: EntryWire>(
+    state: Rc<EntryState<W>>,
+    stream: TcpStream,
+    place: CallerPlace,
+) {
     set_options(&stream, CALLER_USER_TIMEOUT_MILLIS);
     let (reader, writer) = stream.into_split();
-    let mut connection = CallerConnection { reader, buffer: BytesMut::new(), served: false };
+    let mut connection = CallerConnection { reader, buffer: BytesMut::new(), served: false, place };
     let mut writer = CallerWriter {
         writer,
         closing: false,
@@ -185,6 +193,10 @@
     async fn read_head<W: EntryWire>(&mut self, state: &EntryState<W>) -> HeadRead {
         let bounds = read_bounds(state);
         let mut first_byte = (!self.buffer.is_empty()).then(Instant::now);
+        let end = match first_byte {
+            Some(_) => CancellationToken::new(),
+            None => self.place.begin_wait(state.now()),
+        };
         let idle_since = Instant::now();
         let grace_until = if self.served { idle_since } else { idle_since + FIRST_REQUEST_GRACE };
         loop {
@@ -208,10 +220,12 @@
                 () = wait_for_closing(state, grace_until), if first_byte.is_none() => {
                     return HeadRead::Closing;
                 }
+                () = wait_for_end(&end), if first_byte.is_none() => return HeadRead::Closed,
             };
             match read {
                 Some(true) => {
                     first_byte.get_or_insert_with(Instant::now);
+                    self.place.begin_request();
                 }
                 Some(false) => return HeadRead::Closed,
                 None if first_byte.is_some() => return HeadRead::Refused(RefusalCause::TooSlow),
@@ -235,7 +249,7 @@
         writer: &mut CallerWriter,
     ) -> Option<CallEnd> {
         let arrived = Instant::now();
-        writer.closing = !head.is_keep_alive() || state.is_stopping();
+        writer.closing = !head.is_keep_alive() || state.is_stopping() || self.place.ends_answered();
         writer.chunks = head.minor_version >= 1;
         writer.started = false;
         // The body is kept until the request has ended.
@@ -365,6 +379,13 @@
     sleep_until(grace_until).await;
 }
 
+/// Waits until the place of the connection is needed.
+async fn wait_for_end(end: &CancellationToken) {
+    end.cancelled().await;
+    // The runtime looks for bytes that have arrived before it continues here, so that they are read instead.
+    yield_now().await;
+}
+
 fn choose_end(writer: &CallerWriter) -> CallEnd {
     if writer.closing { CallEnd::AnsweredLast } else { CallEnd::Answered }
 }
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -4,7 +4,8 @@
 //! Suggested reading order:
 //!
 //! 1. `process` starts the background tasks; `state` holds what they share; `metrics_recorder` records metrics.
-//! 2. Request path: `caller` reads requests, `route_table` matches a route, `call` describes a
+//! 2. Request path: `caller` reads requests, `caller_table` ends idle connections of callers near the limit, through the
+//!    `caller_place` of each, `route_table` matches a route, `call` describes a
 //!    request, `serve` runs it, `assign` and `server_selection` select a server, `attempt` sends
 //!    the request through `connection` and `connection_pool`, `answer_forwarder` forwards the
 //!    answer within the memory of a `buffer_budget`, `answer_end` decides whether one that ended with its
@@ -27,7 +28,8 @@
 //! [`CacheIndex`], [`CacheSync`], [`RelayBook`], [`choose_list_source`], [`select_server`],
 //! [`OutcomeBook`], [`SpeedBook`], [`BudgetBook`], [`StorePace`], [`ReportQueue`], [`ServedContent`],
 //! [`OriginBook`], [`OriginPlan`], [`CrashBook`], [`DepartureTable`], [`EvacuationTable`],
-//! [`find_break_cause`], [`find_end_fault`], [`HelpOffer`], [`choose_by_fill`], [`SpeedTable`], [`BufferBudget`]. [`run_entry`] runs the process. An
+//! [`find_break_cause`], [`find_end_fault`], [`HelpOffer`], [`choose_by_fill`], [`SpeedTable`], [`BufferBudget`],
+//! [`CallerTable`]. [`run_entry`] runs the process. An
 //! [`EntryWire`] defines the formats of callers, servers and the store.
 
 mod admin_listener;
@@ -45,6 +47,8 @@
 mod call;
 mod call_relay;
 mod caller;
+mod caller_place;
+mod caller_table;
 mod cold_exchange;
 mod connection;
 mod connection_pool;
@@ -108,6 +112,7 @@
 pub use cache_sync::CacheSync;
 pub use call::{CheckError, EntryCall, SendDetails, encode_call};
 pub use call_relay::may_have_sent;
+pub use caller_table::{CallerId, CallerTable, count_allowed_callers};
 pub use connection::{ExchangeError, ExchangeFailure, ExpectedAnswer, HttpConnection};
 pub use connection_pool::{ConnectionPool, read_idle_timeout, share_connection_limit};
 pub use crash_book::{CrashBook, CrashSource, QuarantineKey, StrikeEffect};
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -16,10 +16,12 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use crate::admin_listener::{AdminAnswer, bind, log_failed_task, serve_admin};
 use crate::cache_loader::load_cache_index;
 use crate::caller::serve_connection;
+use crate::caller_place::CallerPlace;
 use crate::evacuation_follower::follow_evacuations;
 use crate::join::{join_fleet, keep_entry, leave_fleet};
 use crate::load_table::ServiceKey;
@@ -50,15 +52,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// File descriptors reserved for everything but callers.
-const RESERVED_DESCRIPTORS: u64 = 600;
-/// Number of caller connections that are accepted regardless of the limits.
-const MIN_CONNECTIONS: u64 = 16;
-/// Fraction of the memory that caller connections may take.
-const CONNECTIONS_MEMORY_FRACTION: f64 = 0.5;
-/// Memory assumed for each caller connection, in bytes: its read-ahead, `READ_AHEAD_BYTES` of
-/// `caller`. Request bodies and buffered answers take more.
-const CONNECTION_BYTES: f64 = 65_536.0;
+/// Interval of checks for idle callers to end while the limit of connections is near.
+const EXCESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Runs an entry router with the settings at `path` until a signal stops it.
 ///
@@ -156,19 +151,20 @@
 
 async fn accept_callers<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let mut connections = JoinSet::new();
-    let limit = max_connections(&state.settings());
     let mut listener = Some(listener);
     loop {
+        end_excess(&state);
+        let (has_room, is_near_limit) = {
+            let table = state.callers.borrow();
+            (table.has_room(), table.ends_answered())
+        };
         tokio::select! {
             () = state.stop_accepting.cancelled(), if listener.is_some() => listener = None,
-            Some(joined) = connections.join_next() => {
-                state.connections.set(connections.len());
-                log_failed_task(joined);
-            }
-            accepted = accept_stream(listener.as_ref()), if connections.len() < limit => match accepted {
+            Some(joined) = connections.join_next() => log_failed_task(joined),
+            accepted = accept_stream(listener.as_ref()), if has_room => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn_local(serve_connection(Rc::clone(&state), stream));
-                    state.connections.set(connections.len());
+                    let place = CallerPlace::open(&state.callers, state.now());
+                    connections.spawn_local(serve_connection(Rc::clone(&state), stream, place));
                 }
                 Err(error) => {
                     log::warn!(
@@ -177,10 +173,21 @@
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
+            () = sleep(EXCESS_CHECK_INTERVAL), if is_near_limit => {}
         }
     }
 }
 
+/// Ends connections of idle callers, so that new ones can be accepted.
+fn end_excess<W>(state: &EntryState<W>) {
+    let excess = state.callers.borrow_mut().take_excess(state.now());
+    if excess.is_empty() {
+        return;
+    }
+    metrics::counter!("catkin_entry_ended_callers_total").increment(excess.len() as u64);
+    excess.iter().for_each(CancellationToken::cancel);
+}
+
 /// Accepts a connection. Never returns once the listener is closed.
 async fn accept_stream(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
     match listener {
@@ -189,14 +196,6 @@
     }
 }
 
-/// Returns the number of caller connections that file descriptors and memory allow.
-fn max_connections(settings: &EntrySettings) -> usize {
-    let by_descriptors = settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-    let bytes = settings.memory_megabytes * 1e6 * CONNECTIONS_MEMORY_FRACTION;
-    let by_memory = (bytes / CONNECTION_BYTES) as u64;
-    by_descriptors.min(by_memory).max(MIN_CONNECTIONS) as usize
-}
-
 async fn serve_readiness<W: EntryWire>(listener: TcpListener, state: Rc<EntryState<W>>) {
     let answer = move |path: &str| {
         let is_ready_path = path.split('?').next() == Some(W::READY_PATH);
@@ -227,7 +226,7 @@
     let version = state.route_table().map_or(0, |table| table.version());
     metrics::gauge!("catkin_entry_declarations_version").set(version as f64);
     metrics::gauge!("catkin_entry_open_calls").set(f64::from(state.open_calls.get()));
-    metrics::gauge!("catkin_entry_caller_connections").set(state.connections.get() as f64);
+    metrics::gauge!("catkin_entry_caller_connections").set(state.callers.borrow().len() as f64);
     metrics::gauge!("catkin_entry_server_connections").set(state.pool.borrow().len() as f64);
     metrics::gauge!("catkin_entry_kept_parts").set(state.cache_index.borrow().len() as f64);
     let quarantined = state.crashes.borrow().quarantined_parts(state.now()).len();
@@ -445,7 +444,7 @@
 }
 
 async fn wait_for_callers<W>(state: &EntryState<W>) {
-    while state.connections.get() > 0 {
+    while !state.callers.borrow().is_empty() {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -18,6 +18,8 @@
 use crate::buffer_budget::BufferBudget;
 use crate::cache_index::{CacheIndex, CachedPart};
 use crate::cache_sync::CacheSync;
+use crate::caller_place::SharedCallers;
+use crate::caller_table::{CallerTable, count_allowed_callers};
 use crate::cold_exchange::{ColdUpdates, ColdWatch};
 use crate::connection_pool::ConnectionPool;
 use crate::crash_book::CrashBook;
@@ -206,8 +208,8 @@
     pub(crate) answer_budget: Rc<BufferBudget>,
     /// Memory for the bodies of requests.
     pub(crate) body_budget: Rc<BufferBudget>,
-    /// Number of caller connections.
-    pub(crate) connections: Cell<usize>,
+    /// Connections of callers.
+    pub(crate) callers: SharedCallers,
     /// Cancelled when connections of idle callers are to be closed.
     pub(crate) close_idle_callers: CancellationToken,
     /// Cancelled when the listener for callers is to be closed.
@@ -228,6 +230,7 @@
         let budgets =
             BudgetBook::new(settings.retry_ratio, settings.retry_extra, settings.first_start);
         let local_vm = VmId::from_name(&settings.vm);
+        let max_callers = count_allowed_callers(settings.descriptors, settings.memory_megabytes);
         let answer_bytes = settings.memory_megabytes * 1e6 * ANSWER_MEMORY_FRACTION;
         let body_bytes = settings.memory_megabytes * 1e6 * BODY_MEMORY_FRACTION;
         let origins = match settings.first_start {
@@ -291,7 +294,7 @@
             open_calls: Cell::new(0),
             answer_budget: Rc::new(BufferBudget::new(answer_bytes as usize)),
             body_budget: Rc::new(BufferBudget::new(body_bytes as usize)),
-            connections: Cell::new(0),
+            callers: Rc::new(RefCell::new(CallerTable::new(max_callers))),
             close_idle_callers: CancellationToken::new(),
             stop_accepting: CancellationToken::new(),
             end_calls: CancellationToken::new(),
@@ -368,7 +371,32 @@
     /// Whether requests can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.route_table.borrow().is_some() && !self.servers.borrow().is_empty();
-        known && self.knows_evacuations() && self.joined.get() && !self.is_stopping()
+        known
+            && self.knows_evacuations()
+            && self.joined.get()
+            && !self.is_stopping()
+            && self.has_caller_room()
+    }
+
+    /// Whether there is room for new callers.
+    fn has_caller_room(&self) -> bool {
+        let mut table = self.callers.borrow_mut();
+        let was_full = table.is_full();
+        let is_full = table.update_full(self.now());
+        let connections = table.len();
+        if is_full && !was_full {
+            log::warn!(
+                "caller: nearly all connections have requests; the router is not ready. \
+                 connections={connections}"
+            );
+        }
+        if was_full && !is_full {
+            log::info!(
+                "caller: there is room for new connections; the router is ready again. \
+                 connections={connections}"
+            );
+        }
+        !is_full
     }
 
     pub(crate) fn load_bounds(&self) -> LoadBounds {
