A silence of a second of all servers is no cut

One request that needed a connection just after the begin was enough.

Cause: ReachTable concluded a cut from the number of servers that could not be connected to, whatever the time for which that lasted: 0.4 s for the request's connect and 0.25 s for the three checks that follow.

Change: the table tells a suspicion from the verdict. What was the verdict raises the suspicion: requests are passed on if another router reaches the service, and this router goes on by itself if none does. The service is out of reach if the connects were refused, or once the starts of the first and the last connect without an answer are 1.2 s apart and none succeeded between. A quiet router connects by itself a second after the last connect; it was up to two, which leaves the verdict within 3 s.

Tests changed: record_failure takes how the connect failed. The older tests of the table record refused connects, for which the rule is the one before; one of them is renamed after that. No bound is changed.

Conclusion: the fault is mended.

--- a/crates/catkin-entry/src/call_relay.rs
+++ b/crates/catkin-entry/src/call_relay.rs
@@ -67,6 +67,23 @@
     Answered(VmId, Box<RelayedAnswer<W>>),
 }
 
+/// Whether a request is passed on rather than sent to a server by this router. While the service only may be out of
+/// reach, that takes another router that reaches it.
+pub(crate) fn passes_on<W: EntryWire>(state: &EntryState<W>, call: &EntryCall) -> bool {
+    if state.is_out_of_reach(&call.service) {
+        return true;
+    }
+    if call.forwarded_attempts.is_some() || !state.may_be_out_of_reach(&call.service) {
+        return false;
+    }
+    let service = reach_key(&call.service);
+    let peers = state.peers.borrow();
+    let helper = peers
+        .as_ref()
+        .and_then(|peers| peers.choose_helper(state, service, call.deadline, &BTreeSet::new()));
+    helper.is_some()
+}
+
 /// Sends a request to a router that was not tried yet, and waits for the head of the answer. `attempts` is the
 /// number of attempts at servers that may have run it.
 pub(crate) async fn send_relayed<W: EntryWire>(
--- a/crates/catkin-entry/src/reach_watch.rs
+++ b/crates/catkin-entry/src/reach_watch.rs
@@ -4,12 +4,13 @@
 //! server now and then, and to several as soon as a connect has failed.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use catkin_base::ServerId;
-use catkin_policy::{ReachChange, ReachKey};
+use catkin_base::{ClockTime, ServerId};
+use catkin_policy::{ConnectFailure, ReachChange, ReachKey};
 use rand::seq::IteratorRandom;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
@@ -20,8 +21,6 @@
 use crate::state::EntryState;
 use crate::wire::EntryWire;
 
-/// Time since the last connect to any server after which the router connects to one by itself.
-const QUIET_TIME: Duration = Duration::from_millis(1_000);
 /// Interval of connects to the servers of services whose reach is in doubt.
 const DOUBT_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of such a connect.
@@ -49,7 +48,8 @@
         let chosen = choose_doubtful(&state);
         if chosen.is_empty() {
             // The end of the wait is the next check, if no connect fails before.
-            let _ = timeout(QUIET_TIME, failed).await;
+            let millis = state.reach.borrow().quiet_wait_millis(state.now());
+            let _ = timeout(Duration::from_millis(millis), failed).await;
             if let Some(checked) = choose_if_quiet(&state) {
                 check_servers(&state, vec![checked]).await;
             }
@@ -64,20 +64,33 @@
 /// Connects to servers at the same time, and records whether that succeeds.
 async fn check_servers<W: EntryWire>(state: &Rc<EntryState<W>>, checked: Vec<CheckedServer>) {
     let source = state.settings().server_source;
+    let started = state.now();
     let mut connects = JoinSet::new();
     for server in checked {
         connects.spawn_local(async move {
             let deadline = Instant::now() + CONNECT_TIMEOUT;
             let connected = HttpConnection::connect_from(source, server.address, deadline).await;
-            (server, connected.is_ok())
+            (server, connected.map(drop))
         });
     }
     while let Some(Ok((checked, connected))) = connects.join_next().await {
-        if connected {
-            state.apply_connect(checked.service);
-        } else {
-            state.apply_failure(checked.service, checked.server);
+        match connected {
+            Ok(()) => state.apply_connect(checked.service),
+            Err(error) => {
+                let failure = classify_error(&error, started);
+                state.apply_failure(checked.service, checked.server, failure);
+            }
+        }
+    }
+}
+
+/// Tells a connect that the machine of the server refused from one that had no answer.
+fn classify_error(error: &io::Error, started: ClockTime) -> ConnectFailure {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+            ConnectFailure::Refused
         }
+        _ => ConnectFailure::Unanswered(started),
     }
 }
 
@@ -118,8 +131,7 @@
 
 /// Chooses any server, if no server was connected to lately.
 fn choose_if_quiet<W>(state: &EntryState<W>) -> Option<CheckedServer> {
-    let age = state.reach.borrow().connect_age_millis(state.now());
-    if age.is_some_and(|millis| millis < QUIET_TIME.as_millis() as u64) {
+    if !state.reach.borrow().is_quiet(state.now()) {
         return None;
     }
     list_servers(state).into_values().flatten().choose(&mut rand::rng())
@@ -133,7 +145,9 @@
 
     /// Records that a request's connect to a server of the service failed.
     pub(crate) fn record_connect_failure(&self, service: &str, server: ServerId) {
-        self.apply_failure(reach_key(service), server);
+        // When it began and whether it was refused is not known here; the checks that follow tell.
+        let failure = ConnectFailure::Unanswered(self.now());
+        self.apply_failure(reach_key(service), server, failure);
         self.connect_failure.notify_one();
     }
 
@@ -153,10 +167,19 @@
         }
     }
 
-    fn apply_failure(&self, service: ReachKey, server: ServerId) {
+    fn apply_failure(&self, service: ReachKey, server: ServerId, failure: ConnectFailure) {
         let servers = self.list_service(service);
         let count = servers.len();
-        let change = self.reach.borrow_mut().record_failure(self.now(), service, server, count);
+        let now = self.now();
+        let change = self.reach.borrow_mut().record_failure(now, service, server, failure, count);
+        if change == ReachChange::Suspected {
+            self.updates.borrow_mut().send_now = true;
+            log::info!(
+                "servers: none of several servers answers connects; passing requests on if another \
+                 router reaches the service. service={} servers={count}",
+                self.name_service(service).unwrap_or_default()
+            );
+        }
         if change == ReachChange::Lost {
             for server in servers {
                 self.pool.borrow_mut().drop_idle_to(server);
@@ -186,6 +209,11 @@
         self.reach.borrow().is_lost(reach_key(service))
     }
 
+    /// Whether this router reaches no server of the service, or may reach none.
+    pub(crate) fn may_be_out_of_reach(&self, service: &str) -> bool {
+        self.reach.borrow().is_suspected(self.now(), reach_key(service))
+    }
+
     /// The name of a service that has listed servers.
     fn name_service(&self, service: ReachKey) -> Option<String> {
         let servers = self.servers.borrow();
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -88,7 +88,7 @@
         callers_port: callers_port.into(),
         stores_origins: state.stores_origins(),
         stopping_help: state.stopping_help(),
-        lost_services: reach.lost_services().map(|service| service.0).collect(),
+        lost_services: reach.suspected_services(now).map(|service| service.0).collect(),
         leaving: leaving.collect(),
         outcomes: ejected.collect(),
         ..EntryReport::default()
--- a/crates/catkin-entry/src/serve.rs
+++ b/crates/catkin-entry/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::attempt::{AttemptError, AttemptFailure, AttemptLimits, StartedAnswer, send_attempt};
 use crate::break_cause::ServerCheck;
 use crate::call::EntryCall;
-use crate::call_relay::{RelayResult, send_relayed};
+use crate::call_relay::{RelayResult, passes_on, send_relayed};
 use crate::caller::{CallEnd, CallerWriter, write_refusal};
 use crate::crash_book::CrashSource;
 use crate::crash_check::check_server;
@@ -198,7 +198,7 @@
         payment: None,
     };
     let mut forwarder = AnswerForwarder::new(state, call);
-    if state.is_out_of_reach(&call.service) {
+    if passes_on(state, call) {
         return relay_call(state, call, &progress, &mut forwarder, writer, ran_so_far).await;
     }
     let resumed_software = match find_resumed_software(state, call).await {
@@ -206,7 +206,7 @@
         Err(cause) => return Ok(ServedCall::Refused(Refusal::not_run(cause))),
     };
     loop {
-        if state.is_out_of_reach(&call.service) && !writer.started {
+        if !writer.started && passes_on(state, call) {
             return relay_call(state, call, &progress, &mut forwarder, writer, ran_so_far).await;
         }
         let software = forwarder.software().or(resumed_software);
@@ -284,7 +284,7 @@
             }
         };
         // A router that is cut off sees connections break as if their servers had crashed.
-        let is_in_reach = !state.is_out_of_reach(&call.service);
+        let is_in_reach = !state.may_be_out_of_reach(&call.service);
         // The servers of a domain that is emptied end without having crashed.
         let may_blame = error.may_have_crashed() && is_in_reach && !state.is_evacuated(server);
         if may_blame && !call.prefixes.is_empty() && !forwarder.is_answered() {
@@ -320,7 +320,7 @@
     }
 }
 
-/// Passes a request on to other routers, since this one reaches no server of its service. `progress` has
+/// Passes a request on to other routers, since this one reaches no server of its service or may reach none. `progress` has
 /// the attempts that this router made itself before it knew that.
 async fn relay_call<W: EntryWire>(
     state: &Rc<EntryState<W>>,
@@ -561,7 +561,7 @@
     }
     if broke
         && error.may_have_crashed()
-        && !state.is_out_of_reach(&call.service)
+        && !state.may_be_out_of_reach(&call.service)
         && !state.is_evacuated(server)
         && state.record_strike(call.digest, server, CrashSource::Local)
     {
--- a/crates/catkin-policy/src/lib.rs
+++ b/crates/catkin-policy/src/lib.rs
@@ -82,7 +82,7 @@
 pub use owner::AdmissionOwner;
 pub use plan::{PlacementPlan, PlanAsk, PlanStep};
 pub use rank::{RankTable, choose_key_router, choose_owner, rank_servers};
-pub use reach::{ReachChange, ReachKey, ReachTable};
+pub use reach::{ConnectFailure, ReachChange, ReachKey, ReachTable};
 pub use report::{ReportMode, ReportPacer, choose_aggregator, choose_relay};
 pub use retry::{BudgetUsage, RetryBudget};
 pub use room_credit::{RoomCredit, RoomInput};
