catkin-router: an answer in another encoding than chunks may be a part

Callers saw, in a test: a 200 without a byte or with half of a document, ended with a last chunk as if complete.

Cause: catkin-backend refuses documents whose end can't be detected, but took any Transfer-Encoding for such an end. hyper reads a body whose last encoding is not chunked up to the end of the connection.

Change: the last encoding has to be chunked; otherwise the attempt fails as broken, as it does without any length.

--- a/crates/catkin-backend/src/stream.rs
+++ b/crates/catkin-backend/src/stream.rs
@@ -33,8 +33,8 @@
 impl HttpStream {
     /// Creates the stream from an answer whose head was read.
     ///
-    /// Fails if the answer is not an event stream and has neither a length nor a transfer encoding:
-    /// without these, a truncated answer could not be told from a complete one.
+    /// Fails if the answer is not an event stream and has neither a length nor chunks: without these, a
+    /// truncated answer could not be told from a complete one.
     pub(crate) fn open(
         exchange: HttpExchange,
         response: Response<Incoming>,
@@ -143,9 +143,17 @@
     StatusCode::from_u16(status).is_ok_and(|status| status.is_success())
 }
 
+/// Whether an answer has a length or comes in chunks. A body in another transfer encoding ends with its
+/// connection.
 fn has_detectable_end(response: &Response<Incoming>) -> bool {
     let has_length = response.body().size_hint().exact().is_some();
-    has_length || response.headers().contains_key(TRANSFER_ENCODING)
+    has_length || is_chunked(response.headers())
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let encodings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let last = encodings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case("chunked"))
 }
 
 /// Returns the text of a header. Returns `None` if the header is missing, repeated or not ASCII.
--- a/crates/catkin-backend/tests/early_end.rs
+++ b/crates/catkin-backend/tests/early_end.rs
@@ -85,6 +85,19 @@
     }
 }
 
+/// Guards against an answer whose encoding is not chunks and that is taken for one with a detectable end:
+/// callers got a 200 with an empty or short body as complete.
+#[tokio::test]
+async fn a_document_that_ends_with_its_connection_is_broken() {
+    for fields in UNDELIMITED {
+        for body in ["", &DOCUMENT[..DOCUMENT.len() / 2], DOCUMENT] {
+            let read = read_answer(&undelimited_answer("application/json", fields, body)).await;
+
+            assert_eq!(read.unwrap_err().kind, BackendErrorKind::Broken, "{fields:?} {body:?}");
+        }
+    }
+}
+
 /// Guards against a stream that ends without an event, inside or between two, and counts as complete.
 #[tokio::test]
 async fn a_stream_that_ends_early_is_broken() {
