catkin-router: a looked-up answer without a length may be a part

Callers saw, in a test: a 200 without a body, framed as complete, as the outcome of a call whose answer was lost.

Cause: an answer to a look-up was read to the end of its connection, whatever its framing, and its body is passed on undecoded. An empty or half body of a connection closed in order counted as the recorded answer. By the code it was also recorded under the key; the test stopped before that.

Change: ControlAnswer tells whether the answer had a length or chunks, and a look-up without fails as broken, so that the outcome counts as unknown. Probes and orders are decoded, and a part is no JSON of theirs: unchanged.

Conclusion: the check of answers to calls holds for all bodies that reach callers undecoded.

--- a/crates/catkin-backend/src/control.rs
+++ b/crates/catkin-backend/src/control.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::exchange::HttpExchange;
+use crate::stream::has_detectable_end;
 use crate::{BackendError, BackendErrorKind, CacheEvent, ServerProbe};
 
 /// Path of probe requests.
@@ -40,6 +41,8 @@
 pub(crate) struct ControlAnswer {
     pub(crate) status: StatusCode,
     pub(crate) body: Bytes,
+    /// Whether the answer had a length or chunks. The body of another one may be a part.
+    pub(crate) delimited: bool,
 }
 
 /// Sends a request and reads the complete answer. `timeout` is the maximum time from the start of
@@ -63,9 +66,10 @@
         .map_err(|_| exchange.fail(BackendErrorKind::Broken))?;
     let response = exchange.send(request, deadline).await?;
     let status = response.status();
+    let delimited = has_detectable_end(&response);
     let reading = read_body(&mut exchange, response.into_body());
     match timeout_at(deadline, reading).await {
-        Ok(Some(body)) => Ok(ControlAnswer { status, body }),
+        Ok(Some(body)) => Ok(ControlAnswer { status, body, delimited }),
         Ok(None) => Err(exchange.fail(BackendErrorKind::Broken)),
         Err(_) => Err(exchange.fail(BackendErrorKind::TimedOut)),
     }
--- a/crates/catkin-backend/src/http_link.rs
+++ b/crates/catkin-backend/src/http_link.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use crate::control::{
-    ORDERS_PATH, PROBE_PATH, escape_query, fetch_answer, format_order, parse_order_answer,
-    parse_probe,
+    ControlAnswer, ORDERS_PATH, PROBE_PATH, escape_query, fetch_answer, format_order,
+    parse_order_answer, parse_probe,
 };
 use crate::exchange::HttpExchange;
 use crate::headers::{
@@ -66,6 +66,7 @@
             return Ok(None);
         }
         require_status(answer.status, StatusCode::OK)?;
+        require_delimited(&answer)?;
         Ok(Some(answer.body))
     }
 
@@ -147,6 +148,15 @@
     if status == expected { Ok(()) } else { Err(build_malformed_error()) }
 }
 
+/// Fails for an answer whose body may be a part of what the server recorded.
+fn require_delimited(answer: &ControlAnswer) -> Result<(), BackendError> {
+    if answer.delimited {
+        return Ok(());
+    }
+    log::warn!("backend: look-up without a length rejected, because its end cannot be detected");
+    Err(BackendError { kind: BackendErrorKind::Broken, ran: RunVerdict::MayHaveRun })
+}
+
 fn build_malformed_error() -> BackendError {
     BackendError { kind: BackendErrorKind::Failed, ran: RunVerdict::MayHaveRun }
 }
--- a/crates/catkin-backend/src/stream.rs
+++ b/crates/catkin-backend/src/stream.rs
@@ -145,7 +145,7 @@
 
 /// Whether an answer has a length or comes in chunks. A body in another transfer encoding ends with its
 /// connection.
-fn has_detectable_end(response: &Response<Incoming>) -> bool {
+pub(crate) fn has_detectable_end(response: &Response<Incoming>) -> bool {
     let has_length = response.body().size_hint().exact().is_some();
     has_length || is_chunked(response.headers())
 }
--- a/crates/catkin-backend/tests/early_end.rs
+++ b/crates/catkin-backend/tests/early_end.rs
@@ -128,6 +128,31 @@
     }
 }
 
+/// Guards against a part of a recorded answer that is taken for all of it: the router records it under the
+/// key and gives it to callers as a complete 200.
+#[tokio::test]
+async fn a_looked_up_answer_that_ends_early_is_broken() {
+    let kind = "application/json";
+    for fields in UNDELIMITED {
+        for body in ["", &DOCUMENT[..DOCUMENT.len() / 2], DOCUMENT] {
+            let address = start_writer(&undelimited_answer(kind, fields, body)).await;
+
+            let found = HttpLink.look_up(address, "/lookup", "k", NEVER).await;
+
+            assert_eq!(found.unwrap_err().kind, BackendErrorKind::Broken, "{fields:?} {body:?}");
+        }
+    }
+    for answer in [length_answer(kind, DOCUMENT), chunked_answer(kind, DOCUMENT)] {
+        for end in 0..answer.len() {
+            let address = start_writer(&answer[..end]).await;
+
+            let found = HttpLink.look_up(address, "/lookup", "k", NEVER).await;
+
+            assert_eq!(found.unwrap_err().kind, BackendErrorKind::Broken, "{:?}", &answer[..end]);
+        }
+    }
+}
+
 /// Guards against a look-up that ends inside its head and is taken for a key without a record.
 #[tokio::test]
 async fn a_look_up_that_ends_in_its_head_is_not_an_unknown_key() {
--- a/crates/catkin-router/tests/early_end.rs
+++ b/crates/catkin-router/tests/early_end.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-use common::{TOKEN, TestFleet, start_changed_fleet};
+use common::{TOKEN, TestFleet, send_record, start_changed_fleet};
 
 /// Answer to probes, with which the server counts as healthy.
 const PROBE: &str = r#"{"incarnation":1,"open":0,"leaving":false,"models":["estimator"],
@@ -159,3 +159,23 @@
         assert!(!is_complete_success(&answer), "{call:?} {answer}");
     }
 }
+
+/// Guards against a part of a recorded answer that a look-up takes for all of it: the caller got it as a
+/// complete 200, and it was recorded as the outcome of the key.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_looked_up_answer_that_ends_early_does_not_look_complete() {
+    for look_up in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n{\"a"] {
+        let (address, serving) = start_server(ServerScript { call: "", look_up }).await;
+        let fleet = start_fleet("s1", address).await;
+        let router = fleet.router.caller_address();
+
+        let first = send_record(router, "k1", "{}").await;
+        let second = send_record(router, "k1", "{}").await;
+
+        assert_ne!(first.status, 200, "{look_up:?} {}", first.body);
+        assert!(first.body.contains(r#""ran":"maybe""#), "{}", first.body);
+        assert_ne!(second.status, 200, "{look_up:?} {}", second.body);
+        assert!(fleet.router.shut_down().await);
+        serving.abort();
+    }
+}
