Store: an answer without a length counts only with a whole object

Operators saw, in a test: an evacuation reported as set that the store did not have, and one reported as unset that it had. Routers took an empty 200 for an executed write or deletion and a 404 without its body for a missing object.

Cause: an answer with neither a length nor chunks ends in order wherever its connection is closed, and the client decided by its status before it looked at the body of a write, a deletion or a refusal.

Change: such an answer counts only if its body is a whole JSON object. Otherwise the call is unanswered, as after a lost answer: its effect is unknown, and each user of the client makes it again or reads what is there.

What remains: a refusal with neither and without an object counts as no answer.

--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -1,13 +1,15 @@
 //! Client of the platform's store, over one persistent connection.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use catkin_base::copy_type;
-use catkin_http::ResponseHead;
+use catkin_http::{BodyFraming, ResponseHead, determine_response_framing};
+use serde::de::IgnoredAny;
 use tokio::time::Instant;
 
 use crate::connection::{ExchangeFailure, HttpConnection};
@@ -278,6 +280,14 @@
         if connection.is_reusable() {
             self.connection = Some(connection);
         }
+        if !is_whole_answer(&head, &body) {
+            log::info!(
+                "store: answer without a length ended early; its effect is unknown. status={} bytes={}",
+                head.status,
+                body.len()
+            );
+            return Err(StoreCallError::Unanswered(ExchangeFailure::Broken));
+        }
         let era = self.check_era(&head)?;
         Ok(StoreAnswer { status: head.status, era, body })
     }
@@ -339,6 +349,17 @@
     text.into_bytes()
 }
 
+/// Whether an answer that was read to its end is whole. One with neither a length nor chunks ends with its
+/// connection and is whole only with the end of its JSON object.
+fn is_whole_answer(head: &ResponseHead, body: &[u8]) -> bool {
+    if determine_response_framing(head, false) != Ok(BodyFraming::UntilClose) {
+        return true;
+    }
+    // Bytes that are no UTF-8 concern the content of one object, not its end.
+    let text = String::from_utf8_lossy(body);
+    serde_json::from_str::<BTreeMap<String, IgnoredAny>>(&text).is_ok()
+}
+
 fn check_status(status: u16) -> Result<(), StoreCallError> {
     match status {
         200..=299 => Ok(()),
