--- a/crates/catkin-peer/tests/link.rs
+++ b/crates/catkin-peer/tests/link.rs
@@ -5,8 +5,8 @@
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{ChunkData, PeerMessage, Ping};
 use catkin_peer::{BindError, DropReason, LinkSettings, PeerKey, PeerLink, UdpLink};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 const A: VmId = VmId(1);
 const B: VmId = VmId(2);
@@ -86,6 +86,31 @@
     assert_eq!(received.unwrap().1, chunk(5_000));
 }
 
+/// Guards against a part of a large message whose connection is closed in order and that counts as a message.
+#[tokio::test]
+async fn stream_frame_that_ends_early_is_not_received() {
+    let (a, b) = (link(A, 3).await, link(B, 4).await);
+    a.send(B, b.address(), &ping(1));
+    b.receive().await.unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    a.send(B, listener.local_addr().unwrap(), &chunk(5_000));
+    let mut frame = Vec::new();
+    listener.accept().await.unwrap().0.read_to_end(&mut frame).await.unwrap();
+    let ends = (0..10).chain((10..frame.len()).step_by(251)).chain([frame.len() - 1]);
+    for end in ends {
+        let mut stream = TcpStream::connect(b.address()).await.unwrap();
+        stream.write_all(&frame[..end]).await.unwrap();
+        stream.shutdown().await.unwrap();
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "{end} bytes");
+    }
+
+    TcpStream::connect(b.address()).await.unwrap().write_all(&frame).await.unwrap();
+    let received = b.receive().await.unwrap().1;
+
+    assert_eq!(received, chunk(5_000));
+    assert_eq!(b.dropped().total(), 0);
+}
+
 #[tokio::test]
 async fn sender_learns_that_the_receiver_restarted() {
     let a = link(A, 3).await;
