Evacuations: a router's metrics without a length may be a part

Operators saw, in a test: a router that obeys no evacuation, read from a 200 without a body.

Cause: metrics with neither a length nor chunks end in order wherever their connection is closed, and a text in lines has no end that could be missed.

Change: read_obeyed_evacuations fails for them.

Conclusion: a reader of lines needs the framing; readers of JSON objects have their own end.

--- a/crates/catkin-entry/src/evacuation_client.rs
+++ b/crates/catkin-entry/src/evacuation_client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use catkin_base::copy_type;
+use catkin_http::{BodyFraming, determine_response_framing};
 use tokio::time::Instant;
 
 use crate::connection::{ExchangeFailure, HttpConnection};
@@ -52,7 +53,8 @@
     rows.collect()
 }
 
-/// Reads from a router's metrics listener which evacuations it obeys, and since when.
+/// Reads from a router's metrics listener which evacuations it obeys, and since when. Metrics with neither a
+/// length nor chunks may be a part, and fail.
 pub async fn read_obeyed_evacuations(
     address: SocketAddr,
 ) -> Result<BTreeMap<String, u64>, ExchangeFailure> {
@@ -62,6 +64,9 @@
     let request = format!("GET /metrics HTTP/1.1\r\nHost: {address}\r\n\r\n");
     let exchanged = connection.exchange(request.as_bytes(), None, false, deadline).await;
     let head = exchanged.map_err(|error| error.failure)?;
+    if determine_response_framing(&head, false) == Ok(BodyFraming::UntilClose) {
+        return Err(ExchangeFailure::Broken);
+    }
     let body = connection.read_body(MAX_METRICS_BYTES, deadline).await?;
     match (head.status, std::str::from_utf8(&body)) {
         (200, Ok(text)) => Ok(parse_obeyed_evacuations(text)),
--- a/crates/catkin-entry/tests/evacuation_client.rs
+++ b/crates/catkin-entry/tests/evacuation_client.rs
@@ -50,3 +50,34 @@
     assert!(router.await.unwrap().starts_with("GET /metrics HTTP/1.1\r\n"));
     assert_eq!(read_obeyed_evacuations(address).await, Err(ExchangeFailure::Unreachable));
 }
+
+/// Reads the evacuations of a router that sends these bytes and closes the connection.
+async fn read_from(answer: String) -> Result<BTreeMap<String, u64>, ExchangeFailure> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 256]).await;
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    });
+    read_obeyed_evacuations(address).await
+}
+
+/// Guards against metrics that end early: an operator was told that a router obeys no evacuation, or since
+/// another time.
+#[tokio::test]
+async fn metrics_that_end_early_are_not_read() {
+    let length = METRICS.len();
+    let with_length = format!("HTTP/1.1 200 -\r\nContent-Length: {length}\r\n\r\n{METRICS}");
+    let chunk = format!("{length:x}\r\n{METRICS}\r\n0\r\n\r\n");
+    let with_chunks = format!("HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    let with_neither = format!("HTTP/1.1 200 -\r\n\r\n{METRICS}");
+
+    for answer in [with_length, with_chunks, with_neither] {
+        for end in 0..answer.len() {
+            let obeyed = read_from(answer[..end].to_owned()).await;
+
+            assert_eq!(obeyed, Err(ExchangeFailure::Broken), "{:?}", &answer[..end]);
+        }
+    }
+}
