Review: show that a part of a stream of a leaving server looks whole

A server that is killed 2 s after it announced that it leaves ends its streams without a length in order; the router ends them with a last chunk.

--- a/review/stand2.py
+++ b/review/stand2.py
@@ -317,6 +317,80 @@
                 f"X-Catkinpitch-Server-Load: 1,0,16\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode()
 
 
+class ServerProcess:
+    """A server in a process of its own, so that it can be killed. It answers with a stream of `EVENTS` events, with
+    neither a length nor chunks, and exits at SIGTERM once its last answer is whole."""
+
+    def __init__(self, fleet, name, service):
+        self.fleet, self.name, self.service = fleet, name, service
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, os.path.abspath(__file__), "server", self.name, stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE)
+        self.fleet.children.append(self.process)
+        self.port = int(await self.process.stdout.readline())
+        self.reading = asyncio.create_task(self.read_log())
+
+    async def read_log(self):
+        while line := await self.process.stdout.readline():
+            at, text = line.decode().rstrip().split(" ", 1)
+            self.fleet.record.add(f"server {self.name}: {text}", float(at))
+
+
+EVENTS = 25
+EVENT_GAP = 0.1
+
+
+def encode_events(request):
+    return [f"id: {number}\ndata: {request} {number}\n\n".encode() for number in range(1, EVENTS + 1)]
+
+
+async def serve_events(name):
+    """The process of a `ServerProcess`."""
+    open_answers, stopping = set(), asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
+
+    def log(text):
+        print(f"{time.monotonic():.6f} {text}", flush=True)
+
+    async def serve(reader, writer):
+        request = None
+        try:
+            while (head := await read_head(reader)) is not None:
+                line, fields = head
+                await read_body(reader, fields)
+                request = fields.get("x-catkinpitch-request-id")
+                if request is None or fields.get("x-catkinpitch-expect-instance", name) != name:
+                    status = "404 Not Found" if request is None else "421 Misdirected"
+                    writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+                    continue
+                log(f"runs {request}")
+                open_answers.add(request)
+                writer.write((f"HTTP/1.1 200 OK\r\nX-Catkinpitch-Request-Id: {request}\r\n"
+                              f"X-Catkinpitch-Server-Seal: seal.{request}\r\n"
+                              "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n").encode())
+                for event in encode_events(request):
+                    writer.write(event)
+                    await writer.drain()
+                    await asyncio.sleep(EVENT_GAP)
+                log(f"ended {request} in full")
+                return
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+            open_answers.discard(request)
+
+    server = await asyncio.start_server(serve, IP, 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await stopping.wait()
+    while open_answers:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    log("exits")
+
+
 class Router:
     """A process of the command in deploy/system.toml."""
 
@@ -381,7 +455,9 @@
         await self.store.put("config", "main", config)
         for server in self.servers:
             await server.start()
-            await self.store.put("servers", server.name, server_entry(server.service, server.port))
+            server.born = int(time.time() * 1000)
+            await self.store.put("servers", server.name,
+                                 server_entry(server.service, server.port, born=server.born))
         for number in range(self.count):
             router = Router(self, f"edge-{number + 1}")
             self.routers.append(router)
@@ -422,6 +498,8 @@
         for server in self.servers:
             if getattr(server, "server", None):
                 server.server.close()
+            if getattr(server, "reading", None):
+                server.reading.cancel()
         if getattr(self.store, "server", None):
             self.store.server.close()
 
@@ -453,3 +531,7 @@
     record.write(folder)
     print(f"exit {code}")
     sys.exit(code)
+
+
+if __name__ == "__main__" and sys.argv[1:2] == ["server"]:
+    asyncio.run(serve_events(sys.argv[2]))
