End a list of the store that makes no progress, and pause before the next

What callers saw: after a restart of all routers, none was served while an entry of another writer stood alone on a page of the list of servers; the store got list calls without a pause.

Cause: a page counted as progress whatever it held. A store that does not find the name after which the list is to continue answers with an earlier page, which was appended again, without an end.

Change: a page after which others follow must add objects (list_pages); else the list fails with an error that names the point, its pages are dropped, and the next list waits as after any failed call. Pages that overlap are joined. An empty page that says that more follow no longer counts as the end of the list.

--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{ExchangeFailure, HttpConnection};
+use crate::list_pages::{RepeatedPageError, append_page};
 use crate::wire::{EntryWire, StoreKind, StorePage, StoredEntry, WireError};
 
 /// Maximum length of an answer of the store, in bytes. A page has about a megabyte.
@@ -92,6 +93,9 @@
     /// The answer cannot be decoded.
     #[error(transparent)]
     Unreadable(#[from] WireError),
+    /// A list makes no progress.
+    #[error(transparent)]
+    Repeated(#[from] RepeatedPageError),
 }
 
 /// Client of the store, which makes one call at a time.
@@ -143,19 +147,15 @@
         self.list_page(kind, None, timeout).await
     }
 
-    /// Appends the next page to `list`. The revision of the first page stays, so that a watch from
-    /// it returns changes between pages.
+    /// Appends the next page to `list`, as [`append_page`].
     pub async fn list_next(
         &mut self,
         kind: StoreKind,
         list: &mut StorePage,
         timeout: Duration,
     ) -> Result<(), StoreCallError> {
-        let after = list.entries.last().map(|entry| entry.name.as_str());
-        let page = self.list_page(kind, after, timeout).await?;
-        list.has_more = page.has_more && !page.entries.is_empty();
-        list.entries.extend(page.entries);
-        Ok(())
+        let page = self.list_page(kind, list.last_name.as_deref(), timeout).await?;
+        Ok(append_page(list, page)?)
     }
 
     async fn list_page(
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -157,9 +157,10 @@
         while pages.list.has_more {
             let timeout = self.timeout.current();
             if let Err(error) = self.client.list_next(self.kind, &mut pages.list, timeout).await {
-                // Pages of two eras don't make up one list.
-                let restored = matches!(error, StoreCallError::Restored { .. });
-                self.pages = Some(pages).filter(|_| !restored);
+                // Pages of two eras don't make up one list, and repeated ones would be repeated again.
+                let must_restart =
+                    matches!(error, StoreCallError::Restored { .. } | StoreCallError::Repeated(_));
+                self.pages = Some(pages).filter(|_| !must_restart);
                 return Err(error);
             }
             self.timeout = GrowingTimeout::default();
