Continue a list behind objects of which only the name can be read

Cause: a list continued after the last object that could be read in whole. A page whose objects have a field of another type beside a sound name failed the whole list, at every attempt, and one with such an object at its end was read again from there.

Change: the names of all objects of a page are read for themselves; the list continues after the last one, and a page of such objects is progress once. A page without any name still fails the list, with the pause of a failed call.

--- a/crates/catkin-entry/src/list_pages.rs
+++ b/crates/catkin-entry/src/list_pages.rs
@@ -22,15 +22,15 @@
 /// Appends the next page to a list; leaves out objects that the list has. The revision of the first page stays,
 /// so that a watch from it returns changes between pages.
 pub fn append_page(list: &mut StorePage, page: StorePage) -> Result<(), RepeatedPageError> {
-    let known: BTreeSet<&str> = list.entries.iter().map(|entry| entry.name.as_str()).collect();
-    let is_new = |entry: &StoredEntry| !known.contains(entry.name.as_str());
-    let added: Vec<StoredEntry> = page.entries.into_iter().filter(is_new).collect();
-    if page.has_more && added.is_empty() {
-        return Err(RepeatedPageError { after: list.last_name.clone() });
+    let known: BTreeSet<&str> = list.names.iter().map(String::as_str).collect();
+    let is_new = |name: &str| !known.contains(name);
+    if page.has_more && !page.names.iter().any(|name| is_new(name)) {
+        return Err(RepeatedPageError { after: list.names.last().cloned() });
     }
-    list.entries.extend(added);
+    let added = page.entries.into_iter().filter(|entry| is_new(&entry.name));
+    list.entries.extend(added.collect::<Vec<StoredEntry>>());
+    list.names.extend(page.names);
     list.unreadable += page.unreadable;
     list.has_more = page.has_more;
-    list.last_name = page.last_name;
     Ok(())
 }
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -154,7 +154,8 @@
         list: &mut StorePage,
         timeout: Duration,
     ) -> Result<(), StoreCallError> {
-        let page = self.list_page(kind, list.last_name.as_deref(), timeout).await?;
+        let after = list.names.last().map(String::as_str);
+        let page = self.list_page(kind, after, timeout).await?;
         Ok(append_page(list, page)?)
     }
 
--- a/crates/catkin-entry/src/wire.rs
+++ b/crates/catkin-entry/src/wire.rs
@@ -100,10 +100,10 @@
         pub entries: Vec<StoredEntry>,
         /// Number of further objects or changes that cannot be read.
         pub unreadable: usize,
-        /// Whether the list continues after `last_name`.
+        /// Names of all objects of a list in their order, also of those that cannot be read.
+        pub names: Vec<String>,
+        /// Whether the list continues after the last name.
         pub has_more: bool,
-        /// Name of the last object of a page of a list.
-        pub last_name: Option<String>,
         /// Revision of the store.
         pub revision: u64,
         /// Era of the store, from the head of the answer; the decoders set 0.
--- a/crates/catkin-entry/tests/list_pages.rs
+++ b/crates/catkin-entry/tests/list_pages.rs
@@ -12,13 +12,18 @@
     StorePage {
         entries: entries.collect(),
         unreadable: 0,
+        names: names.iter().map(|name| (*name).to_owned()).collect(),
         has_more,
-        last_name: names.last().map(|name| (*name).to_owned()),
         revision,
         era: 0,
     }
 }
 
+/// A page of one object that can't be read but for its name.
+fn unreadable_page(name: &str) -> StorePage {
+    StorePage { entries: Vec::new(), unreadable: 1, ..page(&[name], true, 5) }
+}
+
 fn names(list: &StorePage) -> Vec<&str> {
     list.entries.iter().map(|entry| entry.name.as_str()).collect()
 }
@@ -60,3 +65,16 @@
     assert_eq!(names(&list), ["a", "b", "c"]);
     assert!(!list.has_more);
 }
+
+/// Guards against a list that does not get past an object which can't be read.
+#[test]
+fn an_object_of_which_only_the_name_is_read_is_progress_once() {
+    let mut list = page(&["a"], true, 5);
+
+    append_page(&mut list, unreadable_page("b")).unwrap();
+    let repeated = append_page(&mut list.clone(), unreadable_page("b"));
+    append_page(&mut list, page(&["c"], false, 5)).unwrap();
+
+    assert!(repeated.is_err());
+    assert_eq!((names(&list), list.unreadable), (vec!["a", "c"], 1));
+}
