Escape control characters in the log

Cause: names of other writers' entries are logged as they are. One with a line feed ended its line, and its rest passed for a line of the router.

Evidence: a_name_does_not_end_a_line_of_the_log fails without the change and passes with it.

--- a/crates/catkin-entry/src/logging.rs
+++ b/crates/catkin-entry/src/logging.rs
@@ -67,7 +67,7 @@
         if dropped > 0 {
             line.push_str(&format!(" lines_dropped_before={dropped}"));
         }
-        if !write_line(line) {
+        if !write_line(escape_controls(line)) {
             budget.count_lost(dropped);
         }
     });
@@ -81,6 +81,18 @@
     Ok(())
 }
 
+/// Escapes control characters, so that a name of another writer neither ends a line nor begins one.
+fn escape_controls(line: String) -> String {
+    if !line.contains(char::is_control) {
+        return line;
+    }
+    let escape = |character: char| match character.is_control() {
+        true => character.escape_default().to_string(),
+        false => character.to_string(),
+    };
+    line.chars().map(escape).collect()
+}
+
 /// Writes a whole line or nothing. Returns false if the line was lost.
 fn write_line(mut line: String) -> bool {
     if line.len() > MAX_LINE_BYTES {
