Bound the use of a missing server from the disruption, not from when a router hears of it

Cause: after any failed call, a watch whose connection was silent included, a server that the store lacked went on for 2 s that began when the router heard of it, for 2.5 s from the last failure, and its end was looked for each 250 ms. Nothing related these to the moment of the removal or of the disruption. Servers that lapse while the store is away do need time: they register again within two seconds of its return.

Change: store_trouble bounds both. A missing server is used until two seconds after the first answer, but not beyond the time after which a disruption excuses a router (`contact_millis`, 3 s unless set, from the platform's ContactMs), counted from when the failed call was sent, less 0.5 s for the check and the way of a request. Later lists don't prolong it. A removal that is heard of behind that is final at once. The log says how many servers are missing and for how long they are used.

Why it works: the store was in reach until the failed call was sent, so the disruption began later, and the router is not in touch before that time is over.

Related paths: the list of another router (only the first list, into an empty book), a list after a pause or since others know a newer version (no failure, so final at once as before), a restore of the store (as a failure at that moment), removals in watches and in lists (same function). Departures that others report go first, as before.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -101,6 +101,7 @@
 mod store_follower;
 mod store_pace;
 mod store_point;
+mod store_trouble;
 mod strike_store;
 mod waiting_room;
 mod wire;
@@ -152,9 +153,7 @@
 pub use retry_payment::RetryPayment;
 pub use route_table::{RouteMatch, RouteTable, choose_service, hash_key};
 pub use served_content::ServedContent;
-pub use server_book::{
-    KnownServer, MISSING_GRACE_MILLIS, ServerBook, ServerChange, derive_server_id,
-};
+pub use server_book::{KnownServer, ServerBook, ServerChange, derive_server_id};
 pub use server_copy::{ServerList, decode_server_list, encode_server_list};
 pub use server_notice::{LimitNotice, PauseNotice, read_limit, read_pause};
 pub use server_selection::{
@@ -169,6 +168,7 @@
 pub use store_client::{GrowingTimeout, StoreCallError, StoreClient, WriteMode};
 pub use store_pace::StorePace;
 pub use store_point::StorePoint;
+pub use store_trouble::{MISSING_GRACE_MILLIS, StoreTrouble};
 pub use wire::{
     EntryWire, HeaderNames, ListedPart, OriginRecord, RouterRecord, StoreKind, StorePage,
     StoredEntry, StrikeRecord, VersionRecord, WireError,
--- a/crates/catkin-entry/src/server_book.rs
+++ b/crates/catkin-entry/src/server_book.rs
@@ -9,10 +9,6 @@
 use crate::record::ServerRecord;
 use crate::store_point::StorePoint;
 
-/// How long a server whose entry disappeared around an outage of the store may still be used, in
-/// milliseconds. Live servers register again within two seconds after the store returns.
-pub const MISSING_GRACE_MILLIS: u64 = 2_000;
-
 /// A server and the latest state of its entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownServer {
@@ -162,17 +158,17 @@
         if leaving { ServerChange::Leaving(server) } else { ServerChange::Appeared(server) }
     }
 
-    /// Applies the removal of an entry. `confirmed` is false around an outage of the store; the
-    /// server may then still be used for [`MISSING_GRACE_MILLIS`].
+    /// Applies the removal of an entry. Around an outage of the store the server may still be used, until
+    /// `missing_until`.
     pub fn apply_removal(
         &mut self,
         now: ClockTime,
         name: &str,
         point: StorePoint,
-        confirmed: bool,
+        missing_until: Option<ClockTime>,
     ) -> ServerChange {
         self.latest_change = self.latest_change.max(point);
-        self.drop_entry(now, name, point, confirmed)
+        self.drop_entry(now, name, point, missing_until)
     }
 
     /// Drops an entry that is missing as of `point`, which may be later than its removal.
@@ -181,16 +177,14 @@
         now: ClockTime,
         name: &str,
         point: StorePoint,
-        confirmed: bool,
+        missing_until: Option<ClockTime>,
     ) -> ServerChange {
         let Some(known) = self.servers.get_mut(name) else { return ServerChange::Unchanged };
         if known.point > point {
             return ServerChange::Unchanged;
         }
-        if confirmed {
-            return self.remove_server(now, name, point);
-        }
-        known.missing_until.get_or_insert(now.plus_millis(MISSING_GRACE_MILLIS));
+        let Some(until) = missing_until else { return self.remove_server(now, name, point) };
+        known.missing_until = Some(known.missing_until.map_or(until, |earlier| earlier.min(until)));
         ServerChange::Unchanged
     }
 
@@ -201,7 +195,7 @@
         now: ClockTime,
         point: StorePoint,
         entries: Vec<(String, StorePoint, Option<ServerRecord>)>,
-        confirmed: bool,
+        missing_until: Option<ClockTime>,
     ) -> Vec<ServerChange> {
         let listed: std::collections::BTreeSet<&str> =
             entries.iter().map(|(name, ..)| name.as_str()).collect();
@@ -209,7 +203,7 @@
         let missing: Vec<String> = missing.cloned().collect();
         let mut changes = Vec::new();
         for name in missing {
-            changes.push(self.drop_entry(now, &name, point, confirmed));
+            changes.push(self.drop_entry(now, &name, point, missing_until));
         }
         for (name, entry_point, record) in entries {
             changes.push(self.apply_entry(now, &name, entry_point, record));
@@ -219,7 +213,7 @@
         changes
     }
 
-    /// Removes the servers whose entries stayed missing for the grace time and returns them. Also
+    /// Removes the servers whose entries stayed missing for too long and returns them. Also
     /// removes old departures.
     pub fn remove_missing(&mut self, now: ClockTime) -> Vec<ServerId> {
         let overdue = |known: &KnownServer| known.missing_until.is_some_and(|until| until <= now);
@@ -328,6 +322,11 @@
         self.names.get(&server).and_then(|name| self.servers.get(name))
     }
 
+    /// Number of servers whose entries are missing.
+    pub fn count_missing(&self) -> usize {
+        self.iter().filter(|known| known.is_missing()).count()
+    }
+
     /// Whether no server is known.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
--- a/crates/catkin-entry/src/settings.rs
+++ b/crates/catkin-entry/src/settings.rs
@@ -80,6 +80,10 @@
     /// `None` if failure domains are not evacuated.
     #[serde(default)]
     pub evacuation_millis: Option<u64>,
+    /// Time after a disruption of this router or its connections from which on it must act in time on what the
+    /// store says, in milliseconds.
+    #[serde(default = "default_contact_millis")]
+    pub contact_millis: u64,
     /// Whether requests that wait for room are ordered by rank, and sent at a rate of the router's own.
     #[serde(default)]
     pub orders_by_rank: bool,
@@ -124,6 +128,10 @@
     1.0
 }
 
+fn default_contact_millis() -> u64 {
+    3_000
+}
+
 fn default_log_lines() -> u32 {
     400
 }
@@ -178,6 +186,8 @@
         let allowed = "1 to 600000 milliseconds";
         check_range("evacuation_millis", millis as f64, 1.0..=6e5, allowed)?;
     }
+    let allowed = "0 to 600000 milliseconds";
+    check_range("contact_millis", settings.contact_millis as f64, 0.0..=6e5, allowed)?;
     check_range("load_factor", settings.load_factor, 1.0..=100.0, "1 to 100")?;
     Ok(settings)
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -44,6 +44,7 @@
 use crate::speed_book::{SpeedBook, StartedSample};
 use crate::speed_table::{SpeedStatement, SpeedTable};
 use crate::store_point::StorePoint;
+use crate::store_trouble::StoreTrouble;
 use crate::waiting_room::RoomBook;
 use crate::wire::StoreKind;
 
@@ -193,6 +194,8 @@
     pub(crate) store_failing: Cell<bool>,
     /// When the store last answered a call, by the kind of objects that it was for.
     pub(crate) store_answered: RefCell<BTreeMap<StoreKind, Instant>>,
+    /// Failed calls of the clients that follow servers and declarations.
+    pub(crate) store_trouble: RefCell<StoreTrouble>,
     /// Whether this router must read the store consistently, that is without stale reads.
     pub(crate) consistent_reads: Cell<bool>,
     /// Whether this router's watches of the store are short.
@@ -286,6 +289,7 @@
             stopping: Cell::new(None),
             store_failing: Cell::new(false),
             store_answered: RefCell::default(),
+            store_trouble: RefCell::default(),
             consistent_reads: Cell::new(true),
             short_watches: Cell::new(true),
             watches_shortened: Notify::new(),
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -22,9 +22,6 @@
 /// go silent at once. With the timeout of the answer, and the time until the others have listed
 /// again, it is below the 3 s after which declarations must be in force again.
 const SHORT_WATCH_DURATION: Duration = Duration::from_millis(1_400);
-/// Time after a failed call during which servers missing from the store are not removed at once, so
-/// that they can come back.
-const RECOVERY_MILLIS: u64 = 2_500;
 /// Delay between a change and the next watch, so that one watch returns several changes. Servers
 /// are added, start leaving and are removed one after the other within tens of milliseconds.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
@@ -51,7 +48,7 @@
         kind,
         point: None,
         pages: None,
-        failed_at: None,
+        sent: state.now(),
         pace: StorePace::default(),
         timeout: GrowingTimeout::default(),
         state,
@@ -78,7 +75,8 @@
     point: Option<StorePoint>,
     /// Pages of a list that could not be completed.
     pages: Option<ListedPages>,
-    failed_at: Option<ClockTime>,
+    /// When the current call was sent.
+    sent: ClockTime,
     pace: StorePace,
     timeout: GrowingTimeout,
 }
@@ -86,6 +84,7 @@
 impl<W: EntryWire> StoreFollower<W> {
     /// Lists all objects, or watches for the next changes, and applies the result.
     async fn read_next(&mut self) -> Result<(), StoreCallError> {
+        self.sent = self.state.now();
         match self.point {
             None => self.list_all().await?,
             Some(point) => {
@@ -156,6 +155,7 @@
         }
         while pages.list.has_more {
             let timeout = self.timeout.current();
+            self.sent = self.state.now();
             if let Err(error) = self.client.list_next(self.kind, &mut pages.list, timeout).await {
                 // Pages of two eras don't make up one list, and repeated ones would be repeated again.
                 let must_restart =
@@ -221,9 +221,8 @@
         self.pace.reset();
         self.set_store_failing(false);
         self.timeout = GrowingTimeout::default();
-        if self.failed_at.is_some() && self.is_recovered() {
-            log::info!("store: recovered from failed calls. kind={:?}", self.kind);
-            self.failed_at = None;
+        if self.state.store_trouble.borrow_mut().record_answer(self.state.now()) {
+            log::info!("store: answers again after failed calls. kind={:?}", self.kind);
         }
     }
 
@@ -241,9 +240,10 @@
         }
     }
 
-    fn is_recovered(&self) -> bool {
-        let now = self.state.now();
-        self.failed_at.is_none_or(|at| now.millis_since(at) > RECOVERY_MILLIS)
+    /// Until when servers may be used whose entries are missing now; `None` if they are gone.
+    fn missing_until(&self) -> Option<ClockTime> {
+        let contact_millis = self.state.settings().contact_millis;
+        self.state.store_trouble.borrow().missing_until(self.state.now(), contact_millis)
     }
 
     async fn handle_error(&mut self, error: &StoreCallError) {
@@ -267,7 +267,9 @@
         let failing = *error != StoreCallError::HistoryGone;
         self.set_store_failing(failing);
         if failing {
-            self.failed_at = Some(self.state.now());
+            let is_unanswered = matches!(error, StoreCallError::Unanswered(_));
+            let since = if is_unanswered { self.sent } else { self.state.now() };
+            self.state.store_trouble.borrow_mut().record_failure(since);
             let delay = self.pace.next_delay(self.is_informed(), &mut rand::rng());
             sleep(Duration::from_millis(delay)).await;
         }
@@ -284,7 +286,7 @@
         self.client.reset();
         self.point = None;
         // Live servers that are missing from the copy register again.
-        self.failed_at = Some(self.state.now());
+        self.state.store_trouble.borrow_mut().record_failure(self.state.now());
     }
 
     fn apply_list(&mut self, page: &StorePage) {
@@ -305,14 +307,16 @@
     fn apply_servers(&self, list: ServerList) {
         let ServerList { point, entries } = list;
         let now = self.state.now();
-        let recovered = self.is_recovered();
+        let missing_until = self.missing_until();
         let mut servers = self.state.servers.borrow_mut();
         let is_first = !servers.is_listed();
-        let changes = servers.apply_list(now, point, entries, recovered);
+        let changes = servers.apply_list(now, point, entries, missing_until);
         drop(servers);
         log::info!(
-            "store: servers listed. point={point} changes={} settled={recovered}",
-            changes.len()
+            "store: servers listed. point={point} changes={} missing={} used_for_millis={}",
+            changes.len(),
+            self.state.servers.borrow().count_missing(),
+            missing_until.map_or(0, |until| until.millis_since(now))
         );
         self.apply_server_changes(&changes, is_first);
         self.state.list_copy_change.notify_waiters();
@@ -324,7 +328,7 @@
             return self.apply_declarations(page);
         }
         let now = self.state.now();
-        let recovered = self.is_recovered();
+        let missing_until = self.missing_until();
         let mut changes = Vec::new();
         let mut servers = self.state.servers.borrow_mut();
         for entry in &page.entries {
@@ -332,7 +336,7 @@
                 // An event without a revision is placed at the point of the page.
                 let has_revision = entry.revision > 0;
                 let point = if has_revision { page.entry_point(entry) } else { page.point() };
-                servers.apply_removal(now, &entry.name, point, recovered)
+                servers.apply_removal(now, &entry.name, point, missing_until)
             } else {
                 let record = read_server::<W>(entry);
                 servers.apply_entry(now, &entry.name, page.entry_point(entry), record)
--- a/crates/catkin-entry/tests/large_fleet.rs
+++ b/crates/catkin-entry/tests/large_fleet.rs
@@ -103,6 +103,6 @@
 
     assert!(book.get(derive_server_id("i-1", &record(1))).is_none());
     assert_eq!(book.get(derive_server_id("i-1", &record(2))).unwrap().point, StorePoint::new(0, 2));
-    book.apply_removal(at(2), "i-1", StorePoint::new(0, 3), true);
+    book.apply_removal(at(2), "i-1", StorePoint::new(0, 3), None);
     assert!(book.get(derive_server_id("i-1", &record(2))).is_none());
 }
--- a/crates/catkin-entry/tests/list_plan.rs
+++ b/crates/catkin-entry/tests/list_plan.rs
@@ -70,7 +70,7 @@
     let entries =
         (0..count).map(|index| (format!("i-{index:05}"), point(index + 1), Some(server(index))));
     let mut book = ServerBook::default();
-    book.apply_list(ClockTime::ZERO, point(90_000), entries.collect(), true);
+    book.apply_list(ClockTime::ZERO, point(90_000), entries.collect(), None);
     book
 }
 
@@ -147,7 +147,7 @@
     let copy = encode_server_list(&original);
     let list = decode_server_list(&copy).unwrap();
     let mut copied = ServerBook::default();
-    copied.apply_list(ClockTime::ZERO, list.point, list.entries, true);
+    copied.apply_list(ClockTime::ZERO, list.point, list.entries, None);
 
     assert!(copied.iter().eq(original.iter()));
     assert_eq!(copied.point(), point(90_000));
@@ -157,7 +157,12 @@
 #[test]
 fn servers_whose_entries_are_missing_are_not_passed_on() {
     let mut book = book(2);
-    book.apply_removal(ClockTime::ZERO, "i-00001", point(90_001), false);
+    book.apply_removal(
+        ClockTime::ZERO,
+        "i-00001",
+        point(90_001),
+        Some(ClockTime::from_millis(2_000)),
+    );
 
     let list = decode_server_list(&encode_server_list(&book)).unwrap();
 
--- a/crates/catkin-entry/tests/tables.rs
+++ b/crates/catkin-entry/tests/tables.rs
@@ -5,10 +5,9 @@
 
 use catkin_base::{ClockTime, ServerId};
 use catkin_entry::{
-    AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, MISSING_GRACE_MILLIS, OutcomeBook,
-    ReportAudience, RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange,
-    ServerDeparture, ServerRecord, ServiceShare, StorePoint, TeamRecord, choose_service,
-    derive_server_id, hash_key,
+    AttemptOutcome, BudgetBook, CallerBounds, DeclarationRecord, OutcomeBook, ReportAudience,
+    RouteKind, RouteMatch, RouteRecord, RouteTable, ServerBook, ServerChange, ServerDeparture,
+    ServerRecord, ServiceShare, StorePoint, TeamRecord, choose_service, derive_server_id, hash_key,
 };
 
 fn server(started_unix_millis: u64) -> ServerRecord {
@@ -179,20 +178,34 @@
 #[test]
 fn servers_missing_after_a_store_outage_are_removed_after_a_grace_period() {
     let mut book = one_server_book();
-    book.apply_list(at(100), point(9), Vec::new(), false);
-    let early = book.remove_missing(at(100 + MISSING_GRACE_MILLIS - 1));
+    book.apply_list(at(100), point(9), Vec::new(), Some(at(2_100)));
+    let early = book.remove_missing(at(2_099));
     let usable = book.usable("s").count();
 
-    let late = book.remove_missing(at(100 + MISSING_GRACE_MILLIS));
+    let late = book.remove_missing(at(2_100));
 
     assert_eq!((early.len(), usable), (0, 1));
     assert_eq!(late, [derive_server_id("i-1", &server(1))]);
 }
 
+/// Guards against a server whose use is prolonged by each further list that lacks it.
+#[test]
+fn a_later_list_does_not_prolong_the_use_of_a_missing_server() {
+    let mut book = one_server_book();
+    book.apply_list(at(100), point(9), Vec::new(), Some(at(2_100)));
+    book.apply_list(at(1_000), point(10), Vec::new(), Some(at(3_000)));
+    assert_eq!(book.remove_missing(at(2_100)).len(), 1);
+
+    let mut book = one_server_book();
+    book.apply_list(at(100), point(9), Vec::new(), Some(at(2_100)));
+    let changes = book.apply_list(at(1_000), point(10), Vec::new(), None);
+    assert_eq!(changes, [ServerChange::Removed(derive_server_id("i-1", &server(1)))]);
+}
+
 #[test]
 fn a_server_whose_entry_comes_back_after_a_store_outage_stays() {
     let mut book = one_server_book();
-    book.apply_list(at(100), point(9), Vec::new(), false);
+    book.apply_list(at(100), point(9), Vec::new(), Some(at(2_100)));
     book.apply_entry(at(200), "i-1", point(10), Some(server(1)));
 
     assert_eq!(book.remove_missing(at(10_000)), []);
@@ -203,7 +216,7 @@
 fn servers_missing_without_a_store_outage_are_removed_at_once() {
     let mut book = one_server_book();
 
-    let changes = book.apply_list(at(100), point(9), Vec::new(), true);
+    let changes = book.apply_list(at(100), point(9), Vec::new(), None);
 
     assert_eq!(changes, [ServerChange::Removed(derive_server_id("i-1", &server(1)))]);
 }
@@ -229,7 +242,7 @@
     book.apply_entry(at(1), "i-1", point(9), Some(leaving_server()));
     let copy = vec![("i-1".to_owned(), StorePoint::new(1, 5), Some(server(1)))];
 
-    book.apply_list(at(2), StorePoint::new(1, 6), copy, false);
+    book.apply_list(at(2), StorePoint::new(1, 6), copy, Some(at(2_002)));
     let usable_in_copy = book.usable("s").count();
     book.apply_entry(at(3), "i-1", StorePoint::new(1, 7), Some(server(1)));
 
@@ -243,7 +256,7 @@
 fn a_removed_server_that_had_announced_its_departure_stays_leaving_in_the_copy() {
     let mut book = one_server_book();
     book.apply_entry(at(1), "i-1", point(9), Some(leaving_server()));
-    book.apply_removal(at(2), "i-1", point(10), true);
+    book.apply_removal(at(2), "i-1", point(10), None);
 
     book.apply_entry(at(3), "i-1", StorePoint::new(1, 5), Some(server(1)));
     let usable_in_copy = book.usable("s").count();
@@ -257,7 +270,7 @@
 #[test]
 fn a_server_whose_entry_lapsed_is_used_again_once_it_registers() {
     let mut book = one_server_book();
-    book.apply_removal(at(2), "i-1", point(10), true);
+    book.apply_removal(at(2), "i-1", point(10), None);
 
     let change = book.apply_entry(at(3), "i-1", point(11), Some(server(1)));
 
@@ -274,7 +287,7 @@
     let news = [1, 2].map(|millis| book.record_leave_statement(at(millis), id));
     book.apply_entry(at(3), "i-1", point(7), Some(server(1)));
     let usable_as_ready = book.usable("s").count();
-    book.apply_removal(at(4), "i-1", point(8), true);
+    book.apply_removal(at(4), "i-1", point(8), None);
     let change = book.apply_entry(at(5), "i-1", StorePoint::new(1, 2), Some(server(1)));
 
     assert_eq!(news, [true, false]);
@@ -290,7 +303,7 @@
     let mut book = one_server_book();
     book.record_leave_statement(at(1), derive_server_id("i-1", &server(1)));
 
-    book.apply_removal(at(2), "i-1", point(8), true);
+    book.apply_removal(at(2), "i-1", point(8), None);
 
     assert!(book.departures().all(|departure| departure.stated));
     assert_eq!(book.departures().count(), 1);
@@ -321,7 +334,7 @@
     announced.apply_entry(at(1), "i-1", point(6), Some(leaving_server()));
     stated.record_leave_statement(at(1), id);
     reported.mark_leaving(at(1), id, point(6));
-    removed.apply_removal(at(1), "i-1", point(6), true);
+    removed.apply_removal(at(1), "i-1", point(6), None);
 
     let books = [announced, stated, reported, removed];
     assert_eq!(books.map(|book| book.may_get_requests(id)), [false; 4]);
@@ -381,7 +394,7 @@
     book.record_leave_statement(at(1), derive_server_id("i-1", &server(0)));
     let usable_while_listed = book.usable("s").count();
 
-    book.apply_removal(at(2), "i-1", point(6), true);
+    book.apply_removal(at(2), "i-1", point(6), None);
     book.apply_entry(at(3), "i-1", point(7), Some(server(0)));
 
     assert_eq!((usable_while_listed, book.usable("s").count()), (0, 1));
@@ -403,13 +416,13 @@
 fn a_later_list_of_the_same_servers_does_not_outdate_an_earlier_one() {
     let entries = || vec![("i-1".to_owned(), point(5), Some(server(1)))];
     let [mut earlier, mut later] = [ServerBook::default(), ServerBook::default()];
-    earlier.apply_list(at(0), point(10), entries(), true);
-    later.apply_list(at(1), point(20), entries(), true);
+    earlier.apply_list(at(0), point(10), entries(), None);
+    later.apply_list(at(1), point(20), entries(), None);
 
     assert!(!earlier.is_outdated(later.latest_change()));
     later.apply_entry(at(2), "i-2", point(21), Some(server(2)));
     assert!(earlier.is_outdated(later.latest_change()));
-    earlier.apply_list(at(3), point(22), entries(), true);
+    earlier.apply_list(at(3), point(22), entries(), None);
     assert!(!earlier.is_outdated(later.latest_change()));
 }
 
@@ -418,7 +431,7 @@
     let [mut other, mut book] = [one_server_book(), one_server_book()];
     other.advance_point(point(24));
 
-    book.apply_removal(at(1), "i-1", point(25), true);
+    book.apply_removal(at(1), "i-1", point(25), None);
 
     assert!(other.is_outdated(book.latest_change()));
     assert!(!book.is_outdated(other.latest_change()));
