Count an answer without framing as broken off once the request could not be written

Cause: the operating system reports a reset once. If the write of the request gets the error, the next read returns what had arrived, and then an end in order. The connection forgot the failed write when the head of the answer was there.

Change: the connection keeps whether the write failed; then no end of the connection completes an answer. Answers with a length or chunks are whole or not by themselves, as before. This is where all answers are read that catkin-entry uses: of servers, through other routers, of the store, lists of cached parts, an operator's look at a router.

Evidence: an_answer_without_framing_that_is_reset_while_the_request_is_written_is_broken_off got "part" as the body before and an error now; a whole answer with a length that comes so is still read.

--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -82,6 +82,9 @@
     decoder: Option<BodyDecoder>,
     /// Whether another request may follow, as far as the current answer was read.
     reusable: bool,
+    /// Whether writing the current request failed. A reset is reported once: to that write, and then the connection
+    /// seems to end in order.
+    write_failed: bool,
     /// Number of requests sent.
     exchanges: u32,
     /// When the connection was last idle, and for how long the server kept it open from then on.
@@ -121,6 +124,7 @@
             buffer: BytesMut::new(),
             decoder: None,
             reusable: true,
+            write_failed: false,
             exchanges: 0,
             released: None,
             skipped_heads: Vec::new(),
@@ -196,7 +200,9 @@
         self.skipped_heads.clear();
         let mut write = RequestWrite { request, written: 0, failed: false };
         let running = self.run_exchange(&mut write, expected, to_head_request);
-        match timeout_at(deadline, running).await {
+        let exchanged = timeout_at(deadline, running).await;
+        self.write_failed = write.failed;
+        match exchanged {
             Ok(Ok(head)) => {
                 self.reusable = write.is_done() && head.is_keep_alive();
                 Ok(head)
@@ -302,6 +308,13 @@
     pub async fn next_bytes(&mut self) -> Result<Option<Bytes>, ExchangeFailure> {
         let Some(decoder) = &mut self.decoder else { return Ok(None) };
         let read = next_bytes(&mut self.stream, &mut self.buffer, decoder).await;
+        if self.write_failed && decoder.ends_with_connection() && read == Ok(None) {
+            log::info!(
+                "server: answer with neither a length nor chunks ended after the request could not be written; it \
+                 counts as broken off."
+            );
+            return Err(ExchangeFailure::Broken);
+        }
         if read.is_err() || decoder.ends_with_connection() {
             self.reusable = false;
         }
--- a/crates/catkin-entry/tests/connection.rs
+++ b/crates/catkin-entry/tests/connection.rs
@@ -22,6 +22,9 @@
 /// Time for which a server keeps its connection open.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Length of the body of a request that does not fit into the buffers of a connection.
+const UPLOAD_BYTES: usize = 16 << 20;
+
 /// What a server does after it has read a request.
 #[derive(Clone)]
 enum ServerStep {
@@ -103,6 +106,40 @@
     assert_eq!(read_in_parts(Duration::from_millis(500)).await, Err(ExchangeFailure::TimedOut));
 }
 
+/// Begins to send a request that is longer than the buffers to a server that reads nothing, sends a text and resets
+/// the connection; returns what the client got as the body.
+async fn read_early_answer(text: &'static str) -> Result<Vec<u8>, ExchangeFailure> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        sleep(PAUSE / 5).await;
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream.set_zero_linger().unwrap();
+    });
+    let head = format!(
+        "POST / HTTP/1.1\r\nHost: a\r\nX-Id: own\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
+    );
+    let request = [head.into_bytes(), vec![b'u'; UPLOAD_BYTES]].concat();
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let mut connection = HttpConnection::connect(address, deadline).await.unwrap();
+    let expected = ExpectedAnswer { id_field: ID_FIELD, id: b"own" };
+    let exchanged = connection.exchange(&request, Some(expected), false, deadline).await;
+    exchanged.map_err(|error| error.failure)?;
+    connection.read_body(BODY_LIMIT_BYTES, deadline).await.map(|body| body.to_vec())
+}
+
+/// Guards against a part of an answer that passes for the whole: the reset was reported to the write of the request,
+/// so that the answer seemed to end in order.
+#[tokio::test]
+async fn an_answer_without_framing_that_is_reset_while_the_request_is_written_is_broken_off() {
+    let part = read_early_answer("HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\npart").await;
+    let whole = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 5\r\n\r\nwhole";
+
+    assert_eq!(part, Err(ExchangeFailure::Broken));
+    assert_eq!(read_early_answer(whole).await, Ok(b"whole".to_vec()));
+}
+
 #[tokio::test]
 async fn a_late_answer_to_an_earlier_request_is_skipped() {
     let exchanged = exchange(vec![write(OTHER_ANSWER), write(MATCHING_ANSWER)]).await.unwrap();
