Refuse answers whose status is above 599

Status 000, which the users saw elsewhere, and field names with blanks or control bytes were refused here already.

Cause: the parser of heads took any three digits from 100 on. RFC 9110, section 15, allows 100 to 599.

--- a/crates/catkin-http/src/head.rs
+++ b/crates/catkin-http/src/head.rs
@@ -1,5 +1,7 @@
 //! Parses the heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Bytes, BytesMut};
 use catkin_base::value_type;
 
@@ -8,6 +10,8 @@
 /// Maximum number of header fields in one head. Ordinary callers reach the byte limit first.
 const MAX_FIELDS: usize = 128;
 const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Status codes of RFC 9110, section 15. Clients differ in what they make of others.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 const VERSION_START: &[u8] = b"HTTP/1.";
 
 value_type! {
@@ -126,7 +130,7 @@
     let (Some(status), Some(minor_version)) = (parsed.code, parsed.version) else {
         return Err(HeadError::Malformed);
     };
-    if state.is_partial() || status < 100 {
+    if state.is_partial() || !STATUS_CODES.contains(&status) {
         return Err(HeadError::Malformed);
     }
     let reason = parsed.reason.unwrap_or("").as_bytes();
--- a/crates/catkin-http/tests/heads.rs
+++ b/crates/catkin-http/tests/heads.rs
@@ -5,8 +5,8 @@
 
 use bytes::BytesMut;
 use catkin_http::{
-    BodyFraming, FramingError, HeadError, determine_request_framing, determine_response_framing,
-    take_request_head, take_response_head,
+    BodyFraming, FramingError, HeadError, ResponseHead, determine_request_framing,
+    determine_response_framing, take_request_head, take_response_head,
 };
 use proptest::prelude::*;
 
@@ -139,3 +139,96 @@
 
     assert_eq!(taken.unwrap().unwrap().status, 200);
 }
+
+/// Takes a response head that arrives in two parts, the second of which begins at `split`.
+fn take_in_parts(text: &[u8], split: usize) -> Result<Option<ResponseHead>, HeadError> {
+    let mut buffer = BytesMut::from(&text[..split]);
+    match take_response_head(&mut buffer, HEAD_LIMIT_BYTES) {
+        Ok(None) => buffer.extend_from_slice(&text[split..]),
+        taken => return taken,
+    }
+    take_response_head(&mut buffer, HEAD_LIMIT_BYTES)
+}
+
+fn assert_rejected(text: &[u8]) {
+    for split in 0..=text.len() {
+        let taken = take_in_parts(text, split);
+
+        assert!(taken.is_err(), "{:?} {split} {taken:?}", text.escape_ascii().to_string());
+    }
+}
+
+/// Guards against a status that is no status and passes for an answer: clients know none of these.
+#[test]
+fn a_response_head_with_an_invalid_status_is_rejected() {
+    let invalid = [
+        "000",
+        "001",
+        "099",
+        "600",
+        "601",
+        "700",
+        "999",
+        "1000",
+        "20",
+        "2",
+        "",
+        "+20",
+        "-20",
+        "2x0",
+        "20O",
+        " 200",
+        "2 0",
+        "0x2",
+        "2.0",
+        "\u{0662}\u{0660}\u{0660}",
+        "20\0",
+        "20\t",
+    ];
+    for status in invalid {
+        for reason in ["", " ", " OK"] {
+            assert_rejected(format!("HTTP/1.1 {status}{reason}\r\nA: b\r\n\r\n").as_bytes());
+        }
+    }
+    for status in [100, 101, 200, 299, 404, 599] {
+        let text = format!("HTTP/1.1 {status} -\r\nA: b\r\n\r\n");
+
+        let taken = take_in_parts(text.as_bytes(), 0);
+
+        assert_eq!(taken.unwrap().unwrap().status, status);
+    }
+}
+
+proptest! {
+    /// Guards against a field whose name holds a blank or a control byte, and that is passed on or hides the field
+    /// that says how the body ends.
+    #[test]
+    fn a_response_head_with_an_invalid_field_name_is_rejected(
+        before in "[A-Za-z-]{0,12}|Content-Length|Transfer-Encoding",
+        odd in prop::sample::select(odd_name_bytes()),
+        after in "[A-Za-z-]{0,6}",
+        is_first in any::<bool>(),
+    ) {
+        let mut line = before.into_bytes();
+        line.push(odd);
+        line.extend_from_slice(format!("{after}: 1\r\n").as_bytes());
+        let other = b"X-Other: 1\r\n";
+        let fields = if is_first { [&line[..], other].concat() } else { [other, &line[..]].concat() };
+        assert_rejected(&[b"HTTP/1.1 200 OK\r\n", &fields[..], b"\r\n"].concat());
+    }
+}
+
+/// Bytes that RFC 9110, section 5.6.2, doesn't allow in the name of a field, but for the colon that ends it.
+fn odd_name_bytes() -> Vec<u8> {
+    let is_name = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~:".contains(&byte);
+    (0..=u8::MAX).filter(|byte| !is_name(*byte)).collect()
+}
+
+/// Guards against a field without a name.
+#[test]
+fn a_response_head_with_an_empty_field_name_is_rejected() {
+    for line in [": 1", " : 1", "\t: 1", ":", "no colon"] {
+        assert_rejected(format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n").as_bytes());
+        assert_rejected(format!("HTTP/1.1 200 OK\r\nA: b\r\n{line}\r\n\r\n").as_bytes());
+    }
+}
