Refuse answers whose status is above 599 in catkin-router, too

They failed no attempt and were recorded as answers of a looked-up key.

Evidence: an_answer_with_an_odd_head_is_broken (answers and look-ups) failed with 600 before. Field names with a blank or a control byte and status 000 failed the attempt before, too. The part of an unframed answer that is reset under a long upload can't pass here: a document without a length or chunks is broken whatever its end (a_document_that_ends_with_its_connection_is_broken).

--- a/crates/catkin-backend/src/exchange.rs
+++ b/crates/catkin-backend/src/exchange.rs
@@ -25,6 +25,9 @@
 /// Maximum size of the head of an answer, and of hyper's read buffer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Highest status code of RFC 9110, section 15. The parser of heads rejects those below 100.
+const MAX_STATUS: u16 = 599;
+
 type HttpConnection = http1::Connection<TokioIo<TrackedStream>, Full<Bytes>>;
 
 /// A connection without a task of its own: it makes progress while a method waits for it. Dropping
@@ -74,6 +77,13 @@
         let sending = self.sender.send_request(request);
         let driven = drive(&mut self.connection, sending);
         match timeout_at(deadline, driven).await {
+            Ok(Ok(response)) if response.status().as_u16() > MAX_STATUS => {
+                log::debug!(
+                    "backend: answer with an invalid status; the attempt fails: {}",
+                    response.status()
+                );
+                Err(self.fail(BackendErrorKind::Broken))
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => {
                 log::debug!(
--- a/crates/catkin-backend/tests/early_end.rs
+++ b/crates/catkin-backend/tests/early_end.rs
@@ -50,6 +50,16 @@
     start_server(vec![write(text)]).await.address
 }
 
+/// Answers with a status or the name of a field that is none.
+const ODD_HEADS: [&str; 6] = [
+    "HTTP/1.1 000 OK\r\nx-attempt-id: 00000000000000ab\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 600 OK\r\nx-attempt-id: 00000000000000ab\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 999 OK\r\nx-attempt-id: 00000000000000ab\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nx-attempt-id: 00000000000000ab\r\nx odd: 1\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nx\u{1}odd: 1\r\nx-attempt-id: 00000000000000ab\r\ncontent-length: 2\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nx-attempt-id: 00000000000000ab\r\ncontent-length : 2\r\n\r\n{} and more",
+];
+
 /// Reads an answer to its end.
 async fn read_answer(text: &str) -> Result<Vec<u8>, BackendError> {
     let address = start_writer(text).await;
@@ -71,6 +81,18 @@
     }
 }
 
+/// Guards against an answer with an invalid status or field name that passes for one, also as a looked-up answer.
+#[tokio::test]
+async fn an_answer_with_an_odd_head_is_broken() {
+    for text in ODD_HEADS {
+        let read = read_answer(text).await;
+        let found = HttpLink.look_up(start_writer(text).await, "/lookup", "k", NEVER).await;
+
+        assert_eq!(read.unwrap_err().kind, BackendErrorKind::Broken, "{text:?}");
+        assert_eq!(found.unwrap_err().kind, BackendErrorKind::Broken, "{text:?}");
+    }
+}
+
 /// Guards against a document that ends anywhere before its last byte and counts as complete.
 #[tokio::test]
 async fn a_document_that_ends_early_is_broken() {
