Reset connections whose request was given up

Cause: a connection was closed in order, so that what had been written and not acknowledged was still delivered once the server could be reached again.

Change: a connection is reset if it is dropped between the begin of a request and the end of its answer, to servers, other routers and the store. A call to the store that is given up can no longer be executed for being delivered late.

--- a/crates/catkin-entry/src/connection.rs
+++ b/crates/catkin-entry/src/connection.rs
@@ -360,6 +360,23 @@
     }
 }
 
+impl Drop for HttpConnection {
+    /// Resets a connection whose request was given up, so that what the server has not received yet is discarded and
+    /// does not reach it later.
+    fn drop(&mut self) {
+        let is_answered = self.decoder.as_ref().is_some_and(BodyDecoder::is_complete);
+        if self.exchanges == 0 || is_answered {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!(
+                "connection: setting a TCP option failed; a request that was given up may still arrive. \
+                 error={error}"
+            );
+        }
+    }
+}
+
 async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
     let Some(source) = source else { return TcpStream::connect(address).await };
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/catkin-entry/tests/connection.rs
+++ b/crates/catkin-entry/tests/connection.rs
@@ -106,6 +106,38 @@
     assert_eq!(read_in_parts(Duration::from_millis(500)).await, Err(ExchangeFailure::TimedOut));
 }
 
+/// Sends a request to a server that answers with a text, drops the connection after a while, and returns how it ended
+/// for the server.
+async fn drop_after_request(text: &'static str) -> std::io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await;
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream.read(&mut [0; 16]).await
+    });
+    let deadline = Instant::now() + PAUSE / 5;
+    let mut connection = HttpConnection::connect(address, deadline).await.unwrap();
+    if connection.exchange(REQUEST, None, false, deadline).await.is_ok() {
+        let _ = connection.read_body(BODY_LIMIT_BYTES, deadline).await;
+    }
+    drop(connection);
+    serving.await.unwrap()
+}
+
+/// Guards against a request that reaches a server long after it was given up: closed in order, a connection goes on to
+/// deliver what was written.
+#[tokio::test]
+async fn a_connection_whose_request_was_given_up_is_reset() {
+    for text in ["", "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 5\r\n\r\nbe"] {
+        let ended = drop_after_request(text).await;
+
+        assert_eq!(ended.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset, "{text:?}");
+    }
+    assert_eq!(drop_after_request(MATCHING_ANSWER).await.unwrap(), 0);
+}
+
 /// Begins to send a request that is longer than the buffers to a server that reads nothing, sends a text and resets
 /// the connection; returns what the client got as the body.
 async fn read_early_answer(text: &'static str) -> Result<Vec<u8>, ExchangeFailure> {
