Date the failure of a kept connection to the store from its last answer

A watch is sent up to 1.2 s after the answer before it. On a connection that went silent in between, the disruption began before the watch was sent, and a missing server could be used for up to 0.7 s too long.

Change: the client says whether a call used the connection of an earlier answer; its failure counts from that answer.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -16,7 +16,8 @@
 //!    the other routers.
 //! 3. Store: `store_point` orders its changes, `join` registers the router, `store_follower` applies changes of declarations and
 //!    servers to `route_table` and `server_book`, through `store_client`, `departure_table` remembers which servers leave, `strike_store` keeps what is quarantined, `origin_store` at which software versions streams began, `evacuation_follower` reads which failure domains are evacuated, which
-//!    `evacuation_table` holds. `list_pages` joins the pages of a list, `list_plan` decides which
+//!    `evacuation_table` holds. `list_pages` joins the pages of a list, `store_trouble` decides until
+//!    when servers are used whose entries are missing, `list_plan` decides which
 //!    routers of a large fleet get a long list from another router, as a `server_copy`.
 //! 4. Other routers: `peer_service` exchanges the reports that `report_builder` builds,
 //!    `relay_plan` decides which routers they are sent to, `load_table` aggregates open requests,
--- a/crates/catkin-entry/src/store_client.rs
+++ b/crates/catkin-entry/src/store_client.rs
@@ -103,6 +103,8 @@
 pub struct StoreClient<W> {
     address: SocketAddr,
     connection: Option<HttpConnection>,
+    /// Whether the last call used a connection on which another one was answered.
+    has_reused: bool,
     /// Era of the latest answer; `None` before the first one.
     era: Option<u64>,
     wire: PhantomData<W>,
@@ -117,7 +119,13 @@
 impl<W: EntryWire> StoreClient<W> {
     /// Creates a client. The first call connects it.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, connection: None, era: None, wire: PhantomData }
+        Self { address, connection: None, has_reused: false, era: None, wire: PhantomData }
+    }
+
+    /// Whether the last call used a connection on which another one was answered. If it got no answer, the connection
+    /// may have failed at any time since that answer.
+    pub fn has_reused(&self) -> bool {
+        self.has_reused
     }
 
     /// Closes the connection. The next call opens another one.
@@ -317,7 +325,9 @@
         &mut self,
         deadline: Instant,
     ) -> Result<HttpConnection, StoreCallError> {
-        if let Some(connection) = self.connection.take().filter(HttpConnection::is_idle) {
+        let idle = self.connection.take().filter(HttpConnection::is_idle);
+        self.has_reused = idle.is_some();
+        if let Some(connection) = idle {
             return Ok(connection);
         }
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -49,6 +49,7 @@
         point: None,
         pages: None,
         sent: state.now(),
+        answered: state.now(),
         pace: StorePace::default(),
         timeout: GrowingTimeout::default(),
         state,
@@ -75,8 +76,9 @@
     point: Option<StorePoint>,
     /// Pages of a list that could not be completed.
     pages: Option<ListedPages>,
-    /// When the current call was sent.
+    /// When the current call was sent, and the last one was answered.
     sent: ClockTime,
+    answered: ClockTime,
     pace: StorePace,
     timeout: GrowingTimeout,
 }
@@ -143,6 +145,7 @@
             Some(pages) => pages,
             None => {
                 let list = self.client.list_first(self.kind, self.timeout.current()).await?;
+                self.answered = self.state.now();
                 ListedPages { since: Instant::now(), list }
             }
         };
@@ -164,6 +167,7 @@
                 return Err(error);
             }
             self.timeout = GrowingTimeout::default();
+            self.answered = self.state.now();
         }
         self.record_answer();
         self.apply_list(&pages.list);
@@ -221,6 +225,7 @@
         self.pace.reset();
         self.set_store_failing(false);
         self.timeout = GrowingTimeout::default();
+        self.answered = self.state.now();
         if self.state.store_trouble.borrow_mut().record_answer(self.state.now()) {
             log::info!("store: answers again after failed calls. kind={:?}", self.kind);
         }
@@ -246,6 +251,15 @@
         self.state.store_trouble.borrow().missing_until(self.state.now(), contact_millis)
     }
 
+    /// Since when the store may have been out of reach of a call that failed.
+    fn find_failure_start(&self, error: &StoreCallError) -> ClockTime {
+        match error {
+            StoreCallError::Unanswered(_) if self.client.has_reused() => self.answered,
+            StoreCallError::Unanswered(_) => self.sent,
+            _ => self.state.now(),
+        }
+    }
+
     async fn handle_error(&mut self, error: &StoreCallError) {
         if let StoreCallError::Restored { before, era } = error {
             return self.handle_restore(*before, *era);
@@ -267,8 +281,7 @@
         let failing = *error != StoreCallError::HistoryGone;
         self.set_store_failing(failing);
         if failing {
-            let is_unanswered = matches!(error, StoreCallError::Unanswered(_));
-            let since = if is_unanswered { self.sent } else { self.state.now() };
+            let since = self.find_failure_start(error);
             self.state.store_trouble.borrow_mut().record_failure(since);
             let delay = self.pace.next_delay(self.is_informed(), &mut rand::rng());
             sleep(Duration::from_millis(delay)).await;
--- a/crates/catkin-entry/src/store_trouble.rs
+++ b/crates/catkin-entry/src/store_trouble.rs
@@ -17,7 +17,7 @@
 /// missing servers are removed, and the time that a request takes to the server.
 const SEND_MARGIN_MILLIS: u64 = 500;
 
-/// Failed calls to the store, of all clients of this router that follow its objects.
+/// Failed calls to the store, of the clients of this router that follow servers and declarations.
 #[derive(Debug, Clone, Default)]
 pub struct StoreTrouble {
     /// When the store may last have been out of reach.
@@ -27,8 +27,8 @@
 }
 
 impl StoreTrouble {
-    /// Records a failed call. The store may have been out of reach from `since` on: when a call was sent that got no
-    /// answer, or when an answer refused it.
+    /// Records a failed call. The store may have been out of reach from `since` on: since the last answer on the
+    /// connection of a call that got none, or since such a call was sent on a new one, or since it was refused.
     pub fn record_failure(&mut self, since: ClockTime) {
         self.failed_at = self.failed_at.max(Some(since));
         self.answered_at = None;
