--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::fleet::{Failure, Record, Router, Server, temporary_folder, write_config};
 use crate::requester::Sent;
@@ -31,6 +31,8 @@
     let is_broken = match case {
         "restored" => play_restored(&record, &store, &mut routers),
         "in-place" => play_in_place(&record, &store, &mut routers),
+        "rolling-lost" => play_rolling(&record, &store, &mut routers, ReleaseStart::Before),
+        "rolling-joined" => play_rolling(&record, &store, &mut routers, ReleaseStart::Amid),
         "cut-failure" => play_cut_failure(&record, &store, &mut routers),
         _ => Err("no such case".into()),
     };
@@ -76,7 +78,7 @@
     let fields = format!(
         "X-Catkinpitch-Model: m\r\nX-Catkinpitch-Token-Usage: 829,300\r\n\
          X-Catkinpitch-Prefix-Hash: {:x}:119,{:x}:580,{:x}:130\r\n{fields}",
-        0x100,
+        0x100 + number % 20,
         0x2000 + number,
         0x30000 + number
     );
@@ -146,15 +148,7 @@
         new.push(begin_stream(record, router, &format!("n-{number}"), 100 + number));
     }
     sleep(Duration::from_millis(2_500));
-    let count = |sent: &[Sent]| {
-        for request in sent {
-            let answer = request.answer();
-            let (status, events) = (answer.status, answer.events.len());
-            record.add(&format!("{}: {status}, {events} events {}", request.id, answer.body));
-        }
-        sent.iter().filter(|sent| !sent.answer().events.is_empty()).count()
-    };
-    let (went_on, began) = (count(&resumed), count(&new));
+    let (went_on, began) = (count_begun(record, &resumed), count_begun(record, &new));
     let (resumed, new) = (resumed.len(), new.len());
     drop(servers);
     record.add(&format!("{went_on} of {resumed} streams went on; {began} of {new} new ones began"));
@@ -165,7 +159,7 @@
 /// crashes again a little later.
 fn play_in_place(record: &Record, store: &Store, routers: &mut [Router]) -> Result<bool, Failure> {
     const SERVERS: usize = 9;
-    const STREAMS: usize = 72;
+    const STREAMS: usize = 144;
     let options = ["gap=200", "events=40"];
     let mut servers = Vec::new();
     for number in 1..=SERVERS {
@@ -261,3 +255,143 @@
     record.add(&format!("{cut} answers look complete and are parts of their server's"));
     Ok(cut > 0)
 }
+
+/// When the new software version of a release appears.
+#[derive(Clone, Copy, PartialEq)]
+enum ReleaseStart {
+    /// Before the first router is stopped.
+    Before,
+    /// When all routers are being stopped.
+    Amid,
+}
+
+/// LOST or ORDER: streams that requesters take up again after routers were stopped one after the other, in a release.
+fn play_rolling(
+    record: &Record,
+    store: &Store,
+    routers: &mut [Router],
+    release: ReleaseStart,
+) -> Result<bool, Failure> {
+    const STREAMS: usize = 60;
+    const GAP: Duration = Duration::from_millis(1_500);
+    let options = ["gap=200", "events=56"];
+    let mut servers = Vec::new();
+    for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+        servers.push(start_engine(id, &options, store, record)?);
+    }
+    start_all(record, routers)?;
+    sleep(IN_TOUCH);
+    // Two of five servers are replaced, one a second: the new one starts first, then the old one drains.
+    let mut replaced = if has_trouble("release") { 0 } else { 2 };
+    let replace = |servers: &mut Vec<Server>, number: usize| -> Result<(), Failure> {
+        let id = format!("j-{}", number + 1);
+        servers.push(Server::start(&id, "estimator-llm", "v2", &options, store, record)?);
+        servers[number].register(store, "draining");
+        record.add(&format!("{} drains", servers[number].id));
+        Ok(())
+    };
+    while replaced < 2 && release == ReleaseStart::Before {
+        replace(&mut servers, replaced)?;
+        replaced += 1;
+        sleep(Duration::from_millis(1_000));
+    }
+    sleep(Duration::from_millis(500));
+
+    // Long streams at the first two routers, which so need their grace period.
+    let long: Vec<Sent> = (0..8)
+        .map(|number| begin_stream(record, &routers[number % 2], &format!("l-{number}"), number))
+        .collect();
+    sleep(Duration::from_millis(500));
+    let stops = has_trouble("term");
+    let started = Instant::now();
+    let mut streams: Vec<Sent> = Vec::new();
+    let mut resumed_at = None;
+    let mut stopped = [false; 3];
+    while resumed_at.is_none_or(|at| Instant::now() < at) {
+        for (number, router) in routers.iter_mut().enumerate() {
+            if stops && !stopped[number] && started.elapsed() >= GAP * number as u32 {
+                stopped[number] = true;
+                record.add(&format!("SIGTERM to {}", router.name));
+                router.terminate()?;
+            }
+            if stops && router.has_ended() {
+                record.add(&format!("{} has ended; starting it again", router.name));
+                router.kill();
+                router.start()?;
+                router.wait_ready()?;
+                record.add(&format!("{} is ready", router.name));
+            }
+        }
+        let since_last = started.elapsed().saturating_sub(GAP * 2);
+        if replaced < 2 && since_last >= Duration::from_millis(200 + 1_000 * replaced as u64) {
+            replace(&mut servers, replaced)?;
+            replaced += 1;
+        }
+        // New streams at the last router until two and a half seconds after its SIGTERM.
+        let due = since_last.as_millis().saturating_sub(500) as usize / 32;
+        if streams.len() < STREAMS && streams.len() < due {
+            let number = 100 + streams.len();
+            streams.push(begin_stream(record, &routers[2], &format!("s-{number}"), number));
+        }
+        if resumed_at.is_none() && since_last >= Duration::from_millis(7_600) {
+            streams.iter().for_each(Sent::close);
+            resumed_at = Some(Instant::now() + Duration::from_millis(1_200));
+        }
+        sleep(Duration::from_millis(5));
+    }
+
+    let (mut resumed, mut new) = (Vec::new(), Vec::new());
+    for (number, stream) in streams.iter().enumerate() {
+        let answer = stream.answer();
+        let Some((last, data)) = answer.events.last().filter(|_| !answer.complete) else {
+            continue;
+        };
+        let served = servers.iter().filter(|server| data.ends_with(&server.version)).count();
+        record.add(&format!("{} ended after event {last} of {data}; {served} servers", stream.id));
+        let fields = format!(
+            "X-Catkinpitch-Deadline-Ms: 3000\r\nResumes: {}\r\nLast-Event-Id: {last}\r\n",
+            stream.id
+        );
+        let id = format!("t-{number}");
+        let sent = send_generation(record, &routers[0], &id, 100 + number, &fields);
+        resumed.push((stream, sent));
+        new.push(begin_stream(record, &routers[0], &format!("n-{number}"), 200 + number));
+    }
+    sleep(Duration::from_millis(1_500));
+    let mut joined = 0;
+    for (first, second) in &resumed {
+        let (first_events, second_events) = (first.answer().events, second.answer().events);
+        let events = first_events.iter().chain(&second_events);
+        let versions: BTreeSet<&str> =
+            events.filter_map(|(_, data)| data.split(' ').nth(1)).collect();
+        if versions.len() > 1 {
+            record.add(&format!("{} and {} hold events of {versions:?}", first.id, second.id));
+            joined += 1;
+        }
+    }
+    let resumed: Vec<Sent> = resumed.into_iter().map(|(_, sent)| sent).collect();
+    let (went_on, began) = (count_begun(record, &resumed), count_begun(record, &new));
+    let (resumed, new) = (resumed.len(), new.len());
+    drop((long, servers));
+    record.add(&format!(
+        "{went_on} of {resumed} streams went on; {began} of {new} new ones began; {joined} hold events \
+         of two software versions"
+    ));
+    if resumed < 12 {
+        return Err("fewer than 12 streams were under way".into());
+    }
+    Ok(match release {
+        ReleaseStart::Before => 2 * went_on * new < began * resumed,
+        ReleaseStart::Amid => joined > 2,
+    })
+}
+
+/// Records the answers to generations, and counts those with an event.
+fn count_begun(record: &Record, sent: &[Sent]) -> usize {
+    for request in sent {
+        let answer = request.answer();
+        let (status, events) = (answer.status, answer.events.len());
+        record.add(&format!("{}: {status}, {events} events {}", request.id, answer.body));
+    }
+    sent.iter().filter(|sent| !sent.answer().events.is_empty()).count()
+}
--- a/review/stand-3/fleet.rs
+++ b/review/stand-3/fleet.rs
@@ -2,9 +2,10 @@
 
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -49,7 +50,8 @@
         zone: &str,
         store: SocketAddr,
     ) -> Result<Self, Failure> {
-        let [callers, ready, peers, metrics] = free_addresses()?;
+        let (callers, ready) = (free_address()?, free_address()?);
+        let (peers, metrics) = (free_address()?, free_address()?);
         let settings = folder.join(format!("edge-{number}.json"));
         let text = format!(
             r#"{{"vm": "edge-{zone}-{number}", "domain": "{zone}", "callers": "{callers}",
@@ -77,6 +79,18 @@
         Ok(())
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) -> Result<(), Failure> {
+        let id = self.process.as_ref().ok_or("the router does not run")?.id();
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -TERM {id}")).status()?;
+        if sent.success() { Ok(()) } else { Err("SIGTERM was not sent".into()) }
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        self.process.as_mut().is_none_or(|process| matches!(process.try_wait(), Ok(Some(_))))
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -117,7 +131,9 @@
     pub address: SocketAddr,
     service: String,
     options: Vec<String>,
-    version: String,
+    pub version: String,
+    /// Start of the process, in Unix milliseconds.
+    born: u128,
     process: Option<Child>,
     record: Record,
 }
@@ -134,10 +150,11 @@
     ) -> Result<Self, Failure> {
         let mut server = Self {
             id: id.to_owned(),
-            address: "127.0.0.1:0".parse()?,
+            address: free_address()?,
             service: service.to_owned(),
             options: options.iter().map(|option| (*option).to_owned()).collect(),
             version: version.to_owned(),
+            born: 0,
             process: None,
             record: record.clone(),
         };
@@ -166,8 +183,8 @@
             .spawn()?;
         let mut lines = BufReader::new(process.stdout.take().ok_or("no output")?).lines();
         self.process = Some(process);
-        let line = lines.next().ok_or("the server did not start")??;
-        self.address = line.trim_start_matches("listening ").parse()?;
+        lines.next().ok_or("the server did not start")??;
+        self.born = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
         let (record, name) = (self.record.clone(), format!("{} {}", self.id, self.version));
         record.add(&format!("server {name} listens"));
         thread::spawn(move || {
@@ -183,20 +200,11 @@
         let entry = format!(
             r#"{{"Service":"{}","Address":"{}","Zone":"mittelland-a","Version":"{}",
             "Slots":64,"State":"{state}","ColdRemainingMs":0,"Sequence":1,"born":{}}}"#,
-            self.service,
-            self.address,
-            self.version,
-            self.born()
+            self.service, self.address, self.version, self.born
         );
         store.write("servers", &self.id, &entry);
     }
 
-    fn born(&self) -> u64 {
-        // Each start of a process is later than the one before.
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        unix.as_millis() as u64
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -246,15 +254,23 @@
     Ok(folder)
 }
 
-/// Four free addresses. They are taken at the same time, so that they differ.
-fn free_addresses() -> io::Result<[SocketAddr; 4]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
-    let listeners = [bind()?, bind()?, bind()?, bind()?];
-    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
-    for (address, listener) in addresses.iter_mut().zip(&listeners) {
-        *address = listener.local_addr()?;
+/// Ports below those that the operating system gives to outgoing connections, so that none of these takes them.
+const PORTS: std::ops::Range<u16> = 15_000..30_000;
+
+/// Returns a loopback address that nobody listens on and that was not returned before.
+fn free_address() -> Result<SocketAddr, Failure> {
+    static USED: AtomicU16 = AtomicU16::new(0);
+    let count = PORTS.end - PORTS.start;
+    let first = (std::process::id() * 61 % u32::from(count)) as u16;
+    for _ in 0..count {
+        let offset =
+            (u32::from(first) + u32::from(USED.fetch_add(1, Ordering::Relaxed))) % u32::from(count);
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(address);
+        }
     }
-    Ok(addresses)
+    Err("no port is free".into())
 }
 
 fn is_ready(address: SocketAddr) -> bool {
