Let a router that is being stopped write versions and origins if no better one can

Cause: a router that was being stopped, or whose calls had failed lately, was excluded from writing. While all are being stopped, nobody wrote, and the store went on saying that the old version was the only one. The first router that started again believed it.

Ruled out: an outdated list of servers (the router that joined the streams had listed the new version) and an origin that was written and not read (the store had no object of any router).

Change: exclusion becomes preference. Routers report a standing (able, stopping, incomplete, refused; field 41, field 40 stays for older builds), the best one writes, and a router that is not yet able to write is no candidate until it is. While a service has several versions, each router checks its role every 40 ms instead of 400 ms.

--- a/crates/catkin-entry/src/join.rs
+++ b/crates/catkin-entry/src/join.rs
@@ -79,7 +79,7 @@
                     domain,
                     strength,
                     callers_port: 0,
-                    stores_origins: false,
+                    writer_standing: None,
                     offer: None,
                 };
                 routers.insert(vm, router);
--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -141,7 +141,9 @@
     OriginBook, ResumeChoice, ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers,
     choose_keepers,
 };
-pub use origin_plan::{OriginPlan, OriginWrite, WriterCandidate, choose_origin_writer};
+pub use origin_plan::{
+    OriginPlan, OriginWrite, WriterCandidate, WriterStanding, choose_origin_writer,
+};
 pub use outcome_book::{AttemptOutcome, OutcomeBook};
 pub use process::{read_settings, run_entry};
 pub use record::{
--- a/crates/catkin-entry/src/origin_exchange.rs
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -7,11 +7,13 @@
 use catkin_base::VmId;
 use catkin_peer::MessageSource;
 use catkin_peer::messages::peer_message::Kind;
-use catkin_peer::messages::{StreamOrigin, StreamOriginAsk, StreamOrigins};
+use catkin_peer::messages::{
+    EntryReport, OriginWriter, StreamOrigin, StreamOriginAsk, StreamOrigins,
+};
 use tokio::time::sleep;
 
 use crate::origin_book::{SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers};
-use crate::origin_plan::WriterCandidate;
+use crate::origin_plan::{WriterCandidate, WriterStanding};
 use crate::origin_store::choose_writer;
 use crate::peer_service::PeerService;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET};
@@ -95,9 +97,11 @@
         let in_group = |member: &&FleetMember| {
             member.alive && (!is_large || member.domain == Some(state.local_domain))
         };
-        let writers =
-            others.iter().filter(in_group).filter(|member| self.stores_origins(member.vm));
-        writers.map(|member| WriterCandidate { vm: member.vm, strength: member.strength }).collect()
+        let writers = others.iter().filter(in_group).filter_map(|member| {
+            let standing = self.writer_standing(member.vm)?;
+            Some(WriterCandidate { vm: member.vm, standing, strength: member.strength })
+        });
+        writers.collect()
     }
 
     /// The other routers that count as alive.
@@ -107,6 +111,28 @@
     }
 }
 
+/// Encodes how well this router can write origins.
+pub(crate) fn encode_standing(standing: Option<WriterStanding>) -> OriginWriter {
+    match standing {
+        None => OriginWriter::None,
+        Some(WriterStanding::Refused) => OriginWriter::Refused,
+        Some(WriterStanding::Incomplete) => OriginWriter::Incomplete,
+        Some(WriterStanding::Stopping) => OriginWriter::Stopping,
+        Some(WriterStanding::Able) => OriginWriter::Able,
+    }
+}
+
+/// Reads how well the sender of a report can write origins; `None` if it can't.
+pub(crate) fn decode_standing(report: &EntryReport) -> Option<WriterStanding> {
+    match report.origin_writer() {
+        OriginWriter::Refused => Some(WriterStanding::Refused),
+        OriginWriter::Incomplete => Some(WriterStanding::Incomplete),
+        OriginWriter::Stopping => Some(WriterStanding::Stopping),
+        OriginWriter::Able => Some(WriterStanding::Able),
+        OriginWriter::None => report.stores_origins.then_some(WriterStanding::Able),
+    }
+}
+
 /// Records origins that another router reported.
 pub(crate) fn record_origins<W: EntryWire>(state: &EntryState<W>, reported: &StreamOrigins) {
     let now = state.now();
--- a/crates/catkin-entry/src/origin_plan.rs
+++ b/crates/catkin-entry/src/origin_plan.rs
@@ -27,11 +27,27 @@
 /// Time after its start for which a router writes again what an earlier process of it wrote.
 pub(crate) const EARLIER_TIME: Duration = Duration::from_secs(30);
 
+copy_type! {
+    /// How well a router can write origins, from worst to best.
+    pub enum WriterStanding {
+        /// The store did not answer its latest calls.
+        Refused,
+        /// It may lack versions that services had lately.
+        Incomplete,
+        /// It is being stopped.
+        Stopping,
+        /// Nothing keeps it from writing.
+        Able,
+    }
+}
+
 copy_type! {
     /// A router that may write origins.
     pub struct WriterCandidate {
         /// The router.
         pub vm: VmId,
+        /// How well it can write them.
+        pub standing: WriterStanding,
         /// Its relative capacity.
         pub strength: u32,
     }
@@ -46,11 +62,12 @@
     Origins(BTreeMap<SoftwareKey, Vec<StreamKey>>),
 }
 
-/// Chooses the router that writes origins, among those of its group that are alive.
+/// Chooses the router that writes origins, among those of its group that are alive. One that is being stopped
+/// writes if there is no better one.
 pub fn choose_origin_writer(candidates: impl Iterator<Item = WriterCandidate>) -> Option<VmId> {
     let rank = |candidate: &WriterCandidate| {
         let tie = hash_parts(&[b"origin-writer", &candidate.vm.0.to_le_bytes()]);
-        (candidate.strength, Reverse(tie))
+        (candidate.standing, candidate.strength, Reverse(tie))
     };
     candidates.max_by_key(rank).map(|candidate| candidate.vm)
 }
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -12,7 +12,7 @@
 
 use crate::origin_book::{SoftwareKey, StreamKey};
 use crate::origin_plan::{
-    EARLIER_TIME, OriginPlan, OriginWrite, WriterCandidate, choose_origin_writer,
+    EARLIER_TIME, OriginPlan, OriginWrite, WriterCandidate, WriterStanding, choose_origin_writer,
 };
 use crate::peer_service::PeerService;
 use crate::state::EntryState;
@@ -22,11 +22,12 @@
 const KIND: StoreKind = StoreKind::StreamOrigins;
 /// Name of the object that holds the versions of the services.
 const VERSIONS_NAME: &str = "versions";
-/// Interval at which a writer checks whether something is to be written, while some service has several
-/// versions and otherwise.
+/// Interval at which a router checks whether it is the writer and something is to be written, while some service
+/// has several versions.
 const MIXED_INTERVAL: Duration = Duration::from_millis(40);
+/// The same otherwise, for a writer.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which any other router checks whether it is the writer now.
+/// The same otherwise, for any other router.
 const ROLE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after the start within which the other routers become known.
 const FIRST_WRITE_DELAY: Duration = Duration::from_millis(1_000);
@@ -51,7 +52,7 @@
     pending: Cell<bool>,
     /// When the last read ended.
     last: Cell<Option<Instant>>,
-    /// Until when this router lets another one write, since its own calls failed.
+    /// Until when this router lets a better one write, since its own calls failed.
     yields_until: Cell<Option<Instant>>,
 }
 
@@ -64,7 +65,7 @@
         }
     }
 
-    /// Whether this router may be chosen to write.
+    /// Whether the latest calls of this router as a writer did not fail.
     pub(crate) fn may_write(&self) -> bool {
         self.yields_until.get().is_none_or(|until| until <= Instant::now())
     }
@@ -181,8 +182,8 @@
     let mut failures = 0;
     loop {
         let interval = match (&writer, state.origins.borrow().is_any_mixed()) {
-            (None, _) => ROLE_INTERVAL,
-            (Some(_), true) => MIXED_INTERVAL,
+            (_, true) => MIXED_INTERVAL,
+            (None, false) => ROLE_INTERVAL,
             (Some(_), false) => CHECK_INTERVAL,
         };
         sleep(interval).await;
@@ -234,16 +235,26 @@
 }
 
 fn is_writer<W: EntryWire>(state: &EntryState<W>, service: &PeerService) -> bool {
-    state.started.elapsed() >= FIRST_WRITE_DELAY
-        && state.servers.borrow().is_listed()
-        && choose_writer(state, service) == Some(state.local_vm)
+    choose_writer(state, service) == Some(state.local_vm)
 }
 
 impl<W> EntryState<W> {
-    /// Whether this router writes origins if it is chosen to. One that the store refuses does not even
-    /// learn of new versions.
-    pub(crate) fn stores_origins(&self) -> bool {
-        !self.is_stopping() && !self.store_failing.get() && self.origin_access.may_write()
+    /// How well this router can write origins; `None` until it knows the other routers and the servers.
+    pub(crate) fn writer_standing(&self) -> Option<WriterStanding> {
+        let is_started = self.started.elapsed() >= FIRST_WRITE_DELAY;
+        if !is_started || !self.servers.borrow().is_listed() {
+            return None;
+        }
+        // A router that the store refuses does not even learn of new versions.
+        if self.store_failing.get() || !self.origin_access.may_write() {
+            return Some(WriterStanding::Refused);
+        }
+        if self.origins.borrow().is_incomplete(self.now()) {
+            return Some(WriterStanding::Incomplete);
+        }
+        let standing =
+            if self.is_stopping() { WriterStanding::Stopping } else { WriterStanding::Able };
+        Some(standing)
     }
 }
 
@@ -252,8 +263,9 @@
     state: &EntryState<W>,
     service: &PeerService,
 ) -> Option<VmId> {
-    let local = WriterCandidate { vm: state.local_vm, strength: state.settings().strength() };
-    let local = Some(local).filter(|_| state.stores_origins());
+    let strength = state.settings().strength();
+    let local = state.writer_standing();
+    let local = local.map(|standing| WriterCandidate { vm: state.local_vm, standing, strength });
     choose_origin_writer(service.list_writer_candidates(state).into_iter().chain(local))
 }
 
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -27,7 +27,8 @@
 use crate::limit_exchange::{MAX_LIMITS, decode_limit, encode_limit};
 use crate::list_plan::{ListSource, choose_asked_router, choose_list_source};
 use crate::load_table::{ALIVE_MILLIS, LoadSource, OpenLoad, ReportedLoads, ServiceKey};
-use crate::origin_exchange::record_origins;
+use crate::origin_exchange::{decode_standing, record_origins};
+use crate::origin_plan::WriterStanding;
 use crate::outcome_book::PEER_EJECTION_MILLIS;
 use crate::relay_plan::{FleetMember, MAX_SMALL_FLEET, RelayBook, ReportPlan};
 use crate::report_builder::{
@@ -94,8 +95,8 @@
     pub(crate) strength: u32,
     /// Port of its listener for callers; 0 if it takes no requests of other routers, or until known.
     pub(crate) callers_port: u16,
-    /// Whether it writes origins of streams to the store, if it is chosen to.
-    pub(crate) stores_origins: bool,
+    /// How well it can write origins of streams to the store; `None` if it can't, or until known.
+    pub(crate) writer_standing: Option<WriterStanding>,
     /// What it offers if it stops.
     pub(crate) offer: Option<HelpOffer>,
 }
@@ -224,7 +225,7 @@
             domain: Some(domain),
             strength: report.strength,
             callers_port: u16::try_from(report.callers_port).unwrap_or(0),
-            stores_origins: report.stores_origins,
+            writer_standing: decode_standing(report),
             offer: report.stopping_help.and_then(|stated| HelpOffer::decode(now, stated)),
         };
         let lost = report.lost_services.iter().copied().map(ReachKey).collect();
@@ -589,9 +590,9 @@
         self.send_kind(vm, Kind::ServerListCopy(copy));
     }
 
-    /// Whether a router writes origins of streams to the store, as it last reported.
-    pub(crate) fn stores_origins(&self, vm: VmId) -> bool {
-        self.routers.borrow().get(&vm).is_some_and(|router| router.stores_origins)
+    /// How well a router can write origins of streams to the store, as it last reported.
+    pub(crate) fn writer_standing(&self, vm: VmId) -> Option<WriterStanding> {
+        self.routers.borrow().get(&vm)?.writer_standing
     }
 
     pub(crate) fn send_kind(&self, vm: VmId, kind: Kind) {
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -14,6 +14,8 @@
 use crate::departure_table::{ReportAudience, ServerDeparture};
 use crate::limit_exchange::encode_demand;
 use crate::load_table::{OpenLoad, ServiceKey};
+use crate::origin_exchange::encode_standing;
+use crate::origin_plan::WriterStanding;
 use crate::reach_watch::reach_key;
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::speed_exchange::{encode_statement, fill_relayed_speeds};
@@ -79,6 +81,7 @@
     let ejected = outcomes.local_ejections(now).filter(is_known);
     let ejected = ejected.map(ejected_count);
     let settings = state.settings();
+    let standing = state.writer_standing();
     let callers_port = if state.is_stopping() { 0 } else { settings.callers.port() };
     let mut report = EntryReport {
         declaration: state.route_table().map_or(0, |table| table.version()),
@@ -86,7 +89,8 @@
         domain: state.local_domain.0,
         strength: settings.strength(),
         callers_port: callers_port.into(),
-        stores_origins: state.stores_origins(),
+        stores_origins: standing == Some(WriterStanding::Able),
+        origin_writer: encode_standing(standing).into(),
         stopping_help: state.stopping_help(),
         lost_services: reach.suspected_services(now).map(|service| service.0).collect(),
         leaving: leaving.collect(),
--- a/crates/catkin-entry/tests/origin_plan.rs
+++ b/crates/catkin-entry/tests/origin_plan.rs
@@ -6,7 +6,7 @@
 use catkin_base::{ClockTime, VmId};
 use catkin_entry::{
     OriginBook, OriginPlan, OriginRecord, OriginWrite, ResumeChoice, SoftwareKey, StreamKey,
-    WriterCandidate, choose_origin_writer,
+    WriterCandidate, WriterStanding, choose_origin_writer,
 };
 
 const SERVICE: &str = "s";
@@ -195,8 +195,11 @@
 
 #[test]
 fn routers_that_know_one_another_agree_on_one_writer() {
-    let candidates =
-        (1..=66).map(|vm| WriterCandidate { vm: VmId(vm), strength: 3 + vm as u32 % 2 });
+    let candidates = (1..=66).map(|vm| WriterCandidate {
+        vm: VmId(vm),
+        standing: WriterStanding::Able,
+        strength: 3 + vm as u32 % 2,
+    });
     let candidates: Vec<_> = candidates.collect();
 
     let writer = choose_origin_writer(candidates.iter().copied());
@@ -206,3 +209,25 @@
     let strength = |vm| candidates.iter().find(|candidate| candidate.vm == vm).unwrap().strength;
     assert_eq!(writer.map(strength), Some(4));
 }
+
+/// Guards against origins that nobody writes while all routers are being stopped, or have failed calls behind them.
+#[test]
+fn the_router_with_the_best_standing_writes() {
+    let standings = [
+        WriterStanding::Refused,
+        WriterStanding::Incomplete,
+        WriterStanding::Stopping,
+        WriterStanding::Able,
+    ];
+    let candidates = standings.into_iter().zip(1..).map(|(standing, vm)| WriterCandidate {
+        vm: VmId(vm),
+        standing,
+        strength: 10 - vm as u32,
+    });
+    let candidates: Vec<_> = candidates.collect();
+
+    let writers = (1..=candidates.len())
+        .map(|count| choose_origin_writer(candidates[..count].iter().copied()));
+
+    assert_eq!(writers.collect::<Vec<_>>(), [1, 2, 3, 4].map(|vm| Some(VmId(vm))));
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -497,9 +497,11 @@
     pub stopping_help: ::core::option::Option<StoppingHelp>,
     #[prost(message, repeated, tag = "35")]
     pub brittle: ::prost::alloc::vec::Vec<BrittleServer>,
-    /// the sender writes to the store where streams began, if it is chosen to
+    /// the standing is ABLE; read of senders that don't set `origin_writer`
     #[prost(bool, tag = "40")]
     pub stores_origins: bool,
+    #[prost(enumeration = "OriginWriter", tag = "41")]
+    pub origin_writer: i32,
 }
 /// For how long a router that stops takes requests of other routers.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -1026,3 +1028,43 @@
         }
     }
 }
+/// How well a router can write to the store where streams began. The one with the highest value is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum OriginWriter {
+    /// it can't, or does not say so
+    None = 0,
+    /// the store did not answer its latest calls
+    Refused = 1,
+    /// it may lack versions that services had lately
+    Incomplete = 2,
+    /// it is being stopped
+    Stopping = 3,
+    Able = 4,
+}
+impl OriginWriter {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::None => "ORIGIN_WRITER_NONE",
+            Self::Refused => "ORIGIN_WRITER_REFUSED",
+            Self::Incomplete => "ORIGIN_WRITER_INCOMPLETE",
+            Self::Stopping => "ORIGIN_WRITER_STOPPING",
+            Self::Able => "ORIGIN_WRITER_ABLE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ORIGIN_WRITER_NONE" => Some(Self::None),
+            "ORIGIN_WRITER_REFUSED" => Some(Self::Refused),
+            "ORIGIN_WRITER_INCOMPLETE" => Some(Self::Incomplete),
+            "ORIGIN_WRITER_STOPPING" => Some(Self::Stopping),
+            "ORIGIN_WRITER_ABLE" => Some(Self::Able),
+            _ => None,
+        }
+    }
+}
