Tell routers that join where streams began and which versions there were

Cause: where a stream began is told once, to the routers that are alive then. The same holds for the versions of the services.

Change: the answer to a report with `joining` names the versions that each service had lately, if its sender lacks none, and the origins while some service has several: each by three routers, the latest first, in one message over TCP where it doesn't fit a datagram. Versions that were told count as the store's do. Routers that were silent for long announce themselves in the same way. Older builds ignore the new field.

Why this works: who knows and who joins need not run at the same moment as the stream begins, only overlap at all; each store or router that knows of a version is enough to keep an unknown stream from being joined.

--- a/crates/catkin-entry/src/lib.rs
+++ b/crates/catkin-entry/src/lib.rs
@@ -139,7 +139,7 @@
 pub use metrics_recorder::{UPKEEP_INTERVAL, maintain_metrics};
 pub use origin_book::{
     OriginBook, ResumeChoice, ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers,
-    choose_keepers,
+    choose_keepers, tells_joining,
 };
 pub use origin_plan::{
     OriginPlan, OriginWrite, WriterCandidate, WriterStanding, choose_origin_writer,
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -3,6 +3,7 @@
 //! What a router knows of that ends with it. A router that starts while streams may be under way
 //! therefore lets none go on anywhere until it has read from the store which versions there were.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -48,9 +49,9 @@
     }
 }
 
-/// Versions that services had before a router started, as it knows them.
+/// Versions that services had before a router started, as the store has them.
 #[derive(Debug, Clone, Default)]
-enum EarlierVersions {
+enum StoredVersions {
     /// The store was not read, or what it has can't be read.
     #[default]
     Unread,
@@ -60,6 +61,31 @@
     Stored(ServiceVersions),
 }
 
+/// Versions that services had before a router started, as it knows them.
+#[derive(Debug, Clone, Default)]
+struct EarlierVersions {
+    stored: StoredVersions,
+    /// What other routers told, which lacked none; `None` until one did.
+    told: Option<ServiceVersions>,
+}
+
+impl EarlierVersions {
+    fn is_unknown(&self) -> bool {
+        self.told.is_none() && matches!(self.stored, StoredVersions::Unread)
+    }
+
+    /// The versions of a service; `None` if it is not known to have had any.
+    fn versions_of(&self, service: &str) -> Option<BTreeSet<SoftwareKey>> {
+        let stored = match &self.stored {
+            StoredVersions::Stored(services) => services.get(service),
+            StoredVersions::Unread | StoredVersions::Unstored => None,
+        };
+        let told = self.told.as_ref().and_then(|services| services.get(service));
+        let known = stored.into_iter().chain(told).flatten().copied();
+        Some(known.collect()).filter(|versions: &BTreeSet<_>| !versions.is_empty())
+    }
+}
+
 impl StreamKey {
     /// Derives the key from the identifier of the request that began the stream.
     pub fn from_request(id: &[u8]) -> Self {
@@ -124,7 +150,7 @@
 
     /// Whether services may have had versions lately that are not known here.
     pub fn is_incomplete(&self, now: ClockTime) -> bool {
-        matches!(self.earlier, EarlierVersions::Unread) && self.is_after_restart(now)
+        self.earlier.is_unknown() && self.is_after_restart(now)
     }
 
     fn is_after_restart(&self, now: ClockTime) -> bool {
@@ -146,10 +172,10 @@
 
     /// Records the versions that the store has; `None` if it has none.
     pub fn record_stored_versions(&mut self, now: ClockTime, stored: Option<&ServiceVersions>) {
-        let is_first = matches!(self.earlier, EarlierVersions::Unread);
+        let is_first = matches!(self.earlier.stored, StoredVersions::Unread);
         let Some(services) = stored else {
             if is_first {
-                self.earlier = EarlierVersions::Unstored;
+                self.earlier.stored = StoredVersions::Unstored;
             }
             return;
         };
@@ -159,7 +185,19 @@
         self.record_versions(now, versions);
         // Later reads show what routers have written since the start of this one.
         if is_first {
-            self.earlier = EarlierVersions::Stored(services.clone());
+            self.earlier.stored = StoredVersions::Stored(services.clone());
+        }
+    }
+
+    /// Records the versions of which another router told this one when it joined. That router lacked none.
+    pub fn record_told_versions(&mut self, now: ClockTime, told: &ServiceVersions) {
+        let versions = told
+            .iter()
+            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
+        self.record_versions(now, versions);
+        let known = self.earlier.told.get_or_insert_default();
+        for (service, versions) in told {
+            known.entry(service.clone()).or_default().extend(versions);
         }
     }
 
@@ -254,12 +292,11 @@
                 None => ResumeChoice::Unknown,
             };
         }
-        let stored = match &self.earlier {
-            EarlierVersions::Unread => return ResumeChoice::Unknown,
-            EarlierVersions::Unstored => None,
-            EarlierVersions::Stored(services) => services.get(service),
-        };
-        match (stored.map(|versions| find_only(versions.iter())), listed) {
+        if self.earlier.is_unknown() {
+            return ResumeChoice::Unknown;
+        }
+        let earlier = self.earlier.versions_of(service);
+        match (earlier.map(|versions| find_only(versions.iter())), listed) {
             (Some(Some(before)), Some(listed)) if before == listed && !is_doubtful => {
                 ResumeChoice::OnlyVersion(before)
             }
@@ -297,6 +334,16 @@
             .collect()
     }
 
+    /// The streams that began lately, the latest ones first, if some service has several versions.
+    pub fn latest_origins(&self) -> Vec<(StreamKey, SoftwareKey)> {
+        if !self.is_any_mixed() {
+            return Vec::new();
+        }
+        let mut latest: Vec<_> = self.origins.iter().collect();
+        latest.sort_by_key(|(_, origin)| Reverse(origin.at));
+        latest.into_iter().map(|(key, origin)| (*key, origin.software)).collect()
+    }
+
     /// The streams that began lately, as this router and those that report to it know them.
     pub fn origins(&self) -> impl Iterator<Item = (StreamKey, SoftwareKey)> {
         self.origins.iter().map(|(key, origin)| (*key, origin.software))
@@ -320,6 +367,21 @@
     rank_keepers(key, routers, ORIGIN_KEEPERS)
 }
 
+/// Whether a router tells one that joins where a stream began. A few of `others`, the live ones without the one
+/// that joins, tell each of the routers that are asked.
+pub fn tells_joining(key: StreamKey, local: VmId, joining: VmId, others: &[VmId]) -> bool {
+    let is_told =
+        others.len() + 1 < MAX_SMALL_FLEET || is_ranked(key, joining, others, ORIGIN_KEEPERS);
+    is_told && is_ranked(key, local, others, ORIGIN_KEEPERS)
+}
+
+/// Whether a router is one of the first `count` for a stream, among `routers` and itself.
+fn is_ranked(key: StreamKey, vm: VmId, routers: &[VmId], count: usize) -> bool {
+    let rank = keeper_rank(key, vm);
+    let before = routers.iter().filter(|other| keeper_rank(key, **other) < rank);
+    before.take(count).count() < count
+}
+
 /// Chooses the routers that are asked where a stream began, among the live ones.
 pub fn choose_asked_keepers(key: StreamKey, routers: &[VmId]) -> Vec<VmId> {
     rank_keepers(key, routers, ASKED_KEEPERS)
@@ -330,7 +392,11 @@
     if ranked.len() < MAX_SMALL_FLEET {
         return ranked;
     }
-    ranked.sort_by_cached_key(|vm| hash_parts(&[&key.0.to_le_bytes(), &vm.0.to_le_bytes()]));
+    ranked.sort_by_cached_key(|vm| keeper_rank(key, *vm));
     ranked.truncate(count);
     ranked
 }
+
+fn keeper_rank(key: StreamKey, vm: VmId) -> u64 {
+    hash_parts(&[&key.0.to_le_bytes(), &vm.0.to_le_bytes()])
+}
--- a/crates/catkin-entry/src/origin_exchange.rs
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -8,11 +8,13 @@
 use catkin_peer::MessageSource;
 use catkin_peer::messages::peer_message::Kind;
 use catkin_peer::messages::{
-    EntryReport, OriginWriter, StreamOrigin, StreamOriginAsk, StreamOrigins,
+    EntryReport, OriginWriter, ServiceVersion, StreamOrigin, StreamOriginAsk, StreamOrigins,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use crate::origin_book::{SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers};
+use crate::origin_book::{
+    ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers, tells_joining,
+};
 use crate::origin_plan::{WriterCandidate, WriterStanding};
 use crate::origin_store::choose_writer;
 use crate::peer_service::PeerService;
@@ -22,6 +24,10 @@
 
 /// Maximum number of stream origins in one message, so that it fits a datagram.
 const MAX_ORIGINS: usize = 48;
+/// Maximum number of stream origins that one router tells to one that joins.
+const MAX_JOIN_ORIGINS: usize = 20_000;
+/// Minimum interval of telling the same process, which may announce itself several times.
+const ORIGINS_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval at which other routers are asked for the origin of a stream.
 const ORIGIN_ASK_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -39,13 +45,12 @@
             let keepers = choose_keepers(key, &routers);
             let writer = writer.filter(|writer| !keepers.contains(writer));
             for vm in keepers.into_iter().chain(writer) {
-                let origin = StreamOrigin { stream: key.0, software: software.0 };
-                by_router.entry(vm).or_default().push(origin);
+                by_router.entry(vm).or_default().push(encode_origin((key, software)));
             }
         }
         for (vm, origins) in by_router {
             for batch in origins.chunks(MAX_ORIGINS) {
-                self.send_kind(vm, Kind::StreamOrigins(StreamOrigins { origins: batch.to_vec() }));
+                self.send_stream_origins(vm, batch.to_vec());
             }
         }
     }
@@ -77,15 +82,62 @@
     ) {
         let book = state.origins.borrow();
         let found = ask.streams.iter().filter_map(|stream| {
-            let software = book.find(StreamKey(*stream))?.0;
-            Some(StreamOrigin { stream: *stream, software })
+            let key = StreamKey(*stream);
+            Some(encode_origin((key, book.find(key)?)))
         });
         let origins: Vec<StreamOrigin> = found.collect();
         if !origins.is_empty() {
-            self.send_kind(source.vm, Kind::StreamOrigins(StreamOrigins { origins }));
+            self.send_stream_origins(source.vm, origins);
         }
     }
 
+    fn send_stream_origins(&self, vm: VmId, origins: Vec<StreamOrigin>) {
+        let message = StreamOrigins { origins, versions: Vec::new() };
+        self.send_kind(vm, Kind::StreamOrigins(message));
+    }
+
+    /// Tells a router that joins, or that was silent, which versions the services had lately and, while some
+    /// service has several, where streams began. Routers of other domains of a large fleet tell no versions.
+    pub(crate) fn tell_joining<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        is_remote: bool,
+    ) {
+        let told = self.origins_told.borrow().get(&source.vm).copied();
+        let is_told = |(incarnation, at): (u64, Instant)| {
+            incarnation == source.incarnation && at.elapsed() < ORIGINS_RESEND_INTERVAL
+        };
+        if told.is_some_and(is_told) {
+            return;
+        }
+        let mut others = self.list_live_routers(state);
+        others.retain(|vm| *vm != source.vm);
+        others.push(state.local_vm);
+        let book = state.origins.borrow();
+        let mut origins = book.latest_origins();
+        origins.retain(|(key, _)| tells_joining(*key, state.local_vm, source.vm, &others));
+        origins.truncate(MAX_JOIN_ORIGINS);
+        // What a router may lack is not told as if it were all.
+        let is_complete = !is_remote
+            && state.writer_standing() >= Some(WriterStanding::Stopping)
+            && !state.is_list_doubtful();
+        let versions = if is_complete { encode_versions(&book.version_sets()) } else { Vec::new() };
+        if origins.is_empty() && versions.is_empty() {
+            return;
+        }
+        self.origins_told.borrow_mut().insert(source.vm, (source.incarnation, Instant::now()));
+        log::debug!(
+            "origins: told to a router that joins. vm={} streams={} versions={}",
+            source.vm,
+            origins.len(),
+            versions.len()
+        );
+        let origins = origins.into_iter().map(encode_origin).collect();
+        // A message that doesn't fit a datagram is sent over TCP.
+        self.send_kind(source.vm, Kind::StreamOrigins(StreamOrigins { origins, versions }));
+    }
+
     /// The other routers that may write the origins of this router's group: all of a small fleet, or
     /// those of its failure domain.
     pub(crate) fn list_writer_candidates<W: EntryWire>(
@@ -133,13 +185,35 @@
     }
 }
 
-/// Records origins that another router reported.
+fn encode_origin((key, software): (StreamKey, SoftwareKey)) -> StreamOrigin {
+    StreamOrigin { stream: key.0, software: software.0 }
+}
+
+fn encode_versions(services: &ServiceVersions) -> Vec<ServiceVersion> {
+    let rows = services.iter().flat_map(|(service, versions)| {
+        versions.iter().map(|key| ServiceVersion { service: service.clone(), software: key.0 })
+    });
+    rows.collect()
+}
+
+fn decode_versions(rows: &[ServiceVersion]) -> ServiceVersions {
+    let mut services = ServiceVersions::new();
+    for row in rows {
+        services.entry(row.service.clone()).or_default().insert(SoftwareKey(row.software));
+    }
+    services
+}
+
+/// Records origins, and to a router that joins versions, that another router reported.
 pub(crate) fn record_origins<W: EntryWire>(state: &EntryState<W>, reported: &StreamOrigins) {
     let now = state.now();
     let mut book = state.origins.borrow_mut();
     for origin in &reported.origins {
         book.record_reported(now, StreamKey(origin.stream), SoftwareKey(origin.software));
     }
+    if !reported.versions.is_empty() {
+        book.record_told_versions(now, &decode_versions(&reported.versions));
+    }
     drop(book);
     state.origins_change.notify_waiters();
 }
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -119,6 +119,8 @@
     list_requests: RefCell<BTreeSet<VmId>>,
     /// When the list of servers was last sent to a router.
     lists_sent: RefCell<BTreeMap<VmId, Instant>>,
+    /// Incarnation of each router that was told origins of streams when it joined, and when that was.
+    pub(crate) origins_told: RefCell<BTreeMap<VmId, (u64, Instant)>>,
     relays: RefCell<RelayBook>,
     /// Whether this router is the relay of its domain.
     is_relay: Cell<bool>,
@@ -144,6 +146,7 @@
             heard: RefCell::default(),
             list_requests: RefCell::default(),
             lists_sent: RefCell::default(),
+            origins_told: RefCell::default(),
             relays: RefCell::default(),
             is_relay: Cell::new(false),
             requested_at: Cell::new(None),
@@ -346,6 +349,9 @@
                 answer.kept = list_cached_parts(state);
             }
             self.link.send(source.vm, source.address, &wrap_message(Kind::EntryReport(answer)));
+            if !report.wants_kept {
+                self.tell_joining(state, source, remote);
+            }
             if !remote {
                 self.send_strikes(state, source);
                 self.send_leave_statements(state, source);
@@ -812,6 +818,7 @@
             let mut routers = self.routers.borrow_mut();
             routers.retain(|_, router| now.millis_since(router.last_heard) < REMOVAL_MILLIS);
             self.lost_services.borrow_mut().retain(|vm, _| routers.contains_key(vm));
+            self.origins_told.borrow_mut().retain(|vm, _| routers.contains_key(vm));
             self.failed_helpers.borrow_mut().retain(|_, until| Instant::now() < *until);
             let mut report = build_status(state);
             report.joining = true;
--- a/crates/catkin-entry/tests/origin_book.rs
+++ b/crates/catkin-entry/tests/origin_book.rs
@@ -2,7 +2,8 @@
 
 use catkin_base::{ClockTime, VmId};
 use catkin_entry::{
-    OriginBook, ResumeChoice, SoftwareKey, StreamKey, choose_asked_keepers, choose_keepers,
+    OriginBook, ResumeChoice, ServiceVersions, SoftwareKey, StreamKey, choose_asked_keepers,
+    choose_keepers, tells_joining,
 };
 
 const SERVICE: &str = "s";
@@ -23,6 +24,11 @@
     book.record_versions(now, versions.iter().map(|version| (SERVICE, software(version))));
 }
 
+fn services(versions: &[&str]) -> ServiceVersions {
+    let versions = versions.iter().map(|version| software(version)).collect();
+    ServiceVersions::from([(SERVICE.to_owned(), versions)])
+}
+
 #[test]
 fn a_stream_of_unknown_origin_goes_on_while_there_is_one_version() {
     let mut book = OriginBook::default();
@@ -96,3 +102,59 @@
         assert!(asked.len() <= 12);
     }
 }
+
+/// Guards against streams joined at a router that joins: the store did not have the latest version yet, of which
+/// the other routers knew.
+#[test]
+fn versions_that_the_store_or_another_router_knows_count() {
+    let mut book = OriginBook::after_restart(at(0));
+    record_versions(&mut book, at(0), &["v1"]);
+    let mut told = book.clone();
+    told.record_told_versions(at(1), &services(&["v1"]));
+
+    book.record_stored_versions(at(1), Some(&services(&["v1"])));
+    let stored_only = book.choose_resume(at(2), SERVICE, Some(stream(1)), false);
+    book.record_told_versions(at(3), &services(&["v1", "v2"]));
+    let both = book.choose_resume(at(4), SERVICE, Some(stream(1)), false);
+    let told_only = told.choose_resume(at(4), SERVICE, Some(stream(1)), false);
+    told.record_stored_versions(at(5), Some(&services(&["v1", "v2"])));
+    let stored_later = told.choose_resume(at(6), SERVICE, Some(stream(1)), false);
+
+    assert_eq!(stored_only, ResumeChoice::OnlyVersion(software("v1")));
+    assert_eq!(told_only, ResumeChoice::OnlyVersion(software("v1")));
+    assert_eq!([both, stored_later], [ResumeChoice::Unknown; 2]);
+}
+
+/// Guards against streams that are lost at a router that joins: each of those that are asked later is told by some,
+/// even if the tellers disagree on one that is alive.
+#[test]
+fn a_router_that_joins_is_told_by_some_others() {
+    for count in [2, 6, 12, 195] {
+        let others: Vec<VmId> = (2..=count).map(VmId).collect();
+        let joining = VmId(1);
+        let all: Vec<VmId> = others.iter().copied().chain([joining]).collect();
+        for key in (0..100).map(stream) {
+            let tellers = others.iter().filter(|vm| tells_joining(key, **vm, joining, &others));
+            let tellers = tellers.count();
+
+            let is_keeper = choose_keepers(key, &all).contains(&joining);
+            let expected = if is_keeper { others.len().min(3) } else { 0 };
+            assert_eq!(tellers, expected, "{count} routers");
+        }
+    }
+}
+
+#[test]
+fn origins_are_told_to_a_router_that_joins_while_several_versions_serve() {
+    let mut book = OriginBook::default();
+    record_versions(&mut book, at(0), &["v1"]);
+    book.record_stream(at(1), stream(1), software("v1"));
+    let single = book.latest_origins();
+
+    record_versions(&mut book, at(2), &["v2"]);
+    book.record_reported(at(3), stream(2), software("v2"));
+    let mixed = book.latest_origins();
+
+    assert_eq!(single, []);
+    assert_eq!(mixed, [(stream(2), software("v2")), (stream(1), software("v1"))]);
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -767,6 +767,17 @@
 pub struct StreamOrigins {
     #[prost(message, repeated, tag = "1")]
     pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+    /// all that each service had lately; to a router that joins only
+    #[prost(message, repeated, tag = "2")]
+    pub versions: ::prost::alloc::vec::Vec<ServiceVersion>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceVersion {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// hash of the version
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamOrigin {
