Begin streams at a new version only once the store names it

Callers may see streams of a new version go on at the old one if all routers are killed right after it appeared (ORDER).

Cause: a version was used as soon as it was listed and named in the store later.

Change: a router that lists a new version of a service keeps new streams at the others until the store names it. The writer writes a new version at once instead of at its next check and reports it (field 42, hashes, only for versions that appeared within 4 s); a router that hears nothing for 0.5 s reads the store. It ends after 2 s, and does not hold where only new versions have servers.

--- a/crates/catkin-entry/src/assign.rs
+++ b/crates/catkin-entry/src/assign.rs
@@ -337,6 +337,24 @@
     })
 }
 
+/// Lists the versions at which the call must not begin a stream yet. None if it can't begin at others.
+fn list_pending_versions<W: EntryWire>(
+    state: &EntryState<W>,
+    call: &EntryCall,
+    tried: &BTreeSet<ServerId>,
+    software: Option<SoftwareKey>,
+) -> Vec<SoftwareKey> {
+    if software.is_some() || !call.is_stream() {
+        return Vec::new();
+    }
+    let pending = state.origins.borrow().pending_versions(state.now(), &call.service);
+    let servers = state.servers.borrow();
+    let mut usable = state.usable_servers(&servers, &call.service);
+    let is_other =
+        |known: &KnownServer| !tried.contains(&known.server) && !pending.contains(&known.software);
+    if usable.any(is_other) { pending } else { Vec::new() }
+}
+
 /// Lists the servers of the call's service that were not tried yet, and the leaving ones that
 /// others may fetch from.
 fn list_candidates<W: EntryWire>(
@@ -348,6 +366,7 @@
 ) -> Vec<ServerCandidate> {
     let now = state.now();
     let settings = state.settings();
+    let pending = list_pending_versions(state, call, tried, software);
     let servers = state.servers.borrow();
     let loads = state.loads.borrow();
     let index = state.cache_index.borrow();
@@ -393,7 +412,9 @@
             cache_fill: index.tokens_on(server) as f64 / capacity,
             state: if known.record.leaving {
                 CandidateState::Leaving
-            } else if software.is_some_and(|software| known.software != software) {
+            } else if software.is_some_and(|software| known.software != software)
+                || pending.contains(&known.software)
+            {
                 CandidateState::OtherVersion
             } else if is_paused {
                 CandidateState::Paused
--- a/crates/catkin-entry/src/call.rs
+++ b/crates/catkin-entry/src/call.rs
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Whether the answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Streaming
+    }
+
     /// Whether the request resumes a stream of which the caller has a part.
     pub fn is_resumed(&self) -> bool {
         self.route.kind == RouteKind::Streaming
--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -14,6 +14,9 @@
 /// Time for which the origin of a stream, and a version that no server has any more, are kept, in
 /// milliseconds. It exceeds the time that callers wait for a stream, retries included.
 const LIFETIME_MILLIS: u64 = 30_000;
+/// Maximum time for which no stream begins at a new version since the store does not name it yet, in
+/// milliseconds.
+const PENDING_MILLIS: u64 = 2_000;
 /// Factor by which each complete stream lowers the weight of those before.
 const LENGTH_DECAY: f64 = 0.99;
 /// Maximum number of origins; further ones are dropped.
@@ -106,12 +109,29 @@
     at: ClockTime,
 }
 
+/// What is known of a version of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct KnownVersion {
+    /// When a server of the version was first listed.
+    first: ClockTime,
+    /// When one was last listed.
+    last: ClockTime,
+    /// Whether the store names the version.
+    is_stored: bool,
+}
+
+impl KnownVersion {
+    /// Whether the version appeared so recently that the store may not name it yet.
+    fn is_pending(&self, now: ClockTime) -> bool {
+        !self.is_stored && now.millis_since(self.first) < PENDING_MILLIS
+    }
+}
+
 /// Origins of streams, and the software versions of each service.
 #[derive(Debug, Clone, Default)]
 pub struct OriginBook {
     origins: BTreeMap<StreamKey, StreamOrigin>,
-    /// When a server of the version was last listed, by service.
-    versions: BTreeMap<String, BTreeMap<SoftwareKey, ClockTime>>,
+    versions: BTreeMap<String, BTreeMap<SoftwareKey, KnownVersion>>,
     /// Origins that other routers are still to be told.
     unsent: Vec<StreamKey>,
     /// Whether some service had several versions when origins were last taken to be sent.
@@ -183,12 +203,69 @@
             .iter()
             .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
         self.record_versions(now, versions);
+        self.mark_stored(services);
         // Later reads show what routers have written since the start of this one.
         if is_first {
             self.earlier.stored = StoredVersions::Stored(services.clone());
         }
     }
 
+    /// Records that the store names these versions.
+    pub fn mark_stored(&mut self, services: &ServiceVersions) {
+        for (service, versions) in &mut self.versions {
+            let Some(stored) = services.get(service) else { continue };
+            for (software, known) in versions {
+                known.is_stored |= stored.contains(software);
+            }
+        }
+    }
+
+    /// Records that another router reported that the store names these versions, given by their digests. Returns
+    /// whether some were not known to be stored.
+    pub fn mark_reported_stored(&mut self, digests: &[u64]) -> bool {
+        let mut is_news = false;
+        for (service, versions) in self.versions.iter_mut().filter(|_| !digests.is_empty()) {
+            for (software, known) in versions.iter_mut().filter(|(_, known)| !known.is_stored) {
+                known.is_stored = digests.contains(&version_digest(service, *software));
+                is_news |= known.is_stored;
+            }
+        }
+        is_news
+    }
+
+    /// Digests of the versions that appeared lately and that the store names.
+    pub fn stored_digests(&self, now: ClockTime) -> Vec<u64> {
+        let is_recent = |known: &KnownVersion| {
+            known.is_stored && now.millis_since(known.first) < 2 * PENDING_MILLIS
+        };
+        let services = self.versions.iter().filter(|(_, versions)| versions.len() > 1);
+        let recent = services.flat_map(|(service, versions)| {
+            let recent = versions.iter().filter(|(_, known)| is_recent(known));
+            recent.map(|(software, _)| version_digest(service, *software))
+        });
+        recent.collect()
+    }
+
+    /// The versions of a service at which no stream may begin yet: routers that all start now would take them for
+    /// the version before, which the store names alone. None for long, and none if there was no version before.
+    pub fn pending_versions(&self, now: ClockTime, service: &str) -> Vec<SoftwareKey> {
+        let Some(versions) = self.versions.get(service) else { return Vec::new() };
+        let has_earlier = |version: &KnownVersion| {
+            versions.values().any(|other| !other.is_pending(now) || other.first < version.first)
+        };
+        let pending = versions.iter();
+        let pending = pending.filter(|(_, known)| known.is_pending(now) && has_earlier(known));
+        pending.map(|(software, _)| *software).collect()
+    }
+
+    /// Whether some service has a version that waits for the store to name it since `millis` or longer.
+    pub fn has_pending_since(&self, now: ClockTime, millis: u64) -> bool {
+        let mixed = self.versions.values().filter(|versions| versions.len() > 1);
+        mixed
+            .flat_map(BTreeMap::values)
+            .any(|known| known.is_pending(now) && now.millis_since(known.first) >= millis)
+    }
+
     /// Records the versions of which another router told this one when it joined. That router lacked none.
     pub fn record_told_versions(&mut self, now: ClockTime, told: &ServiceVersions) {
         let versions = told
@@ -220,16 +297,17 @@
         servers: impl Iterator<Item = (&'a str, SoftwareKey)>,
     ) {
         for (service, software) in servers {
+            let new = KnownVersion { first: now, last: now, is_stored: false };
             match self.versions.get_mut(service) {
-                Some(versions) => _ = versions.insert(software, now),
+                Some(versions) => versions.entry(software).or_insert(new).last = now,
                 None => {
-                    self.versions.insert(service.to_owned(), BTreeMap::from([(software, now)]));
+                    self.versions.insert(service.to_owned(), BTreeMap::from([(software, new)]));
                 }
             }
         }
         let is_kept = |at: ClockTime| now.millis_since(at) < LIFETIME_MILLIS;
         for versions in self.versions.values_mut() {
-            versions.retain(|_, seen| is_kept(*seen));
+            versions.retain(|_, known| is_kept(known.last));
         }
         self.versions.retain(|_, versions| !versions.is_empty());
         self.origins.retain(|_, origin| is_kept(origin.at));
@@ -349,12 +427,22 @@
         self.origins.iter().map(|(key, origin)| (*key, origin.software))
     }
 
+    /// Number of versions of all services.
+    pub fn count_all_versions(&self) -> usize {
+        self.versions.values().map(BTreeMap::len).sum()
+    }
+
     /// Number of versions of which servers were listed for the service lately.
     pub fn count_versions(&self, service: &str) -> usize {
         self.versions.get(service).map_or(0, BTreeMap::len)
     }
 }
 
+/// Digest of a version of a service, by which routers name it to one another.
+fn version_digest(service: &str, software: SoftwareKey) -> u64 {
+    hash_parts(&[b"service-version", service.as_bytes(), &software.0.to_le_bytes()])
+}
+
 /// Returns the only element.
 fn find_only<'a>(mut versions: impl Iterator<Item = &'a SoftwareKey>) -> Option<SoftwareKey> {
     let first = versions.next()?;
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
-use crate::origin_book::{SoftwareKey, StreamKey};
+use crate::origin_book::{ServiceVersions, SoftwareKey, StreamKey};
 use crate::origin_plan::{
     EARLIER_TIME, OriginPlan, OriginWrite, WriterCandidate, WriterStanding, choose_origin_writer,
 };
@@ -33,6 +33,9 @@
 const FIRST_WRITE_DELAY: Duration = Duration::from_millis(1_000);
 /// Minimum time between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time for which a new version is not known to be stored after which a router reads the store itself, in
+/// milliseconds.
+const PENDING_READ_MILLIS: u64 = 500;
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Number of failures in a row after which a writer lets another router write.
@@ -48,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct OriginAccess {
     wanted: Notify,
+    /// Signals that a version appeared, which a writer writes at once.
+    appeared: Notify,
     /// Whether a read is due or under way, and has not failed yet.
     pending: Cell<bool>,
     /// When the last read ended.
@@ -162,6 +167,7 @@
     }
     drop(book);
     state.origins_change.notify_waiters();
+    state.selection_input_change.notify_waiters();
     let streams: usize = page.records.iter().map(|(_, _, record)| count_streams(record)).sum();
     log::info!(
         "origins: read from the store. objects={} streams={streams} versions_known={}",
@@ -186,7 +192,10 @@
             (None, false) => ROLE_INTERVAL,
             (Some(_), false) => CHECK_INTERVAL,
         };
-        sleep(interval).await;
+        tokio::select! {
+            () = sleep(interval) => {}
+            () = state.origin_access.appeared.notified() => {}
+        }
         if !is_writer(state, service) {
             if writer.take().is_some() {
                 log::info!("origins: another router writes them from now on.");
@@ -239,6 +248,26 @@
 }
 
 impl<W> EntryState<W> {
+    /// Records that the store names these versions, and tells the other routers.
+    fn record_stored(&self, services: &ServiceVersions) {
+        self.origins.borrow_mut().mark_stored(services);
+        self.updates.borrow_mut().send_now = true;
+        self.selection_input_change.notify_waiters();
+    }
+
+    /// Has the store read if a new version is still not known to be stored.
+    pub(crate) fn check_pending_versions(&self) {
+        let now = self.now();
+        if self.origins.borrow().has_pending_since(now, PENDING_READ_MILLIS) {
+            self.origin_access.request();
+        }
+    }
+
+    /// Signals that servers of a version appeared.
+    pub(crate) fn signal_version(&self) {
+        self.origin_access.appeared.notify_one();
+    }
+
     /// How well this router can write origins; `None` until it knows the other routers and the servers.
     pub(crate) fn writer_standing(&self) -> Option<WriterStanding> {
         let is_started = self.started.elapsed() >= FIRST_WRITE_DELAY;
@@ -341,6 +370,7 @@
                     record.services.len()
                 );
                 self.versions_revision = revision;
+                state.record_stored(&record.services);
                 self.plan.record_versions(record.services);
             }
             Err(StoreCallError::Conflict(Some(found))) => {
@@ -349,6 +379,8 @@
                 if found.era == self.era {
                     let mut book = state.origins.borrow_mut();
                     book.record_stored_versions(state.now(), Some(&found.services));
+                    drop(book);
+                    state.record_stored(&found.services);
                     self.plan.record_versions(found.services);
                 }
             }
--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -333,6 +333,9 @@
                 state.pool.borrow_mut().drop_idle_to(server);
             }
         }
+        if state.origins.borrow_mut().mark_reported_stored(&report.stored_versions) {
+            state.selection_input_change.notify_waiters();
+        }
         let (declaration, directory) = state.peer_versions.get();
         let reported_directory = StorePoint::from_number(report.directory);
         state
--- a/crates/catkin-entry/src/process.rs
+++ b/crates/catkin-entry/src/process.rs
@@ -305,6 +305,7 @@
         state.remove_warm_servers();
         let dropped = state.servers.borrow_mut().remove_missing(state.now());
         state.record_versions();
+        state.check_pending_versions();
         for server in dropped {
             log::info!("servers: still missing from the store; removed. server={server}");
             state.remove_server(server);
--- a/crates/catkin-entry/src/report_builder.rs
+++ b/crates/catkin-entry/src/report_builder.rs
@@ -91,6 +91,7 @@
         callers_port: callers_port.into(),
         stores_origins: standing == Some(WriterStanding::Able),
         origin_writer: encode_standing(standing).into(),
+        stored_versions: state.origins.borrow().stored_digests(now),
         stopping_help: state.stopping_help(),
         lost_services: reach.suspected_services(now).map(|service| service.0).collect(),
         leaving: leaving.collect(),
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -345,7 +345,12 @@
     pub(crate) fn record_versions(&self) {
         let servers = self.servers.borrow();
         let versions = servers.iter().map(|known| (known.record.service.as_str(), known.software));
-        self.origins.borrow_mut().record_versions(self.now(), versions);
+        let mut book = self.origins.borrow_mut();
+        let known = book.count_all_versions();
+        book.record_versions(self.now(), versions);
+        if book.count_all_versions() > known {
+            self.signal_version();
+        }
     }
 
     /// Whether servers may have joined that this router does not list: others know newer entries, or neither
--- a/crates/catkin-entry/tests/origin_book.rs
+++ b/crates/catkin-entry/tests/origin_book.rs
@@ -158,3 +158,40 @@
     assert_eq!(single, []);
     assert_eq!(mixed, [(stream(2), software("v2")), (stream(1), software("v1"))]);
 }
+
+/// Guards against streams that begin at a version that the store does not name, while others serve: after a loss of
+/// all routers they would be taken for those of the version before.
+#[test]
+fn a_new_version_is_pending_until_the_store_names_it_but_not_for_long() {
+    let mut book = OriginBook::default();
+    record_versions(&mut book, at(0), &["v1"]);
+    let pending = |book: &OriginBook, millis| book.pending_versions(at(millis), SERVICE);
+    let only = pending(&book, 1);
+    record_versions(&mut book, at(500), &["v1", "v2"]);
+    let mut stored = book.clone();
+    stored.mark_stored(&services(&["v1", "v2"]));
+    let mut reported = book.clone();
+
+    let is_news = reported.mark_reported_stored(&stored.stored_digests(at(600)));
+
+    assert_eq!(only, []);
+    assert_eq!(pending(&book, 500), [software("v2")]);
+    assert_eq!(pending(&book, 2_500), []);
+    assert!(is_news);
+    assert_eq!(pending(&stored, 600), []);
+    assert_eq!(pending(&reported, 600), []);
+}
+
+/// Guards against a router that starts and begins no streams, as all versions are new to it.
+#[test]
+fn versions_that_a_router_lists_at_its_start_are_pending_only_beside_stored_ones() {
+    let mut book = OriginBook::after_restart(at(0));
+    record_versions(&mut book, at(10), &["v1", "v2"]);
+    let unread = book.pending_versions(at(20), SERVICE);
+
+    book.record_stored_versions(at(20), Some(&services(&["v1"])));
+    let read = book.pending_versions(at(30), SERVICE);
+
+    assert_eq!(unread, []);
+    assert_eq!(read, [software("v2")]);
+}
--- a/crates/catkin-peer/src/messages.rs
+++ b/crates/catkin-peer/src/messages.rs
@@ -502,6 +502,9 @@
     pub stores_origins: bool,
     #[prost(enumeration = "OriginWriter", tag = "41")]
     pub origin_writer: i32,
+    /// hashes of services and versions that appeared lately and that the store names
+    #[prost(fixed64, repeated, tag = "42")]
+    pub stored_versions: ::prost::alloc::vec::Vec<u64>,
 }
 /// For how long a router that stops takes requests of other routers.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
