Tell other routers where a stream began before the caller gets its first event

Callers may see streams that began in the last 40 ms before their router was killed go on at another version (ORDER), or be refused (LOST).

Cause: origins were sent at the next check for reports, up to 40 ms after the first event. A router that started within 30 s takes a stream that nobody knows for one of the version before its start, as others would know it otherwise.

Change: the origin is sent when the stream begins, before its first event is passed on. Batches held about one origin before, at the rates of the deployments (by calculation: 14 streams a second and router on seven routers), so the number of messages hardly changes. With one version none are sent, as before.

--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -18,6 +18,7 @@
 use crate::connection::ExchangeFailure;
 use crate::crash_check::check_after_end;
 use crate::origin_book::{SoftwareKey, StreamKey};
+use crate::origin_exchange::record_new_stream;
 use crate::record::RouteKind;
 use crate::state::{EntryState, OpenSlot};
 use crate::wire::EntryWire;
@@ -266,13 +267,13 @@
         }
     }
 
-    /// Records the version that sends the first event, before the caller gets it.
+    /// Records the version that sends the first event and tells it to other routers, before the caller gets it.
     fn record_origin<W: EntryWire>(&mut self, state: &EntryState<W>, software: SoftwareKey) {
         if self.software.replace(software).is_some() {
             return;
         }
         if let Some(key) = self.new_stream {
-            state.origins.borrow_mut().record_stream(state.now(), key, software);
+            record_new_stream(state, key, software);
         }
     }
 
--- a/crates/catkin-entry/src/origin_exchange.rs
+++ b/crates/catkin-entry/src/origin_exchange.rs
@@ -185,6 +185,18 @@
     }
 }
 
+/// Records where a stream begins and tells it to other routers at once: this one may be killed at any moment.
+pub(crate) fn record_new_stream<W: EntryWire>(
+    state: &EntryState<W>,
+    key: StreamKey,
+    software: SoftwareKey,
+) {
+    state.origins.borrow_mut().record_stream(state.now(), key, software);
+    if let Some(service) = state.peers.borrow().as_ref() {
+        service.send_origins(state);
+    }
+}
+
 fn encode_origin((key, software): (StreamKey, SoftwareKey)) -> StreamOrigin {
     StreamOrigin { stream: key.0, software: software.0 }
 }
