Count versions of a restored store once servers wrote their entries again

Cause: versions that were written in an earlier era counted as unread, and a router that lacks them neither lets streams of unknown origin go on nor writes versions, so that each router waited for another one.

Change: versions of an earlier era count 2.5 s after they were read, when servers have written their entries again, for services whose listed versions are the same; where they differ, streams of unknown origin stay refused. The router that writes then writes them for the new era.

--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -17,6 +17,8 @@
 /// Maximum time for which no stream begins at a new version since the store does not name it yet, in
 /// milliseconds.
 const PENDING_MILLIS: u64 = 2_000;
+/// Time within which servers write their entries again after the store was restored from a copy, in milliseconds.
+const REWRITE_MILLIS: u64 = 2_500;
 /// Factor by which each complete stream lowers the weight of those before.
 const LENGTH_DECAY: f64 = 0.99;
 /// Maximum number of origins; further ones are dropped.
@@ -62,6 +64,8 @@
     Unstored,
     /// What the store has, by service.
     Stored(ServiceVersions),
+    /// What the store has from before it was restored from a copy, and from when on that counts.
+    Restored(ServiceVersions, ClockTime),
 }
 
 /// Versions that services had before a router started, as it knows them.
@@ -73,14 +77,26 @@
 }
 
 impl EarlierVersions {
-    fn is_unknown(&self) -> bool {
-        self.told.is_none() && matches!(self.stored, StoredVersions::Unread)
+    fn is_unknown(&self, now: ClockTime) -> bool {
+        let is_read = match self.stored {
+            StoredVersions::Unread => false,
+            StoredVersions::Unstored | StoredVersions::Stored(_) => true,
+            StoredVersions::Restored(_, from) => now >= from,
+        };
+        !is_read && self.told.is_none()
+    }
+
+    /// Whether versions may have appeared that nobody could name here.
+    fn may_lack_versions(&self) -> bool {
+        self.told.is_none() && matches!(self.stored, StoredVersions::Restored(..))
     }
 
     /// The versions of a service; `None` if it is not known to have had any.
     fn versions_of(&self, service: &str) -> Option<BTreeSet<SoftwareKey>> {
         let stored = match &self.stored {
-            StoredVersions::Stored(services) => services.get(service),
+            StoredVersions::Stored(services) | StoredVersions::Restored(services, _) => {
+                services.get(service)
+            }
             StoredVersions::Unread | StoredVersions::Unstored => None,
         };
         let told = self.told.as_ref().and_then(|services| services.get(service));
@@ -170,7 +186,7 @@
 
     /// Whether services may have had versions lately that are not known here.
     pub fn is_incomplete(&self, now: ClockTime) -> bool {
-        self.earlier.is_unknown() && self.is_after_restart(now)
+        self.earlier.is_unknown(now) && self.is_after_restart(now)
     }
 
     fn is_after_restart(&self, now: ClockTime) -> bool {
@@ -192,7 +208,8 @@
 
     /// Records the versions that the store has; `None` if it has none.
     pub fn record_stored_versions(&mut self, now: ClockTime, stored: Option<&ServiceVersions>) {
-        let is_first = matches!(self.earlier.stored, StoredVersions::Unread);
+        let is_first =
+            matches!(self.earlier.stored, StoredVersions::Unread | StoredVersions::Restored(..));
         let Some(services) = stored else {
             if is_first {
                 self.earlier.stored = StoredVersions::Unstored;
@@ -210,6 +227,21 @@
         }
     }
 
+    /// Records the versions that the store has from before it was restored from a copy. What appeared after the copy
+    /// was made may be missing there. Servers write their entries again within [`REWRITE_MILLIS`]; the versions
+    /// count from then on, where no other one is listed.
+    pub fn record_restored_versions(&mut self, now: ClockTime, restored: &ServiceVersions) {
+        if !matches!(self.earlier.stored, StoredVersions::Unread) {
+            return;
+        }
+        let versions = restored
+            .iter()
+            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
+        self.record_versions(now, versions);
+        let from = now.plus_millis(REWRITE_MILLIS);
+        self.earlier.stored = StoredVersions::Restored(restored.clone(), from);
+    }
+
     /// Records that the store names these versions.
     pub fn mark_stored(&mut self, services: &ServiceVersions) {
         for (service, versions) in &mut self.versions {
@@ -370,7 +402,7 @@
                 None => ResumeChoice::Unknown,
             };
         }
-        if self.earlier.is_unknown() {
+        if self.earlier.is_unknown(now) {
             return ResumeChoice::Unknown;
         }
         let earlier = self.earlier.versions_of(service);
@@ -378,6 +410,11 @@
             (Some(Some(before)), Some(listed)) if before == listed && !is_doubtful => {
                 ResumeChoice::OnlyVersion(before)
             }
+            (Some(Some(before)), listed)
+                if self.earlier.may_lack_versions() && listed != Some(before) =>
+            {
+                ResumeChoice::Unknown
+            }
             // A stream that began after another version had appeared is known to other routers.
             (Some(Some(before)), _) => ResumeChoice::LikelyVersion(before),
             (None, Some(listed)) => ResumeChoice::LikelyVersion(listed),
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -120,21 +120,21 @@
 
 /// What the store has of the origins of streams.
 struct OriginPage {
-    /// Revision and content of the object with the versions; the content is `None` if it can't be read, or
-    /// may be a copy from before its last change.
+    /// Revision and content of the object with the versions; the content is `None` if it can't be read.
     versions: Option<(u64, Option<VersionRecord>)>,
+    /// Era of the store.
+    era: u64,
     /// Name, revision and content of each router's object.
     records: Vec<(String, u64, OriginRecord)>,
 }
 
 impl OriginPage {
     fn decode<W: EntryWire>(page: &StorePage) -> Self {
-        let mut decoded = Self { versions: None, records: Vec::new() };
+        let mut decoded = Self { versions: None, era: page.era, records: Vec::new() };
         for entry in &page.entries {
             let failure = if entry.name == VERSIONS_NAME {
                 let read = W::decode_versions(&entry.content);
-                let current = read.as_ref().ok().filter(|record| record.era == page.era);
-                decoded.versions = Some((entry.revision, current.cloned()));
+                decoded.versions = Some((entry.revision, read.as_ref().ok().cloned()));
                 read.err()
             } else {
                 let read = W::decode_origins(&entry.content);
@@ -161,7 +161,10 @@
     let mut book = state.origins.borrow_mut();
     book.record_stored_origins(now, origins);
     match &page.versions {
-        Some((_, Some(record))) => book.record_stored_versions(now, Some(&record.services)),
+        Some((_, Some(record))) if record.era == page.era => {
+            book.record_stored_versions(now, Some(&record.services));
+        }
+        Some((_, Some(record))) => book.record_restored_versions(now, &record.services),
         None => book.record_stored_versions(now, None),
         Some((_, None)) => {}
     }
@@ -328,7 +331,8 @@
             client.delete(KIND, other, Some(*revision), timeout).await?;
         }
         let (versions_revision, versions) = page.versions.unzip();
-        let versions = versions.flatten().map(|record| record.services);
+        let versions = versions.flatten().filter(|record| record.era == page.era);
+        let versions = versions.map(|record| record.services);
         let own = page.records.into_iter().find(|(other, ..)| *other == name);
         let (origins_revision, own) = own.map(|(_, revision, record)| (revision, record)).unzip();
         // Later, the object has nothing that the book of this process lacks.
--- a/crates/catkin-entry/tests/origin_plan.rs
+++ b/crates/catkin-entry/tests/origin_plan.rs
@@ -231,3 +231,27 @@
 
     assert_eq!(writers.collect::<Vec<_>>(), [1, 2, 3, 4].map(|vm| Some(VmId(vm))));
 }
+
+/// Guards against streams that are lost for long after all routers ended and the store came back from a copy, though
+/// there is one version, and against joining them while other versions may be missing from the copy.
+#[test]
+fn versions_of_a_restored_store_count_once_servers_wrote_their_entries_again() {
+    let start = |listed: &[&str]| {
+        let mut book = OriginBook::after_restart(at(0));
+        record_versions(&mut book, at(0), listed);
+        book.record_restored_versions(at(100), &services(&["v1"]));
+        book
+    };
+    let (same, other, both) = (start(&["v1"]), start(&["v2"]), start(&["v1", "v2"]));
+    let choose =
+        |book: &OriginBook, millis| book.choose_resume(at(millis), SERVICE, Some(stream(1)), false);
+
+    assert_eq!(choose(&same, 2_500), ResumeChoice::Unknown);
+    assert!(same.is_incomplete(at(2_500)));
+    assert_eq!(choose(&same, 2_600), ResumeChoice::OnlyVersion(software("v1")));
+    assert!(!same.is_incomplete(at(2_600)));
+    assert_eq!([choose(&other, 2_600), choose(&both, 2_600)], [ResumeChoice::Unknown; 2]);
+    let mut told = both;
+    told.record_told_versions(at(200), &services(&["v1"]));
+    assert_eq!(choose(&told, 300), ResumeChoice::LikelyVersion(software("v1")));
+}
