Ask another router for the list of servers while the store refuses this one

Cause: the version of an attempt is that of the router's list, however old that is. A router that is cut off heard from the reports of the others that newer entries exist, and took that only as a reason to doubt streams of unknown origin.

Change: it requests the list from a router that reports a newer change, as it does for declarations, and applies it if it is newer: at once while its own calls fail, otherwise after 0.3 s in a small fleet and 1.5 s in a large one. A new server is reported without waiting for the next report.

What remains: until a router hears of the entry, up to about 0.1 s here, it can't know that another version answers.

--- a/crates/catkin-entry/src/peer_service.rs
+++ b/crates/catkin-entry/src/peer_service.rs
@@ -39,7 +39,7 @@
 use crate::server_copy::{decode_server_list, encode_server_list};
 use crate::speed_book::PEER_FACTOR_MILLIS;
 use crate::state::{EntryState, ListCopy, RelayUpdates};
-use crate::store_follower::install_declarations;
+use crate::store_follower::{apply_server_list, install_declarations};
 use crate::store_point::StorePoint;
 use crate::waiting_room::decode_team;
 use crate::wire::EntryWire;
@@ -63,7 +63,9 @@
 /// The same time if the store answers. The store serves many routers at once better than a router
 /// does.
 const ANSWERING_STORE_DELAY: Duration = Duration::from_millis(1_500);
-/// Minimum interval of requests for newer declarations.
+/// The same time for newer entries of servers in a small fleet, whose lists are short, if the store answers.
+const SMALL_FLEET_LIST_DELAY: Duration = Duration::from_millis(300);
+/// Minimum interval of requests for newer declarations, and for newer entries of servers.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval of requests for the list of servers.
 const LIST_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
@@ -132,6 +134,10 @@
     lost_services: RefCell<BTreeMap<VmId, BTreeSet<ReachKey>>>,
     /// Routers that could not be connected to or take no requests, and until when they get none.
     failed_helpers: RefCell<BTreeMap<VmId, Instant>>,
+    /// Since when other routers have had newer entries of servers than this one.
+    list_outdated_since: Cell<Option<Instant>>,
+    /// When another router was last asked for newer entries of servers.
+    changes_asked_at: Cell<Option<Instant>>,
     /// Number of received messages that were dropped because of an incarnation, as last logged.
     logged_drops: Cell<u64>,
 }
@@ -153,6 +159,8 @@
             outdated_since: Cell::new(None),
             lost_services: RefCell::default(),
             failed_helpers: RefCell::default(),
+            list_outdated_since: Cell::new(None),
+            changes_asked_at: Cell::new(None),
             logged_drops: Cell::new(0),
         }
     }
@@ -208,7 +216,7 @@
                 Some(Kind::ServerListAsk(_)) => self.handle_list_request(state, &source),
                 Some(Kind::StreamOrigins(reported)) => record_origins(state, &reported),
                 Some(Kind::StreamOriginAsk(ask)) => self.answer_origin_ask(state, &source, &ask),
-                Some(Kind::ServerListCopy(copy)) => record_list_copy(state, &source, &copy),
+                Some(Kind::ServerListCopy(copy)) => self.record_list_copy(state, &source, &copy),
                 _ => {}
             }
         }
@@ -343,6 +351,7 @@
             .set((declaration.max(report.declaration), directory.max(reported_directory)));
         state.peer_versions_change.notify_waiters();
         self.request_declarations(state, source, report.declaration);
+        self.request_changed_servers(state, source, reported_directory);
         if report.joining {
             let remote = self.receives_relayed(state, Some(DomainId(report.domain)));
             let mut answer = if remote { build_status(state) } else { build_load_report(state) };
@@ -565,6 +574,39 @@
         }
     }
 
+    /// Requests the list of servers from the router that reported a newer change, since the store may not answer
+    /// this router. A server may have started again with another software version.
+    fn request_changed_servers<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        change: StorePoint,
+    ) {
+        let (_, newest) = state.peer_versions.get();
+        let servers = state.servers.borrow();
+        if !servers.is_listed() || !servers.is_outdated(newest) {
+            return self.list_outdated_since.set(None);
+        }
+        // The sender may be as outdated as this router, which says nothing about the others.
+        if !servers.is_outdated(change) {
+            return;
+        }
+        let since = self.list_outdated_since.get().unwrap_or_else(Instant::now);
+        self.list_outdated_since.set(Some(since));
+        let is_small = self.routers.borrow().len() < MAX_SMALL_FLEET;
+        let delay = match (state.store_failing.get(), is_small) {
+            (true, _) => Duration::ZERO,
+            (false, true) => SMALL_FLEET_LIST_DELAY,
+            (false, false) => ANSWERING_STORE_DELAY,
+        };
+        let asked = self.changes_asked_at.get();
+        if since.elapsed() < delay || asked.is_some_and(|at| at.elapsed() < REQUEST_INTERVAL) {
+            return;
+        }
+        self.changes_asked_at.set(Some(Instant::now()));
+        self.send_kind(source.vm, Kind::ServerListAsk(ServerListAsk {}));
+    }
+
     /// Sends the list of servers, once it is known, to the routers that requested it before.
     pub(crate) async fn answer_list_requests<W: EntryWire>(&self, state: &Rc<EntryState<W>>) {
         while !state.servers.borrow().is_listed() {
@@ -585,6 +627,34 @@
         }
     }
 
+    /// Hands a list of servers to the follower of the store, if that waits for one, or applies it if it was requested
+    /// since this router lacks changes.
+    fn record_list_copy<W: EntryWire>(
+        &self,
+        state: &EntryState<W>,
+        source: &MessageSource,
+        copy: &ServerListCopy,
+    ) {
+        let is_wanted = matches!(*state.list_copy.borrow(), ListCopy::Wanted);
+        if !is_wanted && self.changes_asked_at.get().is_none() {
+            return;
+        }
+        let Some(list) = decode_server_list(copy) else {
+            log::warn!(
+                "peers: list of servers of another router ignored; a row has an invalid address or \
+                 refers to a missing name. vm={}",
+                source.vm
+            );
+            return;
+        };
+        if is_wanted {
+            *state.list_copy.borrow_mut() = ListCopy::Received(list);
+            state.list_copy_change.notify_waiters();
+        } else if list.point > state.servers.borrow().point() {
+            apply_server_list(state, list, "peer");
+        }
+    }
+
     fn send_server_list<W: EntryWire>(&self, state: &EntryState<W>, vm: VmId) {
         let sent = self.lists_sent.borrow().get(&vm).copied();
         if sent.is_some_and(|sent| sent.elapsed() < LIST_RESEND_INTERVAL) {
@@ -881,28 +951,6 @@
     }
 }
 
-/// Hands a list of servers to the follower of the store, if that waits for one.
-fn record_list_copy<W: EntryWire>(
-    state: &EntryState<W>,
-    source: &MessageSource,
-    copy: &ServerListCopy,
-) {
-    if !matches!(*state.list_copy.borrow(), ListCopy::Wanted) {
-        return;
-    }
-    match decode_server_list(copy) {
-        Some(list) => {
-            *state.list_copy.borrow_mut() = ListCopy::Received(list);
-            state.list_copy_change.notify_waiters();
-        }
-        None => log::warn!(
-            "peers: list of servers of another router ignored; a row has an invalid address or \
-             refers to a missing name. vm={}",
-            source.vm
-        ),
-    }
-}
-
 fn is_remote(domain: Option<DomainId>, local: DomainId) -> bool {
     domain.is_some_and(|domain| domain != local)
 }
--- a/crates/catkin-entry/src/state.rs
+++ b/crates/catkin-entry/src/state.rs
@@ -428,7 +428,11 @@
         }
         match change {
             ServerChange::Unchanged => return,
-            ServerChange::Appeared(_) => self.record_versions(),
+            ServerChange::Appeared(_) => {
+                self.record_versions();
+                // Routers that the store does not answer learn of it from others.
+                self.updates.borrow_mut().send_now = true;
+            }
             ServerChange::Leaving(server) => {
                 self.pool.borrow_mut().drop_idle_to(server);
                 self.updates.borrow_mut().send_now = true;
--- a/crates/catkin-entry/src/store_follower.rs
+++ b/crates/catkin-entry/src/store_follower.rs
@@ -211,7 +211,7 @@
         );
         self.record_answer();
         self.point = Some(list.point);
-        self.apply_servers(list);
+        apply_server_list(&self.state, list, "peer");
     }
 
     /// Returns the delay before the next watch, in which further changes accumulate.
@@ -245,12 +245,6 @@
         }
     }
 
-    /// Until when servers may be used whose entries are missing now; `None` if they are gone.
-    fn missing_until(&self) -> Option<ClockTime> {
-        let contact_millis = self.state.settings().contact_millis;
-        self.state.store_trouble.borrow().missing_until(self.state.now(), contact_millis)
-    }
-
     /// Since when the store may have been out of reach of a call that failed.
     fn find_failure_start(&self, error: &StoreCallError) -> ClockTime {
         match error {
@@ -311,37 +305,19 @@
                     (entry.name.clone(), page.entry_point(entry), read_server::<W>(entry))
                 });
                 let list = ServerList { point, entries: entries.collect() };
-                self.apply_servers(list);
+                apply_server_list(&self.state, list, "store");
             }
             _ => self.apply_declarations(page),
         }
     }
 
-    fn apply_servers(&self, list: ServerList) {
-        let ServerList { point, entries } = list;
-        let now = self.state.now();
-        let missing_until = self.missing_until();
-        let mut servers = self.state.servers.borrow_mut();
-        let is_first = !servers.is_listed();
-        let changes = servers.apply_list(now, point, entries, missing_until);
-        drop(servers);
-        log::info!(
-            "store: servers listed. point={point} changes={} missing={} used_for_millis={}",
-            changes.len(),
-            self.state.servers.borrow().count_missing(),
-            missing_until.map_or(0, |until| until.millis_since(now))
-        );
-        self.apply_server_changes(&changes, is_first);
-        self.state.list_copy_change.notify_waiters();
-    }
-
     fn apply_changes(&mut self, page: &StorePage) {
         self.point = Some(page.point());
         if self.kind != StoreKind::Servers {
             return self.apply_declarations(page);
         }
         let now = self.state.now();
-        let missing_until = self.missing_until();
+        let missing_until = find_missing_until(&self.state);
         let mut changes = Vec::new();
         let mut servers = self.state.servers.borrow_mut();
         for entry in &page.entries {
@@ -358,20 +334,7 @@
         }
         servers.advance_point(page.point());
         drop(servers);
-        self.apply_server_changes(&changes, false);
-    }
-
-    fn apply_server_changes(&self, changes: &[ServerChange], is_first: bool) {
-        // The lines of a long list would use up the budget of the log.
-        let log_each = changes.len() <= MAX_LOGGED_CHANGES;
-        for change in changes {
-            self.state.apply_change(*change, log_each);
-        }
-        let appeared = changes.iter().filter_map(|change| match change {
-            ServerChange::Appeared(server) => Some(*server),
-            _ => None,
-        });
-        self.state.record_cold_entries(&appeared.collect(), is_first);
+        apply_server_changes(&self.state, &changes, false);
     }
 
     fn apply_declarations(&self, page: &StorePage) {
@@ -383,6 +346,53 @@
     }
 }
 
+/// Applies a list of servers. `source` is logged.
+pub(crate) fn apply_server_list<W: EntryWire>(
+    state: &EntryState<W>,
+    list: ServerList,
+    source: &str,
+) {
+    let ServerList { point, entries } = list;
+    let now = state.now();
+    let missing_until = find_missing_until(state);
+    let mut servers = state.servers.borrow_mut();
+    let is_first = !servers.is_listed();
+    let changes = servers.apply_list(now, point, entries, missing_until);
+    drop(servers);
+    log::info!(
+        "store: servers listed. point={point} changes={} missing={} used_for_millis={} \
+         source={source}",
+        changes.len(),
+        state.servers.borrow().count_missing(),
+        missing_until.map_or(0, |until| until.millis_since(now))
+    );
+    apply_server_changes(state, &changes, is_first);
+    state.list_copy_change.notify_waiters();
+}
+
+/// Until when servers may be used whose entries are missing now; `None` if they are gone.
+fn find_missing_until<W: EntryWire>(state: &EntryState<W>) -> Option<ClockTime> {
+    let contact_millis = state.settings().contact_millis;
+    state.store_trouble.borrow().missing_until(state.now(), contact_millis)
+}
+
+fn apply_server_changes<W: EntryWire>(
+    state: &EntryState<W>,
+    changes: &[ServerChange],
+    is_first: bool,
+) {
+    // The lines of a long list would use up the budget of the log.
+    let log_each = changes.len() <= MAX_LOGGED_CHANGES;
+    for change in changes {
+        state.apply_change(*change, log_each);
+    }
+    let appeared = changes.iter().filter_map(|change| match change {
+        ServerChange::Appeared(server) => Some(*server),
+        _ => None,
+    });
+    state.record_cold_entries(&appeared.collect(), is_first);
+}
+
 fn read_server<W: EntryWire>(entry: &StoredEntry) -> Option<crate::record::ServerRecord> {
     match W::decode_server(&entry.content) {
         Ok(record) => Some(record),
