Check the server after a failure that ends with its connection

Cause: whether a server still runs was checked only after successes with neither a length nor chunks.

Change: the same check after failures. One whose server refuses connections and does not leave counts as broken off: it is refused as having perhaps run, or repeated where that is allowed. A failure without a body stays complete if its server runs. One connect more for each failure with neither a length nor chunks.

--- a/crates/catkin-entry/src/answer_end.rs
+++ b/crates/catkin-entry/src/answer_end.rs
@@ -8,8 +8,10 @@
 use crate::break_cause::ServerCheck;
 
 copy_type! {
-    /// A successful answer that states neither a length nor chunks, at the end of its connection.
+    /// An answer that states neither a length nor chunks, at the end of its connection.
     pub struct UnframedEnd {
+        /// Whether the answer must have a body to be complete. A failure may have none.
+        pub needs_body: bool,
         /// Whether the answer has a body, as far as it was received.
         pub has_body: bool,
         /// Whether the server is known to leave. It ends once its last answer is written.
@@ -20,7 +22,7 @@
 
     /// Why such an answer counts as broken off.
     pub enum EndFault {
-        /// It has no body. A server that has nothing to send states a length of 0 or a status without a body.
+        /// It is a success without a body. A server that has nothing to send states a length of 0 or a status without a body.
         Empty,
         /// The server ended, and did not leave.
         ServerEnded,
@@ -29,7 +31,7 @@
 
 /// Finds out why an answer counts as broken off; `None` if it counts as complete.
 pub fn find_end_fault(end: &UnframedEnd) -> Option<EndFault> {
-    if !end.has_body {
+    if end.needs_body && !end.has_body {
         return Some(EndFault::Empty);
     }
     let has_ended = end.check == Some(ServerCheck::Gone) && !end.is_leaving;
--- a/crates/catkin-entry/src/answer_forwarder.rs
+++ b/crates/catkin-entry/src/answer_forwarder.rs
@@ -308,18 +308,18 @@
     ) -> Option<ExchangeFailure> {
         let status = answer.head.status;
         // A reset content has no body, and may end so.
-        let is_checked = (200..300).contains(&status) && status != 205;
-        if !is_checked || !answer.connection.get().is_unframed() {
+        if status == 205 || !answer.connection.get().is_unframed() {
             return None;
         }
         let server = answer.slot.as_ref().map(|slot| slot.server);
-        let check = match server.filter(|_| has_body) {
+        let needs_body = (200..300).contains(&status);
+        let check = match server.filter(|_| has_body || !needs_body) {
             Some(server) => check_after_end(state, server, self.deadline).await,
             None => None,
         };
         let is_leaving =
             server.is_some_and(|server| !state.servers.borrow().may_get_requests(server));
-        let fault = find_end_fault(&UnframedEnd { has_body, is_leaving, check })?;
+        let fault = find_end_fault(&UnframedEnd { needs_body, has_body, is_leaving, check })?;
         log::info!(
             "server: answer with neither a length nor chunks ended with its connection; it counts as \
              broken off. server={server:?} cause={fault:?}"
--- a/crates/catkin-entry/tests/answer_end.rs
+++ b/crates/catkin-entry/tests/answer_end.rs
@@ -4,7 +4,7 @@
 
 /// Creates the end of an answer with a body.
 fn end_of(check: Option<ServerCheck>, is_leaving: bool) -> UnframedEnd {
-    UnframedEnd { has_body: true, is_leaving, check }
+    UnframedEnd { needs_body: true, has_body: true, is_leaving, check }
 }
 
 /// Guards against a success without a body of a server that stopped behind the head of its answer.
@@ -41,3 +41,16 @@
         assert_eq!(find_end_fault(&end_of(check, false)), None);
     }
 }
+
+/// Guards against a part of a failure that looks whole because its server ended, also behind the head.
+#[test]
+fn a_failure_of_a_server_that_ended_is_broken_off_and_one_without_a_body_is_complete() {
+    for has_body in [false, true] {
+        let failure = |check| UnframedEnd { needs_body: false, has_body, ..end_of(check, false) };
+
+        let ended = find_end_fault(&failure(Some(ServerCheck::Gone)));
+        let runs = find_end_fault(&failure(Some(ServerCheck::Listening)));
+
+        assert_eq!((ended, runs), (Some(EndFault::ServerEnded), None));
+    }
+}
