Let a stream that nobody knows go on at the version that served alone before

Cause: where a stream of a single version begins is told to nobody, so that routers can't tell it from one of the new version.

So a router that ran when the others appeared takes a stream of unknown origin for one of the version that served alone before, once it has asked the others and read the store, and not while its list is doubtful. Versions that the store or another router named may have been there before the start and count so.

--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -12,6 +12,8 @@
 /// Time for which the origin of a stream, and a version that no server has any more, are kept, in
 /// milliseconds. It exceeds the time that callers wait for a stream, retries included.
 const LIFETIME_MILLIS: u64 = 30_000;
+/// Minimum time by which a version is listed later than another one that served alone before, in milliseconds.
+const MIN_LATER_MILLIS: u64 = 1_000;
 /// Maximum time for which no stream begins at a new version since the store does not name it yet, in
 /// milliseconds.
 const PENDING_MILLIS: u64 = 2_000;
@@ -45,6 +47,9 @@
         OnlyVersion(SoftwareKey),
         /// At servers of this version, unless another router or the store knows better.
         LikelyVersion(SoftwareKey),
+        /// At servers of this version, the only one before others appeared while this router ran, unless another
+        /// router or the store knows better, and only if the store was read.
+        EarlierVersion(SoftwareKey),
         /// The version that began it is not known here.
         Unknown,
     }
@@ -124,7 +129,7 @@
 /// What is known of a version of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct KnownVersion {
-    /// When a server of the version was first listed.
+    /// When a server of the version was first listed; the start if another router or the store named it before.
     first: ClockTime,
     /// When one was last listed.
     last: ClockTime,
@@ -190,10 +195,7 @@
             }
             return;
         };
-        let versions = services
-            .iter()
-            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
-        self.record_versions(now, versions);
+        self.record_named_versions(now, services);
         self.mark_stored(services);
         // Later reads show what routers have written since the start of this one.
         if is_first {
@@ -208,14 +210,38 @@
         if !matches!(self.earlier.stored, StoredVersions::Unread) {
             return;
         }
-        let versions = restored
-            .iter()
-            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
-        self.record_versions(now, versions);
+        self.record_named_versions(now, restored);
         let from = now.plus_millis(REWRITE_MILLIS);
         self.earlier.stored = StoredVersions::Restored(restored.clone(), from);
     }
 
+    /// Records versions that the store or another router names. They may have been there before the start.
+    fn record_named_versions(&mut self, now: ClockTime, named: &ServiceVersions) {
+        let named = named
+            .iter()
+            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
+        for (service, software) in named {
+            self.insert_version(now, service, software, ClockTime::ZERO);
+        }
+    }
+
+    /// Records that a version is known at `now`, and since `first` if it is new.
+    fn insert_version(
+        &mut self,
+        now: ClockTime,
+        service: &str,
+        software: SoftwareKey,
+        first: ClockTime,
+    ) {
+        let new = KnownVersion { first, last: now, is_stored: false };
+        match self.versions.get_mut(service) {
+            Some(versions) => versions.entry(software).or_insert(new).last = now,
+            None => {
+                self.versions.insert(service.to_owned(), BTreeMap::from([(software, new)]));
+            }
+        }
+    }
+
     /// Records that the store names these versions.
     pub fn mark_stored(&mut self, services: &ServiceVersions) {
         for (service, versions) in &mut self.versions {
@@ -274,10 +300,7 @@
 
     /// Records the versions of which another router told this one when it joined. That router lacked none.
     pub fn record_told_versions(&mut self, now: ClockTime, told: &ServiceVersions) {
-        let versions = told
-            .iter()
-            .flat_map(|(service, versions)| versions.iter().map(|key| (service.as_str(), *key)));
-        self.record_versions(now, versions);
+        self.record_named_versions(now, told);
         let known = self.earlier.told.get_or_insert_default();
         for (service, versions) in told {
             known.entry(service.clone()).or_default().extend(versions);
@@ -303,13 +326,7 @@
         servers: impl Iterator<Item = (&'a str, SoftwareKey)>,
     ) {
         for (service, software) in servers {
-            let new = KnownVersion { first: now, last: now, is_stored: false };
-            match self.versions.get_mut(service) {
-                Some(versions) => versions.entry(software).or_insert(new).last = now,
-                None => {
-                    self.versions.insert(service.to_owned(), BTreeMap::from([(software, new)]));
-                }
-            }
+            self.insert_version(now, service, software, now);
         }
         let is_kept = |at: ClockTime| now.millis_since(at) < LIFETIME_MILLIS;
         for versions in self.versions.values_mut() {
@@ -379,7 +396,8 @@
             return match listed {
                 Some(software) if is_doubtful => ResumeChoice::LikelyVersion(software),
                 Some(software) => ResumeChoice::OnlyVersion(software),
-                None => ResumeChoice::Unknown,
+                None if is_doubtful || key.is_none() => ResumeChoice::Unknown,
+                None => self.choose_earlier(service),
             };
         }
         if self.earlier.is_unknown(now) {
@@ -402,6 +420,23 @@
         }
     }
 
+    /// Chooses the version that a service had alone before others appeared. Where a stream of the others begins, other
+    /// routers are told before the caller gets its first event; where one of a single version begins, nobody is told.
+    fn choose_earlier(&self, service: &str) -> ResumeChoice {
+        let Some(versions) = self.versions.get(service) else { return ResumeChoice::Unknown };
+        let earliest = versions.iter().min_by_key(|(_, known)| known.first);
+        let Some((software, earliest)) = earliest else { return ResumeChoice::Unknown };
+        let is_later =
+            |known: &KnownVersion| known.first.millis_since(earliest.first) >= MIN_LATER_MILLIS;
+        let others = versions.iter().filter(|(other, _)| *other != software);
+        let mut others = others.map(|(_, known)| known);
+        if others.all(is_later) {
+            ResumeChoice::EarlierVersion(*software)
+        } else {
+            ResumeChoice::Unknown
+        }
+    }
+
     /// Returns the origins to be sent to other routers. None are sent while each service has a single
     /// version, since they are not needed then; once one has several, all that are kept.
     pub fn unsent_origins(&mut self) -> Vec<(StreamKey, SoftwareKey)> {
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -34,6 +34,8 @@
 const FIRST_WRITE_DELAY: Duration = Duration::from_millis(1_000);
 /// Minimum time between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Age up to which a read counts as recent. It exceeds the interval of two reads by the wait for one.
+const FRESH_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a new version is not known to be stored after which a router reads the store itself, in
 /// milliseconds.
 const PENDING_READ_MILLIS: u64 = 500;
@@ -76,6 +78,11 @@
         self.yields_until.get().is_none_or(|until| until <= Instant::now())
     }
 
+    /// Whether the store was read lately.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.last.get().is_some_and(|last| last.elapsed() < FRESH_TIME)
+    }
+
     /// Whether a read is under way.
     pub(crate) fn is_pending(&self) -> bool {
         self.pending.get()
--- a/crates/catkin-entry/src/resumption.rs
+++ b/crates/catkin-entry/src/resumption.rs
@@ -44,6 +44,10 @@
             Err(RefusalCause::OriginUnknown)
         }
         ResumeChoice::LikelyVersion(software) => Ok(Some(software)),
+        ResumeChoice::EarlierVersion(software) if state.origin_access.is_fresh() => {
+            Ok(Some(software))
+        }
+        ResumeChoice::EarlierVersion(_) => Err(RefusalCause::OriginUnknown),
         ResumeChoice::Unknown => Err(RefusalCause::OriginUnknown),
     }
 }
