--- a/crates/catkin-soak/src/plan.rs
+++ b/crates/catkin-soak/src/plan.rs
@@ -65,6 +65,9 @@
 const MEAN_RELEASE_PAUSE_MILLIS: u64 = 8_000;
 const RELEASE_KILL_PERIOD: u32 = 2;
 const MAX_KILL_DELAY_MILLIS: u64 = 4_000;
+/// One release in so many begins while all routers are being stopped in turn, within the second time after that began.
+const RELEASE_STOP_PERIOD: u32 = 3;
+const MAX_STOP_LEAD_MILLIS: u64 = 6_000;
 /// Time after the other faults from which on two versions serve, in milliseconds, and times at which all
 /// routers end then. Callers that wait until routers are in touch resume their streams in between.
 const LAST_RELEASE_MILLIS: u64 = 5_000;
@@ -373,6 +376,8 @@
         let kind = FaultKind::ReleaseSoftware(percent);
         PlannedFault { at, length: MIN_LENGTH_MILLIS, kind }
     };
+    let stop_all = |at| PlannedFault { at, length: MIN_LENGTH_MILLIS, kind: FaultKind::StopAll };
+    let mut stop_random = StdRng::seed_from_u64(seed.rotate_left(56).wrapping_add(2));
     let kill_all = |at| PlannedFault { at, length: MIN_LENGTH_MILLIS, kind: FaultKind::KillAll };
     let mut at = QUIET_START_MILLIS;
     loop {
@@ -381,6 +386,10 @@
             break;
         }
         faults.push(release(at, if random.random() { 50 } else { 100 }));
+        if stop_random.random_ratio(1, RELEASE_STOP_PERIOD) {
+            let lead = stop_random.random_range(0..=MAX_STOP_LEAD_MILLIS);
+            faults.push(stop_all(at.saturating_sub(lead)));
+        }
         if random.random_ratio(1, RELEASE_KILL_PERIOD) {
             faults.push(kill_all(at + random.random_range(0..=MAX_KILL_DELAY_MILLIS)));
         }
