--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -16,7 +16,7 @@
 const MIN_LATER_MILLIS: u64 = 1_000;
 /// Maximum time for which no stream begins at a new version since the store does not name it yet, in
 /// milliseconds.
-const PENDING_MILLIS: u64 = 2_000;
+const PENDING_MILLIS: u64 = 8_000;
 /// Time within which servers write their entries again after the store was restored from a copy, in milliseconds.
 const REWRITE_MILLIS: u64 = 2_500;
 /// Maximum number of origins; further ones are dropped.
--- a/crates/catkin-entry/tests/origin_book.rs
+++ b/crates/catkin-entry/tests/origin_book.rs
@@ -176,7 +176,8 @@
 
     assert_eq!(only, []);
     assert_eq!(pending(&book, 500), [software("v2")]);
-    assert_eq!(pending(&book, 2_500), []);
+    assert_eq!(pending(&book, 8_499), [software("v2")]);
+    assert_eq!(pending(&book, 8_500), []);
     assert!(is_news);
     assert_eq!(pending(&stored, 600), []);
     assert_eq!(pending(&reported, 600), []);
