--- a/crates/catkin-entry/src/origin_book.rs
+++ b/crates/catkin-entry/src/origin_book.rs
@@ -87,7 +87,7 @@
         !is_read && self.told.is_none()
     }
 
-    /// Whether versions may have appeared that nobody could name here.
+    /// Whether versions may have appeared that the store lost and no other router told.
     fn may_lack_versions(&self) -> bool {
         self.told.is_none() && matches!(self.stored, StoredVersions::Restored(..))
     }
@@ -150,6 +150,7 @@
     origins: BTreeMap<StreamKey, StreamOrigin>,
     /// The streams in the order in which they were recorded.
     arrivals: VecDeque<StreamKey>,
+    /// The versions of the services, as far as they were listed or named lately.
     versions: BTreeMap<String, BTreeMap<SoftwareKey, KnownVersion>>,
     /// Origins that other routers are still to be told.
     unsent: Vec<StreamKey>,
--- a/crates/catkin-entry/src/origin_store.rs
+++ b/crates/catkin-entry/src/origin_store.rs
@@ -30,7 +30,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The same otherwise, for any other router.
 const ROLE_INTERVAL: Duration = Duration::from_millis(400);
-/// Time after the start within which the other routers become known.
+/// Time after the start within which most other routers become known.
 const FIRST_WRITE_DELAY: Duration = Duration::from_millis(400);
 /// Minimum time between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
